--- /dev/null
+++ b/Makefile
@@ -0,0 +1,27 @@
+PYTHON ?= python3
+VENV := .venv
+BIN := $(VENV)/bin
+STAMP := $(VENV)/.installed
+
+.PHONY: setup test demo bench lint format
+
+$(STAMP): pyproject.toml
+	$(PYTHON) -m venv $(VENV)
+	$(BIN)/pip install --quiet --disable-pip-version-check -e '.[test]'
+	touch $(STAMP)
+
+setup: $(STAMP)
+
+test: $(STAMP)
+	$(BIN)/python -m pytest
+
+demo: $(STAMP)
+	$(BIN)/python -m standins.demo
+
+lint: $(STAMP)
+	$(BIN)/ruff format --check .
+	$(BIN)/ruff check .
+
+format: $(STAMP)
+	$(BIN)/ruff format .
+	$(BIN)/ruff check --fix .
--- /dev/null
+++ b/standins/fleet.py
@@ -0,0 +1,346 @@
+"""Starts a whole fleet with its surroundings as processes on loopback.
+
+The demo and the tests on real processes use it. Control links pass through a
+relay, which counts their bytes and can cut them.
+"""
+
+import contextlib
+import dataclasses
+import hashlib
+import json
+import pathlib
+import signal
+import socket
+import subprocess
+import sys
+import time
+import urllib.error
+import urllib.request
+
+START_TIMEOUT = 20.0
+"""Seconds that a process may take until it answers."""
+
+STOP_TIMEOUT = 15.0
+"""Seconds that a process may take to stop gracefully."""
+
+
+@dataclasses.dataclass(slots=True)
+class Upstreams:
+    """Upstreams of one service that the fleet is to have.
+
+    Attributes:
+        service: The service.
+        count: How many upstreams.
+        module: Stand-in module that plays them.
+        slots: Requests that one runs at a time.
+        arguments: Further arguments of the stand-in.
+    """
+
+    service: str
+    count: int
+    module: str
+    slots: int
+    arguments: tuple[str, ...] = ()
+
+
+@dataclasses.dataclass(slots=True)
+class Node:
+    """One VM of the fleet with its process.
+
+    Attributes:
+        name: The VM.
+        role: `router` or `upstream`.
+        service: The upstream's service; empty for a router.
+        data: Port of its HTTP server.
+        control: Port of its control messages.
+        relayed_control: Port at which the relay passes them on.
+        upstream: Port of the upstream beside a sidecar; 0 for a router.
+        process: The router or sidecar process.
+        upstream_process: The upstream's process.
+        state: The operators' mark.
+    """
+
+    name: str
+    role: str
+    service: str
+    data: int
+    control: int
+    relayed_control: int
+    upstream: int = 0
+    process: subprocess.Popen | None = None
+    upstream_process: subprocess.Popen | None = None
+    state: str = "live"
+
+
+@dataclasses.dataclass(slots=True)
+class Fleet:
+    """A running fleet.
+
+    Attributes:
+        folder: Where settings and logs lie.
+        platform: Port of the platform stand-in.
+        relay: Port of the relay's interface.
+        nodes: VMs by name.
+        text: The operators' text last published.
+        revision: Its revision.
+        vms_revision: Revision of the VM list last published.
+        helpers: Processes of the stand-ins that belong to no VM.
+    """
+
+    folder: pathlib.Path
+    platform: int
+    relay: int
+    nodes: dict[str, Node]
+    text: str = ""
+    revision: int = 0
+    vms_revision: int = 0
+    helpers: list[subprocess.Popen] = dataclasses.field(default_factory=list)
+
+
+def find_ports(count: int) -> list[int]:
+    """Finds free ports on loopback."""
+    with contextlib.ExitStack() as stack:
+        sockets = [stack.enter_context(socket.socket()) for _ in range(count)]
+        for free in sockets:
+            free.bind(("127.0.0.1", 0))
+        return [free.getsockname()[1] for free in sockets]
+
+
+def call(port: int, path: str, body: object = None) -> object:
+    """Calls a stand-in or a process: GET, or PUT if there is a body."""
+    request = urllib.request.Request(
+        f"http://127.0.0.1:{port}{path}",
+        data=None if body is None else json.dumps(body).encode(),
+        method="GET" if body is None else "PUT",
+        headers={"Content-Type": "application/json"},
+    )
+    with urllib.request.urlopen(request, timeout=10) as answer:
+        return json.load(answer)
+
+
+def wait_until(check, what: str, timeout: float = START_TIMEOUT):
+    """Waits until a check gives something true, and returns that.
+
+    Raises:
+        TimeoutError: It did not in time.
+    """
+    until = time.monotonic() + timeout
+    while time.monotonic() < until:
+        with contextlib.suppress(OSError, ValueError):
+            if found := check():
+                return found
+        time.sleep(0.02)
+    raise TimeoutError(f"waited {timeout} s for {what}")
+
+
+def make_key(team: str) -> str:
+    """Makes the bearer key that a team has in tests."""
+    return f"key-of-{team}"
+
+
+def write_text(teams: dict[str, float], services: str, limits: str = "") -> str:
+    """Writes an operators' text with teams and their weights."""
+    sections = [
+        f"[team {team}]\nweight = {weight}\nkeys_sha256 = "
+        f"{hashlib.sha256(make_key(team).encode()).hexdigest()}\n"
+        for team, weight in teams.items()
+    ]
+    head = f"[limits]\n{limits}\n" if limits else ""
+    return head + services + "\n" + "\n".join(sections)
+
+
+def start_fleet(
+    folder: pathlib.Path,
+    text: str,
+    routers: int,
+    upstreams: list[Upstreams],
+) -> Fleet:
+    """Starts a fleet and waits until its routers are ready to serve.
+
+    Args:
+        folder: Where settings and logs are written.
+        text: The operators' text.
+        routers: Number of routers.
+        upstreams: Upstreams by service.
+
+    Returns:
+        The running fleet.
+    """
+    fleet = _plan_fleet(folder, routers, upstreams)
+    try:
+        _start_surroundings(fleet, upstreams)
+        publish_text(fleet, text)
+        publish_vms(fleet)
+        for node in fleet.nodes.values():
+            start_node(fleet, node)
+        wait_ready(fleet)
+    except BaseException:
+        kill_fleet(fleet)
+        raise
+    return fleet
+
+
+def _plan_fleet(
+    folder: pathlib.Path, routers: int, upstreams: list[Upstreams]
+) -> Fleet:
+    named = [(f"router-{index}", "router", "") for index in range(routers)]
+    named += [
+        (f"{group.service}-{index}", "upstream", group.service)
+        for group in upstreams
+        for index in range(group.count)
+    ]
+    ports = iter(find_ports(2 + 4 * len(named)))
+    fleet = Fleet(folder, next(ports), next(ports), {})
+    for name, role, service in named:
+        node = Node(name, role, service, next(ports), next(ports), next(ports))
+        spare = next(ports)
+        node.upstream = spare if role == "upstream" else 0
+        fleet.nodes[name] = node
+    return fleet
+
+
+def _start_surroundings(fleet: Fleet, upstreams: list[Upstreams]) -> None:
+    routes = [
+        f"{node.relayed_control}:{node.control}"
+        for node in fleet.nodes.values()
+    ]
+    fleet.helpers.append(
+        _spawn(fleet, "platform", "standins.platform", str(fleet.platform))
+    )
+    fleet.helpers.append(
+        _spawn(fleet, "relay", "standins.relay", str(fleet.relay), *routes)
+    )
+    groups = {group.service: group for group in upstreams}
+    for node in fleet.nodes.values():
+        if node.role == "upstream":
+            start_upstream(fleet, node, groups[node.service])
+    wait_until(lambda: call(fleet.platform, "/test/reads"), "the platform")
+    wait_until(lambda: call(fleet.relay, "/test/bytes"), "the relay")
+
+
+def start_upstream(fleet: Fleet, node: Node, group: Upstreams) -> None:
+    """Starts the upstream beside a sidecar and waits until it answers."""
+    node.upstream_process = _spawn(
+        fleet,
+        f"{node.name}-upstream",
+        group.module,
+        str(node.upstream),
+        f"--slots={group.slots}",
+        *group.arguments,
+    )
+    wait_until(lambda: call(node.upstream, "/v1/load"), node.name)
+
+
+def _spawn(
+    fleet: Fleet, name: str, module: str, *arguments: str
+) -> subprocess.Popen:
+    log = (fleet.folder / f"{name}.log").open("ab")
+    with log:
+        return subprocess.Popen(
+            [sys.executable, "-m", module, *arguments],
+            stdin=subprocess.DEVNULL,
+            stdout=log,
+            stderr=log,
+        )
+
+
+def start_node(fleet: Fleet, node: Node) -> None:
+    """Starts a router or sidecar process."""
+    path = fleet.folder / f"{node.name}.ini"
+    path.write_text(_write_settings(fleet, node))
+    program = "router" if node.role == "router" else "sidecar"
+    node.process = _spawn(
+        fleet, node.name, "sycamorefall.command", program, str(path)
+    )
+
+
+def _write_settings(fleet: Fleet, node: Node) -> str:
+    upstream = (
+        f"[upstream]\nservice = {node.service}\n"
+        f"address = 127.0.0.1:{node.upstream}\n"
+        if node.role == "upstream"
+        else ""
+    )
+    return (
+        f"[vm]\nname = {node.name}\n"
+        f"failure_domain = {_choose_domain(node)}\n"
+        f"[listen]\ndata = 127.0.0.1:{node.data}\n"
+        f"control = 127.0.0.1:{node.control}\n"
+        f"[platform]\naddress = 127.0.0.1:{fleet.platform}\n"
+        f"poll_interval = 0.5\n{upstream}"
+    )
+
+
+def _choose_domain(node: Node) -> str:
+    index = int(node.name.rpartition("-")[2])
+    return f"domain-{index % 4}"
+
+
+def publish_text(fleet: Fleet, text: str) -> None:
+    """Publishes an operators' text as the next revision."""
+    fleet.text = text
+    fleet.revision += 1
+    body = {"revision": fleet.revision, "text": text}
+    call(fleet.platform, "/test/config", body)
+
+
+def publish_vms(fleet: Fleet) -> None:
+    """Publishes the list of VMs as the next revision."""
+    fleet.vms_revision += 1
+    vms = [
+        {
+            "name": node.name,
+            "role": node.role,
+            "failure_domain": _choose_domain(node),
+            "control": f"127.0.0.1:{node.relayed_control}",
+            "data": f"127.0.0.1:{node.data}",
+            "service": node.service,
+            "state": node.state,
+        }
+        for node in fleet.nodes.values()
+    ]
+    body = {"revision": fleet.vms_revision, "vms": vms}
+    call(fleet.platform, "/test/vms", body)
+
+
+def wait_ready(fleet: Fleet) -> None:
+    """Waits until every router reaches an upstream of every service."""
+    services = {node.service for node in fleet.nodes.values()} - {""}
+    for node in fleet.nodes.values():
+        path = "/ready" if node.role == "router" else "/status"
+        wait_until(lambda n=node, p=path: call(n.data, p) is not None, path)
+        if node.role == "router":
+            wait_until(
+                lambda n=node: (
+                    services <= set(call(n.data, "/status")["services"])
+                ),
+                f"upstreams at {node.name}",
+            )
+
+
+def stop_process(process: subprocess.Popen | None) -> int | None:
+    """Stops a process gracefully; returns its exit status."""
+    if process is None:
+        return None
+    process.send_signal(signal.SIGTERM)
+    return process.wait(STOP_TIMEOUT)
+
+
+def stop_fleet(fleet: Fleet) -> dict[str, int | None]:
+    """Stops all gracefully; returns the exit status of each node."""
+    running = [node for node in fleet.nodes.values() if node.process]
+    routers_first = sorted(running, key=lambda node: node.role)
+    statuses = {node.name: stop_process(node.process) for node in routers_first}
+    kill_fleet(fleet)
+    return statuses
+
+
+def kill_fleet(fleet: Fleet) -> None:
+    """Ends whatever still runs."""
+    processes = list(fleet.helpers)
+    for node in fleet.nodes.values():
+        processes += [node.process, node.upstream_process]
+    for process in filter(None, processes):
+        if process.poll() is None:
+            process.kill()
+            process.wait()
--- /dev/null
+++ b/sycamorefall/errors.py
@@ -0,0 +1,170 @@
+"""The closed list of error kinds and the answer that each one gets.
+
+Every failure that a caller can meet is one member of `ErrorKind`; the table
+`ANSWERS` maps it to an HTTP status and to what the caller may conclude about
+its request. Faults found at start-up are exceptions below `SycamorefallError`.
+"""
+
+__all__ = [
+    "ANSWERS",
+    "AddressInUse",
+    "ConfigurationRefused",
+    "ErrorAnswer",
+    "ErrorBody",
+    "ErrorDetail",
+    "ErrorKind",
+    "MessageRefused",
+    "Ran",
+    "SettingsRefused",
+    "SycamorefallError",
+    "describe_error",
+]
+
+import enum
+
+import msgspec
+
+
+class SycamorefallError(Exception):
+    """Base class of all exceptions raised by the package."""
+
+
+class SettingsRefused(SycamorefallError):
+    """A settings file can't be used; the text says which key and why."""
+
+
+class AddressInUse(SycamorefallError):
+    """A listening address of the settings is taken or can't be bound."""
+
+
+class ConfigurationRefused(SycamorefallError):
+    """An operators' configuration text is not valid.
+
+    Attributes:
+        line: Number of the offending line, from 1; 0 if it has no one line.
+        reason: What is wrong with it.
+    """
+
+    def __init__(self, line: int, reason: str):
+        super().__init__(f"line {line}: {reason}")
+        self.line = line
+        self.reason = reason
+
+
+class MessageRefused(SycamorefallError):
+    """Bytes from another process are not a message of ours."""
+
+
+class Ran(enum.Enum):
+    """Whether the request was run by an upstream."""
+
+    NO = "no"
+    YES = "yes"
+    UNKNOWN = "unknown"
+
+
+class ErrorKind(enum.Enum):
+    """Everything that can be answered to a caller in place of its answer."""
+
+    MALFORMED_REQUEST = "malformed_request"
+    UNKNOWN_TEAM = "unknown_team"
+    UNKNOWN_SERVICE = "unknown_service"
+    METHOD_NOT_ALLOWED = "method_not_allowed"
+    REQUEST_TIMEOUT = "request_timeout"
+    HEADERS_TOO_LARGE = "headers_too_large"
+    BODY_TOO_LARGE = "body_too_large"
+    TOO_MANY_WAITING = "too_many_waiting"
+    WAIT_EXCEEDS_DEADLINE = "wait_exceeds_deadline"
+    DEADLINE_EXCEEDED = "deadline_exceeded"
+    NO_UPSTREAM = "no_upstream"
+    DEPENDENCY_UNAVAILABLE = "dependency_unavailable"
+    RETRIES_EXHAUSTED = "retries_exhausted"
+    DUPLICATE_REQUEST = "duplicate_request"
+    ANSWER_INCOMPLETE = "answer_incomplete"
+    OUTCOME_UNKNOWN = "outcome_unknown"
+    NOT_READY = "not_ready"
+    STOPPING = "stopping"
+    INTERNAL = "internal"
+
+
+class ErrorAnswer(msgspec.Struct, frozen=True):
+    """How an error kind is put to the caller.
+
+    Attributes:
+        status: HTTP status code.
+        ran: Whether the request was run.
+        retry: Whether sending the request again can help.
+    """
+
+    status: int
+    ran: Ran
+    retry: bool = False
+
+
+ANSWERS = {
+    ErrorKind.MALFORMED_REQUEST: ErrorAnswer(400, Ran.NO),
+    ErrorKind.UNKNOWN_TEAM: ErrorAnswer(401, Ran.NO),
+    ErrorKind.UNKNOWN_SERVICE: ErrorAnswer(404, Ran.NO),
+    ErrorKind.METHOD_NOT_ALLOWED: ErrorAnswer(405, Ran.NO),
+    ErrorKind.REQUEST_TIMEOUT: ErrorAnswer(408, Ran.NO),
+    ErrorKind.HEADERS_TOO_LARGE: ErrorAnswer(431, Ran.NO),
+    ErrorKind.BODY_TOO_LARGE: ErrorAnswer(413, Ran.NO),
+    ErrorKind.TOO_MANY_WAITING: ErrorAnswer(429, Ran.NO, retry=True),
+    ErrorKind.WAIT_EXCEEDS_DEADLINE: ErrorAnswer(503, Ran.NO, retry=True),
+    ErrorKind.DEADLINE_EXCEEDED: ErrorAnswer(504, Ran.NO, retry=True),
+    ErrorKind.NO_UPSTREAM: ErrorAnswer(503, Ran.NO, retry=True),
+    ErrorKind.DEPENDENCY_UNAVAILABLE: ErrorAnswer(503, Ran.NO, retry=True),
+    ErrorKind.RETRIES_EXHAUSTED: ErrorAnswer(502, Ran.UNKNOWN, retry=True),
+    ErrorKind.DUPLICATE_REQUEST: ErrorAnswer(409, Ran.UNKNOWN),
+    ErrorKind.ANSWER_INCOMPLETE: ErrorAnswer(502, Ran.YES),
+    ErrorKind.OUTCOME_UNKNOWN: ErrorAnswer(502, Ran.UNKNOWN),
+    ErrorKind.NOT_READY: ErrorAnswer(503, Ran.NO, retry=True),
+    ErrorKind.STOPPING: ErrorAnswer(503, Ran.NO, retry=True),
+    ErrorKind.INTERNAL: ErrorAnswer(500, Ran.UNKNOWN),
+}
+
+
+class ErrorDetail(msgspec.Struct, frozen=True):
+    """The fields of an error body.
+
+    Attributes:
+        kind: Value of the `ErrorKind`.
+        ran: Value of the `Ran`.
+        message: One sentence for people.
+    """
+
+    kind: str
+    ran: str
+    message: str
+
+
+class ErrorBody(msgspec.Struct, frozen=True):
+    """The JSON body of every failure, in the shape OpenAI clients expect."""
+
+    error: ErrorDetail
+
+
+def describe_error(
+    kind: ErrorKind, message: str = "", ran: Ran | None = None
+) -> ErrorBody:
+    """Builds the JSON body for an error kind.
+
+    Args:
+        kind: What went wrong.
+        message: One sentence for people; the kind's own words if empty.
+        ran: Overrides the table where a case is known more exactly.
+
+    Returns:
+        The body, ready to be encoded.
+
+    Example:
+        >>> describe_error(ErrorKind.UNKNOWN_TEAM).error.ran
+        'no'
+    """
+    return ErrorBody(
+        error=ErrorDetail(
+            kind=kind.value,
+            ran=(ran or ANSWERS[kind].ran).value,
+            message=message or kind.value.replace("_", " "),
+        )
+    )
--- /dev/null
+++ b/sycamorefall/membership/__init__.py
@@ -0,0 +1,29 @@
+"""Which VMs there are and which of them may get new work."""
+
+__all__ = [
+    "SUSPECT_AFTER",
+    "Directory",
+    "Peer",
+    "VmEntry",
+    "VmList",
+    "VmRole",
+    "VmState",
+    "note_heartbeat",
+    "replace_list",
+    "select_routers",
+    "select_upstreams",
+]
+
+from sycamorefall.membership.directory import (
+    SUSPECT_AFTER,
+    Directory,
+    Peer,
+    VmEntry,
+    VmList,
+    VmRole,
+    VmState,
+    note_heartbeat,
+    replace_list,
+    select_routers,
+    select_upstreams,
+)
--- /dev/null
+++ b/sycamorefall/messages.py
@@ -0,0 +1,284 @@
+"""Control messages between the system's processes, and their codec.
+
+A message travels in an `Envelope`, encoded as MessagePack. Control messages
+may be lost, repeated, delayed and reordered: every receiver must cope.
+"""
+
+__all__ = [
+    "ATTEMPT_PATH",
+    "ORDER_HEADER",
+    "OUTCOME_HEADER",
+    "AccountEntry",
+    "AccountUpdate",
+    "AttemptOrder",
+    "AttemptQuery",
+    "AttemptReport",
+    "AttemptState",
+    "Claim",
+    "Envelope",
+    "Heartbeat",
+    "Message",
+    "NoWork",
+    "Outcome",
+    "TeamWaiting",
+    "Waiting",
+    "decode_envelope",
+    "decode_order",
+    "encode_envelope",
+    "encode_order",
+]
+
+import base64
+import binascii
+import enum
+
+import msgspec
+
+from sycamorefall import errors
+
+ATTEMPT_PATH = "/v1/attempts"
+"""Where a sidecar takes attempts over HTTP."""
+
+ORDER_HEADER = "Sycamorefall-Order"
+"""Header of a hand-out that carries its `AttemptOrder`."""
+
+OUTCOME_HEADER = "Sycamorefall-Outcome"
+"""Header of a sidecar's answer in place of the upstream's: an `Outcome`."""
+
+
+class Outcome(enum.Enum):
+    """Why a sidecar answers a hand-out without the upstream's answer.
+
+    REFUSED: it did not start the attempt.
+    NOT_RUN: it could not reach the upstream.
+    FAILED: the upstream broke off after it had the request.
+    """
+
+    REFUSED = "refused"
+    NOT_RUN = "not-run"
+    FAILED = "failed"
+
+
+class AttemptState(enum.Enum):
+    """What a sidecar knows of an attempt."""
+
+    NEVER_SEEN = "never_seen"
+    REFUSED = "refused"
+    STARTED = "started"
+    FINISHED = "finished"
+
+
+class Heartbeat(msgspec.Struct, frozen=True, array_like=True, tag="heartbeat"):
+    """Says that the sender lives, and whether it takes new work."""
+
+    stopping: bool = False
+
+
+class TeamWaiting(msgspec.Struct, frozen=True, array_like=True):
+    """Work of one team that waits at a router.
+
+    Attributes:
+        team: The team's name.
+        count: Waiting requests.
+        oldest_age: Seconds the oldest of them has waited.
+    """
+
+    team: str
+    count: int
+    oldest_age: float
+
+
+class Waiting(msgspec.Struct, frozen=True, array_like=True, tag="waiting"):
+    """A router tells which teams of a service have work waiting with it.
+
+    Attributes:
+        service: The service.
+        sequence: Grows with each announcement of the sender's incarnation.
+        teams: Teams whose count changed; a count of 0 ends an announcement.
+        complete: Whether `teams` is all there is, replacing what was known.
+    """
+
+    service: str
+    sequence: int
+    teams: tuple[TeamWaiting, ...]
+    complete: bool
+
+
+class Claim(msgspec.Struct, frozen=True, array_like=True, tag="claim"):
+    """A sidecar asks a router for one request of a team.
+
+    The claim is a lease: the sidecar refuses an attempt that arrives after
+    `lease` seconds by its own clock.
+    """
+
+    claim_id: int
+    service: str
+    team: str
+    lease: float
+
+
+class NoWork(msgspec.Struct, frozen=True, array_like=True, tag="no_work"):
+    """A router's answer to a claim when the team has nothing waiting."""
+
+    claim_id: int
+    service: str
+    team: str
+
+
+class AccountEntry(msgspec.Struct, frozen=True, array_like=True):
+    """What one sidecar incarnation gave to a team.
+
+    Attributes:
+        team: The team's name.
+        label: The owner: VM name and incarnation.
+        sequence: Grows with each change by the owner.
+        served: Cost units charged so far.
+        reserved: Estimated units of claims and runs in flight.
+        offset: Lift of the team's order key, a maximum over all sidecars.
+    """
+
+    team: str
+    label: str
+    sequence: int
+    served: float
+    reserved: float
+    offset: float
+
+
+class AccountUpdate(
+    msgspec.Struct, frozen=True, array_like=True, tag="account"
+):
+    """Account entries of a service, the sender's own or passed on."""
+
+    service: str
+    entries: tuple[AccountEntry, ...]
+
+
+class AttemptQuery(msgspec.Struct, frozen=True, array_like=True, tag="query"):
+    """A router asks what became of an attempt whose answer broke off."""
+
+    attempt_id: str
+
+
+class AttemptReport(msgspec.Struct, frozen=True, array_like=True, tag="report"):
+    """A sidecar's answer to a query."""
+
+    attempt_id: str
+    state: AttemptState
+
+
+Message = (
+    Heartbeat
+    | Waiting
+    | Claim
+    | NoWork
+    | AccountUpdate
+    | AttemptQuery
+    | AttemptReport
+)
+
+
+class Envelope(msgspec.Struct, frozen=True, array_like=True):
+    """A message with its sender.
+
+    Attributes:
+        sender: VM name of the sending process.
+        incarnation: Number of the sending process, new at each start.
+        revision: Revision of the configuration in force at the sender.
+        message: The message.
+    """
+
+    sender: str
+    incarnation: int
+    revision: int
+    message: Message
+
+
+class AttemptOrder(msgspec.Struct, frozen=True):
+    """Head of an attempt that a router hands out to a sidecar.
+
+    It travels in one HTTP header of the hand-out, as Base64 of MessagePack.
+
+    Attributes:
+        attempt_id: Unique over all routers, incarnations and attempts.
+        claim_id: The claim this attempt answers.
+        router: VM name of the router.
+        incarnation: The router's incarnation.
+        service: The service.
+        team: The team.
+        method: HTTP method towards the upstream.
+        path: Path and query towards the upstream.
+        headers: Headers to pass on.
+        remaining: Seconds left until the caller's deadline.
+        idempotent: Whether the request may be run again.
+        cost_hint: The caller's estimate in cost units, 0 if none.
+    """
+
+    attempt_id: str
+    claim_id: int
+    router: str
+    incarnation: int
+    service: str
+    team: str
+    method: str
+    path: str
+    headers: tuple[tuple[str, str], ...]
+    remaining: float
+    idempotent: bool
+    cost_hint: float = 0.0
+
+
+_encoder = msgspec.msgpack.Encoder()
+_envelope_decoder = msgspec.msgpack.Decoder(Envelope)
+_order_decoder = msgspec.msgpack.Decoder(AttemptOrder)
+
+
+def encode_envelope(envelope: Envelope) -> bytes:
+    """Encodes an envelope as MessagePack."""
+    return _encoder.encode(envelope)
+
+
+def decode_envelope(data: bytes) -> Envelope:
+    """Decodes an envelope.
+
+    Args:
+        data: Bytes as received.
+
+    Returns:
+        The envelope.
+
+    Raises:
+        errors.MessageRefused: The bytes are not an envelope.
+
+    Example:
+        >>> sent = Envelope("router-1", 1, 7, Heartbeat())
+        >>> decode_envelope(encode_envelope(sent)) == sent
+        True
+    """
+    try:
+        return _envelope_decoder.decode(data)
+    except (msgspec.DecodeError, UnicodeDecodeError) as fault:
+        raise errors.MessageRefused(str(fault)) from fault
+
+
+def encode_order(order: AttemptOrder) -> str:
+    """Encodes an attempt's head as text that fits an HTTP header."""
+    return base64.b64encode(_encoder.encode(order)).decode("ascii")
+
+
+def decode_order(text: str) -> AttemptOrder:
+    """Decodes an attempt's head.
+
+    Args:
+        text: The header's value.
+
+    Returns:
+        The head.
+
+    Raises:
+        errors.MessageRefused: The text is not an attempt's head.
+    """
+    try:
+        return _order_decoder.decode(base64.b64decode(text, validate=True))
+    except (msgspec.DecodeError, binascii.Error, ValueError) as fault:
+        raise errors.MessageRefused(str(fault)) from fault
--- /dev/null
+++ b/sycamorefall/node.py
@@ -0,0 +1,201 @@
+"""What the shells of routers and sidecars have in common."""
+
+__all__ = ["Node", "create_node", "run_node"]
+
+from collections.abc import Callable, Iterable
+import dataclasses
+import sys
+import time
+
+from circuits.core import pollers
+
+from sycamorefall import (
+    configuration,
+    effects,
+    membership,
+    messages,
+    platform,
+    settings,
+    transport,
+)
+
+
+@dataclasses.dataclass(slots=True)
+class Core:
+    """The decisions that a node's shell drives.
+
+    Attributes:
+        vm: This VM's name.
+        incarnation: This process's number.
+        versions: The configuration in force.
+        directory: The VMs of the fleet.
+        receive: Handles a control message.
+        run_timers: Does what has come due.
+        find_next_due: Tells when something is due next.
+        apply_configuration: Called after a text came into force.
+        perform: Carries out effects that are not messages.
+        is_idle: Whether nothing is in progress, so a stopping node may end.
+        begin_stop: Makes the decisions take nothing new.
+    """
+
+    vm: str
+    incarnation: int
+    versions: configuration.VersionState
+    directory: membership.Directory
+    receive: Callable[[float, messages.Envelope], Iterable]
+    run_timers: Callable[[float], Iterable]
+    find_next_due: Callable[[], float]
+    apply_configuration: Callable[[], None]
+    perform: Callable[[object], None]
+    is_idle: Callable[[], bool]
+    begin_stop: Callable[[], None]
+
+
+@dataclasses.dataclass(slots=True)
+class Node:
+    """A process of the system: its decisions and its I/O.
+
+    Attributes:
+        core: The decisions.
+        loop: The root component.
+        control: Links for control messages.
+        client: Sends HTTP requests.
+        server: Takes HTTP requests.
+        reader: Reads the platform.
+        stopping: Whether the process is to end once it is idle.
+    """
+
+    core: Core
+    loop: transport.Loop
+    control: transport.ControlLinks
+    client: transport.HttpClient
+    server: transport.HttpServer
+    reader: platform.PlatformReader
+    stopping: bool = False
+
+
+def choose_incarnation() -> int:
+    """Chooses the number of this process: later processes get higher ones."""
+    return time.time_ns() // 1000
+
+
+def create_node(
+    config: settings.RouterSettings | settings.SidecarSettings,
+    core: Core,
+    on_call: Callable[[transport.IncomingCall], None],
+) -> Node:
+    """Opens a node's sockets and wires them to its decisions.
+
+    Args:
+        config: The process's settings.
+        core: The decisions.
+        on_call: Called with each HTTP request.
+
+    Returns:
+        The node, ready to run.
+
+    Raises:
+        errors.AddressInUse: A listening address can't be bound.
+    """
+    loop = transport.create_loop(lambda: begin_stop(node))
+    poller = next(
+        part for part in loop.components if isinstance(part, pollers.BasePoller)
+    )
+    control = transport.ControlLinks(
+        str(config.listen.control),
+        lambda name: _find_control(core.directory, name),
+        lambda envelope: perform(
+            node, core.receive(transport.read_clock(), envelope)
+        ),
+    ).register(loop)
+    control.attach(poller)
+    client = transport.HttpClient(poller, transport.read_clock).register(loop)
+    server = transport.HttpServer(
+        config.listen.data, config.limits, on_call
+    ).register(loop)
+    reader = platform.PlatformReader(
+        config.platform,
+        client,
+        lambda published: _take_text(node, published),
+        lambda vms: _take_vms(node, vms),
+        seed=core.incarnation,
+    )
+    node = Node(core, loop, control, client, server, reader)
+    transport.Ticker(
+        lambda: _find_next_due(node), lambda now: _run_timers(node, now)
+    ).register(loop)
+    return node
+
+
+def run_node(node: Node) -> None:
+    """Runs a node until it is told to stop and has nothing in progress."""
+    node.loop.run()
+
+
+def begin_stop(node: Node) -> None:
+    """Begins a graceful stop: nothing new is taken, the rest is finished."""
+    if not node.stopping:
+        node.stopping = True
+        node.core.begin_stop()
+
+
+def perform(node: Node, outcome: Iterable) -> None:
+    """Carries out effects: messages here, all others by the node's shell."""
+    for effect in outcome:
+        if isinstance(effect, effects.Send):
+            envelope = messages.Envelope(
+                node.core.vm,
+                node.core.incarnation,
+                node.core.versions.in_force,
+                effect.message,
+            )
+            node.control.send(effect.to, envelope)
+        else:
+            node.core.perform(effect)
+
+
+def _find_control(directory: membership.Directory, name: str) -> str | None:
+    vm = directory.vms.get(name)
+    return vm.control if vm else None
+
+
+def _find_next_due(node: Node) -> float:
+    if node.stopping:
+        return 0.0 if node.core.is_idle() else _find_next_timer(node)
+    return _find_next_timer(node)
+
+
+def _find_next_timer(node: Node) -> float:
+    return min(
+        node.core.find_next_due(),
+        node.client.find_next_due(),
+        node.reader.find_next_due(),
+    )
+
+
+def _run_timers(node: Node, now: float) -> None:
+    node.client.expire(now)
+    node.reader.run(now)
+    perform(node, node.core.run_timers(now))
+    if node.stopping and node.core.is_idle():
+        node.loop.stop()
+
+
+def _take_text(node: Node, published: platform.PublishedText) -> None:
+    versions = node.core.versions
+    adoption = configuration.offer_text(
+        versions, published.revision, published.text
+    )
+    if adoption is configuration.Adoption.ADOPTED:
+        node.core.apply_configuration()
+    if adoption is configuration.Adoption.REFUSED:
+        print(
+            f"configuration revision {published.revision} refused: "
+            f"{versions.refusal}",
+            file=sys.stderr,
+        )
+
+
+def _take_vms(node: Node, vms: membership.VmList) -> None:
+    if membership.replace_list(node.core.directory, vms):
+        node.control.keep_only(set(node.core.directory.vms))
--- /dev/null
+++ b/sycamorefall/router/handout.py
@@ -0,0 +1,301 @@
+"""Hand-out of requests to sidecars, and what becomes of the attempts."""
+
+__all__ = [
+    "AttemptEnd",
+    "answer_claim",
+    "ask_again",
+    "end_attempt",
+    "take_report",
+]
+
+import enum
+
+from sycamorefall import (
+    admission,
+    effects,
+    errors,
+    membership,
+    messages,
+    sharing,
+)
+from sycamorefall.router import announcement, intake
+from sycamorefall.router import effects as router_effects
+from sycamorefall.router import state as state_module
+
+ASK_INTERVAL = 0.25
+"""Seconds between two questions for the outcome of the same attempt."""
+
+ASK_LIMIT = 2.0
+"""Seconds after which the outcome of an attempt is given up as unknown."""
+
+NOT_RUN_LIMIT = 8
+"""Attempts after which a request that no upstream takes is given up."""
+
+
+class AttemptEnd(enum.Enum):
+    """How an attempt ended, as the router saw it.
+
+    COMPLETE: the whole answer came.
+    REFUSED: the sidecar did not start it.
+    NOT_RUN: the sidecar could not reach its upstream.
+    FAILED: the upstream broke off after it had the request.
+    BROKEN: the link to the sidecar broke; the outcome is open.
+    """
+
+    COMPLETE = "complete"
+    REFUSED = "refused"
+    NOT_RUN = "not_run"
+    FAILED = "failed"
+    BROKEN = "broken"
+
+
+def answer_claim(
+    state: state_module.RouterState,
+    now: float,
+    sidecar: str,
+    incarnation: int,
+    claim: messages.Claim,
+) -> list[router_effects.Effect]:
+    """Hands out the team's request with the earliest deadline.
+
+    Args:
+        state: The router; changed.
+        now: This process's time.
+        sidecar: VM name of the claiming sidecar.
+        incarnation: The sidecar's process.
+        claim: The claim.
+
+    Returns:
+        A hand-out, or the message that there is no work; and announcements.
+    """
+    service, team = claim.service, claim.team
+    no_work = messages.NoWork(claim.claim_id, service, team)
+    if not _may_receive(state, now, sidecar, service):
+        return [effects.Send(sidecar, no_work)]
+    oldest = sharing.peek_oldest(state.waiting, service, team)
+    number = sharing.pop_earliest(state.waiting, service, team)
+    if number is None:
+        return [effects.Send(sidecar, no_work)]
+    request = state.requests[number]
+    _note_departure(state, now, request, oldest)
+    hand_out = _start_attempt(state, now, request, sidecar, incarnation, claim)
+    announced = announcement.announce_team(state, now, service, team)
+    return [hand_out, *announced]
+
+
+def _may_receive(
+    state: state_module.RouterState, now: float, sidecar: str, service: str
+) -> bool:
+    usable = membership.select_upstreams(state.directory, now, service)
+    return any(vm.name == sidecar for vm in usable)
+
+
+def _note_departure(
+    state: state_module.RouterState,
+    now: float,
+    request: state_module.Request,
+    oldest: float,
+) -> None:
+    key = (request.new.service, request.new.team)
+    rate = state.rates.setdefault(key, admission.DrainRate())
+    admission.note_departure(rate, now, busy_since=oldest)
+
+
+def _start_attempt(
+    state: state_module.RouterState,
+    now: float,
+    request: state_module.Request,
+    sidecar: str,
+    incarnation: int,
+    claim: messages.Claim,
+) -> router_effects.HandOut:
+    request.attempts += 1
+    attempt_id = (
+        f"{state.vm}/{state.incarnation}/{request.number}/{request.attempts}"
+    )
+    request.state = state_module.RequestState.HANDED_OUT
+    request.attempt = state_module.Attempt(attempt_id, sidecar, incarnation)
+    state.by_attempt[attempt_id] = request.number
+    new = request.new
+    order = messages.AttemptOrder(
+        attempt_id=attempt_id,
+        claim_id=claim.claim_id,
+        router=state.vm,
+        incarnation=state.incarnation,
+        service=new.service,
+        team=new.team,
+        method=new.method,
+        path=new.path,
+        headers=new.headers,
+        remaining=request.deadline - now,
+        idempotent=new.idempotent,
+        cost_hint=new.cost_hint,
+    )
+    return router_effects.HandOut(request.number, sidecar, order)
+
+
+def end_attempt(
+    state: state_module.RouterState,
+    now: float,
+    attempt_id: str,
+    end: AttemptEnd,
+    answer_begun: bool,
+) -> list[router_effects.Effect]:
+    """Decides what follows the end of an attempt.
+
+    Args:
+        state: The router; changed.
+        now: This process's time.
+        attempt_id: The attempt.
+        end: How it ended.
+        answer_begun: Whether the caller already has part of the answer.
+
+    Returns:
+        Effects: none, a failure for the caller, or messages.
+    """
+    request = state_module.find_request(state, attempt_id)
+    if request is None:
+        return []
+    if end is AttemptEnd.COMPLETE:
+        intake.forget_request(state, request.number)
+        return []
+    if end in (AttemptEnd.REFUSED, AttemptEnd.NOT_RUN):
+        return _return_to_queue(state, now, request)
+    if answer_begun:
+        kind = errors.ErrorKind.ANSWER_INCOMPLETE
+        return _give_up(state, request, kind, errors.Ran.YES)
+    if end is AttemptEnd.BROKEN and not request.new.idempotent:
+        return _start_asking(state, now, request)
+    return _retry_or_give_up(state, now, request)
+
+
+def _return_to_queue(
+    state: state_module.RouterState,
+    now: float,
+    request: state_module.Request,
+) -> list[router_effects.Effect]:
+    """Makes a request that did not run wait again."""
+    state.by_attempt.pop(request.attempt.attempt_id, None)
+    state.asking.discard(request.number)
+    request.attempt = None
+    request.state = state_module.RequestState.WAITING
+    if now >= request.deadline:
+        kind = errors.ErrorKind.DEADLINE_EXCEEDED
+        return _give_up(state, request, kind, errors.Ran.NO)
+    if request.attempts >= NOT_RUN_LIMIT and not request.failures:
+        kind = errors.ErrorKind.NO_UPSTREAM
+        return _give_up(state, request, kind, errors.Ran.NO)
+    new = request.new
+    sharing.join_queue(
+        state.waiting,
+        new.service,
+        new.team,
+        request.number,
+        request.arrived,
+        request.deadline,
+    )
+    return announcement.announce_team(state, now, new.service, new.team)
+
+
+def _retry_or_give_up(
+    state: state_module.RouterState,
+    now: float,
+    request: state_module.Request,
+) -> list[router_effects.Effect]:
+    if not request.new.idempotent:
+        kind = errors.ErrorKind.OUTCOME_UNKNOWN
+        return _give_up(state, request, kind, errors.Ran.UNKNOWN)
+    request.failures += 1
+    if request.failures > state.versions.configuration.limits.retries:
+        kind = errors.ErrorKind.RETRIES_EXHAUSTED
+        return _give_up(state, request, kind, errors.Ran.UNKNOWN)
+    return _return_to_queue(state, now, request)
+
+
+def _give_up(
+    state: state_module.RouterState,
+    request: state_module.Request,
+    kind: errors.ErrorKind,
+    ran: errors.Ran,
+) -> list[router_effects.Effect]:
+    if request.failures and ran is errors.Ran.NO:
+        ran = errors.Ran.UNKNOWN
+    intake.forget_request(state, request.number)
+    retry_after = 1 if errors.ANSWERS[kind].retry else None
+    return [router_effects.AnswerError(request.number, kind, ran, retry_after)]
+
+
+def _start_asking(
+    state: state_module.RouterState,
+    now: float,
+    request: state_module.Request,
+) -> list[router_effects.Effect]:
+    request.state = state_module.RequestState.ASKING
+    state.asking.add(request.number)
+    request.attempt.ask_until = min(now + ASK_LIMIT, request.deadline)
+    return ask_again(state, now, request)
+
+
+def ask_again(
+    state: state_module.RouterState,
+    now: float,
+    request: state_module.Request,
+) -> list[router_effects.Effect]:
+    """Asks a sidecar what became of an attempt, or gives up.
+
+    Only the incarnation that got the hand-out can tell: a new process at the
+    same VM knows nothing of what the old one started.
+
+    Args:
+        state: The router; changed.
+        now: This process's time.
+        request: A request whose attempt's outcome is open.
+
+    Returns:
+        A question, or the final answer "outcome unknown".
+    """
+    attempt = request.attempt
+    peer = state.directory.peers.get(attempt.sidecar)
+    replaced = peer is not None and peer.incarnation != attempt.incarnation
+    if replaced or now >= attempt.ask_until:
+        kind = errors.ErrorKind.OUTCOME_UNKNOWN
+        return _give_up(state, request, kind, errors.Ran.UNKNOWN)
+    attempt.ask_next = now + ASK_INTERVAL
+    query = messages.AttemptQuery(attempt.attempt_id)
+    return [effects.Send(attempt.sidecar, query)]
+
+
+def take_report(
+    state: state_module.RouterState,
+    now: float,
+    sidecar: str,
+    incarnation: int,
+    report: messages.AttemptReport,
+) -> list[router_effects.Effect]:
+    """Decides by a sidecar's word on an attempt whose link broke.
+
+    Args:
+        state: The router; changed.
+        now: This process's time.
+        sidecar: VM name of the reporting sidecar.
+        incarnation: Its process.
+        report: What it knows.
+
+    Returns:
+        Effects: the request waits again, or its caller gets a failure.
+    """
+    request = state_module.find_request(state, report.attempt_id)
+    if request is None:
+        return []
+    attempt = request.attempt
+    if request.state is not state_module.RequestState.ASKING:
+        return []
+    if (attempt.sidecar, attempt.incarnation) != (sidecar, incarnation):
+        return []
+    never_ran = report.state in (
+        messages.AttemptState.NEVER_SEEN,
+        messages.AttemptState.REFUSED,
+    )
+    if never_ran:
+        return _return_to_queue(state, now, request)
+    return _retry_or_give_up(state, now, request)
--- /dev/null
+++ b/sycamorefall/router/relay.py
@@ -0,0 +1,235 @@
+"""Carries requests to sidecars and answers back to callers."""
+
+__all__ = ["Desk", "perform_effect", "take_request"]
+
+import dataclasses
+
+import msgspec
+
+from sycamorefall import errors, messages, settings, transport
+from sycamorefall import node as node_module
+from sycamorefall.router import effects, handout, intake
+from sycamorefall.router import state as state_module
+
+MOST_UNSENT = 64
+"""Pieces that may wait for a slow caller before the sidecar is paused."""
+
+_STREAM_TYPE = "text/event-stream"
+
+_ENDS = {
+    messages.Outcome.REFUSED.value: handout.AttemptEnd.REFUSED,
+    messages.Outcome.NOT_RUN.value: handout.AttemptEnd.NOT_RUN,
+    messages.Outcome.FAILED.value: handout.AttemptEnd.FAILED,
+}
+
+
+class _Delivery:
+    """An attempt's answer on its way to the caller.
+
+    A streamed answer passes through; any other is held until it is whole, so
+    that a broken one can still be replaced by another attempt's.
+    """
+
+    __slots__ = (
+        "attempt_id",
+        "end",
+        "exchange",
+        "headers",
+        "held",
+        "status",
+        "streamed",
+    )
+
+    def __init__(self, attempt_id: str):
+        self.attempt_id = attempt_id
+        self.end = handout.AttemptEnd.COMPLETE
+        self.exchange: transport.Exchange | None = None
+        self.headers: tuple[tuple[str, str], ...] = ()
+        self.held: list[bytes] = []
+        self.status = 0
+        self.streamed = False
+
+
+@dataclasses.dataclass(slots=True)
+class Desk:
+    """Callers that wait, and the attempts made for them.
+
+    Attributes:
+        state: The router's decisions.
+        calls: Calls by request number.
+        deliveries: Answers in progress by attempt.
+    """
+
+    state: state_module.RouterState
+    calls: dict[int, transport.IncomingCall] = dataclasses.field(
+        default_factory=dict
+    )
+    deliveries: dict[str, _Delivery] = dataclasses.field(default_factory=dict)
+
+
+def take_request(
+    node: node_module.Node,
+    desk: Desk,
+    call: transport.IncomingCall,
+    new: state_module.NewRequest,
+) -> None:
+    """Hands a request to the decisions and holds its caller's connection."""
+    now = transport.read_clock()
+    number, outcome = intake.admit_request(desk.state, now, new)
+    desk.calls[number] = call
+    call.on_hangup = lambda: _cancel(node, desk, number)
+    node_module.perform(node, outcome)
+
+
+def _cancel(node: node_module.Node, desk: Desk, number: int) -> None:
+    desk.calls.pop(number, None)
+    now = transport.read_clock()
+    node_module.perform(node, intake.cancel_request(desk.state, now, number))
+
+
+def perform_effect(
+    node: node_module.Node, desk: Desk, effect: effects.Effect
+) -> None:
+    """Carries out an effect of the router's decisions."""
+    match effect:
+        case effects.HandOut():
+            _hand_out(node, desk, effect)
+        case effects.AnswerError():
+            _answer_error(desk, effect)
+        case effects.AbortAttempt():
+            delivery = desk.deliveries.pop(effect.attempt_id, None)
+            if delivery is not None:
+                node.client.abort(delivery.exchange)
+
+
+def _answer_error(desk: Desk, effect: effects.AnswerError) -> None:
+    call = desk.calls.pop(effect.request, None)
+    if call is None:
+        return
+    if not call.begun:
+        call.fail(effect.kind, ran=effect.ran, retry_after=effect.retry_after)
+        return
+    # The caller has part of a streamed answer: it gets a last event that
+    # says so, and then a connection that breaks off, so that a client which
+    # doesn't know the event can't take the part for the whole either.
+    body = errors.describe_error(effect.kind, ran=effect.ran)
+    call.write(b"event: error\ndata: " + msgspec.json.encode(body) + b"\n\n")
+    call.abort()
+
+
+def _hand_out(
+    node: node_module.Node, desk: Desk, effect: effects.HandOut
+) -> None:
+    attempt_id = effect.order.attempt_id
+    call = desk.calls[effect.request]
+    sidecar = desk.state.directory.vms[effect.sidecar]
+    delivery = _Delivery(attempt_id)
+    desk.deliveries[attempt_id] = delivery
+    request = transport.OutgoingRequest(
+        settings.parse_address(sidecar.data),
+        "POST",
+        messages.ATTEMPT_PATH,
+        (
+            (
+                messages.ORDER_HEADER,
+                messages.encode_order(effect.order),
+            ),
+        ),
+        call.body,
+    )
+    delivery.exchange = node.client.send(
+        request,
+        transport.Listener(
+            on_head=lambda status, headers: _take_head(
+                node, call, delivery, status, headers
+            ),
+            on_data=lambda data: _take_data(node, call, delivery, data),
+            on_end=lambda: _take_end(node, desk, call, delivery),
+            on_failure=lambda stage: _take_failure(
+                node, desk, call, delivery, stage
+            ),
+        ),
+    )
+
+
+def _take_head(
+    node: node_module.Node,
+    call: transport.IncomingCall,
+    delivery: _Delivery,
+    status: int,
+    headers: list[tuple[str, str]],
+) -> None:
+    named = dict(headers)
+    outcome = named.get(messages.OUTCOME_HEADER.lower())
+    if outcome is not None:
+        delivery.end = _ENDS.get(outcome, handout.AttemptEnd.FAILED)
+        return
+    delivery.status = status
+    delivery.headers = tuple(
+        (name.title(), named[name])
+        for name in ("content-type", "cache-control")
+        if name in named
+    )
+    content_type = named.get("content-type", "")
+    delivery.streamed = content_type.startswith(_STREAM_TYPE)
+    if delivery.streamed:
+        call.begin(status, delivery.headers)
+        call.on_drained = lambda: node.client.pause(delivery.exchange, False)
+
+
+def _take_data(
+    node: node_module.Node,
+    call: transport.IncomingCall,
+    delivery: _Delivery,
+    data: bytes,
+) -> None:
+    if not delivery.streamed:
+        delivery.held.append(data)
+        return
+    call.write(data)
+    if call.backlog > MOST_UNSENT:
+        node.client.pause(delivery.exchange, True)
+
+
+def _take_end(
+    node: node_module.Node,
+    desk: Desk,
+    call: transport.IncomingCall,
+    delivery: _Delivery,
+) -> None:
+    request = desk.state.by_attempt.get(delivery.attempt_id)
+    if delivery.end is handout.AttemptEnd.COMPLETE and request is not None:
+        desk.calls.pop(request, None)
+        if delivery.streamed:
+            call.end()
+        else:
+            body = b"".join(delivery.held)
+            call.respond(delivery.status, body, delivery.headers)
+    _finish(node, desk, call, delivery, delivery.end)
+
+
+def _take_failure(
+    node: node_module.Node,
+    desk: Desk,
+    call: transport.IncomingCall,
+    delivery: _Delivery,
+    stage: transport.Stage,
+) -> None:
+    not_sent = stage is transport.Stage.NOT_SENT
+    end = handout.AttemptEnd.REFUSED if not_sent else handout.AttemptEnd.BROKEN
+    _finish(node, desk, call, delivery, end)
+
+
+def _finish(
+    node: node_module.Node,
+    desk: Desk,
+    call: transport.IncomingCall,
+    delivery: _Delivery,
+    end: handout.AttemptEnd,
+) -> None:
+    desk.deliveries.pop(delivery.attempt_id, None)
+    now = transport.read_clock()
+    outcome = handout.end_attempt(
+        desk.state, now, delivery.attempt_id, end, answer_begun=call.begun
+    )
+    node_module.perform(node, outcome)
--- /dev/null
+++ b/sycamorefall/router/state.py
@@ -0,0 +1,165 @@
+"""State of a router's decisions. All of it is lost with the process."""
+
+__all__ = [
+    "Attempt",
+    "NewRequest",
+    "Request",
+    "RequestState",
+    "RouterState",
+    "find_request",
+]
+
+import dataclasses
+import enum
+
+from sycamorefall import admission, configuration, membership, sharing
+
+
+class RequestState(enum.Enum):
+    """Where a request stands."""
+
+    WAITING = "waiting"
+    HANDED_OUT = "handed_out"
+    ASKING = "asking"
+
+
+@dataclasses.dataclass(slots=True, frozen=True)
+class NewRequest:
+    """A caller's request as it comes in.
+
+    Attributes:
+        service: The service.
+        team: The team.
+        method: HTTP method towards the upstream.
+        path: Path and query towards the upstream.
+        headers: Headers to pass on.
+        timeout: Seconds the caller waits.
+        idempotent: Whether it may be run again.
+        cost_hint: The caller's rough estimate in cost units, 0 if none.
+    """
+
+    service: str
+    team: str
+    method: str
+    path: str
+    headers: tuple[tuple[str, str], ...]
+    timeout: float
+    idempotent: bool
+    cost_hint: float = 0.0
+
+
+@dataclasses.dataclass(slots=True)
+class Attempt:
+    """A hand-out of a request to a sidecar.
+
+    Attributes:
+        attempt_id: Unique over all routers, incarnations and attempts.
+        sidecar: VM name of the sidecar.
+        incarnation: The sidecar's process when it claimed.
+        ask_until: When to give up asking for its outcome.
+        ask_next: When to ask again.
+    """
+
+    attempt_id: str
+    sidecar: str
+    incarnation: int
+    ask_until: float = 0.0
+    ask_next: float = 0.0
+
+
+@dataclasses.dataclass(slots=True)
+class Request:
+    """A request that this router answers for.
+
+    Attributes:
+        number: Its number at this router's incarnation.
+        new: What came in.
+        arrived: When it came.
+        deadline: When its caller stops waiting.
+        state: Where it stands.
+        attempt: The current hand-out, if there is one.
+        attempts: Hand-outs so far.
+        failures: Attempts that may have run and gave no answer.
+    """
+
+    number: int
+    new: NewRequest
+    arrived: float
+    deadline: float
+    state: RequestState = RequestState.WAITING
+    attempt: Attempt | None = None
+    attempts: int = 0
+    failures: int = 0
+
+
+@dataclasses.dataclass(slots=True)
+class RouterState:
+    """Everything a router decides from.
+
+    Attributes:
+        vm: This router's VM name.
+        incarnation: This process's number.
+        versions: The configuration in force.
+        directory: The VMs of the fleet.
+        waiting: Queues of requests not handed out.
+        requests: Requests not yet answered, by number.
+        by_attempt: Request number by attempt.
+        asking: Numbers of requests whose outcome a sidecar is asked for.
+        deadlines: Heap of (deadline, request); may hold answered requests.
+        rates: Drain rate by service and team.
+        announced: Last announced count by service and team.
+        announcements: Sequence number of the last announcement.
+        last_request: Number of the last request.
+        next_heartbeat: When the next heartbeat is due.
+        next_digest: When the next digest of waiting work is due.
+        stopping: Whether no new request is taken.
+        late_answers: Answers that matched no attempt, dropped.
+    """
+
+    vm: str
+    incarnation: int
+    versions: configuration.VersionState = dataclasses.field(
+        default_factory=configuration.VersionState
+    )
+    directory: membership.Directory = dataclasses.field(
+        default_factory=membership.Directory
+    )
+    waiting: sharing.WaitingQueues = dataclasses.field(
+        default_factory=sharing.WaitingQueues
+    )
+    requests: dict[int, Request] = dataclasses.field(default_factory=dict)
+    by_attempt: dict[str, int] = dataclasses.field(default_factory=dict)
+    asking: set[int] = dataclasses.field(default_factory=set)
+    deadlines: list[tuple[float, int]] = dataclasses.field(default_factory=list)
+    rates: dict[tuple[str, str], admission.DrainRate] = dataclasses.field(
+        default_factory=dict
+    )
+    announced: dict[tuple[str, str], int] = dataclasses.field(
+        default_factory=dict
+    )
+    announcements: int = 0
+    last_request: int = 0
+    next_heartbeat: float = 0.0
+    next_digest: float = 0.0
+    stopping: bool = False
+    late_answers: int = 0
+
+
+def find_request(state: RouterState, attempt_id: str) -> Request | None:
+    """Finds the request whose current attempt this is.
+
+    Guards against late and repeated answers: what belongs to an earlier
+    attempt, or to another incarnation, matches nothing and is counted.
+
+    Args:
+        state: The router; the count of late answers may rise.
+        attempt_id: The attempt that something was heard of.
+
+    Returns:
+        The request, or None.
+    """
+    number = state.by_attempt.get(attempt_id)
+    if number is None:
+        state.late_answers += 1
+        return None
+    return state.requests[number]
--- /dev/null
+++ b/sycamorefall/settings.py
@@ -0,0 +1,225 @@
+"""Settings of one process, read from an INI file and checked whole.
+
+Each section of the file is one struct below; an unknown section or key, a
+missing key or a value of the wrong type refuses the file with one line.
+"""
+
+__all__ = [
+    "Address",
+    "LimitSettings",
+    "ListenSettings",
+    "LogSettings",
+    "PlatformSettings",
+    "RouterSettings",
+    "SidecarSettings",
+    "UpstreamSettings",
+    "VmSettings",
+    "parse_address",
+    "parse_settings",
+    "read_settings",
+]
+
+import configparser
+import ipaddress
+import pathlib
+from typing import Annotated, Literal, TypeVar
+
+import msgspec
+
+from sycamorefall import errors
+
+Positive = Annotated[float, msgspec.Meta(gt=0)]
+Count = Annotated[int, msgspec.Meta(ge=1)]
+Name = Annotated[str, msgspec.Meta(pattern=r"^[A-Za-z0-9][A-Za-z0-9._-]*$")]
+
+
+class Address:
+    """An IP number and a port."""
+
+    __slots__ = ("host", "port")
+
+    def __init__(self, host: str, port: int):
+        self.host = host
+        self.port = port
+
+    def __str__(self) -> str:
+        return f"{self.host}:{self.port}"
+
+    def __eq__(self, other: object) -> bool:
+        if not isinstance(other, Address):
+            return NotImplemented
+        return self.pair == other.pair
+
+    def __hash__(self) -> int:
+        return hash(self.pair)
+
+    @property
+    def pair(self) -> tuple[str, int]:
+        """Host and port as the socket functions take them."""
+        return self.host, self.port
+
+
+class VmSettings(msgspec.Struct, frozen=True, forbid_unknown_fields=True):
+    """Section `[vm]`: where this process runs."""
+
+    name: Name
+    failure_domain: Name
+
+
+class ListenSettings(msgspec.Struct, frozen=True, forbid_unknown_fields=True):
+    """Section `[listen]`: addresses this process is reached at.
+
+    Attributes:
+        data: HTTP: callers and operators at a router, attempts at a sidecar.
+        control: Messages of the other processes.
+    """
+
+    data: Address
+    control: Address
+
+
+class PlatformSettings(msgspec.Struct, frozen=True, forbid_unknown_fields=True):
+    """Section `[platform]`: the configuration service.
+
+    Attributes:
+        address: Where it answers.
+        poll_interval: Seconds between two reads, before jitter.
+    """
+
+    address: Address
+    poll_interval: Positive = 1.0
+
+
+class UpstreamSettings(msgspec.Struct, frozen=True, forbid_unknown_fields=True):
+    """Section `[upstream]` of a sidecar: the upstream beside it."""
+
+    service: Name
+    address: Address
+
+
+class LimitSettings(msgspec.Struct, frozen=True, forbid_unknown_fields=True):
+    """Section `[limits]`: bounds on what one process holds.
+
+    Attributes:
+        max_body_bytes: Largest request body.
+        max_header_bytes: Largest request head.
+        max_connections: Open connections of callers.
+        header_timeout: Seconds a caller may take to send a whole request.
+        default_timeout: Seconds until the deadline of a request that names
+            none.
+        max_timeout: Longest deadline a caller may name, in seconds.
+    """
+
+    max_body_bytes: Count = 1 << 20
+    max_header_bytes: Count = 1 << 15
+    max_connections: Count = 4096
+    header_timeout: Positive = 20.0
+    default_timeout: Positive = 120.0
+    max_timeout: Positive = 3600.0
+
+
+class LogSettings(msgspec.Struct, frozen=True, forbid_unknown_fields=True):
+    """Section `[log]`: where log records go and how many."""
+
+    destination: str = "stderr"
+    level: Literal["debug", "info", "warning", "error", "off"] = "info"
+
+
+class RouterSettings(msgspec.Struct, frozen=True, forbid_unknown_fields=True):
+    """Settings of `sycamorefall router`."""
+
+    vm: VmSettings
+    listen: ListenSettings
+    platform: PlatformSettings
+    limits: LimitSettings = LimitSettings()
+    log: LogSettings = LogSettings()
+
+
+class SidecarSettings(msgspec.Struct, frozen=True, forbid_unknown_fields=True):
+    """Settings of `sycamorefall sidecar`."""
+
+    vm: VmSettings
+    listen: ListenSettings
+    platform: PlatformSettings
+    upstream: UpstreamSettings
+    limits: LimitSettings = LimitSettings()
+    log: LogSettings = LogSettings()
+
+
+Settings = TypeVar("Settings", RouterSettings, SidecarSettings)
+
+
+def parse_address(text: str) -> Address:
+    """Parses `IP:port`.
+
+    Args:
+        text: An IP number and a port, such as `127.0.0.1:7400`.
+
+    Returns:
+        The address.
+
+    Raises:
+        ValueError: The text is not of this form.
+
+    Example:
+        >>> parse_address("127.0.0.1:7400").port
+        7400
+    """
+    host, separator, port = text.strip().rpartition(":")
+    if not separator or not port.isdecimal() or not 0 < int(port) < 65536:
+        raise ValueError(f"expected IP:port, got {text!r}")
+    ipaddress.ip_address(host)
+    return Address(host, int(port))
+
+
+def _decode_hook(expected: type, value: object) -> object:
+    if expected is Address:
+        return parse_address(str(value))
+    raise NotImplementedError(expected)
+
+
+def parse_settings(text: str, kind: type[Settings]) -> Settings:
+    """Parses and checks the text of a settings file.
+
+    Args:
+        text: INI text.
+        kind: `RouterSettings` or `SidecarSettings`.
+
+    Returns:
+        The checked settings.
+
+    Raises:
+        errors.SettingsRefused: The text can't be used; one line says why.
+    """
+    parser = configparser.ConfigParser(interpolation=None)
+    try:
+        parser.read_string(text)
+        sections = {name: dict(parser[name]) for name in parser.sections()}
+        return msgspec.convert(
+            sections, kind, strict=False, dec_hook=_decode_hook
+        )
+    except (configparser.Error, ValueError) as fault:
+        raise errors.SettingsRefused(" ".join(str(fault).split())) from fault
+
+
+def read_settings(path: str, kind: type[Settings]) -> Settings:
+    """Reads, parses and checks a settings file.
+
+    Args:
+        path: The file.
+        kind: `RouterSettings` or `SidecarSettings`.
+
+    Returns:
+        The checked settings.
+
+    Raises:
+        errors.SettingsRefused: The file can't be read or used.
+    """
+    try:
+        text = pathlib.Path(path).read_text(encoding="utf-8")
+    except (OSError, UnicodeDecodeError) as fault:
+        raise errors.SettingsRefused(f"{path}: {fault}") from fault
+    try:
+        return parse_settings(text, kind)
+    except errors.SettingsRefused as fault:
+        raise errors.SettingsRefused(f"{path}: {fault}") from fault
--- /dev/null
+++ b/sycamorefall/sharing/__init__.py
@@ -0,0 +1,47 @@
+"""Fair sharing: service accounts, waiting work, choice of the next team."""
+
+__all__ = [
+    "Account",
+    "CostEstimates",
+    "Demand",
+    "Fairness",
+    "ServiceAccounts",
+    "WaitingQueues",
+    "charge_team",
+    "choose_router",
+    "choose_team",
+    "compute_key",
+    "estimate_cost",
+    "join_queue",
+    "lift_team",
+    "list_entries",
+    "merge_entries",
+    "note_cost",
+    "note_waiting",
+    "peek_oldest",
+    "pop_earliest",
+    "reserve_units",
+]
+
+from sycamorefall.sharing.accounts import (
+    Account,
+    ServiceAccounts,
+    charge_team,
+    compute_key,
+    list_entries,
+    merge_entries,
+    reserve_units,
+)
+from sycamorefall.sharing.choice import Fairness, choose_team, lift_team
+from sycamorefall.sharing.demand import Demand, choose_router, note_waiting
+from sycamorefall.sharing.estimates import (
+    CostEstimates,
+    estimate_cost,
+    note_cost,
+)
+from sycamorefall.sharing.queues import (
+    WaitingQueues,
+    join_queue,
+    peek_oldest,
+    pop_earliest,
+)
--- /dev/null
+++ b/sycamorefall/sharing/accounts.py
@@ -0,0 +1,188 @@
+"""Service accounts: what each team received from a service, over all sidecars.
+
+Every sidecar incarnation owns one entry per team and is the only one to write
+it; others keep the entry with the highest sequence number they saw. Entries
+are thus a state-based replicated counter: losing, repeating or reordering
+updates does no harm, and partitions heal by exchanging entries again.
+"""
+
+__all__ = [
+    "Account",
+    "Entry",
+    "ServiceAccounts",
+    "charge_team",
+    "compute_key",
+    "list_entries",
+    "merge_entries",
+    "raise_offset",
+    "reserve_units",
+]
+
+from collections.abc import Iterable
+import dataclasses
+
+from sycamorefall import messages
+
+
+@dataclasses.dataclass(slots=True)
+class Entry:
+    """What one owner gave to a team; see `messages.AccountEntry`."""
+
+    sequence: int = 0
+    served: float = 0.0
+    reserved: float = 0.0
+
+
+@dataclasses.dataclass(slots=True)
+class Account:
+    """One team's account at a service.
+
+    Attributes:
+        entries: Entries by owner label.
+        total: Sum of served and reserved units over the entries.
+        offset: Lift of the order key; only ever grows.
+    """
+
+    entries: dict[str, Entry] = dataclasses.field(default_factory=dict)
+    total: float = 0.0
+    offset: float = 0.0
+
+
+@dataclasses.dataclass(slots=True)
+class ServiceAccounts:
+    """All teams' accounts at a service, as one process knows them.
+
+    Attributes:
+        label: Label of the owner of this view.
+        teams: Accounts by team.
+        unsent: Teams whose own entry changed since it was last sent.
+    """
+
+    label: str
+    teams: dict[str, Account] = dataclasses.field(default_factory=dict)
+    unsent: set[str] = dataclasses.field(default_factory=set)
+
+
+def _own_entry(accounts: ServiceAccounts, team: str) -> tuple[Account, Entry]:
+    account = accounts.teams.setdefault(team, Account())
+    entry = account.entries.setdefault(accounts.label, Entry())
+    entry.sequence += 1
+    accounts.unsent.add(team)
+    return account, entry
+
+
+def charge_team(accounts: ServiceAccounts, team: str, units: float) -> None:
+    """Adds served units to a team's own entry.
+
+    Args:
+        accounts: The accounts; changed.
+        team: The team.
+        units: Cost units, not negative.
+    """
+    account, entry = _own_entry(accounts, team)
+    entry.served += units
+    account.total += units
+
+
+def reserve_units(accounts: ServiceAccounts, team: str, units: float) -> None:
+    """Adds to (or, if negative, takes from) a team's reserved units.
+
+    Without reservations every sidecar would see the same team as the one
+    with the least service and give it all free slots before the cost of the
+    first of them shows.
+
+    Args:
+        accounts: The accounts; changed.
+        team: The team.
+        units: Change of the estimate for work in flight, in cost units.
+    """
+    account, entry = _own_entry(accounts, team)
+    entry.reserved += units
+    account.total += units
+
+
+def raise_offset(accounts: ServiceAccounts, team: str, offset: float) -> None:
+    """Raises a team's offset to at least a value.
+
+    The offset is a maximum, never a sum, so that two sidecars which lift the
+    same team at the same time do not lift it twice.
+    """
+    account = accounts.teams.setdefault(team, Account())
+    if offset > account.offset:
+        account.offset = offset
+        _own_entry(accounts, team)
+
+
+def compute_key(accounts: ServiceAccounts, team: str, weight: float) -> float:
+    """Computes a team's order key: the least is served next.
+
+    Args:
+        accounts: The accounts.
+        team: The team.
+        weight: The team's weight.
+
+    Returns:
+        Units served and reserved per weight, plus the team's offset.
+
+    Example:
+        >>> accounts = ServiceAccounts("engine-1/1")
+        >>> charge_team(accounts, "mill", 30.0)
+        >>> compute_key(accounts, "mill", weight=2.0)
+        15.0
+    """
+    account = accounts.teams.get(team)
+    if account is None:
+        return 0.0
+    return account.total / weight + account.offset
+
+
+def merge_entries(
+    accounts: ServiceAccounts, entries: Iterable[messages.AccountEntry]
+) -> None:
+    """Takes over entries of other owners where they are newer.
+
+    Args:
+        accounts: The accounts; changed.
+        entries: Entries as received, in any order.
+    """
+    for received in entries:
+        account = accounts.teams.setdefault(received.team, Account())
+        account.offset = max(account.offset, received.offset)
+        if received.label == accounts.label:
+            continue
+        entry = account.entries.setdefault(received.label, Entry())
+        if received.sequence <= entry.sequence:
+            continue
+        account.total += received.served - entry.served
+        account.total += received.reserved - entry.reserved
+        entry.sequence = received.sequence
+        entry.served = received.served
+        entry.reserved = received.reserved
+
+
+def list_entries(
+    accounts: ServiceAccounts, teams: Iterable[str], own_only: bool = True
+) -> list[messages.AccountEntry]:
+    """Lists entries of some teams for sending.
+
+    Args:
+        accounts: The accounts.
+        teams: Teams whose entries are wanted.
+        own_only: Whether to leave out the entries of other owners.
+
+    Returns:
+        The entries as message parts.
+    """
+    return [
+        messages.AccountEntry(
+            team=team,
+            label=label,
+            sequence=entry.sequence,
+            served=entry.served,
+            reserved=entry.reserved,
+            offset=accounts.teams[team].offset,
+        )
+        for team in teams
+        for label, entry in accounts.teams[team].entries.items()
+        if label == accounts.label or not own_only
+    ]
--- /dev/null
+++ b/sycamorefall/sidecar/core.py
@@ -0,0 +1,164 @@
+"""A sidecar's decisions: messages and timers in, effects out; no I/O."""
+
+__all__ = [
+    "apply_configuration",
+    "begin_stop",
+    "find_next_due",
+    "receive_message",
+    "run_timers",
+]
+
+from sycamorefall import dispatch, effects, membership, messages, sharing
+from sycamorefall.dispatch import outcomes
+from sycamorefall.sidecar import claiming
+from sycamorefall.sidecar import state as state_module
+
+HEARTBEAT_INTERVAL = 0.5
+"""Seconds between heartbeats."""
+
+EXCHANGE_INTERVAL = 0.02
+"""Seconds between two sendings of changed account entries."""
+
+
+def apply_configuration(state: state_module.SidecarState) -> None:
+    """Takes the upstream's limit from the configuration in force."""
+    in_force = state.versions.configuration
+    service = in_force.services.get(state.service) if in_force else None
+    if service is not None:
+        state.limit.cap = service.concurrency
+
+
+def begin_stop(state: state_module.SidecarState) -> None:
+    """Makes the sidecar claim nothing more and tell so."""
+    state.stopping = True
+    state.next_heartbeat = 0.0
+
+
+def receive_message(
+    state: state_module.SidecarState, now: float, envelope: messages.Envelope
+) -> list[effects.Send]:
+    """Handles a control message.
+
+    Args:
+        state: The sidecar; changed.
+        now: This process's time.
+        envelope: The message and its sender.
+
+    Returns:
+        Messages to send, new claims among them.
+    """
+    sender = envelope.sender
+    if sender not in state.directory.vms:
+        return []
+    message = envelope.message
+    stopping = isinstance(message, messages.Heartbeat) and message.stopping
+    is_new = membership.note_heartbeat(
+        state.directory, now, sender, envelope.incarnation, stopping
+    )
+    replies = _greet(state, sender) if is_new else []
+    match message:
+        case messages.Waiting():
+            _take_waiting(state, now, envelope, message)
+        case messages.NoWork():
+            claiming.release_no_work(state, sender, message)
+        case messages.AccountUpdate():
+            if message.service == state.service:
+                sharing.merge_entries(state.accounts, message.entries)
+        case messages.AttemptQuery():
+            known = dispatch.answer_query(
+                state.outcomes, now, message.attempt_id
+            )
+            report = messages.AttemptReport(message.attempt_id, known)
+            replies.append(effects.Send(sender, report))
+    return replies + claiming.make_claims(state, now)
+
+
+def _take_waiting(
+    state: state_module.SidecarState,
+    now: float,
+    envelope: messages.Envelope,
+    message: messages.Waiting,
+) -> None:
+    if message.service != state.service:
+        return
+    fresh = sharing.note_waiting(
+        state.demand, now, envelope.sender, envelope.incarnation, message
+    )
+    for team in fresh:
+        weight = claiming.find_weight(state, team)
+        sharing.lift_team(state.fairness, state.accounts, team, weight)
+
+
+def _greet(state: state_module.SidecarState, peer: str) -> list[effects.Send]:
+    """Tells a new process all accounts, its own and those of others."""
+    vm = state.directory.vms[peer]
+    if vm.role is not membership.VmRole.UPSTREAM or not state.accounts.teams:
+        return []
+    if vm.service != state.service:
+        return []
+    entries = sharing.list_entries(
+        state.accounts, state.accounts.teams, own_only=False
+    )
+    update = messages.AccountUpdate(state.service, tuple(entries))
+    return [effects.Send(peer, update)]
+
+
+def run_timers(
+    state: state_module.SidecarState, now: float
+) -> list[effects.Send]:
+    """Does what has come due.
+
+    Args:
+        state: The sidecar; changed.
+        now: This process's time.
+
+    Returns:
+        Messages to send.
+    """
+    claiming.release_expired(state, now)
+    due: list[effects.Send] = []
+    if now >= state.next_heartbeat:
+        state.next_heartbeat = now + HEARTBEAT_INTERVAL
+        outcomes.expire_records(state.outcomes, now)
+        due += _send_heartbeats(state)
+    if now >= state.next_exchange and state.accounts.unsent:
+        state.next_exchange = now + EXCHANGE_INTERVAL
+        due += _send_accounts(state)
+    return due + claiming.make_claims(state, now)
+
+
+def find_next_due(state: state_module.SidecarState) -> float:
+    """Tells when `run_timers` has something to do next."""
+    leases = (claim.expires for claim in state.claims.open.values())
+    exchange = [state.next_exchange] if state.accounts.unsent else []
+    return min([state.next_heartbeat, *leases, *exchange])
+
+
+def _send_heartbeats(
+    state: state_module.SidecarState,
+) -> list[effects.Send]:
+    beat = messages.Heartbeat(state.stopping)
+    return [
+        effects.Send(vm.name, beat)
+        for vm in state.directory.vms.values()
+        if vm.role is membership.VmRole.ROUTER or _is_sibling(state, vm)
+    ]
+
+
+def _is_sibling(
+    state: state_module.SidecarState, vm: membership.VmEntry
+) -> bool:
+    return vm.service == state.service and vm.name != state.vm
+
+
+def _send_accounts(
+    state: state_module.SidecarState,
+) -> list[effects.Send]:
+    entries = sharing.list_entries(state.accounts, state.accounts.unsent)
+    state.accounts.unsent.clear()
+    update = messages.AccountUpdate(state.service, tuple(entries))
+    return [
+        effects.Send(vm.name, update)
+        for vm in state.directory.vms.values()
+        if _is_sibling(state, vm)
+    ]
--- /dev/null
+++ b/sycamorefall/sidecar/state.py
@@ -0,0 +1,96 @@
+"""State of a sidecar's decisions. All of it is lost with the process."""
+
+__all__ = ["Run", "SidecarState", "create_state"]
+
+import dataclasses
+
+from sycamorefall import admission, configuration, dispatch, membership, sharing
+
+
+@dataclasses.dataclass(slots=True)
+class Run:
+    """A request in progress at the upstream.
+
+    Attributes:
+        attempt_id: The attempt.
+        team: Whose request it is.
+        reserved: Cost units still reserved for it.
+        charged: Cost units charged so far.
+    """
+
+    attempt_id: str
+    team: str
+    reserved: float
+    charged: float = 0.0
+
+
+@dataclasses.dataclass(slots=True)
+class SidecarState:
+    """Everything a sidecar decides from.
+
+    Attributes:
+        vm: This sidecar's VM name.
+        incarnation: This process's number.
+        service: The upstream's service.
+        accounts: What each team received from the service.
+        versions: The configuration in force.
+        directory: The VMs of the fleet.
+        fairness: State of the choice of the next team.
+        estimates: Costs of the teams' recent requests.
+        demand: Work waiting at the routers.
+        limit: The upstream's concurrency limit.
+        claims: Requests asked for that have not come yet.
+        runs: Requests in progress at the upstream, by attempt.
+        outcomes: What became of each attempt.
+        next_heartbeat: When the next heartbeat is due.
+        next_exchange: When changed accounts are sent next.
+        stopping: Whether no new work is taken.
+    """
+
+    vm: str
+    incarnation: int
+    service: str
+    accounts: sharing.ServiceAccounts
+    versions: configuration.VersionState = dataclasses.field(
+        default_factory=configuration.VersionState
+    )
+    directory: membership.Directory = dataclasses.field(
+        default_factory=membership.Directory
+    )
+    fairness: sharing.Fairness = dataclasses.field(
+        default_factory=sharing.Fairness
+    )
+    estimates: sharing.CostEstimates = dataclasses.field(
+        default_factory=sharing.CostEstimates
+    )
+    demand: sharing.Demand = dataclasses.field(default_factory=sharing.Demand)
+    limit: admission.ConcurrencyLimit = dataclasses.field(
+        default_factory=admission.ConcurrencyLimit
+    )
+    claims: dispatch.ClaimTable = dataclasses.field(
+        default_factory=dispatch.ClaimTable
+    )
+    runs: dict[str, Run] = dataclasses.field(default_factory=dict)
+    outcomes: dispatch.OutcomeRecords = dataclasses.field(
+        default_factory=dispatch.OutcomeRecords
+    )
+    next_heartbeat: float = 0.0
+    next_exchange: float = 0.0
+    stopping: bool = False
+
+
+def create_state(vm: str, incarnation: int, service: str) -> SidecarState:
+    """Creates the state of a sidecar that has just started.
+
+    Args:
+        vm: This sidecar's VM name.
+        incarnation: This process's number.
+        service: The upstream's service.
+
+    Returns:
+        The state.
+    """
+    label = f"{vm}/{incarnation}"
+    return SidecarState(
+        vm, incarnation, service, sharing.ServiceAccounts(label)
+    )
--- /dev/null
+++ b/sycamorefall/transport/__init__.py
@@ -0,0 +1,27 @@
+"""The shell's I/O: event loop, control links, HTTP client and server."""
+
+__all__ = [
+    "ControlLinks",
+    "Exchange",
+    "HttpClient",
+    "HttpServer",
+    "IncomingCall",
+    "Listener",
+    "Loop",
+    "OutgoingRequest",
+    "Stage",
+    "Ticker",
+    "create_loop",
+    "read_clock",
+]
+
+from sycamorefall.transport.client import (
+    Exchange,
+    HttpClient,
+    Listener,
+    OutgoingRequest,
+    Stage,
+)
+from sycamorefall.transport.control import ControlLinks
+from sycamorefall.transport.loop import Loop, Ticker, create_loop, read_clock
+from sycamorefall.transport.server import HttpServer, IncomingCall
--- /dev/null
+++ b/sycamorefall/transport/client.py
@@ -0,0 +1,338 @@
+"""HTTP requests to sidecars, upstreams and the platform, on the loop.
+
+circuits' own client holds one connection and one answer, so this one keeps
+a small pool of sockets on the loop's poller and parses with h11, which tells
+a complete answer from one that broke off.
+"""
+
+__all__ = ["Exchange", "HttpClient", "Listener", "OutgoingRequest", "Stage"]
+
+from collections.abc import Callable
+import dataclasses
+import enum
+import errno
+import socket
+
+import circuits
+from circuits.core import pollers
+import h11
+
+from sycamorefall import settings
+
+READ_SIZE = 1 << 16
+"""Bytes read from a socket at once."""
+
+CONNECT_TIMEOUT = 1.0
+"""Seconds until a connection that is not made is given up."""
+
+IDLE_PER_ADDRESS = 32
+"""Idle connections that are kept to one address."""
+
+
+class Stage(enum.Enum):
+    """How far a request had come when its connection failed.
+
+    NOT_SENT: no byte of it was sent, so the other side can't have seen it.
+    SENT: at least part of it was sent.
+    """
+
+    NOT_SENT = "not_sent"
+    SENT = "sent"
+
+
+@dataclasses.dataclass(slots=True, frozen=True)
+class OutgoingRequest:
+    """A request to be sent.
+
+    Attributes:
+        address: Where to.
+        method: HTTP method.
+        path: Path and query.
+        headers: Headers, without host and length.
+        body: The body.
+        fresh: Whether to use a new connection. A kept one may be closed by
+            the other side while the request is on its way, which leaves
+            open whether it arrived.
+    """
+
+    address: settings.Address
+    method: str
+    path: str
+    headers: tuple[tuple[str, str], ...] = ()
+    body: bytes = b""
+    fresh: bool = False
+
+
+@dataclasses.dataclass(slots=True, frozen=True)
+class Listener:
+    """What is called as an answer comes in.
+
+    Attributes:
+        on_head: With status and headers, names in lower case.
+        on_data: With each piece of the body.
+        on_end: Once the answer is known to be whole.
+        on_failure: Instead of `on_end`, if the connection failed.
+    """
+
+    on_head: Callable[[int, list[tuple[str, str]]], None]
+    on_data: Callable[[bytes], None]
+    on_end: Callable[[], None]
+    on_failure: Callable[[Stage], None]
+
+
+class Exchange:
+    """One request and its answer on a connection."""
+
+    __slots__ = (
+        "address",
+        "connected",
+        "connection",
+        "listener",
+        "opened",
+        "paused",
+        "sent_any",
+        "socket",
+        "unsent",
+    )
+
+    def __init__(self, address: settings.Address, listener: Listener):
+        self.address = address
+        self.listener: Listener | None = listener
+        self.connection = h11.Connection(h11.CLIENT)
+        self.connected = False
+        self.opened = 0.0
+        self.paused = False
+        self.sent_any = False
+        self.socket: socket.socket | None = None
+        self.unsent = bytearray()
+
+
+class HttpClient(circuits.BaseComponent):
+    """Sends requests over a pool of connections."""
+
+    channel = "http-client"
+
+    def __init__(
+        self, poller: pollers.BasePoller, read_clock: Callable[[], float]
+    ):
+        """Creates a client.
+
+        Args:
+            poller: The loop's poller.
+            read_clock: Gives the time, in seconds.
+        """
+        super().__init__()
+        self._poller = poller
+        self._read_clock = read_clock
+        self._by_socket: dict[socket.socket, Exchange] = {}
+        self._idle: dict[settings.Address, list[Exchange]] = {}
+        self._connecting: dict[socket.socket, Exchange] = {}
+
+    def send(self, request: OutgoingRequest, listener: Listener) -> Exchange:
+        """Sends a request.
+
+        Args:
+            request: The request.
+            listener: What is called as the answer comes in; never called
+                before this method returns.
+
+        Returns:
+            A handle with which the request can be paused or aborted.
+        """
+        kept = self._idle.get(request.address)
+        if kept and not request.fresh:
+            exchange = kept.pop()
+            exchange.connection.start_next_cycle()
+            exchange.listener = listener
+            exchange.sent_any = False
+        else:
+            exchange = self._open(request.address, listener)
+        exchange.unsent += _serialize(exchange.connection, request)
+        self._poller.addWriter(self, exchange.socket)
+        return exchange
+
+    def _open(self, address: settings.Address, listener: Listener) -> Exchange:
+        exchange = Exchange(address, listener)
+        exchange.socket = socket.socket(socket.AF_INET, socket.SOCK_STREAM)
+        exchange.socket.setblocking(False)
+        exchange.socket.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
+        exchange.opened = self._read_clock()
+        self._by_socket[exchange.socket] = exchange
+        self._connecting[exchange.socket] = exchange
+        # A failure shows at once or as the socket becomes writable; either
+        # way it is read there, so that the listener isn't called from here.
+        exchange.socket.connect_ex(address.pair)
+        return exchange
+
+    def abort(self, exchange: Exchange) -> None:
+        """Gives a request up; its listener is not called any more."""
+        if exchange.listener is not None:
+            exchange.listener = None
+            self._discard(exchange)
+
+    def pause(self, exchange: Exchange, paused: bool) -> None:
+        """Stops or resumes reading an answer whose taker is slow."""
+        if exchange.listener is None or exchange.paused == paused:
+            return
+        exchange.paused = paused
+        if not exchange.connected:
+            return
+        if paused:
+            self._poller.removeReader(exchange.socket)
+        else:
+            self._poller.addReader(self, exchange.socket)
+
+    def find_next_due(self) -> float:
+        """Tells when the oldest pending connection is to be given up."""
+        pending = next(iter(self._connecting.values()), None)
+        return pending.opened + CONNECT_TIMEOUT if pending else float("inf")
+
+    def expire(self, now: float) -> None:
+        """Gives up connections that are not made in time.
+
+        Guards against a partition that drops packets silently: without it
+        a request would hang until the kernel gives up, after minutes.
+        """
+        late = [
+            exchange
+            for exchange in self._connecting.values()
+            if now - exchange.opened >= CONNECT_TIMEOUT
+        ]
+        for exchange in late:
+            self._fail(exchange)
+
+    @circuits.handler("_write")
+    def _on_write(self, sock: socket.socket) -> None:
+        exchange = self._by_socket.get(sock)
+        if exchange is None:
+            return
+        if not exchange.connected and not self._finish_connect(exchange):
+            return
+        self._flush(exchange)
+
+    def _finish_connect(self, exchange: Exchange) -> bool:
+        sock = exchange.socket
+        if sock.getsockopt(socket.SOL_SOCKET, socket.SO_ERROR):
+            self._fail(exchange)
+            return False
+        exchange.connected = True
+        self._connecting.pop(sock, None)
+        if not exchange.paused:
+            self._poller.addReader(self, sock)
+        return True
+
+    def _flush(self, exchange: Exchange) -> None:
+        try:
+            sent = exchange.socket.send(exchange.unsent)
+        except BlockingIOError:
+            return
+        except OSError:
+            self._fail(exchange)
+            return
+        exchange.sent_any = exchange.sent_any or sent > 0
+        del exchange.unsent[:sent]
+        if not exchange.unsent:
+            self._poller.removeWriter(exchange.socket)
+
+    @circuits.handler("_read")
+    def _on_read(self, sock: socket.socket) -> None:
+        exchange = self._by_socket.get(sock)
+        if exchange is None:
+            return
+        try:
+            data = sock.recv(READ_SIZE)
+        except BlockingIOError:
+            return
+        except OSError as fault:
+            if fault.errno != errno.EINTR:
+                self._fail(exchange)
+            return
+        if exchange.listener is None:
+            # A kept connection: the other side closed it, or broke protocol.
+            self._discard(exchange)
+            return
+        self._parse(exchange, data)
+
+    def _parse(self, exchange: Exchange, data: bytes) -> None:
+        try:
+            exchange.connection.receive_data(data)
+            while exchange.listener is not None:
+                event = exchange.connection.next_event()
+                if event is h11.NEED_DATA or event is h11.PAUSED:
+                    return
+                if isinstance(event, h11.ConnectionClosed):
+                    self._fail(exchange)
+                    return
+                self._deliver(exchange, event)
+        except h11.RemoteProtocolError:
+            self._fail(exchange)
+
+    def _deliver(self, exchange: Exchange, event: h11.Event) -> None:
+        listener = exchange.listener
+        if isinstance(event, h11.Response):
+            headers = [
+                (name.decode("latin-1"), value.decode("latin-1"))
+                for name, value in event.headers
+            ]
+            listener.on_head(event.status_code, headers)
+        elif isinstance(event, h11.Data):
+            listener.on_data(bytes(event.data))
+        elif isinstance(event, h11.EndOfMessage):
+            exchange.listener = None
+            self._keep_or_close(exchange)
+            listener.on_end()
+
+    def _keep_or_close(self, exchange: Exchange) -> None:
+        connection = exchange.connection
+        reusable = (
+            connection.our_state is h11.DONE
+            and connection.their_state is h11.DONE
+            and not exchange.unsent
+        )
+        kept = self._idle.setdefault(exchange.address, [])
+        if reusable and len(kept) < IDLE_PER_ADDRESS:
+            kept.append(exchange)
+        else:
+            self._discard(exchange)
+
+    @circuits.handler("_disconnect")
+    def _on_disconnect(self, sock: socket.socket) -> None:
+        exchange = self._by_socket.get(sock)
+        if exchange is not None:
+            self._fail(exchange)
+
+    def _fail(self, exchange: Exchange) -> None:
+        listener = exchange.listener
+        exchange.listener = None
+        self._discard(exchange)
+        if listener is not None:
+            stage = Stage.SENT if exchange.sent_any else Stage.NOT_SENT
+            listener.on_failure(stage)
+
+    def _discard(self, exchange: Exchange) -> None:
+        sock = exchange.socket
+        if self._by_socket.pop(sock, None) is None:
+            return
+        self._connecting.pop(sock, None)
+        kept = self._idle.get(exchange.address, [])
+        if exchange in kept:
+            kept.remove(exchange)
+        self._poller.discard(sock)
+        sock.close()
+
+
+def _serialize(connection: h11.Connection, request: OutgoingRequest) -> bytes:
+    head = h11.Request(
+        method=request.method,
+        target=request.path,
+        headers=[
+            ("Host", str(request.address)),
+            ("Content-Length", str(len(request.body))),
+            *request.headers,
+        ],
+    )
+    parts = [connection.send(head)]
+    if request.body:
+        parts.append(connection.send(h11.Data(data=request.body)))
+    parts.append(connection.send(h11.EndOfMessage()))
+    return b"".join(parts)
--- /dev/null
+++ b/sycamorefall/transport/control.py
@@ -0,0 +1,140 @@
+"""Links for control messages between the system's processes.
+
+Each process pulls from one socket of its own and pushes to one socket per
+peer, so a slow or unreachable peer delays no other. What does not fit a
+link's short buffer is dropped and counted: control messages may be lost.
+"""
+
+__all__ = ["ControlLinks"]
+
+from collections.abc import Callable
+import logging
+
+import circuits
+from circuits.core import pollers
+import pynng
+
+from sycamorefall import errors, messages
+
+SEND_BUFFER = 256
+"""Messages that wait for a peer that is slow or not reached yet."""
+
+RECEIVE_BUFFER = 4096
+"""Messages received and not yet read by the loop."""
+
+RECONNECT_MILLISECONDS = (50, 1000)
+"""Shortest and longest pause between two tries to reach a peer."""
+
+READS_AT_ONCE = 256
+"""Messages read before other events of the loop get their turn."""
+
+_logger = logging.getLogger(__name__)
+
+
+class _Link:
+    """A socket that pushes to one peer."""
+
+    __slots__ = ("address", "socket")
+
+    def __init__(self, address: str):
+        self.address = address
+        shortest, longest = RECONNECT_MILLISECONDS
+        self.socket = pynng.Push0(
+            send_buffer_size=SEND_BUFFER,
+            reconnect_time_min=shortest,
+            reconnect_time_max=longest,
+        )
+        self.socket.dial(f"tcp://{address}", block=False)
+
+
+class ControlLinks(circuits.BaseComponent):
+    """Sends and receives control messages on the loop.
+
+    Attributes:
+        bytes_sent: Size of all messages sent.
+        bytes_received: Size of all messages received.
+        dropped: Messages that a full link dropped.
+        refused: Received messages that could not be decoded.
+    """
+
+    channel = "control"
+
+    def __init__(
+        self,
+        listen: str,
+        find_address: Callable[[str], str | None],
+        on_envelope: Callable[[messages.Envelope], None],
+    ):
+        """Opens the listening socket.
+
+        Args:
+            listen: `IP:port` at which peers reach this process.
+            find_address: Gives the `IP:port` of a peer by VM name.
+            on_envelope: Called with each received message.
+
+        Raises:
+            errors.AddressInUse: The address can't be bound.
+        """
+        super().__init__()
+        self._find_address = find_address
+        self._on_envelope = on_envelope
+        self._links: dict[str, _Link] = {}
+        self.bytes_sent = 0
+        self.bytes_received = 0
+        self.dropped = 0
+        self.refused = 0
+        self._inbox = pynng.Pull0(recv_buffer_size=RECEIVE_BUFFER)
+        try:
+            self._inbox.listen(f"tcp://{listen}")
+        except pynng.NNGException as fault:
+            raise errors.AddressInUse(f"control {listen}: {fault}") from fault
+
+    def attach(self, poller: pollers.BasePoller) -> None:
+        """Has the loop's poller watch the inbox."""
+        poller.addReader(self, self._inbox.recv_fd)
+
+    def send(self, to: str, envelope: messages.Envelope) -> None:
+        """Sends a message, or drops it if the peer's link is full."""
+        address = self._find_address(to)
+        if address is None:
+            return
+        link = self._links.get(to)
+        if link is None or link.address != address:
+            self._close_link(to)
+            link = self._links[to] = _Link(address)
+        data = messages.encode_envelope(envelope)
+        try:
+            link.socket.send(data, block=False)
+        except pynng.NNGException:
+            self.dropped += 1
+        else:
+            self.bytes_sent += len(data)
+
+    def _close_link(self, name: str) -> None:
+        link = self._links.pop(name, None)
+        if link is not None:
+            link.socket.close()
+
+    def keep_only(self, names: set[str]) -> None:
+        """Closes the links to VMs that are not among the named."""
+        for name in self._links.keys() - names:
+            self._close_link(name)
+
+    @circuits.handler("_read")
+    def _on_read(self, _) -> None:
+        for _ in range(READS_AT_ONCE):
+            try:
+                data = self._inbox.recv(block=False)
+            except pynng.NNGException:
+                return
+            self._take(data)
+
+    def _take(self, data: bytes) -> None:
+        self.bytes_received += len(data)
+        try:
+            envelope = messages.decode_envelope(data)
+        except errors.MessageRefused as fault:
+            self.refused += 1
+            _logger.warning("control message refused: %s", fault)
+            return
+        self._on_envelope(envelope)
--- /dev/null
+++ b/tests/conftest.py
@@ -0,0 +1,49 @@
+"""Fixtures of the tests on real processes."""
+
+import pytest
+
+from standins import fleet as fleet_module
+
+TEAMS = {"mill-a": 1.0, "mill-b": 1.0, "flood": 1.0, "large": 2.0}
+
+SERVICES = """
+[service assistant]
+kind = engine
+concurrency = 4
+prompt_weight = 0
+
+[service ledger]
+kind = plain
+concurrency = 4
+"""
+
+
+def start_small_fleet(folder) -> fleet_module.Fleet:
+    """Starts two routers, two engines and two ledgers."""
+    return fleet_module.start_fleet(
+        folder,
+        fleet_module.write_text(TEAMS, SERVICES),
+        routers=2,
+        upstreams=[
+            fleet_module.Upstreams(
+                "assistant", 2, "standins.engine", 4, ("--token-ms=2",)
+            ),
+            fleet_module.Upstreams("ledger", 2, "standins.ledger", 4),
+        ],
+    )
+
+
+@pytest.fixture(scope="module")
+def shared_fleet(tmp_path_factory):
+    """A fleet for tests that leave it as they found it."""
+    fleet = start_small_fleet(tmp_path_factory.mktemp("fleet"))
+    yield fleet
+    fleet_module.kill_fleet(fleet)
+
+
+@pytest.fixture
+def own_fleet(tmp_path):
+    """A fleet for a test that breaks it."""
+    fleet = start_small_fleet(tmp_path)
+    yield fleet
+    fleet_module.kill_fleet(fleet)
