--- /dev/null
+++ b/tests/test_known_red.py
@@ -0,0 +1,15 @@
+"""The list of tests known to fail is short and well formed."""
+
+import pytest
+
+import conftest
+
+
+def test_more_than_three_known_failures_are_refused(tmp_path, monkeypatch):
+    path = tmp_path / "KNOWN-RED.txt"
+    path.write_text("a | b | 1\n" * 4)
+    monkeypatch.setattr(conftest, "KNOWN_RED", path)
+    with pytest.raises(pytest.UsageError):
+        conftest.read_known_red()
+    path.write_text("a | b | 1\n")
+    assert conftest.read_known_red() == {"a": "b (issue 1)"}
