Benchmark fair sharing on the decision cores, beside three baselines

Cause: the gap, its bound and idle slots were stated but not measured on the cores.

Change: a plain event queue drives the cores of routers and sidecars with a fixed one-way delay and a fake upstream whose costs show only at the end; control messages are counted by encoding them. Router-local round robin, push with two choices and first come first served see the same requests. `make bench` prints a table and writes .benchmarks/fairness.json; a small fleet runs in the tests with bounds as ratios and counts.

--- a/Makefile
+++ b/Makefile
@@ -18,6 +18,9 @@
 demo: $(STAMP)
 	$(BIN)/python -m standins.demo
 
+bench: $(STAMP)
+	$(BIN)/python -m benchmarks.fairness
+
 lint: $(STAMP)
 	$(BIN)/ruff format --check .
 	$(BIN)/ruff check .
--- /dev/null
+++ b/benchmarks/__init__.py
@@ -0,0 +1,1 @@
+"""Benchmarks that drive the I/O-free cores with a plain event queue."""
--- /dev/null
+++ b/benchmarks/fleet.py
@@ -0,0 +1,319 @@
+"""Drives the decision cores of a whole fleet with the event queue."""
+
+__all__ = ["Options", "Outcome", "run_fleet"]
+
+import collections
+from collections.abc import Iterable
+import dataclasses
+import random
+
+from benchmarks import events as events_module
+from benchmarks import loads
+from benchmarks import upstream as upstream_module
+from standins import measures
+from sycamorefall import configuration, effects, membership, messages
+from sycamorefall.router import core as router_core
+from sycamorefall.router import effects as router_effects
+from sycamorefall.router import handout, intake
+from sycamorefall.router import state as router_state
+from sycamorefall.sidecar import claiming, running
+from sycamorefall.sidecar import core as sidecar_core
+from sycamorefall.sidecar import state as sidecar_state
+
+SERVICE = "assistant"
+
+WARM_UP = 1.0
+"""Seconds before the first request, in which the processes meet."""
+
+TIMEOUT = 600.0
+"""Seconds until a request's deadline: none comes within a run."""
+
+
+@dataclasses.dataclass(slots=True, frozen=True)
+class Options:
+    """Size and policy of a run.
+
+    Attributes:
+        routers: Number of routers.
+        upstreams: Number of upstreams, each with a sidecar.
+        slots: Slots of each upstream.
+        seconds: How long requests come.
+        seed: Seed of all choices.
+        delay: One-way delay of every message, in seconds.
+        account_delay: Further delay of account updates, in seconds.
+        ahead: Claims ahead of a free slot; None for the product's number.
+        reserve: Whether claims and runs in flight are reserved for.
+    """
+
+    routers: int = 4
+    upstreams: int = 10
+    slots: int = 8
+    seconds: float = 20.0
+    seed: int = 1
+    delay: float = 0.001
+    account_delay: float = 0.0
+    ahead: int | None = None
+    reserve: bool = True
+
+
+@dataclasses.dataclass(slots=True)
+class Outcome:
+    """What a run came to.
+
+    Attributes:
+        services: All service given, runs in progress up to the end.
+        waits: All waits, those that last up to the end.
+        sent: Control messages by kind.
+        sent_bytes: Their encoded size.
+    """
+
+    services: list[measures.Service] = dataclasses.field(default_factory=list)
+    waits: list[measures.Wait] = dataclasses.field(default_factory=list)
+    sent: collections.Counter[str] = dataclasses.field(
+        default_factory=collections.Counter
+    )
+    sent_bytes: int = 0
+
+
+@dataclasses.dataclass(slots=True)
+class _Node:
+    """A process: its decisions and when its timers run next."""
+
+    state: router_state.RouterState | sidecar_state.SidecarState
+    core: object
+    upstream: upstream_module.Upstream | None = None
+    wakes_at: float = float("inf")
+
+
+@dataclasses.dataclass(slots=True)
+class _Fleet:
+    options: Options
+    events: events_module.Events
+    nodes: dict[str, _Node]
+    outcome: Outcome
+    waiting: dict[tuple[str, int], loads.Arrival]
+    running: dict[int, tuple[str, float, float]]
+
+
+def run_fleet(
+    case: loads.Case, options: Options, prepare=lambda state: None
+) -> Outcome:
+    """Runs a load through a fleet.
+
+    Args:
+        case: The load.
+        options: Size and policy.
+        prepare: Called with the state of each sidecar before the start, to
+            switch off or set what a comparison needs.
+
+    Returns:
+        What came of it.
+    """
+    fleet = _create_fleet(case, options)
+    for node in fleet.nodes.values():
+        if node.upstream is not None:
+            if options.ahead is not None:
+                node.state.limit.ahead = options.ahead
+            prepare(node.state)
+    slots = options.upstreams * options.slots
+    arrivals = loads.plan_arrivals(
+        case, slots, options.routers, options.seconds, options.seed
+    )
+    for arrival in arrivals:
+        events_module.schedule(
+            fleet.events,
+            WARM_UP + arrival.at,
+            lambda arrival=arrival: _admit(fleet, arrival),
+        )
+    end = WARM_UP + options.seconds
+    events_module.run_until(fleet.events, end)
+    _close_books(fleet, end)
+    return fleet.outcome
+
+
+def _create_fleet(case: loads.Case, options: Options) -> _Fleet:
+    vms = [
+        membership.VmEntry(f"router-{i}", membership.VmRole.ROUTER, "d", "", "")
+        for i in range(options.routers)
+    ] + [
+        membership.VmEntry(
+            f"engine-{i}", membership.VmRole.UPSTREAM, "d", "", "", SERVICE
+        )
+        for i in range(options.upstreams)
+    ]
+    fleet = _Fleet(options, events_module.Events(), {}, Outcome(), {}, {})
+    text = _write_text(case, options)
+    chance = random.Random(options.seed)
+    for vm in vms:
+        node = _create_node(vm, options)
+        fleet.nodes[vm.name] = node
+        configuration.offer_text(node.state.versions, 1, text)
+        membership.replace_list(
+            node.state.directory, membership.VmList(1, tuple(vms))
+        )
+        if node.upstream is not None:
+            sidecar_core.apply_configuration(node.state)
+        node.wakes_at = chance.uniform(0.0, 0.1)
+        events_module.schedule(
+            fleet.events,
+            node.wakes_at,
+            lambda node=node: _run_timers(fleet, node),
+        )
+    return fleet
+
+
+def _create_node(vm: membership.VmEntry, options: Options) -> _Node:
+    if vm.role is membership.VmRole.ROUTER:
+        return _Node(router_state.RouterState(vm.name, 1), router_core)
+    state = sidecar_state.create_state(vm.name, 1, SERVICE)
+    return _Node(state, sidecar_core, upstream_module.Upstream(options.slots))
+
+
+def _write_text(case: loads.Case, options: Options) -> str:
+    teams = "".join(
+        f"[team {sender.team}]\nweight = {sender.weight}\n"
+        for sender in case.senders
+    )
+    service = f"[service {SERVICE}]\nkind = engine\n"
+    return f"{service}concurrency = {options.slots}\n{teams}"
+
+
+def _admit(fleet: _Fleet, arrival: loads.Arrival) -> None:
+    name = f"router-{arrival.router}"
+    node = fleet.nodes[name]
+    new = router_state.NewRequest(
+        SERVICE, arrival.team, "POST", "/", (), TIMEOUT, True, arrival.hint
+    )
+    number, wanted = intake.admit_request(node.state, fleet.events.now, new)
+    fleet.waiting[name, number] = arrival
+    _perform(fleet, node, wanted)
+
+
+def _run_timers(fleet: _Fleet, node: _Node) -> None:
+    now = fleet.events.now
+    if now < node.wakes_at:
+        return
+    node.wakes_at = float("inf")
+    _perform(fleet, node, node.core.run_timers(node.state, now))
+
+
+def _perform(
+    fleet: _Fleet, node: _Node, wanted: Iterable[router_effects.Effect]
+) -> None:
+    """Does what a core asks for, then sets its timer anew."""
+    for effect in wanted:
+        match effect:
+            case effects.Send():
+                _send(fleet, node, effect)
+            case router_effects.HandOut():
+                _hand_out(fleet, node, effect)
+            case router_effects.AnswerError():
+                _end_wait(fleet, node.state.vm, effect.request)
+    due = max(fleet.events.now, node.core.find_next_due(node.state))
+    if due < node.wakes_at:
+        node.wakes_at = due
+        events_module.schedule(
+            fleet.events, due, lambda: _run_timers(fleet, node)
+        )
+
+
+def _send(fleet: _Fleet, node: _Node, send: effects.Send) -> None:
+    envelope = messages.Envelope(
+        node.state.vm, node.state.incarnation, 1, send.message
+    )
+    fleet.outcome.sent[type(send.message).__name__] += 1
+    fleet.outcome.sent_bytes += len(messages.encode_envelope(envelope))
+    at = fleet.events.now + fleet.options.delay
+    if isinstance(send.message, messages.AccountUpdate):
+        at += fleet.options.account_delay
+    target = fleet.nodes[send.to]
+
+    def deliver() -> None:
+        now = fleet.events.now
+        wanted = target.core.receive_message(target.state, now, envelope)
+        _perform(fleet, target, wanted)
+
+    events_module.schedule(fleet.events, at, deliver)
+
+
+def _hand_out(
+    fleet: _Fleet, router: _Node, hand_out: router_effects.HandOut
+) -> None:
+    order = hand_out.order
+    fleet.outcome.sent["AttemptOrder"] += 1
+    fleet.outcome.sent_bytes += len(messages.encode_order(order))
+    sidecar = fleet.nodes[hand_out.sidecar]
+    arrival = fleet.waiting[order.router, hand_out.request]
+
+    def end(how: handout.AttemptEnd) -> None:
+        now = fleet.events.now
+        wanted = handout.end_attempt(
+            router.state, now, order.attempt_id, how, False
+        )
+        _perform(fleet, router, wanted)
+
+    def answer(how: handout.AttemptEnd) -> None:
+        at = fleet.events.now + fleet.options.delay
+        events_module.schedule(fleet.events, at, lambda: end(how))
+
+    def arrive() -> None:
+        if running.accept_attempt(sidecar.state, fleet.events.now, order):
+            _run_upstream(fleet, sidecar, hand_out, arrival, answer)
+        else:
+            answer(handout.AttemptEnd.REFUSED)
+
+    at = fleet.events.now + fleet.options.delay
+    events_module.schedule(fleet.events, at, arrive)
+
+
+def _run_upstream(
+    fleet: _Fleet,
+    sidecar: _Node,
+    hand_out: router_effects.HandOut,
+    arrival: loads.Arrival,
+    answer,
+) -> None:
+    order, state = hand_out.order, sidecar.state
+
+    def start() -> None:
+        _end_wait(fleet, order.router, hand_out.request)
+        begun = (arrival.team, fleet.events.now, arrival.cost)
+        fleet.running[arrival.number] = begun
+
+    def charge(units: float) -> None:
+        running.charge_run(state, order.attempt_id, units)
+        _perform(fleet, sidecar, ())
+
+    def end() -> None:
+        now = fleet.events.now
+        team, started, cost = fleet.running.pop(arrival.number)
+        service = measures.Service(team, started, now, cost)
+        fleet.outcome.services.append(service)
+        running.finish_run(state, now, order.attempt_id)
+        if not fleet.options.reserve:
+            state.estimates.teams.clear()
+            state.estimates.overall = 0.0
+        _perform(fleet, sidecar, claiming.make_claims(state, now))
+        answer(handout.AttemptEnd.COMPLETE)
+
+    work = upstream_module.Work(arrival.cost, start, charge, end)
+    upstream_module.offer_work(fleet.events, sidecar.upstream, work)
+
+
+def _end_wait(fleet: _Fleet, router: str, number: int) -> None:
+    arrival = fleet.waiting.pop((router, number), None)
+    if arrival is not None:
+        began = WARM_UP + arrival.at
+        wait = measures.Wait(arrival.team, began, fleet.events.now)
+        fleet.outcome.waits.append(wait)
+
+
+def _close_books(fleet: _Fleet, end: float) -> None:
+    """Counts what still waits or runs, up to the end."""
+    for router, number in list(fleet.waiting):
+        _end_wait(fleet, router, number)
+    for team, started, _ in fleet.running.values():
+        units = (end - started) * upstream_module.UNITS_PER_SECOND
+        fleet.outcome.services.append(
+            measures.Service(team, started, end, units)
+        )
--- /dev/null
+++ b/benchmarks/results.py
@@ -0,0 +1,122 @@
+"""Figures of a run, as rows of a table and as JSON."""
+
+__all__ = ["Figures", "format_rows", "measure_outcome", "write_json"]
+
+import dataclasses
+import json
+import pathlib
+
+from benchmarks import fleet, loads, upstream
+from standins import measures
+from sycamorefall.sharing import bound
+
+FOLDER = pathlib.Path(__file__).parent.parent / ".benchmarks"
+"""Where results go; not kept in the repository."""
+
+
+@dataclasses.dataclass(slots=True, frozen=True)
+class Figures:
+    """What one run came to.
+
+    Attributes:
+        case: Name of the load.
+        policy: Name of the policy.
+        gap: Fairness gap in cost units per weight.
+        bound: Stated bound on it; 0 for policies that state none.
+        lost: Part of the capacity that was idle while work waited.
+        runs: Requests that an upstream ended.
+        node_bytes: Control bytes sent and received, per node and second.
+        sent: Control messages by kind.
+    """
+
+    case: str
+    policy: str
+    gap: float
+    bound: float
+    lost: float
+    runs: int
+    node_bytes: float
+    sent: dict[str, int]
+
+
+def measure_outcome(
+    case: loads.Case,
+    options: fleet.Options,
+    policy: str,
+    outcome: fleet.Outcome,
+    staleness: float = 0.0,
+) -> Figures:
+    """Measures a run.
+
+    Args:
+        case: The load.
+        options: The size.
+        policy: Name of the policy.
+        outcome: What came of the run.
+        staleness: Seconds until others see a change of an account, for the
+            bound; 0 if the policy states no bound.
+
+    Returns:
+        The figures.
+    """
+    weights = {sender.team: sender.weight for sender in case.senders}
+    slots = options.upstreams * options.slots
+    nodes = options.upstreams + options.routers
+    return Figures(
+        case=case.name,
+        policy=policy,
+        gap=measures.measure_gap(outcome.services, outcome.waits, weights),
+        bound=_compute_bound(options, weights, staleness),
+        lost=measures.measure_lost_capacity(
+            outcome.services, outcome.waits, slots
+        ),
+        runs=len(outcome.services),
+        node_bytes=2 * outcome.sent_bytes / nodes / options.seconds,
+        sent=dict(outcome.sent),
+    )
+
+
+def _compute_bound(
+    options: fleet.Options, weights: dict[str, float], staleness: float
+) -> float:
+    if not staleness:
+        return 0.0
+    slots = options.upstreams * options.slots
+    ahead = 1 if options.ahead is None else options.ahead
+    return bound.compute_gap_bound(
+        in_flight=slots + ahead * options.upstreams,
+        largest_cost=loads.LARGEST_COST,
+        staleness=staleness,
+        rate=slots * upstream.UNITS_PER_SECOND,
+        lightest_weight=min(weights.values()),
+    )
+
+
+def format_rows(rows: list[Figures]) -> str:
+    """Formats figures as a table, a row each."""
+    head = (
+        f"{'case':<12} {'policy':<26} {'gap':>9} {'bound':>9} "
+        f"{'lost':>8} {'runs':>7} {'B/node/s':>9}"
+    )
+    return "\n".join([head, *map(_format_row, rows)])
+
+
+def _format_row(row: Figures) -> str:
+    stated = f"{row.bound:.0f}" if row.bound else "-"
+    sent = f"{row.node_bytes:.0f}" if row.node_bytes else "-"
+    return (
+        f"{row.case:<12} {row.policy:<26} {row.gap:>9.0f} {stated:>9} "
+        f"{row.lost:>8.5f} {row.runs:>7} {sent:>9}"
+    )
+
+
+def write_json(name: str, rows: list[Figures]) -> pathlib.Path:
+    """Writes figures to the results folder.
+
+    Returns:
+        The file.
+    """
+    FOLDER.mkdir(exist_ok=True)
+    path = FOLDER / f"{name}.json"
+    path.write_text(json.dumps([dataclasses.asdict(row) for row in rows]))
+    return path
--- /dev/null
+++ b/benchmarks/tests/test_fairness.py
@@ -0,0 +1,62 @@
+"""Regression bounds of the benchmarks, on a small fleet.
+
+All figures follow from the seed and the decisions alone, so the bounds are
+cost units and ratios, never wall time.
+"""
+
+import dataclasses
+
+import pytest
+
+from benchmarks import fairness, fleet, loads, results
+
+SMALL = fleet.Options(routers=3, upstreams=4, slots=4, seconds=20.0)
+
+LARGEST_GAPS = {
+    "even": 1.0,
+    "skewed": 1.0,
+    "flood": 1.6,
+    "weights": 1.0,
+    "hints": 1.5,
+}
+"""Regression bounds on the gap, in largest requests. A flooding team fills
+every slot before the others come, hence its larger figure."""
+
+
+def measure(name, options):
+    case = loads.CASES[name]
+    outcome = fleet.run_fleet(case, options)
+    return results.measure_outcome(case, options, "", outcome, 0.1)
+
+
+@pytest.mark.parametrize("name", LARGEST_GAPS)
+def test_gap_stays_far_below_its_bound(name):
+    figures = measure(name, SMALL)
+    assert figures.gap <= figures.bound
+    assert figures.gap <= LARGEST_GAPS[name] * loads.LARGEST_COST
+    assert figures.lost < 0.01
+
+
+def test_large_team_on_one_router_gets_no_more_than_its_share():
+    # The members' clerks of one large team all reach the same router. With
+    # queues at each router that team's share would be bounded by a router's
+    # part of the slots, and small teams elsewhere would be served far more.
+    options = dataclasses.replace(SMALL, seconds=60.0)
+    own, local, push, first = fairness.compare_policies(
+        loads.CASES["skewed"], options
+    )
+    assert own.gap * 10 <= local.gap
+    assert own.gap * 40 <= min(push.gap, first.gap)
+
+
+def test_gap_does_not_grow_with_time():
+    # A policy that is unfair by a rate shows a gap that grows with the run;
+    # one whose gap is bounded doesn't.
+    short = measure("even", SMALL)
+    long = measure("even", dataclasses.replace(SMALL, seconds=80.0))
+    assert long.gap <= 1.5 * short.gap
+
+
+def test_same_seed_gives_the_same_figures():
+    options = dataclasses.replace(SMALL, seconds=3.0)
+    assert measure("flood", options) == measure("flood", options)
--- a/standins/measures.py
+++ b/standins/measures.py
@@ -91,9 +91,19 @@
 def _intersect(
     first: list[tuple[float, float]], second: list[tuple[float, float]]
 ) -> list[tuple[float, float]]:
-    pairs = itertools.product(first, second)
-    common = ((max(a[0], b[0]), min(a[1], b[1])) for a, b in pairs)
-    return [(begin, end) for begin, end in common if begin < end]
+    """Intersects two sorted lists of intervals that don't overlap inside."""
+    common: list[tuple[float, float]] = []
+    index = other = 0
+    while index < len(first) and other < len(second):
+        begin = max(first[index][0], second[other][0])
+        end = min(first[index][1], second[other][1])
+        if begin < end:
+            common.append((begin, end))
+        if first[index][1] <= second[other][1]:
+            index += 1
+        else:
+            other += 1
+    return common
 
 
 def measure_gap(
