Write logs with eliot, through a writer that never waits

Cause: refused texts went to stderr by print and control messages by logging; a reader of stderr that stops would have stopped the loop.

Ruled out: a thread that writes (the process is one loop on one thread); O_NONBLOCK on stderr itself (it is shared with the shell and others).

One action per configuration change; faults with their traceback as a record.

Conclusion: tests with a reader that stops, a closed pipe and a full device pass.

--- a/sycamorefall/node.py
+++ b/sycamorefall/node.py
@@ -4,7 +4,6 @@
 
 from collections.abc import Callable, Iterable
 import dataclasses
-import sys
 import time
 
 from circuits.core import pollers
@@ -14,6 +13,7 @@
     effects,
     membership,
     messages,
+    observation,
     platform,
     settings,
     transport,
@@ -62,6 +62,7 @@
         client: Sends HTTP requests.
         server: Takes HTTP requests.
         reader: Reads the platform.
+        log: Writes the log.
         stopping: Whether the process is to end once it is idle.
     """
 
@@ -71,6 +72,7 @@
     client: transport.HttpClient
     server: transport.HttpServer
     reader: platform.PlatformReader
+    log: observation.LogWriter
     stopping: bool = False
 
 
@@ -96,8 +98,10 @@
 
     Raises:
         errors.AddressInUse: A listening address can't be bound.
+        errors.SettingsRefused: The log can't be opened.
     """
-    loop = transport.create_loop(lambda: begin_stop(node))
+    log = observation.open_log(config.log)
+    loop = transport.create_loop(lambda: begin_stop(node), _report_fault)
     poller = next(
         part for part in loop.components if isinstance(part, pollers.BasePoller)
     )
@@ -120,21 +124,38 @@
         lambda vms: _take_vms(node, vms),
         seed=core.incarnation,
     )
-    node = Node(core, loop, control, client, server, reader)
+    node = Node(core, loop, control, client, server, reader, log)
     transport.Ticker(
         lambda: _find_next_due(node), lambda now: _run_timers(node, now)
     ).register(loop)
     return node
 
 
+def _report_fault(trace: str) -> None:
+    observation.write_record(
+        observation.Level.ERROR, "process.fault", traceback=trace
+    )
+
+
 def run_node(node: Node) -> None:
     """Runs a node until it is told to stop and has nothing in progress."""
+    core = node.core
+    observation.write_record(
+        observation.Level.INFO,
+        "process.started",
+        vm=core.vm,
+        incarnation=core.incarnation,
+    )
     node.loop.run()
+    observation.write_record(
+        observation.Level.INFO, "process.stopped", vm=core.vm
+    )
 
 
 def begin_stop(node: Node) -> None:
     """Begins a graceful stop: nothing new is taken, the rest is finished."""
     if not node.stopping:
+        observation.write_record(observation.Level.INFO, "process.stopping")
         node.stopping = True
         node.core.begin_stop()
 
@@ -178,6 +199,7 @@
     node.client.expire(now)
     node.server.expire(now)
     node.reader.run(now)
+    node.log.flush()
     perform(node, node.core.run_timers(now))
     if node.stopping and node.core.is_idle():
         node.loop.stop()
@@ -185,19 +207,35 @@
 
 def _take_text(node: Node, published: platform.PublishedText) -> None:
     versions = node.core.versions
+    if published.revision <= versions.revision:
+        configuration.offer_text(versions, published.revision, published.text)
+        return
+    action = observation.start_action(
+        "configuration.change",
+        revision=published.revision,
+        in_force=versions.in_force,
+    )
     adoption = configuration.offer_text(
         versions, published.revision, published.text
     )
     if adoption is configuration.Adoption.ADOPTED:
         node.core.apply_configuration()
     if adoption is configuration.Adoption.REFUSED:
-        print(
-            f"configuration revision {published.revision} refused: "
-            f"{versions.refusal}",
-            file=sys.stderr,
+        observation.write_record(
+            observation.Level.WARNING,
+            "configuration.refused",
+            revision=published.revision,
+            reason=versions.refusal,
         )
+    observation.end_action(action, adoption=adoption.value)
 
 
 def _take_vms(node: Node, vms: membership.VmList) -> None:
     if membership.replace_list(node.core.directory, vms):
+        observation.write_record(
+            observation.Level.INFO,
+            "vms.changed",
+            revision=vms.revision,
+            vms=len(vms.vms),
+        )
         node.control.keep_only(set(node.core.directory.vms))
--- /dev/null
+++ b/sycamorefall/observation/tests/test_log.py
@@ -0,0 +1,98 @@
+"""The log never stops the process, whatever its reader does."""
+
+import contextlib
+import json
+import os
+
+import eliot
+import pytest
+
+from sycamorefall import errors, observation, settings
+from sycamorefall.observation import descriptor, log
+
+
+@pytest.fixture
+def opened():
+    """Opens logs as a process does, and closes them afterwards."""
+    writers = []
+
+    def open_at(destination, level="info"):
+        config = settings.LogSettings(destination=destination, level=level)
+        writers.append(observation.open_log(config))
+        return writers[-1]
+
+    yield open_at
+    for writer in writers:
+        eliot.remove_destination(writer)
+    log._threshold = observation.Level.OFF
+
+
+def write_many(count):
+    for number in range(count):
+        observation.write_record(
+            observation.Level.INFO, "test", number=number, text="x" * 500
+        )
+
+
+def read_all(reader):
+    parts = []
+    with contextlib.suppress(BlockingIOError):
+        while part := os.read(reader, 1 << 16):
+            parts.append(part)
+    return b"".join(parts)
+
+
+def test_slow_reader_neither_stops_nor_fills_the_process(opened):
+    """The reader of the log's pipe stops, and later reads on.
+
+    A blocking write would stop the one loop with all its requests; an
+    unbounded buffer would grow until the process is killed.
+    """
+    reader, writer = os.pipe()
+    os.set_blocking(reader, False)
+    log_writer = opened(f"/proc/self/fd/{writer}")
+    write_many(2000)
+    lost = log_writer.dropped
+    assert lost > 0
+    text = b""
+    while part := read_all(reader):
+        text += part
+        log_writer.flush()
+    records = [json.loads(line) for line in text.splitlines()]
+    numbers = [r["number"] for r in records if r["message_type"] == "test"]
+    assert numbers == list(range(2000 - lost))
+    assert records[-1]["message_type"] == "log.dropped"
+    assert records[-1]["records"] == lost
+
+
+@pytest.mark.parametrize("closes", [False, True])
+def test_full_disk_and_closed_pipe_are_counted(opened, closes):
+    reader, writer = os.pipe()
+    path = f"/proc/self/fd/{writer}" if closes else "/dev/full"
+    log_writer = opened(path)
+    os.close(reader)
+    write_many(100)
+    assert log_writer.dropped >= 100
+
+
+def test_shared_descriptor_keeps_its_flags():
+    reader, writer = os.pipe()
+    write = descriptor.reopen_descriptor(writer)
+    assert write(b"a line\n") == 7
+    assert os.get_blocking(writer)
+    assert os.read(reader, 100) == b"a line\n"
+
+
+def test_level_leaves_lesser_records_out(opened, tmp_path):
+    path = tmp_path / "log"
+    opened(str(path), level="warning")
+    observation.write_record(observation.Level.INFO, "lesser")
+    observation.write_record(observation.Level.WARNING, "greater")
+    assert observation.start_action("request") is None
+    (line,) = path.read_text().splitlines()
+    assert json.loads(line)["message_type"] == "greater"
+
+
+def test_destination_that_can_not_be_opened_is_refused(opened, tmp_path):
+    with pytest.raises(errors.SettingsRefused, match="log destination"):
+        opened(str(tmp_path / "absent" / "log"))
--- a/sycamorefall/transport/control.py
+++ b/sycamorefall/transport/control.py
@@ -8,13 +8,12 @@
 __all__ = ["ControlLinks"]
 
 from collections.abc import Callable
-import logging
 
 import circuits
 from circuits.core import pollers
 import pynng
 
-from sycamorefall import errors, messages
+from sycamorefall import errors, messages, observation
 
 SEND_BUFFER = 256
 """Messages that wait for a peer that is slow or not reached yet."""
@@ -28,8 +27,6 @@
 READS_AT_ONCE = 256
 """Messages read before other events of the loop get their turn."""
 
-_logger = logging.getLogger(__name__)
-
 
 class _Link:
     """A socket that pushes to one peer."""
@@ -135,6 +132,11 @@
             envelope = messages.decode_envelope(data)
         except errors.MessageRefused as fault:
             self.refused += 1
-            _logger.warning("control message refused: %s", fault)
+            observation.write_record(
+                observation.Level.WARNING,
+                "control.refused",
+                reason=str(fault),
+                refused=self.refused,
+            )
             return
         self._on_envelope(envelope)
--- a/sycamorefall/transport/loop.py
+++ b/sycamorefall/transport/loop.py
@@ -60,6 +60,11 @@
         self._on_signal()
 
 
+def print_fault(text: str) -> None:
+    """Prints a fault's traceback; a daemon puts it into its log instead."""
+    sys.stderr.write(text)
+
+
 class _FaultReporter(circuits.BaseComponent):
     """Shows exceptions that escaped a handler.
 
@@ -70,18 +75,26 @@
 
     channel = "*"
 
+    def __init__(self, report: Callable[[str], None]):
+        super().__init__()
+        self._report = report
+
     @circuits.handler("exception", channel="*", priority=100)
     def _on_exception(self, kind, fault, trace, **_) -> None:
         lines = traceback.format_exception(kind, fault, None)
         parts = trace if isinstance(trace, list) else []
-        sys.stderr.write("".join([*parts, *lines]))
+        self._report("".join([*parts, *lines]))
 
 
-def create_loop(on_signal: Callable[[], None]) -> Loop:
+def create_loop(
+    on_signal: Callable[[], None],
+    on_fault: Callable[[str], None] = print_fault,
+) -> Loop:
     """Creates a process's loop.
 
     Args:
         on_signal: Called on SIGTERM and on SIGINT.
+        on_fault: Called with the traceback of each exception that escaped.
 
     Returns:
         The root component; its `run` method runs the process.
@@ -89,5 +102,5 @@
     loop = circuits.BaseComponent()
     pollers.EPoll().register(loop)
     _SignalCatcher(on_signal).register(loop)
-    _FaultReporter().register(loop)
+    _FaultReporter(on_fault).register(loop)
     return loop
