--- a/standins/fleet.py
+++ b/standins/fleet.py
@@ -85,6 +85,7 @@
         revision: Its revision.
         vms_revision: Revision of the VM list last published.
         helpers: Processes of the stand-ins that belong to no VM.
+        extra_settings: Further INI sections for all routers and sidecars.
     """
 
     folder: pathlib.Path
@@ -95,6 +96,7 @@
     revision: int = 0
     vms_revision: int = 0
     helpers: list[subprocess.Popen] = dataclasses.field(default_factory=list)
+    extra_settings: str = ""
 
 
 def find_ports(count: int) -> list[int]:
@@ -154,6 +156,7 @@
     text: str,
     routers: int,
     upstreams: list[Upstreams],
+    extra_settings: str = "",
 ) -> Fleet:
     """Starts a fleet and waits until its routers are ready to serve.
 
@@ -162,11 +165,13 @@
         text: The operators' text.
         routers: Number of routers.
         upstreams: Upstreams by service.
+        extra_settings: Further INI sections for all routers and sidecars.
 
     Returns:
         The running fleet.
     """
     fleet = _plan_fleet(folder, routers, upstreams)
+    fleet.extra_settings = extra_settings
     try:
         _start_surroundings(fleet, upstreams)
         publish_text(fleet, text)
@@ -267,7 +272,7 @@
         f"[listen]\ndata = 127.0.0.1:{node.data}\n"
         f"control = 127.0.0.1:{node.control}\n"
         f"[platform]\naddress = 127.0.0.1:{fleet.platform}\n"
-        f"poll_interval = 0.5\n{upstream}"
+        f"poll_interval = 0.5\n{upstream}{fleet.extra_settings}"
     )
 
 
--- a/sycamorefall/messages.py
+++ b/sycamorefall/messages.py
@@ -8,6 +8,7 @@
     "ATTEMPT_PATH",
     "ORDER_HEADER",
     "OUTCOME_HEADER",
+    "SIGNATURE_HEADER",
     "AccountEntry",
     "AccountUpdate",
     "AttemptOrder",
@@ -42,6 +43,9 @@
 ORDER_HEADER = "Sycamorefall-Order"
 """Header of a hand-out that carries its `AttemptOrder`."""
 
+SIGNATURE_HEADER = "Sycamorefall-Signature"
+"""Header of a hand-out with the digest of its order and body."""
+
 OUTCOME_HEADER = "Sycamorefall-Outcome"
 """Header of a sidecar's answer in place of the upstream's: an `Outcome`."""
 
--- a/sycamorefall/node.py
+++ b/sycamorefall/node.py
@@ -9,6 +9,7 @@
 from circuits.core import pollers
 
 from sycamorefall import (
+    authentication,
     configuration,
     effects,
     membership,
@@ -62,7 +63,9 @@
         client: Sends HTTP requests.
         server: Takes HTTP requests.
         reader: Reads the platform.
+        authenticator: Signs hand-outs and control messages.
         log: Writes the log.
+        operators: Takes operators' requests, if at an address of its own.
         stopping: Whether the process is to end once it is idle.
     """
 
@@ -72,7 +75,9 @@
     client: transport.HttpClient
     server: transport.HttpServer
     reader: platform.PlatformReader
+    authenticator: authentication.Authenticator
     log: observation.LogWriter
+    operators: transport.HttpServer | None = None
     stopping: bool = False
 
 
@@ -85,21 +90,26 @@
     config: settings.RouterSettings | settings.SidecarSettings,
     core: Core,
     on_call: Callable[[transport.IncomingCall], None],
+    on_operator_call: Callable[[transport.IncomingCall], None],
 ) -> Node:
     """Opens a node's sockets and wires them to its decisions.
 
     Args:
         config: The process's settings.
         core: The decisions.
-        on_call: Called with each HTTP request.
+        on_call: Called with each HTTP request at the data address.
+        on_operator_call: Called with each one at the operators' address.
 
     Returns:
         The node, ready to run.
 
     Raises:
         errors.AddressInUse: A listening address can't be bound.
-        errors.SettingsRefused: The log can't be opened.
+        errors.SettingsRefused: The log or the key file can't be used.
     """
+    authenticator = authentication.create_authenticator(
+        core.vm, config.security
+    )
     log = observation.open_log(config.log)
     loop = transport.create_loop(lambda: begin_stop(node), _report_fault)
     poller = next(
@@ -111,6 +121,7 @@
         lambda envelope: perform(
             node, core.receive(transport.read_clock(), envelope)
         ),
+        authenticator,
     ).register(loop)
     control.attach(poller)
     client = transport.HttpClient(poller, transport.read_clock).register(loop)
@@ -124,7 +135,14 @@
         lambda vms: _take_vms(node, vms),
         seed=core.incarnation,
     )
-    node = Node(core, loop, control, client, server, reader, log)
+    node = Node(core, loop, control, client, server, reader, authenticator, log)
+    if config.listen.operators is not None:
+        node.operators = transport.HttpServer(
+            config.listen.operators,
+            config.limits,
+            on_operator_call,
+            channel="operators",
+        ).register(loop)
     transport.Ticker(
         lambda: _find_next_due(node), lambda now: _run_timers(node, now)
     ).register(loop)
@@ -146,6 +164,13 @@
         vm=core.vm,
         incarnation=core.incarnation,
     )
+    if not node.authenticator.enabled:
+        observation.write_record(
+            observation.Level.WARNING,
+            "security.no_shared_key",
+            meaning="every process that reaches this one is believed; "
+            "set [security] shared_key_file",
+        )
     node.loop.run()
     observation.write_record(
         observation.Level.INFO, "process.stopped", vm=core.vm
@@ -190,14 +215,19 @@
     return min(
         node.core.find_next_due(),
         node.client.find_next_due(),
-        node.server.find_next_due(),
+        *(server.find_next_due() for server in _list_servers(node)),
         node.reader.find_next_due(),
     )
 
 
+def _list_servers(node: Node) -> list[transport.HttpServer]:
+    return [node.server, *filter(None, [node.operators])]
+
+
 def _run_timers(node: Node, now: float) -> None:
     node.client.expire(now)
-    node.server.expire(now)
+    for server in _list_servers(node):
+        server.expire(now)
     node.reader.run(now)
     node.log.flush()
     perform(node, node.core.run_timers(now))
--- a/sycamorefall/observation/__init__.py
+++ b/sycamorefall/observation/__init__.py
@@ -3,7 +3,14 @@
 __all__ = [
     "Level",
     "LogWriter",
+    "Recorder",
+    "Track",
+    "begin_request",
+    "count_event",
     "end_action",
+    "end_request",
+    "note_hand_out",
+    "note_piece",
     "open_log",
     "start_action",
     "write_record",
@@ -17,3 +24,12 @@
     start_action,
     write_record,
 )
+from sycamorefall.observation.recorder import (
+    Recorder,
+    Track,
+    begin_request,
+    count_event,
+    end_request,
+    note_hand_out,
+    note_piece,
+)
--- /dev/null
+++ b/sycamorefall/observation/histograms.py
@@ -0,0 +1,196 @@
+"""Histograms of times, per team for the busiest and per service for the rest.
+
+At 31,000 teams a set of histograms for each would take many times a
+process's memory; so only the busiest teams have their own, and all others of
+a service share one set.
+"""
+
+__all__ = [
+    "REST",
+    "TeamHistograms",
+    "TimeHistogram",
+    "TimeKind",
+    "list_histograms",
+    "note_request",
+    "record_time",
+]
+
+from collections.abc import Iterator
+import dataclasses
+import enum
+
+from hdrh import histogram
+
+from sycamorefall.observation import busiest as busiest_module
+
+MOST_TEAMS = 20
+"""Teams, each at one service, that have histograms of their own."""
+
+REST = ""
+"""In place of a team's name: all teams that have no histograms."""
+
+UNITS_PER_SECOND = 10_000
+"""Times are recorded in units of 0.1 ms."""
+
+LONGEST = 3600 * UNITS_PER_SECOND
+"""Longest time recorded, in units; longer ones count as this."""
+
+DIGITS = 2
+"""Significant digits of a recorded time."""
+
+COUNT_BYTES = 4
+"""Size of one count: up to 4 billion; 8 would double the memory."""
+
+
+class TimeKind(enum.IntEnum):
+    """The times that are recorded of a request.
+
+    An `IntEnum`, as the hash of a plain one is a slow Python function and is
+    taken for each token.
+
+    WAIT: from arrival to hand-out.
+    FIRST_TOKEN: from arrival to the first piece of a streamed answer.
+    BETWEEN_TOKENS: from one piece of a streamed answer to the next.
+    TOTAL: from arrival to the whole answer.
+    """
+
+    WAIT = 1
+    FIRST_TOKEN = 2
+    BETWEEN_TOKENS = 3
+    TOTAL = 4
+
+    @property
+    def label(self) -> str:
+        """Its name in metrics and status."""
+        return self.name.lower()
+
+    @property
+    def text(self) -> str:
+        """Its description in metrics."""
+        return _TEXTS[self]
+
+
+_TEXTS = {
+    TimeKind.WAIT: "Time from arrival to hand-out",
+    TimeKind.FIRST_TOKEN: "Time from arrival to the first piece streamed",
+    TimeKind.BETWEEN_TOKENS: "Time from one piece streamed to the next",
+    TimeKind.TOTAL: "Time from arrival to the whole answer",
+}
+
+
+class TimeHistogram:
+    """A histogram of times with their sum.
+
+    Attributes:
+        counts: The histogram, in units of 0.1 ms.
+        seconds: Sum of the recorded times.
+    """
+
+    __slots__ = ("counts", "seconds")
+
+    def __init__(self):
+        self.counts = histogram.HdrHistogram(
+            1, LONGEST, DIGITS, word_size=COUNT_BYTES
+        )
+        self.seconds = 0.0
+
+    def record(self, seconds: float) -> None:
+        """Records one time."""
+        units = int(seconds * UNITS_PER_SECOND) or 1
+        if not self.counts.record_value(units):
+            self.counts.record_value(LONGEST)
+        self.seconds += seconds
+
+    def merge(self, other: "TimeHistogram") -> None:
+        """Adds what another recorded."""
+        self.counts.add(other.counts)
+        self.seconds += other.seconds
+
+    @property
+    def count(self) -> int:
+        """How many times were recorded."""
+        return self.counts.get_total_count()
+
+    def find_quantiles(self, quantiles: tuple[float, ...]) -> list[float]:
+        """Finds the times, in seconds, below which shares of all lie."""
+        percentiles = [100.0 * quantile for quantile in quantiles]
+        found = self.counts.get_percentile_to_value_dict(percentiles)
+        return [found[p] / UNITS_PER_SECOND for p in percentiles]
+
+
+_Sets = dict[tuple[str, str], dict[TimeKind, TimeHistogram]]
+
+
+@dataclasses.dataclass(slots=True)
+class TeamHistograms:
+    """Histograms by service, team and kind of time.
+
+    Attributes:
+        sets: Histograms by (service, team); the team `REST` has those of all
+            teams that are not among the busiest.
+        busiest: The (service, team) pairs that have their own.
+    """
+
+    sets: _Sets = dataclasses.field(default_factory=dict)
+    busiest: busiest_module.BusiestKeys = dataclasses.field(
+        default_factory=lambda: busiest_module.BusiestKeys(MOST_TEAMS)
+    )
+
+
+def note_request(histograms: TeamHistograms, service: str, team: str) -> None:
+    """Counts a team's request; the team may become one of the busiest.
+
+    A team that loses its place has its histograms added to the rest's, so
+    that no recorded time is lost.
+
+    Args:
+        histograms: The histograms; changed.
+        service: The service asked for.
+        team: The team.
+    """
+    displaced = busiest_module.note_key(histograms.busiest, (service, team))
+    if displaced is None:
+        return
+    for kind, own in histograms.sets.pop(displaced, {}).items():
+        _find(histograms, (displaced[0], REST), kind).merge(own)
+
+
+def _find(
+    histograms: TeamHistograms, key: tuple[str, str], kind: TimeKind
+) -> TimeHistogram:
+    own = histograms.sets.setdefault(key, {})
+    found = own.get(kind)
+    if found is None:
+        found = own[kind] = TimeHistogram()
+    return found
+
+
+def record_time(
+    histograms: TeamHistograms,
+    service: str,
+    team: str,
+    kind: TimeKind,
+    seconds: float,
+) -> None:
+    """Records one time of a team's request.
+
+    Args:
+        histograms: The histograms; changed.
+        service: The service.
+        team: The team.
+        kind: Which time it is.
+        seconds: The time.
+    """
+    key = (service, team)
+    if key not in histograms.busiest.chosen:
+        key = (service, REST)
+    _find(histograms, key, kind).record(seconds)
+
+
+def list_histograms(
+    histograms: TeamHistograms,
+) -> Iterator[tuple[str, str, TimeKind, TimeHistogram]]:
+    """Lists all histograms with service, team and kind."""
+    for (service, team), own in sorted(histograms.sets.items()):
+        for kind, recorded in own.items():
+            yield service, team, kind, recorded
--- /dev/null
+++ b/sycamorefall/observation/metrics.py
@@ -0,0 +1,133 @@
+"""Metrics of a process, for the Prometheus text format."""
+
+__all__ = [
+    "CONTENT_TYPE",
+    "PREFIX",
+    "count_metric",
+    "describe_recorder",
+    "format_metrics",
+    "gauge_metric",
+]
+
+from collections.abc import Iterable, Iterator, Mapping
+
+import prometheus_client
+from prometheus_client import metrics_core
+
+from sycamorefall.observation import histograms as histograms_module
+from sycamorefall.observation import recorder as recorder_module
+
+CONTENT_TYPE = prometheus_client.CONTENT_TYPE_PLAIN_0_0_4
+"""Media type of the format."""
+
+PREFIX = "sycamorefall_"
+
+QUANTILES = (0.5, 0.9, 0.95, 0.99, 1.0)
+"""Shares of all requests whose longest time is shown."""
+
+Values = Mapping[tuple[str, ...], float]
+"""Values by those of the labels."""
+
+
+class _Collected:
+    """Metrics in the shape of a registry."""
+
+    __slots__ = ("_metrics",)
+
+    def __init__(self, metrics: Iterable[metrics_core.Metric]):
+        self._metrics = metrics
+
+    def collect(self) -> Iterable[metrics_core.Metric]:
+        """Lists the metrics."""
+        return self._metrics
+
+
+def format_metrics(metrics: Iterable[metrics_core.Metric]) -> bytes:
+    """Formats metrics as text.
+
+    Args:
+        metrics: The metrics.
+
+    Returns:
+        The text, encoded.
+
+    Example:
+        >>> held = gauge_metric("held", "Held.", (), {(): 2.0})
+        >>> format_metrics([held]).splitlines()[-1]
+        b'sycamorefall_held 2.0'
+    """
+    return prometheus_client.generate_latest(_Collected(metrics))
+
+
+def gauge_metric(
+    name: str, text: str, labels: tuple[str, ...], values: Values
+) -> metrics_core.Metric:
+    """Builds a metric that can go down.
+
+    Args:
+        name: Its name without the common prefix.
+        text: One line for people.
+        labels: Names of its labels.
+        values: Its values by those of the labels.
+
+    Returns:
+        The metric.
+    """
+    metric = metrics_core.GaugeMetricFamily(PREFIX + name, text, labels=labels)
+    for label_values, value in values.items():
+        metric.add_metric(label_values, value)
+    return metric
+
+
+def count_metric(
+    name: str, text: str, labels: tuple[str, ...], values: Values
+) -> metrics_core.Metric:
+    """Builds a metric that only grows; as `gauge_metric`."""
+    metric = metrics_core.CounterMetricFamily(
+        PREFIX + name, text, labels=labels
+    )
+    for label_values, value in sorted(values.items()):
+        metric.add_metric(label_values, value)
+    return metric
+
+
+def describe_recorder(
+    recorder: recorder_module.Recorder,
+) -> Iterator[metrics_core.Metric]:
+    """Lists the metrics of a process's records."""
+    yield count_metric(
+        "requests",
+        "Requests that ended, by result.",
+        ("service", "result"),
+        recorder.requests,
+    )
+    yield count_metric(
+        "events",
+        "Other events, by kind.",
+        ("event", "detail"),
+        recorder.events,
+    )
+    recorded = list(histograms_module.list_histograms(recorder.histograms))
+    for kind in histograms_module.TimeKind:
+        yield _summarise(kind, recorded)
+
+
+def _summarise(
+    kind: histograms_module.TimeKind, recorded: list
+) -> metrics_core.Metric:
+    name = f"{PREFIX}{kind.label}_seconds"
+    text = (
+        f"{kind.text}; team by team for the busiest, the empty one all others."
+    )
+    metric = metrics_core.Metric(name, text, "summary")
+    for service, team, own_kind, histogram in recorded:
+        if own_kind is not kind:
+            continue
+        labels = {"service": service, "team": team}
+        values = histogram.find_quantiles(QUANTILES)
+        for quantile, value in zip(QUANTILES, values, strict=True):
+            by_quantile = labels | {"quantile": str(quantile)}
+            metric.add_sample(name, by_quantile, value)
+        metric.add_sample(f"{name}_sum", labels, histogram.seconds)
+        metric.add_sample(f"{name}_count", labels, histogram.count)
+    return metric
--- /dev/null
+++ b/sycamorefall/observation/status.py
@@ -0,0 +1,241 @@
+"""What a process tells of itself at `/status`: structs, encoded as JSON."""
+
+__all__ = [
+    "ControlStatus",
+    "PeerState",
+    "PeerStatus",
+    "PlatformStatus",
+    "ProcessStatus",
+    "RouterStatus",
+    "SidecarStatus",
+    "TeamStatus",
+    "TimeStatus",
+    "describe_peers",
+    "describe_times",
+]
+
+import enum
+
+import msgspec
+
+from sycamorefall import membership
+from sycamorefall.observation import histograms as histograms_module
+
+MOST_TEAMS_SHOWN = 200
+"""Teams listed in a status, those with the most waiting first."""
+
+_SHARES = (0.5, 0.95, 0.99, 1.0)
+
+
+class PeerState(enum.Enum):
+    """What a process thinks of another.
+
+    OK: heard from lately.
+    SUSPECT: silent for longer than `membership.SUSPECT_AFTER`.
+    UNHEARD: listed by the platform, never heard from.
+    STOPPING: it said that it takes nothing new.
+    LEAVING: the operators marked its VM as leaving.
+    """
+
+    OK = "ok"
+    SUSPECT = "suspect"
+    UNHEARD = "unheard"
+    STOPPING = "stopping"
+    LEAVING = "leaving"
+
+
+class PeerStatus(msgspec.Struct, frozen=True):
+    """Another process; `silent_for` is in seconds, null if never heard."""
+
+    vm: str
+    role: membership.VmRole
+    failure_domain: str
+    service: str
+    state: PeerState
+    silent_for: float | None
+
+
+class ControlStatus(msgspec.Struct, frozen=True):
+    """Control traffic: bytes, and messages dropped or refused."""
+
+    bytes_sent: int
+    bytes_received: int
+    dropped: int
+    refused: int
+
+
+class PlatformStatus(msgspec.Struct, frozen=True):
+    """Reads of the platform's configuration service."""
+
+    reads: int
+    failures: int
+    bytes_read: int
+
+
+class TeamStatus(msgspec.Struct, frozen=True):
+    """A team at a service.
+
+    Attributes:
+        service: The service.
+        team: The team.
+        waiting: Requests waiting: here at a router, anywhere at a sidecar.
+        oldest_age: Seconds that the oldest has waited; null if not known.
+        weight: The team's weight.
+        key: Its order key, at a sidecar: the least is served next.
+        served: Cost units charged, over all sidecars known here.
+    """
+
+    service: str
+    team: str
+    waiting: int
+    oldest_age: float | None = None
+    weight: float = 1.0
+    key: float | None = None
+    served: float | None = None
+
+
+class TimeStatus(msgspec.Struct, frozen=True):
+    """A histogram in short, in seconds; an empty team is all others."""
+
+    service: str
+    team: str
+    time: str
+    count: int
+    p50: float
+    p95: float
+    p99: float
+    longest: float
+
+
+class ProcessStatus(msgspec.Struct, frozen=True, kw_only=True):
+    """What routers and sidecars have in common.
+
+    Attributes:
+        vm: This VM.
+        role: `router` or `sidecar`.
+        incarnation: Number of this process.
+        taken_at: Wall-clock time of this status, in seconds since 1970.
+        revision: Revision of the configuration in force; 0 if there is none.
+        refused_revision: Revision of a later text that was refused, else 0.
+        refusal: Why it was refused, with the line.
+        older_seen: Offers of a lower revision, ignored.
+        vms_revision: Revision of the list of VMs in use.
+        unready: Why the process can't be used; empty if it can.
+        stopping: Whether it takes nothing new.
+        teams: Teams with work waiting, those with the most first.
+        teams_total: How many there are; more than listed, if there are many.
+        peers: The other processes that this one speaks with.
+        control: Control traffic.
+        platform: Reads of the platform.
+        times: Histograms in short.
+        log_dropped: Log records lost.
+    """
+
+    vm: str
+    role: str
+    incarnation: int
+    taken_at: float
+    revision: int
+    refused_revision: int
+    refusal: str
+    older_seen: int
+    vms_revision: int
+    unready: tuple[str, ...]
+    stopping: bool
+    teams: tuple[TeamStatus, ...]
+    teams_total: int
+    peers: tuple[PeerStatus, ...]
+    control: ControlStatus
+    platform: PlatformStatus
+    times: tuple[TimeStatus, ...]
+    log_dropped: int
+
+
+class RouterStatus(ProcessStatus, frozen=True, kw_only=True):
+    """Status of a router.
+
+    Attributes:
+        services: Services with an upstream that can get work.
+        waiting: Requests waiting here.
+        requests: Requests not yet answered, waiting ones among them.
+        late_answers: Answers that matched no attempt, dropped.
+        limits: Section `[limits]` of the configuration in force.
+    """
+
+    services: tuple[str, ...]
+    waiting: int
+    requests: int
+    late_answers: int
+    limits: dict[str, int | float]
+
+
+class SidecarStatus(ProcessStatus, frozen=True, kw_only=True):
+    """Status of a sidecar.
+
+    Attributes:
+        service: The upstream's service.
+        running: Requests in progress at the upstream.
+        claimed: Claims whose request has not come yet.
+        limit: Most requests in progress.
+    """
+
+    service: str
+    running: int
+    claimed: int
+    limit: int
+
+
+def describe_peers(
+    directory: membership.Directory, now: float, own: str
+) -> tuple[PeerStatus, ...]:
+    """Describes the other processes of the fleet.
+
+    Args:
+        directory: This process's view of the fleet.
+        now: This process's time.
+        own: This VM's name.
+
+    Returns:
+        All listed VMs but this one.
+    """
+    return tuple(
+        _describe_peer(directory, now, vm)
+        for vm in directory.vms.values()
+        if vm.name != own
+    )
+
+
+def _describe_peer(
+    directory: membership.Directory, now: float, vm: membership.VmEntry
+) -> PeerStatus:
+    peer = directory.peers.get(vm.name)
+    silent_for = None if peer is None else now - peer.heard_at
+    if vm.state is membership.VmState.LEAVING:
+        state = PeerState.LEAVING
+    elif peer is None:
+        state = PeerState.UNHEARD
+    elif silent_for > membership.SUSPECT_AFTER:
+        state = PeerState.SUSPECT
+    else:
+        state = PeerState.STOPPING if peer.stopping else PeerState.OK
+    return PeerStatus(
+        vm.name, vm.role, vm.failure_domain, vm.service, state, silent_for
+    )
+
+
+def describe_times(
+    histograms: histograms_module.TeamHistograms,
+) -> tuple[TimeStatus, ...]:
+    """Describes all histograms in short."""
+    return tuple(
+        TimeStatus(
+            service,
+            team,
+            kind.label,
+            recorded.count,
+            *recorded.find_quantiles(_SHARES),
+        )
+        for service, team, kind, recorded in histograms_module.list_histograms(
+            histograms
+        )
+    )
--- /dev/null
+++ b/sycamorefall/pages.py
@@ -0,0 +1,217 @@
+"""The operators' pages of a process: live, ready, status, metrics."""
+
+__all__ = ["Pages", "answer_page", "describe_process", "list_metrics"]
+
+from collections.abc import Callable, Iterable, Iterator
+import dataclasses
+import ipaddress
+import time
+
+import msgspec
+from prometheus_client import metrics_core
+
+from sycamorefall import errors, membership, observation, settings, transport
+from sycamorefall import node as node_module
+from sycamorefall.observation import metrics as metrics_module
+from sycamorefall.observation import status as status_module
+
+LIVE_PATH = "/live"
+READY_PATH = "/ready"
+STATUS_PATH = "/status"
+METRICS_PATH = "/metrics"
+
+_JSON = (("Content-Type", "application/json"),)
+_TEXT = (("Content-Type", metrics_module.CONTENT_TYPE),)
+
+
+class Readiness(msgspec.Struct, frozen=True):
+    """Body of `/ready`: whether the process can be used, and why not."""
+
+    ready: bool
+    reasons: tuple[str, ...] = ()
+
+
+@dataclasses.dataclass(slots=True)
+class Pages:
+    """What the pages of a process show.
+
+    Attributes:
+        listen: The process's addresses.
+        find_unready: Lists why the process can't be used.
+        describe: Builds the status.
+        list_metrics: Lists the metrics.
+    """
+
+    listen: settings.ListenSettings
+    find_unready: Callable[[], tuple[str, ...]]
+    describe: Callable[[], status_module.ProcessStatus]
+    list_metrics: Callable[[], Iterable[metrics_core.Metric]]
+
+
+def answer_page(
+    pages: Pages, call: transport.IncomingCall, for_operators: bool
+) -> bool:
+    """Answers a call if it asks for one of the pages.
+
+    `/live` and `/ready` are for the balancer and answered everywhere. The
+    others name teams and VMs, so callers don't get them: they are answered
+    at the operators' address, or, if the settings name none, at the data
+    address to callers on this VM.
+
+    Args:
+        pages: What they show.
+        call: The call.
+        for_operators: Whether it came in at the operators' address.
+
+    Returns:
+        Whether the call is answered.
+    """
+    if call.path == LIVE_PATH:
+        call.respond(200, b"{}", _JSON)
+    elif call.path == READY_PATH:
+        reasons = pages.find_unready()
+        body = msgspec.json.encode(Readiness(not reasons, reasons))
+        call.respond(503 if reasons else 200, body, _JSON)
+    elif call.path not in (STATUS_PATH, METRICS_PATH):
+        return False
+    elif not (for_operators or _is_trusted(pages.listen, call)):
+        call.fail(errors.ErrorKind.UNKNOWN_SERVICE)
+    elif call.path == STATUS_PATH:
+        call.respond(200, msgspec.json.encode(pages.describe()), _JSON)
+    else:
+        text = metrics_module.format_metrics(pages.list_metrics())
+        call.respond(200, text, _TEXT)
+    return True
+
+
+def _is_trusted(
+    listen: settings.ListenSettings, call: transport.IncomingCall
+) -> bool:
+    if listen.operators is not None:
+        return False
+    return ipaddress.ip_address(call.remote).is_loopback
+
+
+def describe_process(
+    node: node_module.Node,
+    recorder: observation.Recorder,
+    role: str,
+    now: float,
+) -> dict[str, object]:
+    """Collects the fields of a status that all processes have.
+
+    Args:
+        node: The process.
+        recorder: Its records.
+        role: `router` or `sidecar`.
+        now: This process's time.
+
+    Returns:
+        Arguments of a `status.ProcessStatus`, but for teams and readiness.
+    """
+    core = node.core
+    versions = core.versions
+    return {
+        "vm": core.vm,
+        "role": role,
+        "incarnation": core.incarnation,
+        "taken_at": time.time(),
+        "revision": versions.in_force,
+        "refused_revision": versions.revision if versions.refusal else 0,
+        "refusal": versions.refusal,
+        "older_seen": versions.older_seen,
+        "vms_revision": core.directory.revision,
+        "stopping": node.stopping,
+        "peers": status_module.describe_peers(core.directory, now, core.vm),
+        "control": status_module.ControlStatus(
+            node.control.bytes_sent,
+            node.control.bytes_received,
+            node.control.dropped,
+            node.control.refused,
+        ),
+        "platform": status_module.PlatformStatus(
+            node.reader.reads, node.reader.failures, node.reader.bytes_read
+        ),
+        "times": status_module.describe_times(recorder.histograms),
+        "log_dropped": node.log.dropped,
+    }
+
+
+def find_common_unready(node: node_module.Node) -> tuple[str, ...]:
+    """Lists why a process of either role can't be used."""
+    core = node.core
+    own = core.directory.vms.get(core.vm)
+    reasons = {
+        "no configuration is in force": core.versions.configuration is None,
+        "this VM is not in the platform's list": own is None,
+        "this VM is marked as leaving": own is not None
+        and own.state is membership.VmState.LEAVING,
+        "stopping": node.stopping,
+    }
+    return tuple(reason for reason, holds in reasons.items() if holds)
+
+
+def list_metrics(
+    node: node_module.Node, recorder: observation.Recorder, now: float
+) -> Iterator[metrics_core.Metric]:
+    """Lists the metrics that all processes have.
+
+    Args:
+        node: The process.
+        recorder: Its records.
+        now: This process's time.
+
+    Yields:
+        The metrics.
+    """
+    core, control = node.core, node.control
+    peers = status_module.describe_peers(core.directory, now, core.vm)
+    states = [peer.state.value for peer in peers]
+    versions = core.versions
+    gauge, count = metrics_module.gauge_metric, metrics_module.count_metric
+    yield from metrics_module.describe_recorder(recorder)
+    yield gauge("open", "In progress.", (), {(): recorder.open})
+    yield gauge(
+        "revision", "Configuration in force.", (), {(): versions.in_force}
+    )
+    yield gauge(
+        "configuration_refused",
+        "1 while a later text is refused.",
+        (),
+        {(): bool(versions.refusal)},
+    )
+    yield gauge(
+        "peers",
+        "Other processes, by what this one thinks of them.",
+        ("state",),
+        {
+            (state.value,): states.count(state.value)
+            for state in status_module.PeerState
+        },
+    )
+    yield count(
+        "control_bytes",
+        "Control messages and platform reads.",
+        ("direction",),
+        {
+            ("sent",): control.bytes_sent,
+            ("received",): control.bytes_received,
+            ("platform",): node.reader.bytes_read,
+        },
+    )
+    yield count(
+        "control_lost",
+        "Control messages dropped or refused.",
+        ("cause",),
+        {("dropped",): control.dropped, ("refused",): control.refused},
+    )
+    yield count(
+        "platform_reads",
+        "Reads of the platform.",
+        ("result",),
+        {
+            ("failed",): node.reader.failures,
+            ("sent",): node.reader.reads,
+        },
+    )
+    yield count("log_dropped", "Log records lost.", (), {(): node.log.dropped})
--- a/sycamorefall/router/daemon.py
+++ b/sycamorefall/router/daemon.py
@@ -2,16 +2,13 @@
 
 __all__ = ["run_router"]
 
-import msgspec
 from returns import result
 
-from sycamorefall import errors, membership, settings, transport
+from sycamorefall import errors, observation, pages, settings, transport
 from sycamorefall import node as node_module
-from sycamorefall.router import core, intake, interface, relay
+from sycamorefall.router import core, intake, interface, relay, status
 from sycamorefall.router import state as state_module
 
-_JSON = (("Content-Type", "application/json"),)
-
 
 def run_router(config: settings.RouterSettings) -> None:
     """Runs a router until it is told to stop.
@@ -42,8 +39,12 @@
         begin_stop=lambda: core.begin_stop(state),
     )
     node = node_module.create_node(
-        config, decisions, lambda call: _take_call(node, config, desk, call)
+        config,
+        decisions,
+        lambda call: _take_call(node, config, desk, shown, call),
+        lambda call: _take_operator_call(shown, call),
     )
+    shown = status.create_pages(node, state, desk.recorder, config.listen)
     node_module.run_node(node)
 
 
@@ -51,40 +52,18 @@
     node: node_module.Node,
     config: settings.RouterSettings,
     desk: relay.Desk,
+    shown: pages.Pages,
     call: transport.IncomingCall,
 ) -> None:
-    state = desk.state
-    match call.path:
-        case "/live":
-            call.respond(200, b"{}", _JSON)
-        case "/ready":
-            ready = state.versions.configuration and not state.stopping
-            call.respond(200 if ready else 503, b"{}", _JSON)
-        case "/status":
-            call.respond(200, msgspec.json.encode(_describe(state)), _JSON)
-        case _:
-            _take_request(node, config, desk, call)
-
-
-def _describe(state: state_module.RouterState) -> dict[str, object]:
-    now = transport.read_clock()
-    in_force = state.versions.configuration
-    reachable = [
-        service
-        for service in (in_force.services if in_force else ())
-        if membership.select_upstreams(state.directory, now, service)
-    ]
-    return {
-        "vm": state.vm,
-        "role": "router",
-        "revision": state.versions.in_force,
-        "refusal": state.versions.refusal,
-        "services": reachable,
-        "waiting": state.waiting.total,
-        "requests": len(state.requests),
-        "late_answers": state.late_answers,
-        "stopping": state.stopping,
-    }
+    if not pages.answer_page(shown, call, for_operators=False):
+        _take_request(node, config, desk, call)
+
+
+def _take_operator_call(
+    shown: pages.Pages, call: transport.IncomingCall
+) -> None:
+    if not pages.answer_page(shown, call, for_operators=True):
+        call.fail(errors.ErrorKind.UNKNOWN_SERVICE)
 
 
 def _take_request(
@@ -95,22 +74,34 @@
 ) -> None:
     state = desk.state
     if state.versions.configuration is None:
-        call.fail(errors.ErrorKind.NOT_READY, retry_after=1)
+        _refuse(desk, call, errors.ErrorKind.NOT_READY, retry_after=1)
         return
     team = intake.identify_team(state, _read_key(call))
     if team is None:
-        call.fail(errors.ErrorKind.UNKNOWN_TEAM)
+        _refuse(desk, call, errors.ErrorKind.UNKNOWN_TEAM)
         return
     request = interface.read_request(
         call, team, state.versions.configuration, config.limits
     )
     match request:
         case result.Failure(refusal):
-            call.fail(refusal.kind, refusal.message)
+            _refuse(desk, call, refusal.kind, refusal.message)
         case result.Success(new):
             relay.take_request(node, desk, call, new)
 
 
+def _refuse(
+    desk: relay.Desk,
+    call: transport.IncomingCall,
+    kind: errors.ErrorKind,
+    message: str = "",
+    retry_after: int | None = None,
+) -> None:
+    """Answers a call that becomes no request."""
+    observation.count_event(desk.recorder, "call_refused", kind.value)
+    call.fail(kind, message, retry_after=retry_after)
+
+
 def _read_key(call: transport.IncomingCall) -> str:
     scheme, _, key = call.headers.get("Authorization", "").partition(" ")
     return key.strip() if scheme.lower() == "bearer" else ""
--- a/sycamorefall/router/relay.py
+++ b/sycamorefall/router/relay.py
@@ -6,16 +6,14 @@
 
 import msgspec
 
-from sycamorefall import errors, messages, settings, transport
+from sycamorefall import errors, messages, observation, settings, transport
 from sycamorefall import node as node_module
-from sycamorefall.router import effects, handout, intake
+from sycamorefall.router import effects, handout, intake, interface
 from sycamorefall.router import state as state_module
 
 MOST_UNSENT = 64
 """Pieces that may wait for a slow caller before the sidecar is paused."""
 
-_STREAM_TYPE = "text/event-stream"
-
 _ENDS = {
     messages.Outcome.REFUSED.value: handout.AttemptEnd.REFUSED,
     messages.Outcome.NOT_RUN.value: handout.AttemptEnd.NOT_RUN,
@@ -58,6 +56,8 @@
         state: The router's decisions.
         calls: Calls by request number.
         deliveries: Answers in progress by attempt.
+        tracks: What is recorded of each call, by request number.
+        recorder: The process's records.
     """
 
     state: state_module.RouterState
@@ -65,6 +65,12 @@
         default_factory=dict
     )
     deliveries: dict[str, _Delivery] = dataclasses.field(default_factory=dict)
+    tracks: dict[int, observation.Track] = dataclasses.field(
+        default_factory=dict
+    )
+    recorder: observation.Recorder = dataclasses.field(
+        default_factory=observation.Recorder
+    )
 
 
 def take_request(
@@ -77,12 +83,29 @@
     now = transport.read_clock()
     number, outcome = intake.admit_request(desk.state, now, new)
     desk.calls[number] = call
+    desk.tracks[number] = observation.begin_request(
+        desk.recorder,
+        now,
+        new.service,
+        new.team,
+        method=new.method,
+        idempotent=new.idempotent,
+        request_id=call.headers.get(interface.REQUEST_ID_HEADER, ""),
+    )
     call.on_hangup = lambda: _cancel(node, desk, number)
     node_module.perform(node, outcome)
 
 
+def _end_track(desk: Desk, number: int, result: str, **fields: object) -> None:
+    track = desk.tracks.pop(number, None)
+    if track is not None:
+        now = transport.read_clock()
+        observation.end_request(desk.recorder, track, now, result, **fields)
+
+
 def _cancel(node: node_module.Node, desk: Desk, number: int) -> None:
     desk.calls.pop(number, None)
+    _end_track(desk, number, "cancelled")
     now = transport.read_clock()
     node_module.perform(node, intake.cancel_request(desk.state, now, number))
 
@@ -106,6 +129,7 @@
     call = desk.calls.pop(effect.request, None)
     if call is None:
         return
+    _end_track(desk, effect.request, effect.kind.value, ran=effect.ran.value)
     if not call.begun:
         call.fail(effect.kind, ran=effect.ran, retry_after=effect.retry_after)
         return
@@ -123,6 +147,16 @@
     attempt_id = effect.order.attempt_id
     call = desk.calls[effect.request]
     sidecar = desk.state.directory.vms[effect.sidecar]
+    track = desk.tracks[effect.request]
+    observation.note_hand_out(
+        desk.recorder,
+        track,
+        transport.read_clock(),
+        attempt_id,
+        effect.sidecar,
+    )
+    order = messages.encode_order(effect.order)
+    signature = node.authenticator.sign_order(effect.sidecar, order, call.body)
     delivery = _Delivery(attempt_id)
     desk.deliveries[attempt_id] = delivery
     request = transport.OutgoingRequest(
@@ -130,10 +164,8 @@
         "POST",
         messages.ATTEMPT_PATH,
         (
-            (
-                messages.ORDER_HEADER,
-                messages.encode_order(effect.order),
-            ),
+            (messages.ORDER_HEADER, order),
+            (messages.SIGNATURE_HEADER, signature),
         ),
         call.body,
     )
@@ -143,7 +175,9 @@
             on_head=lambda status, headers: _take_head(
                 node, call, delivery, status, headers
             ),
-            on_data=lambda data: _take_data(node, call, delivery, data),
+            on_data=lambda data: _take_data(
+                node, desk, track, call, delivery, data
+            ),
             on_end=lambda: _take_end(node, desk, call, delivery),
             on_failure=lambda stage: _take_failure(
                 node, desk, call, delivery, stage
@@ -171,7 +205,7 @@
         if name in named
     )
     content_type = named.get("content-type", "")
-    delivery.streamed = content_type.startswith(_STREAM_TYPE)
+    delivery.streamed = content_type.startswith(transport.EVENT_STREAM)
     if delivery.streamed:
         call.begin(status, delivery.headers)
         call.on_drained = lambda: node.client.pause(delivery.exchange, False)
@@ -179,6 +213,8 @@
 
 def _take_data(
     node: node_module.Node,
+    desk: Desk,
+    track: observation.Track,
     call: transport.IncomingCall,
     delivery: _Delivery,
     data: bytes,
@@ -186,6 +222,7 @@
     if not delivery.streamed:
         delivery.held.append(data)
         return
+    observation.note_piece(desk.recorder, track, transport.read_clock())
     call.write(data)
     if call.backlog > MOST_UNSENT:
         node.client.pause(delivery.exchange, True)
@@ -200,6 +237,7 @@
     request = desk.state.by_attempt.get(delivery.attempt_id)
     if delivery.end is handout.AttemptEnd.COMPLETE and request is not None:
         desk.calls.pop(request, None)
+        _end_track(desk, request, "answered", status=delivery.status)
         if delivery.streamed:
             call.end()
         else:
@@ -228,6 +266,7 @@
     end: handout.AttemptEnd,
 ) -> None:
     desk.deliveries.pop(delivery.attempt_id, None)
+    observation.count_event(desk.recorder, "attempt", end.value)
     now = transport.read_clock()
     outcome = handout.end_attempt(
         desk.state, now, delivery.attempt_id, end, answer_begun=call.begun
--- /dev/null
+++ b/sycamorefall/router/status.py
@@ -0,0 +1,141 @@
+"""What a router shows to its operators."""
+
+__all__ = ["create_pages"]
+
+from collections.abc import Iterator
+import heapq
+
+import msgspec
+from prometheus_client import metrics_core
+
+from sycamorefall import membership, observation, pages, settings, transport
+from sycamorefall import node as node_module
+from sycamorefall.observation import metrics as metrics_module
+from sycamorefall.observation import status as status_module
+from sycamorefall.router import state as state_module
+from sycamorefall.sharing import queues
+
+
+def create_pages(
+    node: node_module.Node,
+    state: state_module.RouterState,
+    recorder: observation.Recorder,
+    listen: settings.ListenSettings,
+) -> pages.Pages:
+    """Creates a router's pages.
+
+    Args:
+        node: The process.
+        state: The router's decisions.
+        recorder: Its records.
+        listen: Its addresses.
+
+    Returns:
+        The pages.
+    """
+    return pages.Pages(
+        listen=listen,
+        find_unready=lambda: _find_unready(node, state),
+        describe=lambda: _describe(node, state, recorder),
+        list_metrics=lambda: _list_metrics(node, state, recorder),
+    )
+
+
+def _find_unready(
+    node: node_module.Node, state: state_module.RouterState
+) -> tuple[str, ...]:
+    common = pages.find_common_unready(node)
+    if _list_services(state, transport.read_clock()):
+        return common
+    return (*common, "no upstream of any service is reached")
+
+
+def _list_services(
+    state: state_module.RouterState, now: float
+) -> tuple[str, ...]:
+    in_force = state.versions.configuration
+    return tuple(
+        service
+        for service in (in_force.services if in_force else ())
+        if membership.select_upstreams(state.directory, now, service)
+    )
+
+
+def _describe(
+    node: node_module.Node,
+    state: state_module.RouterState,
+    recorder: observation.Recorder,
+) -> status_module.RouterStatus:
+    now = transport.read_clock()
+    in_force = state.versions.configuration
+    listed = queues.list_queues(state.waiting)
+    return status_module.RouterStatus(
+        **pages.describe_process(node, recorder, "router", now),
+        unready=_find_unready(node, state),
+        teams=_describe_teams(state, now, listed),
+        teams_total=len(listed),
+        services=_list_services(state, now),
+        waiting=state.waiting.total,
+        requests=len(state.requests),
+        late_answers=state.late_answers,
+        limits=msgspec.to_builtins(in_force.limits) if in_force else {},
+    )
+
+
+def _describe_teams(
+    state: state_module.RouterState,
+    now: float,
+    listed: list[tuple[str, str]],
+) -> tuple[status_module.TeamStatus, ...]:
+    most = heapq.nlargest(
+        status_module.MOST_TEAMS_SHOWN,
+        listed,
+        key=lambda pair: queues.count_waiting(state.waiting, *pair),
+    )
+    in_force = state.versions.configuration
+    known = in_force.teams if in_force else {}
+    return tuple(
+        status_module.TeamStatus(
+            service,
+            team,
+            queues.count_waiting(state.waiting, service, team),
+            now - queues.peek_oldest(state.waiting, service, team),
+            known[team].weight if team in known else 1.0,
+        )
+        for service, team in most
+    )
+
+
+def _list_metrics(
+    node: node_module.Node,
+    state: state_module.RouterState,
+    recorder: observation.Recorder,
+) -> Iterator[metrics_core.Metric]:
+    yield from pages.list_metrics(node, recorder, transport.read_clock())
+    yield metrics_module.gauge_metric(
+        "waiting",
+        "Requests waiting here.",
+        ("service",),
+        {
+            (service,): sum(
+                queues.count_waiting(state.waiting, service, team)
+                for team in teams
+            )
+            for service, teams in state.waiting.queues.items()
+        },
+    )
+    yield metrics_module.gauge_metric(
+        "backlogged_teams",
+        "Teams with requests waiting here.",
+        ("service",),
+        {
+            (service,): len(teams)
+            for service, teams in state.waiting.queues.items()
+        },
+    )
+    yield metrics_module.count_metric(
+        "late_answers",
+        "Answers that matched no attempt, dropped.",
+        (),
+        {(): state.late_answers},
+    )
--- a/sycamorefall/settings.py
+++ b/sycamorefall/settings.py
@@ -11,6 +11,7 @@
     "LogSettings",
     "PlatformSettings",
     "RouterSettings",
+    "SecuritySettings",
     "SidecarSettings",
     "UpstreamSettings",
     "VmSettings",
@@ -60,7 +61,12 @@
 
 
 class VmSettings(msgspec.Struct, frozen=True, forbid_unknown_fields=True):
-    """Section `[vm]`: where this process runs."""
+    """Section `[vm]`: where this process runs.
+
+    Attributes:
+        name: The VM, as the platform's list names it.
+        failure_domain: The failure domain it stands in.
+    """
 
     name: Name
     failure_domain: Name
@@ -70,12 +76,15 @@
     """Section `[listen]`: addresses this process is reached at.
 
     Attributes:
-        data: HTTP: callers and operators at a router, attempts at a sidecar.
+        data: HTTP: callers at a router, attempts at a sidecar.
         control: Messages of the other processes.
+        operators: HTTP: `/status` and `/metrics`. Without it, the data
+            address answers them to callers on the same VM only.
     """
 
     data: Address
     control: Address
+    operators: Address | None = None
 
 
 class PlatformSettings(msgspec.Struct, frozen=True, forbid_unknown_fields=True):
@@ -91,7 +100,12 @@
 
 
 class UpstreamSettings(msgspec.Struct, frozen=True, forbid_unknown_fields=True):
-    """Section `[upstream]` of a sidecar: the upstream beside it."""
+    """Section `[upstream]` of a sidecar: the upstream beside it.
+
+    Attributes:
+        service: The service of the operators' text that it belongs to.
+        address: Where it answers.
+    """
 
     service: Name
     address: Address
@@ -121,8 +135,26 @@
     max_timeout: Positive = 3600.0
 
 
+class SecuritySettings(msgspec.Struct, frozen=True, forbid_unknown_fields=True):
+    """Section `[security]`: who may speak between the processes.
+
+    Attributes:
+        shared_key_file: File with the fleet's shared keys, one a line; the
+            first one signs, all are accepted. Without it, every process that
+            reaches this one is believed.
+    """
+
+    shared_key_file: str = ""
+
+
 class LogSettings(msgspec.Struct, frozen=True, forbid_unknown_fields=True):
-    """Section `[log]`: where log records go and how many."""
+    """Section `[log]`: where log records go and how many.
+
+    Attributes:
+        destination: `stderr`, `stdout` or the path of a file.
+        level: Least level that is written; `warning` and above leave the
+            records of single requests out.
+    """
 
     destination: str = "stderr"
     level: Literal["debug", "info", "warning", "error", "off"] = "info"
@@ -135,6 +167,7 @@
     listen: ListenSettings
     platform: PlatformSettings
     limits: LimitSettings = LimitSettings()
+    security: SecuritySettings = SecuritySettings()
     log: LogSettings = LogSettings()
 
 
@@ -146,6 +179,7 @@
     platform: PlatformSettings
     upstream: UpstreamSettings
     limits: LimitSettings = LimitSettings()
+    security: SecuritySettings = SecuritySettings()
     log: LogSettings = LogSettings()
 
 
--- a/sycamorefall/sidecar/daemon.py
+++ b/sycamorefall/sidecar/daemon.py
@@ -4,13 +4,22 @@
 
 from collections.abc import Callable
 
-import msgspec
-
-from sycamorefall import configuration, errors, messages, settings, transport
+from sycamorefall import (
+    configuration,
+    errors,
+    messages,
+    observation,
+    pages,
+    settings,
+    transport,
+)
 from sycamorefall import node as node_module
-from sycamorefall.sidecar import claiming, core, metering, running
+from sycamorefall.sidecar import claiming, core, metering, running, status
 from sycamorefall.sidecar import state as state_module
 
+REQUEST_ID_HEADER = "X-Request-Id"
+"""Header with the caller's own name for its request."""
+
 _PASSED_ON = frozenset({"content-type", "cache-control"})
 """Headers of an upstream's answer that reach the caller."""
 
@@ -18,14 +27,25 @@
 class _Relay:
     """A run in progress: the router's call and the upstream's answer."""
 
-    __slots__ = ("begun_at", "call", "exchange", "meter", "order")
+    __slots__ = (
+        "begun_at",
+        "call",
+        "exchange",
+        "meter",
+        "order",
+        "streamed",
+        "track",
+    )
 
     def __init__(
         self,
         call: transport.IncomingCall,
         order: messages.AttemptOrder,
         meter: metering.Meter,
+        track: observation.Track,
     ):
+        self.streamed = False
+        self.track = track
         self.call = call
         self.order = order
         self.meter = meter
@@ -62,9 +82,14 @@
         is_idle=lambda: not state.runs and not state.claims.open,
         begin_stop=lambda: core.begin_stop(state),
     )
+    recorder = observation.Recorder()
     node = node_module.create_node(
-        config, decisions, lambda call: _take_call(node, config, state, call)
+        config,
+        decisions,
+        lambda call: _take_call(node, config, state, shown, recorder, call),
+        lambda call: _take_operator_call(shown, call),
     )
+    shown = status.create_pages(node, state, recorder, config.listen)
     node_module.run_node(node)
 
 
@@ -72,54 +97,68 @@
     node: node_module.Node,
     config: settings.SidecarSettings,
     state: state_module.SidecarState,
+    shown: pages.Pages,
+    recorder: observation.Recorder,
     call: transport.IncomingCall,
 ) -> None:
-    if call.path == "/status":
-        call.respond(
-            200,
-            msgspec.json.encode(_describe_status(state)),
-            (("Content-Type", "application/json"),),
-        )
-    elif call.path == messages.ATTEMPT_PATH:
-        _take_attempt(node, config, state, call)
-    else:
+    if call.path == messages.ATTEMPT_PATH:
+        _take_attempt(node, config, state, recorder, call)
+    elif not pages.answer_page(shown, call, for_operators=False):
         call.fail(errors.ErrorKind.UNKNOWN_SERVICE)
 
 
-def _describe_status(state: state_module.SidecarState) -> dict[str, object]:
-    return {
-        "vm": state.vm,
-        "role": "sidecar",
-        "service": state.service,
-        "revision": state.versions.in_force,
-        "refusal": state.versions.refusal,
-        "running": len(state.runs),
-        "claimed": len(state.claims.open),
-        "limit": state.limit.cap,
-        "stopping": state.stopping,
-    }
+def _take_operator_call(
+    shown: pages.Pages, call: transport.IncomingCall
+) -> None:
+    if not pages.answer_page(shown, call, for_operators=True):
+        call.fail(errors.ErrorKind.UNKNOWN_SERVICE)
 
 
 def _take_attempt(
     node: node_module.Node,
     config: settings.SidecarSettings,
     state: state_module.SidecarState,
+    recorder: observation.Recorder,
     call: transport.IncomingCall,
 ) -> None:
-    try:
-        order = messages.decode_order(
-            call.headers.get(messages.ORDER_HEADER, "")
-        )
-    except errors.MessageRefused:
-        _answer_outcome(call, messages.Outcome.REFUSED)
-        return
+    order = _read_order(node, recorder, call)
     now = transport.read_clock()
-    if not running.accept_attempt(state, now, order):
+    if order is None or not running.accept_attempt(state, now, order):
+        observation.count_event(recorder, "attempt", "refused")
         _answer_outcome(call, messages.Outcome.REFUSED)
         return
-    relay = _Relay(call, order, _choose_meter(state, len(call.body)))
+    track = observation.begin_request(
+        recorder,
+        now,
+        order.service,
+        order.team,
+        attempt=order.attempt_id,
+        request_id=dict(order.headers).get(REQUEST_ID_HEADER, ""),
+    )
+    meter = _choose_meter(state, len(call.body))
+    relay = _Relay(call, order, meter, track)
     running.charge_run(state, order.attempt_id, relay.meter.begin())
-    _send_upstream(node, config, state, relay)
+    _send_upstream(node, config, state, recorder, relay)
+
+
+def _read_order(
+    node: node_module.Node,
+    recorder: observation.Recorder,
+    call: transport.IncomingCall,
+) -> messages.AttemptOrder | None:
+    """Reads a hand-out's head, if it is one and a router signed it."""
+    text = call.headers.get(messages.ORDER_HEADER, "")
+    signature = call.headers.get(messages.SIGNATURE_HEADER, "")
+    if not node.authenticator.check_order(text, call.body, signature):
+        observation.count_event(recorder, "order_unsigned")
+        observation.write_record(
+            observation.Level.WARNING, "order.unsigned", caller=call.remote
+        )
+        return None
+    try:
+        return messages.decode_order(text)
+    except errors.MessageRefused:
+        return None
 
 
 def _answer_outcome(
@@ -141,6 +180,7 @@
     node: node_module.Node,
     config: settings.SidecarSettings,
     state: state_module.SidecarState,
+    recorder: observation.Recorder,
     relay: _Relay,
 ) -> None:
     order, call = relay.order, relay.call
@@ -152,15 +192,14 @@
         call.body,
         fresh=not order.idempotent,
     )
-    end = _make_ending(node, state, relay)
+    end = _make_ending(node, state, recorder, relay)
     relay.exchange = node.client.send(
         request,
         transport.Listener(
-            on_head=lambda status, headers: call.begin(
-                status,
-                tuple(pair for pair in headers if pair[0] in _PASSED_ON),
+            on_head=lambda status, headers: _relay_head(relay, status, headers),
+            on_data=lambda data: _relay_data(
+                node, state, recorder, relay, data
             ),
-            on_data=lambda data: _relay_data(node, state, relay, data),
             on_end=lambda: _end_whole(relay, end),
             on_failure=lambda stage: _end_broken(relay, end, stage),
         ),
@@ -172,16 +211,18 @@
 def _make_ending(
     node: node_module.Node,
     state: state_module.SidecarState,
+    recorder: observation.Recorder,
     relay: _Relay,
-) -> Callable[[], None]:
-    """Makes the function that closes a run's books, once."""
+) -> Callable[[str], None]:
+    """Makes the function that closes a run's books, given its result."""
 
-    def end() -> None:
+    def end(result: str) -> None:
         now = transport.read_clock()
         attempt_id = relay.order.attempt_id
         rest = relay.meter.finish(now - relay.begun_at)
         running.charge_run(state, attempt_id, rest)
         running.finish_run(state, now, attempt_id)
+        observation.end_request(recorder, relay.track, now, result)
         node_module.perform(node, claiming.make_claims(state, now))
 
     return end
@@ -191,12 +232,24 @@
 """Pieces that may wait for a slow taker before the upstream is paused."""
 
 
+def _relay_head(
+    relay: _Relay, status_code: int, headers: list[tuple[str, str]]
+) -> None:
+    passed_on = tuple(pair for pair in headers if pair[0] in _PASSED_ON)
+    content_type = dict(passed_on).get("content-type", "")
+    relay.streamed = content_type.startswith(transport.EVENT_STREAM)
+    relay.call.begin(status_code, passed_on)
+
+
 def _relay_data(
     node: node_module.Node,
     state: state_module.SidecarState,
+    recorder: observation.Recorder,
     relay: _Relay,
     data: bytes,
 ) -> None:
+    if relay.streamed:
+        observation.note_piece(recorder, relay.track, transport.read_clock())
     units = relay.meter.feed(data)
     running.charge_run(state, relay.order.attempt_id, units)
     relay.call.write(data)
@@ -204,19 +257,20 @@
         node.client.pause(relay.exchange, True)
 
 
-def _end_whole(relay: _Relay, end: Callable[[], None]) -> None:
+def _end_whole(relay: _Relay, end: Callable[[str], None]) -> None:
     relay.call.end()
-    end()
+    end("answered")
 
 
 def _end_broken(
-    relay: _Relay, end: Callable[[], None], stage: transport.Stage
+    relay: _Relay, end: Callable[[str], None], stage: transport.Stage
 ) -> None:
     """Ends a run whose upstream broke off.
 
     An answer that has begun is broken off too: ended in the usual way it
     would pass for a whole one.
     """
+    outcome = messages.Outcome.FAILED
     if relay.call.begun:
         relay.call.abort()
     else:
@@ -225,11 +279,11 @@
             messages.Outcome.NOT_RUN if not_run else (messages.Outcome.FAILED)
         )
         _answer_outcome(relay.call, outcome)
-    end()
+    end(outcome.value)
 
 
 def _end_unwanted(
-    node: node_module.Node, relay: _Relay, end: Callable[[], None]
+    node: node_module.Node, relay: _Relay, end: Callable[[str], None]
 ) -> None:
     """Ends a run whose router went away or gave it up.
 
@@ -239,6 +293,6 @@
     """
     if relay.order.idempotent:
         node.client.abort(relay.exchange)
-        end()
+        end("cancelled")
     else:
         node.client.pause(relay.exchange, False)
--- /dev/null
+++ b/sycamorefall/sidecar/status.py
@@ -0,0 +1,121 @@
+"""What a sidecar shows to its operators."""
+
+__all__ = ["create_pages"]
+
+from collections.abc import Iterator
+import heapq
+
+from prometheus_client import metrics_core
+
+from sycamorefall import node as node_module
+from sycamorefall import observation, pages, settings, sharing, transport
+from sycamorefall.observation import metrics as metrics_module
+from sycamorefall.observation import status as status_module
+from sycamorefall.sidecar import claiming
+from sycamorefall.sidecar import state as state_module
+
+
+def create_pages(
+    node: node_module.Node,
+    state: state_module.SidecarState,
+    recorder: observation.Recorder,
+    listen: settings.ListenSettings,
+) -> pages.Pages:
+    """Creates a sidecar's pages.
+
+    Args:
+        node: The process.
+        state: The sidecar's decisions.
+        recorder: Its records.
+        listen: Its addresses.
+
+    Returns:
+        The pages.
+    """
+    return pages.Pages(
+        listen=listen,
+        find_unready=lambda: _find_unready(node, state),
+        describe=lambda: _describe(node, state, recorder),
+        list_metrics=lambda: _list_metrics(node, state, recorder),
+    )
+
+
+def _find_unready(
+    node: node_module.Node, state: state_module.SidecarState
+) -> tuple[str, ...]:
+    common = pages.find_common_unready(node)
+    in_force = state.versions.configuration
+    if in_force is None or state.service in in_force.services:
+        return common
+    return (*common, f"the configuration has no service {state.service}")
+
+
+def _describe(
+    node: node_module.Node,
+    state: state_module.SidecarState,
+    recorder: observation.Recorder,
+) -> status_module.SidecarStatus:
+    now = transport.read_clock()
+    waiting = _count_waiting(state)
+    most = heapq.nlargest(
+        status_module.MOST_TEAMS_SHOWN, waiting, key=waiting.get
+    )
+    return status_module.SidecarStatus(
+        **pages.describe_process(node, recorder, "sidecar", now),
+        unready=_find_unready(node, state),
+        teams=tuple(
+            _describe_team(state, team, waiting[team]) for team in most
+        ),
+        teams_total=len(waiting),
+        service=state.service,
+        running=len(state.runs),
+        claimed=len(state.claims.open),
+        limit=state.limit.cap,
+    )
+
+
+def _count_waiting(state: state_module.SidecarState) -> dict[str, int]:
+    """Counts what waits anywhere, by team; teams with an account too."""
+    counts = dict.fromkeys(state.accounts.teams, 0)
+    for router in state.demand.routers.values():
+        for team, entry in router.teams.items():
+            counts[team] = counts.get(team, 0) + entry.count
+    return counts
+
+
+def _describe_team(
+    state: state_module.SidecarState, team: str, waiting: int
+) -> status_module.TeamStatus:
+    weight = claiming.find_weight(state, team)
+    account = state.accounts.teams.get(team)
+    served = (
+        sum(entry.served for entry in account.entries.values())
+        if account
+        else 0.0
+    )
+    return status_module.TeamStatus(
+        state.service,
+        team,
+        waiting,
+        weight=weight,
+        key=sharing.compute_key(state.accounts, team, weight),
+        served=served,
+    )
+
+
+def _list_metrics(
+    node: node_module.Node,
+    state: state_module.SidecarState,
+    recorder: observation.Recorder,
+) -> Iterator[metrics_core.Metric]:
+    yield from pages.list_metrics(node, recorder, transport.read_clock())
+    values = {
+        "running": (len(state.runs), "Requests in progress at the upstream."),
+        "claimed": (len(state.claims.open), "Claims not yet fulfilled."),
+        "limit": (state.limit.cap, "Most requests in progress."),
+        "accounts": (len(state.accounts.teams), "Teams with an account."),
+    }
+    for name, (value, text) in values.items():
+        yield metrics_module.gauge_metric(
+            name, text, ("service",), {(state.service,): value}
+        )
--- /dev/null
+++ b/sycamorefall/tests/test_authentication.py
@@ -0,0 +1,87 @@
+"""Who is believed: only holders of the shared key, and only once."""
+
+import pytest
+
+from sycamorefall import authentication, errors, messages, settings
+
+KEY, OLD = b"k" * 32, b"o" * 32
+
+
+def make(vm, *keys):
+    return authentication.Authenticator(vm, keys or (KEY,))
+
+
+def encode(incarnation=1):
+    envelope = messages.Envelope(
+        "router-1", incarnation, 1, messages.Heartbeat()
+    )
+    return messages.encode_envelope(envelope)
+
+
+def test_signed_message_is_believed_once():
+    sender, receiver = make("router-1"), make("engine-1")
+    signed = sender.sign_message("engine-1", encode())
+    assert receiver.open_message(signed).sender == "router-1"
+    with pytest.raises(errors.MessageRefused, match="repeated"):
+        receiver.open_message(signed)
+    again = sender.sign_message("engine-1", encode())
+    assert receiver.open_message(again).sender == "router-1"
+
+
+def test_message_of_an_earlier_process_is_refused():
+    """A process that has been replaced is not heard any more.
+
+    A frozen process wakes up after its successor has started and goes on
+    sending, or somebody repeats what it sent before.
+    """
+    receiver = make("engine-1")
+    old, new = make("router-1"), make("router-1")
+    receiver.open_message(new.sign_message("engine-1", encode(2)))
+    with pytest.raises(errors.MessageRefused, match="old"):
+        receiver.open_message(old.sign_message("engine-1", encode(1)))
+
+
+@pytest.mark.parametrize(
+    "spoil",
+    [
+        lambda data: encode(),
+        lambda data: b"",
+        lambda data: data[:20],
+        lambda data: data[:-1] + bytes([data[-1] ^ 1]),
+        lambda data: data[:16] + bytes(7) + b"\x09" + data[24:],
+        lambda data: make("x", OLD).sign_message("engine-1", encode()),
+        lambda data: make("x").sign_message("engine-2", encode()),
+    ],
+)
+def test_forged_messages_are_refused(spoil):
+    signed = make("router-1").sign_message("engine-1", encode())
+    with pytest.raises(errors.MessageRefused):
+        make("engine-1").open_message(spoil(signed))
+
+
+def test_orders_are_bound_to_sidecar_and_body():
+    router, sidecar = make("router-1"), make("engine-1")
+    digest = router.sign_order("engine-1", "order", b"body")
+    assert sidecar.check_order("order", b"body", digest)
+    assert not sidecar.check_order("order", b"other", digest)
+    assert not sidecar.check_order("other", b"body", digest)
+    assert not sidecar.check_order("order", b"body", "\u00fc")
+    assert not make("engine-2").check_order("order", b"body", digest)
+
+
+def test_key_is_replaced_one_process_after_another():
+    old, both, new = make("a", OLD), make("b", KEY, OLD), make("c", KEY)
+    assert both.open_message(old.sign_message("b", encode()))
+    assert new.open_message(both.sign_message("c", encode()))
+
+
+def test_key_file_is_checked(tmp_path):
+    path = tmp_path / "key"
+    config = settings.SecuritySettings(shared_key_file=str(path))
+    with pytest.raises(errors.SettingsRefused, match="shared_key_file"):
+        authentication.create_authenticator("a", config)
+    path.write_text("short\n")
+    with pytest.raises(errors.SettingsRefused, match="32 characters"):
+        authentication.create_authenticator("a", config)
+    path.write_bytes(KEY + b"\n" + OLD + b"\n")
+    assert authentication.create_authenticator("a", config).enabled
--- a/sycamorefall/transport/__init__.py
+++ b/sycamorefall/transport/__init__.py
@@ -1,6 +1,7 @@
 """The shell's I/O: event loop, control links, HTTP client and server."""
 
 __all__ = [
+    "EVENT_STREAM",
     "ControlLinks",
     "Exchange",
     "HttpClient",
@@ -15,7 +16,7 @@
     "read_clock",
 ]
 
-from sycamorefall.transport.call import IncomingCall
+from sycamorefall.transport.call import EVENT_STREAM, IncomingCall
 from sycamorefall.transport.client import (
     Exchange,
     HttpClient,
--- a/sycamorefall/transport/call.py
+++ b/sycamorefall/transport/call.py
@@ -1,6 +1,6 @@
 """A request that came in over HTTP, and the way to answer it."""
 
-__all__ = ["IncomingCall"]
+__all__ = ["EVENT_STREAM", "IncomingCall"]
 
 from collections.abc import Callable
 import socket
@@ -13,6 +13,9 @@
 from sycamorefall import errors
 from sycamorefall.transport import inbound
 
+EVENT_STREAM = "text/event-stream"
+"""Media type of an answer that is streamed token by token."""
+
 
 class Answerer(Protocol):
     """What a call needs of its server."""
--- a/sycamorefall/transport/control.py
+++ b/sycamorefall/transport/control.py
@@ -13,7 +13,7 @@
 from circuits.core import pollers
 import pynng
 
-from sycamorefall import errors, messages, observation
+from sycamorefall import authentication, errors, messages, observation
 
 SEND_BUFFER = 256
 """Messages that wait for a peer that is slow or not reached yet."""
@@ -61,6 +61,7 @@
         listen: str,
         find_address: Callable[[str], str | None],
         on_envelope: Callable[[messages.Envelope], None],
+        authenticator: authentication.Authenticator,
     ):
         """Opens the listening socket.
 
@@ -68,6 +69,7 @@
             listen: `IP:port` at which peers reach this process.
             find_address: Gives the `IP:port` of a peer by VM name.
             on_envelope: Called with each received message.
+            authenticator: Signs and checks messages.
 
         Raises:
             errors.AddressInUse: The address can't be bound.
@@ -75,6 +77,7 @@
         super().__init__()
         self._find_address = find_address
         self._on_envelope = on_envelope
+        self._authenticator = authenticator
         self._links: dict[str, _Link] = {}
         self.bytes_sent = 0
         self.bytes_received = 0
@@ -99,7 +102,8 @@
         if link is None or link.address != address:
             self._close_link(to)
             link = self._links[to] = _Link(address)
-        data = messages.encode_envelope(envelope)
+        encoded = messages.encode_envelope(envelope)
+        data = self._authenticator.sign_message(to, encoded)
         try:
             link.socket.send(data, block=False)
         except pynng.NNGException:
@@ -129,7 +133,7 @@
     def _take(self, data: bytes) -> None:
         self.bytes_received += len(data)
         try:
-            envelope = messages.decode_envelope(data)
+            envelope = self._authenticator.open_message(data)
         except errors.MessageRefused as fault:
             self.refused += 1
             observation.write_record(
--- /dev/null
+++ b/tests/test_observation.py
@@ -0,0 +1,171 @@
+"""What operators see of running processes."""
+
+import http.client
+import json
+import urllib.error
+import urllib.request
+
+from prometheus_client import parser
+import pytest
+
+from standins import fleet as fleet_module
+
+KEY = "key-of-mill-a"
+BODY = "a body that nobody may read in a log"
+
+
+def ask(node, request_id, path="/v1/chat/completions", body=None):
+    asked = {"id": request_id, "team": "mill-a", "tokens": 4, "text": BODY}
+    body = body or {
+        "model": "assistant",
+        "stream": True,
+        "messages": [{"role": "user", "content": json.dumps(asked)}],
+    }
+    request = urllib.request.Request(
+        f"http://127.0.0.1:{node.data}{path}",
+        data=json.dumps(body).encode(),
+        headers={
+            "Authorization": f"Bearer {KEY}",
+            "Content-Type": "application/json",
+            "X-Request-Id": request_id,
+        },
+    )
+    with urllib.request.urlopen(request, timeout=10) as answer:
+        return answer.read()
+
+
+def read_log(fleet, node):
+    lines = (fleet.folder / f"{node.name}.log").read_text().splitlines()
+    return [json.loads(line) for line in lines]
+
+
+def find_record(fleet, name, **fields):
+    """Finds the first record of a process that has these fields."""
+
+    def check():
+        records = read_log(fleet, fleet.nodes[name])
+        return [r for r in records if fields.items() <= r.items()]
+
+    return fleet_module.wait_until(check, f"{fields} in the log of {name}")[0]
+
+
+def test_ids_tie_the_logs_of_router_and_sidecar_together(shared_fleet):
+    router = shared_fleet.nodes["router-0"]
+    assert b"[DONE]" in ask(router, "inquiry-7")
+    started = find_record(
+        shared_fleet, "router-0", request_id="inquiry-7", team="mill-a"
+    )
+    ended = find_record(
+        shared_fleet,
+        "router-0",
+        task_uuid=started["task_uuid"],
+        action_status="succeeded",
+    )
+    handed_out = find_record(shared_fleet, "router-0", attempt=ended["attempt"])
+    run = find_record(
+        shared_fleet, handed_out["sidecar"], attempt=ended["attempt"]
+    )
+    assert run["request_id"] == "inquiry-7"
+    assert ended["result"] == "answered"
+
+
+def test_logs_show_neither_keys_nor_bodies(shared_fleet):
+    ask(shared_fleet.nodes["router-1"], "inquiry-8")
+    find_record(shared_fleet, "router-1", request_id="inquiry-8")
+    for node in shared_fleet.nodes.values():
+        text = (shared_fleet.folder / f"{node.name}.log").read_text()
+        assert KEY not in text
+        assert BODY not in text
+
+
+def test_status_and_metrics_of_both_roles(shared_fleet):
+    router = shared_fleet.nodes["router-0"]
+    ask(router, "inquiry-9")
+    for node in shared_fleet.nodes.values():
+        status = fleet_module.call(node.data, "/status")
+        others = shared_fleet.nodes.keys() - {node.name}
+        assert {peer["vm"] for peer in status["peers"]} == others
+        assert status["revision"] == shared_fleet.revision
+        assert status["unready"] == []
+        assert status["control"]["bytes_sent"] > 0
+    times = fleet_module.call(router.data, "/status")["times"]
+    shown = {(t["service"], t["team"], t["time"]): t["count"] for t in times}
+    assert shown["assistant", "mill-a", "first_token"] >= 1
+    address = f"http://127.0.0.1:{router.data}/metrics"
+    with urllib.request.urlopen(address, timeout=10) as answer:
+        text = answer.read().decode()
+    names = {f.name for f in parser.text_string_to_metric_families(text)}
+    assert {
+        "sycamorefall_requests",
+        "sycamorefall_first_token_seconds",
+        "sycamorefall_control_bytes",
+        "sycamorefall_peers",
+    } <= names
+
+
+@pytest.fixture
+def guarded_fleet(tmp_path):
+    """A fleet with a shared key and an address for operators."""
+    key = tmp_path / "key"
+    key.write_text("s" * 40 + "\n")
+    fleet = fleet_module.start_fleet(
+        tmp_path,
+        fleet_module.write_text({"mill-a": 1.0}, SERVICES),
+        routers=1,
+        upstreams=[fleet_module.Upstreams("ledger", 1, "standins.ledger", 2)],
+        extra_settings=f"[security]\nshared_key_file = {key}\n",
+    )
+    yield fleet
+    fleet_module.kill_fleet(fleet)
+
+
+SERVICES = "[service ledger]\nkind = plain\nconcurrency = 2\n"
+
+
+def post_attempt(port, headers):
+    connection = http.client.HTTPConnection("127.0.0.1", port, timeout=10)
+    connection.request("POST", "/v1/attempts", b"{}", headers)
+    answer = connection.getresponse()
+    answer.read()
+    connection.close()
+    return answer
+
+
+def test_nobody_without_the_key_gives_orders(guarded_fleet):
+    """A stranger who reaches a sidecar can't have it run anything.
+
+    It posts an order of its own making; without the check on hand-outs a
+    guessed claim would run at the upstream under any team's name.
+    """
+    fleet = guarded_fleet
+    router, sidecar = fleet.nodes["router-0"], fleet.nodes["ledger-0"]
+    order = {"id": "order-1", "team": "mill-a"}
+    answer = ask(router, "order-1", "/v1/services/ledger/orders", order)
+    assert json.loads(answer)["state"] == "confirmed"
+    answer = post_attempt(sidecar.data, {"Sycamorefall-Order": "e30="})
+    assert answer.getheader("Sycamorefall-Outcome") == "refused"
+    find_record(fleet, "ledger-0", message_type="order.unsigned")
+
+
+def test_metrics_leave_the_data_address_for_the_operators(own_fleet):
+    """With an address of their own, operators' pages are not for callers."""
+    node = own_fleet.nodes["router-0"]
+    fleet_module.stop_process(node.process)
+    operators = fleet_module.find_ports(1)[0]
+    path = own_fleet.folder / "router-0.ini"
+    text = path.read_text().replace(
+        "[listen]\n", f"[listen]\noperators = 127.0.0.1:{operators}\n"
+    )
+    path.write_text(text)
+    node.process = fleet_module._spawn(
+        own_fleet, node.name, "sycamorefall.command", "router", str(path)
+    )
+    status = fleet_module.wait_until(
+        lambda: fleet_module.call(operators, "/status"), "the operators' page"
+    )
+    assert status["vm"] == "router-0"
+    with pytest.raises(urllib.error.HTTPError, match="404"):
+        fleet_module.call(node.data, "/status")
+    fleet_module.wait_until(
+        lambda: fleet_module.call(node.data, "/ready"), "readiness"
+    )
