--- a/sycamorefall/observation/histograms.py
+++ b/sycamorefall/observation/histograms.py
@@ -106,11 +106,20 @@
         self.counts.add(other.counts)
         self.seconds += other.seconds
 
+    def clear(self) -> None:
+        """Forgets what was recorded."""
+        self.counts.reset()
+        self.seconds = 0.0
+
     @property
     def count(self) -> int:
         """How many times were recorded."""
         return self.counts.get_total_count()
 
+    def encode(self) -> str:
+        """Encodes the counts as HdrHistogram's V2 format in Base64."""
+        return self.counts.encode().decode("ascii")
+
     def find_quantiles(self, quantiles: tuple[float, ...]) -> list[float]:
         """Finds the times, in seconds, below which shares of all lie."""
         percentiles = [100.0 * quantile for quantile in quantiles]
@@ -129,12 +138,16 @@
         sets: Histograms by (service, team); the team `REST` has those of all
             teams that are not among the busiest.
         busiest: The (service, team) pairs that have their own.
+        spare: Histograms of teams that lost their place, to be used again:
+            an HdrHistogram refers to itself, so one that is dropped stays in
+            memory until the next run of the garbage collector.
     """
 
     sets: _Sets = dataclasses.field(default_factory=dict)
     busiest: busiest_module.BusiestKeys = dataclasses.field(
         default_factory=lambda: busiest_module.BusiestKeys(MOST_TEAMS)
     )
+    spare: list[TimeHistogram] = dataclasses.field(default_factory=list)
 
 
 def note_request(histograms: TeamHistograms, service: str, team: str) -> None:
@@ -153,6 +166,8 @@
         return
     for kind, own in histograms.sets.pop(displaced, {}).items():
         _find(histograms, (displaced[0], REST), kind).merge(own)
+        own.clear()
+        histograms.spare.append(own)
 
 
 def _find(
@@ -161,7 +176,8 @@
     own = histograms.sets.setdefault(key, {})
     found = own.get(kind)
     if found is None:
-        found = own[kind] = TimeHistogram()
+        spare = histograms.spare
+        found = own[kind] = spare.pop() if spare else TimeHistogram()
     return found
 
 
--- /dev/null
+++ b/sycamorefall/observation/report.py
@@ -0,0 +1,154 @@
+"""Draws histograms and the fairness gap from saved statuses."""
+
+__all__ = ["write_report"]
+
+import base64
+from collections.abc import Sequence
+import html
+import io
+import pathlib
+
+from hdrh import histogram
+
+from sycamorefall import errors
+from sycamorefall.observation import histograms as histograms_module
+from sycamorefall.observation import snapshots as snapshots_module
+from sycamorefall.observation import tables
+
+MOST_CURVES = 8
+"""Teams drawn in one panel: those with the most requests."""
+
+POINTS = 64
+"""Points of a drawn curve."""
+
+_PAGE = """\
+<!doctype html>
+<html lang="en">
+<meta charset="utf-8">
+<title>{title}</title>
+<style>
+body {{ font-family: sans-serif; max-width: 75em; margin: 2em auto; }}
+img {{ max-width: 100%; }}
+pre {{ overflow-x: auto; font-size: 85%; }}
+</style>
+<h1>{title}</h1>
+<p>{summary}</p>
+<img alt="histograms and fairness gap" src="data:image/png;base64,{image}">
+{statuses}
+</html>
+"""
+
+
+def write_report(
+    snapshots: Sequence[snapshots_module.Snapshot], path: str
+) -> None:
+    """Writes a report as a self-contained HTML page or as a PNG picture.
+
+    Args:
+        snapshots: Statuses in the order in which they were taken.
+        path: The file; its ending, `.html` or `.png`, tells which.
+
+    Raises:
+        errors.SettingsRefused: There is nothing to draw, the file can't be
+            written, or matplotlib is missing.
+    """
+    suffix = pathlib.Path(path).suffix.lower()
+    if suffix not in (".html", ".png"):
+        raise errors.SettingsRefused(f"{path}: expected .html or .png")
+    picture = _draw(snapshots)
+    data = picture if suffix == ".png" else _format_page(snapshots, picture)
+    try:
+        pathlib.Path(path).write_bytes(data)
+    except OSError as fault:
+        raise errors.SettingsRefused(f"{path}: {fault}") from fault
+
+
+def _draw(snapshots: Sequence[snapshots_module.Snapshot]) -> bytes:
+    try:
+        from matplotlib import figure
+    except ImportError as fault:
+        raise errors.SettingsRefused(
+            "report needs matplotlib: pip install 'sycamorefall[report]'"
+        ) from fault
+    times = snapshots_module.merge_times(snapshots)
+    gaps = snapshots_module.compute_gaps(snapshots)
+    panels = len(times) + len(gaps)
+    if not panels:
+        raise errors.SettingsRefused("the statuses hold nothing to draw")
+    rows = (panels + 1) // 2
+    drawing = figure.Figure(figsize=(13, 3.6 * rows), layout="constrained")
+    axes = drawing.subplots(rows, 2, squeeze=False).flat
+    for (service, time), teams in sorted(times.items()):
+        _draw_times(next(axes), service, time, teams)
+    for service, points in gaps.items():
+        _draw_gap(next(axes), service, points)
+    for unused in axes:
+        unused.set_axis_off()
+    output = io.BytesIO()
+    drawing.savefig(output, format="png", dpi=110)
+    return output.getvalue()
+
+
+def _draw_times(
+    axis, service: str, time: str, teams: dict[str, histogram.HdrHistogram]
+) -> None:
+    busiest = sorted(teams, key=lambda team: -teams[team].get_total_count())
+    for team in busiest[:MOST_CURVES]:
+        counts = teams[team]
+        seconds, shares = _list_curve(counts)
+        name = team or tables.ALL_OTHERS
+        axis.plot(seconds, shares, label=f"{name}: {counts.get_total_count()}")
+    left_out = len(busiest) - MOST_CURVES
+    more = f", {left_out} more teams not drawn" if left_out > 0 else ""
+    axis.set_title(f"{service}: {time.replace('_', ' ')}{more}")
+    axis.set_xscale("log")
+    axis.set_xlabel("seconds")
+    axis.set_ylabel("share that took no longer")
+    axis.set_ylim(0, 1.02)
+    axis.grid(alpha=0.3)
+    axis.legend(fontsize="small", loc="lower right")
+
+
+def _list_curve(
+    counts: histogram.HdrHistogram,
+) -> tuple[list[float], list[float]]:
+    shares = [point / POINTS for point in range(1, POINTS + 1)]
+    found = counts.get_percentile_to_value_dict([100 * s for s in shares])
+    unit = histograms_module.UNITS_PER_SECOND
+    return [value / unit for value in found.values()], shares
+
+
+def _draw_gap(
+    axis, service: str, points: list[snapshots_module.GapPoint]
+) -> None:
+    start = points[0].at
+    axis.plot(
+        [point.at - start for point in points],
+        [point.gap for point in points],
+        marker="." if len(points) < 100 else None,
+        color="black",
+    )
+    axis.set_title(f"{service}: fairness gap")
+    axis.set_xlabel("seconds since the first status")
+    axis.set_ylabel("cost units per weight")
+    axis.set_ylim(bottom=0)
+    axis.grid(alpha=0.3)
+
+
+def _format_page(
+    snapshots: Sequence[snapshots_module.Snapshot], picture: bytes
+) -> bytes:
+    last = {status.vm: status for status in snapshots}
+    seconds = snapshots[-1].taken_at - snapshots[0].taken_at
+    shown = "".join(
+        f"<h2>{html.escape(vm)}</h2>\n"
+        f"<pre>{html.escape(tables.format_status(status))}</pre>\n"
+        for vm, status in sorted(last.items())
+    )
+    return _PAGE.format(
+        title="sycamorefall report",
+        summary=f"{len(snapshots)} statuses of {len(last)} processes over "
+        f"{seconds:.0f} s. Below the picture: the last status of each.",
+        image=base64.b64encode(picture).decode(),
+        statuses=shown,
+    ).encode()
--- a/sycamorefall/observation/status.py
+++ b/sycamorefall/observation/status.py
@@ -95,7 +95,11 @@
 
 
 class TimeStatus(msgspec.Struct, frozen=True):
-    """A histogram in short, in seconds; an empty team is all others."""
+    """A histogram in short, in seconds; an empty team is all others.
+
+    `encoded` is the whole of it, in units of 0.1 ms, as HdrHistogram's V2
+    format in Base64; empty unless it was asked for.
+    """
 
     service: str
     team: str
@@ -105,6 +109,7 @@
     p95: float
     p99: float
     longest: float
+    encoded: str = ""
 
 
 class ProcessStatus(msgspec.Struct, frozen=True, kw_only=True):
@@ -112,7 +117,6 @@
 
     Attributes:
         vm: This VM.
-        role: `router` or `sidecar`.
         incarnation: Number of this process.
         taken_at: Wall-clock time of this status, in seconds since 1970.
         revision: Revision of the configuration in force; 0 if there is none.
@@ -132,7 +136,6 @@
     """
 
     vm: str
-    role: str
     incarnation: int
     taken_at: float
     revision: int
@@ -151,7 +154,9 @@
     log_dropped: int
 
 
-class RouterStatus(ProcessStatus, frozen=True, kw_only=True):
+class RouterStatus(
+    ProcessStatus, frozen=True, kw_only=True, tag_field="role", tag="router"
+):
     """Status of a router.
 
     Attributes:
@@ -169,7 +174,9 @@
     limits: dict[str, int | float]
 
 
-class SidecarStatus(ProcessStatus, frozen=True, kw_only=True):
+class SidecarStatus(
+    ProcessStatus, frozen=True, kw_only=True, tag_field="role", tag="sidecar"
+):
     """Status of a sidecar.
 
     Attributes:
@@ -224,9 +231,17 @@
 
 
 def describe_times(
-    histograms: histograms_module.TeamHistograms,
+    histograms: histograms_module.TeamHistograms, whole: bool
 ) -> tuple[TimeStatus, ...]:
-    """Describes all histograms in short."""
+    """Describes all histograms.
+
+    Args:
+        histograms: The histograms.
+        whole: Whether to encode each whole, and not only in short.
+
+    Returns:
+        One entry for each service, team and kind of time.
+    """
     return tuple(
         TimeStatus(
             service,
@@ -234,6 +249,7 @@
             kind.label,
             recorded.count,
             *recorded.find_quantiles(_SHARES),
+            recorded.encode() if whole else "",
         )
         for service, team, kind, recorded in histograms_module.list_histograms(
             histograms
--- a/sycamorefall/observation/tests/test_recorder.py
+++ b/sycamorefall/observation/tests/test_recorder.py
@@ -11,7 +11,7 @@
 
 TEAMS = 31_000
 SERVICES = 19
-MOST_MEMORY = 4 << 20
+MOST_MEMORY = 3 << 20
 """Bytes that the records may hold at the size of two years."""
 
 
--- a/sycamorefall/pages.py
+++ b/sycamorefall/pages.py
@@ -20,6 +20,9 @@
 STATUS_PATH = "/status"
 METRICS_PATH = "/metrics"
 
+WHOLE_HISTOGRAMS = "histograms"
+"""Query of `/status` that asks for whole histograms."""
+
 _JSON = (("Content-Type", "application/json"),)
 _TEXT = (("Content-Type", metrics_module.CONTENT_TYPE),)
 
@@ -38,13 +41,13 @@
     Attributes:
         listen: The process's addresses.
         find_unready: Lists why the process can't be used.
-        describe: Builds the status.
+        describe: Builds the status, with whole histograms if told so.
         list_metrics: Lists the metrics.
     """
 
     listen: settings.ListenSettings
     find_unready: Callable[[], tuple[str, ...]]
-    describe: Callable[[], status_module.ProcessStatus]
+    describe: Callable[[bool], status_module.ProcessStatus]
     list_metrics: Callable[[], Iterable[metrics_core.Metric]]
 
 
@@ -77,7 +80,8 @@
     elif not (for_operators or _is_trusted(pages.listen, call)):
         call.fail(errors.ErrorKind.UNKNOWN_SERVICE)
     elif call.path == STATUS_PATH:
-        call.respond(200, msgspec.json.encode(pages.describe()), _JSON)
+        shown = pages.describe(call.query == WHOLE_HISTOGRAMS)
+        call.respond(200, msgspec.json.encode(shown), _JSON)
     else:
         text = metrics_module.format_metrics(pages.list_metrics())
         call.respond(200, text, _TEXT)
@@ -95,16 +99,16 @@
 def describe_process(
     node: node_module.Node,
     recorder: observation.Recorder,
-    role: str,
     now: float,
+    whole: bool,
 ) -> dict[str, object]:
     """Collects the fields of a status that all processes have.
 
     Args:
         node: The process.
         recorder: Its records.
-        role: `router` or `sidecar`.
         now: This process's time.
+        whole: Whether to include whole histograms.
 
     Returns:
         Arguments of a `status.ProcessStatus`, but for teams and readiness.
@@ -113,7 +117,6 @@
     versions = core.versions
     return {
         "vm": core.vm,
-        "role": role,
         "incarnation": core.incarnation,
         "taken_at": time.time(),
         "revision": versions.in_force,
@@ -132,7 +135,7 @@
         "platform": status_module.PlatformStatus(
             node.reader.reads, node.reader.failures, node.reader.bytes_read
         ),
-        "times": status_module.describe_times(recorder.histograms),
+        "times": status_module.describe_times(recorder.histograms, whole),
         "log_dropped": node.log.dropped,
     }
 
--- a/sycamorefall/router/status.py
+++ b/sycamorefall/router/status.py
@@ -36,7 +36,7 @@
     return pages.Pages(
         listen=listen,
         find_unready=lambda: _find_unready(node, state),
-        describe=lambda: _describe(node, state, recorder),
+        describe=lambda whole: _describe(node, state, recorder, whole),
         list_metrics=lambda: _list_metrics(node, state, recorder),
     )
 
@@ -65,12 +65,13 @@
     node: node_module.Node,
     state: state_module.RouterState,
     recorder: observation.Recorder,
+    whole: bool,
 ) -> status_module.RouterStatus:
     now = transport.read_clock()
     in_force = state.versions.configuration
     listed = queues.list_queues(state.waiting)
     return status_module.RouterStatus(
-        **pages.describe_process(node, recorder, "router", now),
+        **pages.describe_process(node, recorder, now, whole),
         unready=_find_unready(node, state),
         teams=_describe_teams(state, now, listed),
         teams_total=len(listed),
--- a/sycamorefall/settings.py
+++ b/sycamorefall/settings.py
@@ -27,7 +27,7 @@
 
 import msgspec
 
-from sycamorefall import errors
+from sycamorefall import errors, ini
 
 Positive = Annotated[float, msgspec.Meta(gt=0)]
 Count = Annotated[int, msgspec.Meta(ge=1)]
@@ -228,15 +228,48 @@
     Raises:
         errors.SettingsRefused: The text can't be used; one line says why.
     """
-    parser = configparser.ConfigParser(interpolation=None)
+    parser = configparser.ConfigParser(interpolation=None, default_section="")
     try:
         parser.read_string(text)
-        sections = {name: dict(parser[name]) for name in parser.sections()}
-        return msgspec.convert(
+    except configparser.ParsingError as fault:
+        line = fault.errors[0][0]
+        raise errors.SettingsRefused(f"line {line}: not an INI line") from fault
+    except configparser.Error as fault:
+        reason = " ".join(fault.message.replace("\n", " ").split())
+        raise errors.SettingsRefused(reason) from fault
+    sections = {name: dict(parser[name]) for name in parser.sections()}
+    try:
+        checked = msgspec.convert(
             sections, kind, strict=False, dec_hook=_decode_hook
         )
-    except (configparser.Error, ValueError) as fault:
-        raise errors.SettingsRefused(" ".join(str(fault).split())) from fault
+    except (msgspec.ValidationError, ValueError) as fault:
+        raise errors.SettingsRefused(
+            ini.locate_fault(text, str(fault))
+        ) from fault
+    _check_addresses(checked)
+    return checked
+
+
+def _check_addresses(checked: RouterSettings | SidecarSettings) -> None:
+    """Refuses settings by which a process would meet itself."""
+    listen = checked.listen
+    named = {
+        "[listen] data": listen.data,
+        "[listen] control": listen.control,
+        "[listen] operators": listen.operators,
+        "[platform] address": checked.platform.address,
+    }
+    if isinstance(checked, SidecarSettings):
+        named["[upstream] address"] = checked.upstream.address
+    seen: dict[Address, str] = {}
+    for name, address in named.items():
+        if address is None:
+            continue
+        if address in seen:
+            raise errors.SettingsRefused(
+                f"{seen[address]} and {name} are both {address}"
+            )
+        seen[address] = name
 
 
 def read_settings(path: str, kind: type[Settings]) -> Settings:
--- a/sycamorefall/sidecar/status.py
+++ b/sycamorefall/sidecar/status.py
@@ -35,7 +35,7 @@
     return pages.Pages(
         listen=listen,
         find_unready=lambda: _find_unready(node, state),
-        describe=lambda: _describe(node, state, recorder),
+        describe=lambda whole: _describe(node, state, recorder, whole),
         list_metrics=lambda: _list_metrics(node, state, recorder),
     )
 
@@ -54,6 +54,7 @@
     node: node_module.Node,
     state: state_module.SidecarState,
     recorder: observation.Recorder,
+    whole: bool,
 ) -> status_module.SidecarStatus:
     now = transport.read_clock()
     waiting = _count_waiting(state)
@@ -61,7 +62,7 @@
         status_module.MOST_TEAMS_SHOWN, waiting, key=waiting.get
     )
     return status_module.SidecarStatus(
-        **pages.describe_process(node, recorder, "sidecar", now),
+        **pages.describe_process(node, recorder, now, whole),
         unready=_find_unready(node, state),
         teams=tuple(
             _describe_team(state, team, waiting[team]) for team in most
--- a/tests/test_command.py
+++ b/tests/test_command.py
@@ -1,5 +1,6 @@
 """The command line: what operators type, and what they are told."""
 
+import pathlib
 import socket
 
 import pytest
@@ -84,6 +85,83 @@
     assert printed.count("\n") == 1
 
 
+@pytest.mark.parametrize(
+    ("change", "expected"),
+    [
+        (("name = entry-1\n", ""), "[vm] misses name"),
+        (("[platform]", "[plattform]"), "line 8: [plattform]"),
+        (("name = entry-1", "name = a b"), "line 3: [vm] name"),
+        (("[vm]\nname = entry-1", "[vm\nname = entry-1"), "line 2: text before"),
+        (("name = entry-1", "name = a\nname = b"), "name"),
+        (("[vm]", "[DEFAULT]\nname = a\n[vm]"), "[DEFAULT]"),
+        (("address = 127.0.0.1", "address = localhost"), "localhost"),
+        (("address = 127.0.0.1", "address = 127.0.0.256"), "127.0.0.256"),
+        (("[platform]", "[limits]\nmax_connections=0\n[platform]"), "line 9"),
+        (("[platform]", "[log]\nlevel = loud\n[platform]"), "line 9"),
+        (("[platform]", "[upstream]\nservice = a\n[platform]"), "address"),
+    ],
+)
+def test_check_names_what_is_wrong_in_settings(
+    tmp_path, capsys, change, expected
+):
+    text = SETTINGS.format(data=7400, control=7401, platform=7500)
+    changed = text.replace(*change)
+    assert changed != text
+    assert command.main(["check", write_file(tmp_path, changed)]) == 2
+    printed = capsys.readouterr().err
+    assert expected in printed
+    assert printed.count("\n") == 1
+
+
+def test_check_refuses_addresses_that_collide(tmp_path, capsys):
+    text = SETTINGS.format(data=7400, control=7400, platform=7500)
+    assert command.main(["check", write_file(tmp_path, text)]) == 2
+    assert "are both 127.0.0.1:7400" in capsys.readouterr().err
+
+
+@pytest.mark.parametrize("data", [b"\xff\xfe[vm]", b"[service \x00]\nkind"])
+def test_check_survives_bytes_that_are_no_text(tmp_path, capsys, data):
+    path = tmp_path / "file.ini"
+    path.write_bytes(data)
+    assert command.main(["check", str(path)]) == 2
+    assert capsys.readouterr().err.count("\n") == 1
+
+
+def test_check_warns_of_a_text_that_serves_nothing(tmp_path, capsys):
+    assert command.main(["check", write_file(tmp_path, "")]) == 0
+    assert "every request is refused" in capsys.readouterr().out
+
+
+EXAMPLES = sorted(pathlib.Path(__file__).parents[1].glob("examples/**/*.ini"))
+
+
+@pytest.mark.parametrize("path", EXAMPLES, ids=lambda path: path.name)
+def test_examples_are_valid(path, capsys):
+    assert command.main(["check", str(path)]) == 0
+    assert "valid" in capsys.readouterr().out
+
+
+def test_examples_are_there():
+    assert len(EXAMPLES) == 4
+
+
+@pytest.mark.parametrize(
+    "name", ["router", "sidecar", "check", "status", "report"]
+)
+def test_each_command_explains_itself(name, capsys):
+    with pytest.raises(SystemExit) as stop:
+        command.main([name, "--help"])
+    assert stop.value.code == 0
+    assert len(capsys.readouterr().out.splitlines()) > 10
+
+
+def test_report_refuses_what_is_no_status(tmp_path, capsys):
+    path = write_file(tmp_path, '{"role": "router"}\n')
+    page = str(tmp_path / "page.html")
+    assert command.main(["report", path, "-o", page]) == 2
+    assert "line 1: not a status" in capsys.readouterr().err
+
+
 def test_status_of_nobody_is_one_clear_line(capsys):
     port = fleet_module.find_ports(1)[0]
     assert command.main(["status", f"127.0.0.1:{port}"]) == 2
--- a/tests/test_observation.py
+++ b/tests/test_observation.py
@@ -9,6 +9,7 @@
 import pytest
 
 from standins import fleet as fleet_module
+from sycamorefall import command
 
 KEY = "key-of-mill-a"
 BODY = "a body that nobody may read in a log"
@@ -82,12 +83,22 @@
     router = shared_fleet.nodes["router-0"]
     ask(router, "inquiry-9")
     for node in shared_fleet.nodes.values():
+        fleet_module.wait_until(
+            lambda node=node: (
+                not fleet_module.call(node.data, "/status")["unready"]
+            ),
+            f"{node.name} to be ready",
+        )
         status = fleet_module.call(node.data, "/status")
         others = shared_fleet.nodes.keys() - {node.name}
         assert {peer["vm"] for peer in status["peers"]} == others
         assert status["revision"] == shared_fleet.revision
-        assert status["unready"] == []
-        assert status["control"]["bytes_sent"] > 0
+        fleet_module.wait_until(
+            lambda node=node: fleet_module.call(node.data, "/status")[
+                "control"
+            ]["bytes_sent"],
+            f"{node.name} to send a heartbeat",
+        )
     times = fleet_module.call(router.data, "/status")["times"]
     shown = {(t["service"], t["team"], t["time"]): t["count"] for t in times}
     assert shown["assistant", "mill-a", "first_token"] >= 1
@@ -103,6 +114,50 @@
     } <= names
 
 
+def read_ready(node):
+    address = f"http://127.0.0.1:{node.data}/ready"
+    try:
+        with urllib.request.urlopen(address, timeout=10) as answer:
+            return answer.status, json.load(answer)
+    except urllib.error.HTTPError as fault:
+        return fault.code, json.load(fault)
+
+
+def test_leaving_router_says_that_it_is_not_ready(shared_fleet):
+    node = shared_fleet.nodes["router-1"]
+    assert read_ready(node) == (200, {"ready": True, "reasons": []})
+    node.state = "leaving"
+    fleet_module.publish_vms(shared_fleet)
+    fleet_module.wait_until(lambda: read_ready(node)[0] == 503, "unready")
+    reasons = read_ready(node)[1]["reasons"]
+    assert reasons == ["this VM is marked as leaving"]
+    node.state = "live"
+    fleet_module.publish_vms(shared_fleet)
+    fleet_module.wait_until(lambda: read_ready(node)[0] == 200, "ready")
+
+
+def test_snapshots_of_running_processes_become_a_report(
+    shared_fleet, tmp_path, capsys
+):
+    router, sidecar = (
+        shared_fleet.nodes[name] for name in ("router-0", "assistant-0")
+    )
+    ask(router, "inquiry-10")
+    addresses = [f"127.0.0.1:{node.data}" for node in (router, sidecar)]
+    repeated = ["status", "--json", "--repeat", "2", "--interval", "0"]
+    assert command.main([*repeated, *addresses]) == 0
+    saved = tmp_path / "snapshots.jsonl"
+    saved.write_text(capsys.readouterr().out)
+    assert len(saved.read_text().splitlines()) == 4
+    page = tmp_path / "page.html"
+    assert command.main(["report", str(saved), "-o", str(page)]) == 0
+    assert "data:image/png;base64," in page.read_text()
+    assert command.main(["status", *addresses]) == 0
+    printed = capsys.readouterr().out
+    assert "first token" in printed
+    assert "sidecar of assistant" in printed
+
+
 @pytest.fixture
 def guarded_fleet(tmp_path):
     """A fleet with a shared key and an address for operators."""
