--- a/tests/test_command.py
+++ b/tests/test_command.py
@@ -91,7 +91,10 @@
         (("name = entry-1\n", ""), "[vm] misses name"),
         (("[platform]", "[plattform]"), "line 8: [plattform]"),
         (("name = entry-1", "name = a b"), "line 3: [vm] name"),
-        (("[vm]\nname = entry-1", "[vm\nname = entry-1"), "line 2: text before"),
+        (
+            ("[vm]\nname = entry-1", "[vm\nname = entry-1"),
+            "line 2: text before",
+        ),
         (("name = entry-1", "name = a\nname = b"), "name"),
         (("[vm]", "[DEFAULT]\nname = a\n[vm]"), "[DEFAULT]"),
         (("address = 127.0.0.1", "address = localhost"), "localhost"),
