Count accounts from an absolute offset; drop idle ones; limit a lead

Cause, by the benchmark and by reading: - The offset was added to what a team had received. A team that got ahead in a partition would be shut out until all others had caught up. - Accounts were never dropped, nor the entries of restarted sidecars. - In a partition, sidecars claimed from routers they could not reach again and again, holding a slot for a lease each time.

Change: entries count from the offset, which stands for itself and is still a maximum; a higher one voids what counted from a lower one, but for work in flight. So an idle team's account says nothing once the floor has passed its key and is dropped, a bounded number per heartbeat, and an account with too many entries is counted anew. The cut lifts those who are behind a waiting team by more than 512 mean requests instead of doing nothing. A claim whose lease ends drops that router's announcements.

New loads: a returning team, a partition.

--- a/benchmarks/fleet.py
+++ b/benchmarks/fleet.py
@@ -77,16 +77,18 @@
 
 @dataclasses.dataclass(slots=True)
 class _Node:
-    """A process: its decisions and when its timers run next."""
+    """A process: its decisions, and when its timers run next."""
 
     state: router_state.RouterState | sidecar_state.SidecarState
     core: object
     upstream: upstream_module.Upstream | None = None
     wakes_at: float = float("inf")
+    apart: bool = False
 
 
 @dataclasses.dataclass(slots=True)
 class _Fleet:
+    cut: tuple[float, float]
     options: Options
     events: events_module.Events
     nodes: dict[str, _Node]
@@ -141,12 +143,18 @@
         )
         for i in range(options.upstreams)
     ]
-    fleet = _Fleet(options, events_module.Events(), {}, Outcome(), {}, {})
+    begin, end = (WARM_UP + part * options.seconds for part in case.cut)
+    fleet = _Fleet(
+        (begin, end), options, events_module.Events(), {}, Outcome(), {}, {}
+    )
+    half = options.upstreams // 2
+    apart = {"router-0", *(f"engine-{i}" for i in range(half))}
     text = _write_text(case, options)
     chance = random.Random(options.seed)
     for vm in vms:
         node = _create_node(vm, options)
         fleet.nodes[vm.name] = node
+        node.apart = vm.name in apart
         configuration.offer_text(node.state.versions, 1, text)
         membership.replace_list(
             node.state.directory, membership.VmList(1, tuple(vms))
@@ -217,6 +225,11 @@
         )
 
 
+def _is_cut(fleet: _Fleet, one: _Node, other: _Node) -> bool:
+    begin, end = fleet.cut
+    return one.apart != other.apart and begin <= fleet.events.now < end
+
+
 def _send(fleet: _Fleet, node: _Node, send: effects.Send) -> None:
     envelope = messages.Envelope(
         node.state.vm, node.state.incarnation, 1, send.message
@@ -227,6 +240,8 @@
     if isinstance(send.message, messages.AccountUpdate):
         at += fleet.options.account_delay
     target = fleet.nodes[send.to]
+    if _is_cut(fleet, node, target):
+        return
 
     def deliver() -> None:
         now = fleet.events.now
@@ -262,6 +277,9 @@
         else:
             answer(handout.AttemptEnd.REFUSED)
 
+    if _is_cut(fleet, router, sidecar):
+        answer(handout.AttemptEnd.BROKEN)
+        return
     at = fleet.events.now + fleet.options.delay
     events_module.schedule(fleet.events, at, arrive)
 
--- a/benchmarks/loads.py
+++ b/benchmarks/loads.py
@@ -28,6 +28,7 @@
         weight: Its weight in the configuration.
         mean_cost: Mean cost units of its requests, before the cap.
         router: Number of the one router that it uses; None for all.
+        starts: Part of the run after which it sends its first request.
     """
 
     team: str
@@ -35,6 +36,7 @@
     weight: float = 1.0
     mean_cost: float = 250.0
     router: int | None = None
+    starts: float = 0.0
 
 
 @dataclasses.dataclass(slots=True, frozen=True)
@@ -46,12 +48,16 @@
         senders: The teams.
         load: Offered load as a part of the capacity.
         hints: Whether requests carry hints, off by up to `HINT_ERROR`.
+        cut: Begin and end of a partition, as parts of the run; it separates
+            the first router and the first half of the upstreams from the
+            rest.
     """
 
     name: str
     senders: tuple[Sender, ...]
     load: float
     hints: bool = False
+    cut: tuple[float, float] = (0.0, 0.0)
 
 
 @dataclasses.dataclass(slots=True, frozen=True)
@@ -96,6 +102,23 @@
             1.5,
         ),
         Case("hints", _MIXED, 1.5, hints=True),
+        Case(
+            "returning",
+            (Sender(_TEAMS[0], share=8.0, starts=0.5), *_EVEN[1:]),
+            2.3,
+        ),
+        Case(
+            "partition",
+            (
+                Sender(_TEAMS[0], share=16.0),
+                *(
+                    Sender(team, router=1 + i % 3)
+                    for i, team in enumerate(_TEAMS[1:])
+                ),
+            ),
+            3.0,
+            cut=(0.2, 0.5),
+        ),
         Case("idle at 0.5", _MIXED, 0.5),
         Case("idle at 0.9", _MIXED, 0.9),
         Case("idle at 1.5", _MIXED, 1.5),
@@ -127,7 +150,7 @@
         chance = random.Random(f"{seed}/{sender.team}")
         units = case.load * capacity * sender.share / shares
         rate = units / sender.mean_cost
-        at = chance.expovariate(rate)
+        at = sender.starts * seconds + chance.expovariate(rate)
         while at < seconds:
             arrivals.append(_plan_one(chance, case, sender, at, routers))
             at += chance.expovariate(rate)
--- a/benchmarks/results.py
+++ b/benchmarks/results.py
@@ -1,8 +1,16 @@
 """Figures of a run, as rows of a table and as JSON."""
 
-__all__ = ["Figures", "format_rows", "measure_outcome", "write_json"]
-
+__all__ = [
+    "Figures",
+    "format_rows",
+    "measure_outcome",
+    "measure_pause",
+    "write_json",
+]
+
+import bisect
 import dataclasses
+import itertools
 import json
 import pathlib
 
@@ -23,6 +31,8 @@
         policy: Name of the policy.
         gap: Fairness gap in cost units per weight.
         bound: Stated bound on it; 0 for policies that state none.
+        pause: Longest time in seconds in which a team had work waiting
+            throughout and none of it was started.
         lost: Part of the capacity that was idle while work waited.
         runs: Requests that an upstream ended.
         node_bytes: Control bytes sent and received, per node and second.
@@ -33,6 +43,7 @@
     policy: str
     gap: float
     bound: float
+    pause: float
     lost: float
     runs: int
     node_bytes: float
@@ -67,6 +78,7 @@
         policy=policy,
         gap=measures.measure_gap(outcome.services, outcome.waits, weights),
         bound=_compute_bound(options, weights, staleness),
+        pause=max(measure_pause(outcome, team) for team in weights),
         lost=measures.measure_lost_capacity(
             outcome.services, outcome.waits, slots
         ),
@@ -76,6 +88,21 @@
     )
 
 
+def measure_pause(outcome: fleet.Outcome, team: str) -> float:
+    """Measures the longest time in which a team waited and got no start."""
+    waits = [wait for wait in outcome.waits if wait.team == team]
+    spans = measures.merge_intervals((w.began, w.ended) for w in waits)
+    starts = sorted(s.started for s in outcome.services if s.team == team)
+    longest = 0.0
+    for begin, end in spans:
+        left = bisect.bisect_left(starts, begin)
+        right = bisect.bisect_right(starts, end)
+        marks = [begin, *starts[left:right], end]
+        pauses = (b - a for a, b in itertools.pairwise(marks))
+        longest = max(longest, *pauses)
+    return longest
+
+
 def _compute_bound(
     options: fleet.Options, weights: dict[str, float], staleness: float
 ) -> float:
@@ -96,7 +123,7 @@
     """Formats figures as a table, a row each."""
     head = (
         f"{'case':<12} {'policy':<26} {'gap':>9} {'bound':>9} "
-        f"{'lost':>8} {'runs':>7} {'B/node/s':>9}"
+        f"{'pause':>6} {'lost':>8} {'runs':>7} {'B/node/s':>9}"
     )
     return "\n".join([head, *map(_format_row, rows)])
 
@@ -106,7 +133,7 @@
     sent = f"{row.node_bytes:.0f}" if row.node_bytes else "-"
     return (
         f"{row.case:<12} {row.policy:<26} {row.gap:>9.0f} {stated:>9} "
-        f"{row.lost:>8.5f} {row.runs:>7} {sent:>9}"
+        f"{row.pause:>6.2f} {row.lost:>8.5f} {row.runs:>7} {sent:>9}"
     )
 
 
--- a/benchmarks/tests/test_fairness.py
+++ b/benchmarks/tests/test_fairness.py
@@ -60,3 +60,18 @@
 def test_same_seed_gives_the_same_figures():
     options = dataclasses.replace(SMALL, seconds=3.0)
     assert measure("flood", options) == measure("flood", options)
+
+
+def test_sidecars_cut_off_from_some_routers_serve_the_others():
+    # A partition leaves half of the upstreams with one router. They still
+    # hold announcements of the other routers; were they to claim that work
+    # again and again, each slot would be idle for a lease at a time while
+    # the reachable router's callers wait.
+    options = dataclasses.replace(SMALL, routers=4)
+    assert measure("partition", options).lost < 0.06
+
+
+def test_team_that_returns_has_not_saved_up_service():
+    options = dataclasses.replace(SMALL, routers=4)
+    figures = measure("returning", options)
+    assert figures.gap <= loads.LARGEST_COST
--- a/sycamorefall/messages.py
+++ b/sycamorefall/messages.py
@@ -138,7 +138,7 @@
         sequence: Grows with each change by the owner.
         served: Cost units charged so far.
         reserved: Estimated units of claims and runs in flight.
-        offset: Lift of the team's order key, a maximum over all sidecars.
+        offset: Order key from which the units count, the highest known.
     """
 
     team: str
--- a/sycamorefall/sharing/__init__.py
+++ b/sycamorefall/sharing/__init__.py
@@ -10,7 +10,9 @@
     "charge_team",
     "choose_router",
     "choose_team",
+    "compute_horizon",
     "compute_key",
+    "drop_idle_accounts",
     "estimate_cost",
     "join_queue",
     "lift_team",
@@ -32,10 +34,16 @@
     merge_entries,
     reserve_units,
 )
-from sycamorefall.sharing.choice import Fairness, choose_team, lift_team
+from sycamorefall.sharing.choice import (
+    Fairness,
+    choose_team,
+    drop_idle_accounts,
+    lift_team,
+)
 from sycamorefall.sharing.demand import Demand, choose_router, note_waiting
 from sycamorefall.sharing.estimates import (
     CostEstimates,
+    compute_horizon,
     estimate_cost,
     note_cost,
 )
--- a/sycamorefall/sharing/accounts.py
+++ b/sycamorefall/sharing/accounts.py
@@ -2,8 +2,10 @@
 
 Every sidecar incarnation owns one entry per team and is the only one to write
 it; others keep the entry with the highest sequence number they saw. Entries
-are thus a state-based replicated counter: losing, repeating or reordering
-updates does no harm, and partitions heal by exchanging entries again.
+count from an offset, which only ever rises: a higher offset voids whatever
+was counted from a lower one. Accounts are thus a state-based replicated
+counter: losing, repeating or reordering updates does no harm, and partitions
+heal by exchanging entries again.
 """
 
 __all__ = [
@@ -12,6 +14,8 @@
     "ServiceAccounts",
     "charge_team",
     "compute_key",
+    "compute_reserved",
+    "drop_account",
     "list_entries",
     "merge_entries",
     "raise_offset",
@@ -20,6 +24,7 @@
 
 from collections.abc import Iterable
 import dataclasses
+import math
 
 from sycamorefall import messages
 
@@ -38,9 +43,10 @@
     """One team's account at a service.
 
     Attributes:
-        entries: Entries by owner label.
+        entries: Entries by owner label, all counted from the offset.
         total: Sum of served and reserved units over the entries.
-        offset: Lift of the order key; only ever grows.
+        offset: Order key from which the entries count; only ever rises, and
+            is whole, so that rounding on the way doesn't change it.
     """
 
     entries: dict[str, Entry] = dataclasses.field(default_factory=dict)
@@ -56,17 +62,22 @@
         label: Label of the owner of this view.
         teams: Accounts by team.
         unsent: Teams whose own entry changed since it was last sent.
+        changes: Sequence number of the last change of an own entry. It is
+            one count for all teams, so that an account that was dropped and
+            comes back does not begin below what others have seen.
     """
 
     label: str
     teams: dict[str, Account] = dataclasses.field(default_factory=dict)
     unsent: set[str] = dataclasses.field(default_factory=set)
+    changes: int = 0
 
 
 def _own_entry(accounts: ServiceAccounts, team: str) -> tuple[Account, Entry]:
     account = accounts.teams.setdefault(team, Account())
     entry = account.entries.setdefault(accounts.label, Entry())
-    entry.sequence += 1
+    accounts.changes += 1
+    entry.sequence = accounts.changes
     accounts.unsent.add(team)
     return account, entry
 
@@ -102,17 +113,55 @@
 
 
 def raise_offset(accounts: ServiceAccounts, team: str, offset: float) -> None:
-    """Raises a team's offset to at least a value.
+    """Raises a team's offset to at least a value, and counts anew from there.
 
     The offset is a maximum, never a sum, so that two sidecars which lift the
-    same team at the same time do not lift it twice.
+    same team at the same time do not lift it twice. It stands for itself and
+    not on top of what the team received, so a sidecar that lifts a team
+    without having heard of its latest service does not lift it too far.
+
+    Args:
+        accounts: The accounts; changed.
+        team: The team.
+        offset: The order key to count from; rounded up to a whole unit.
     """
-    account = accounts.teams.setdefault(team, Account())
-    if offset > account.offset:
-        account.offset = offset
+    accounts.teams.setdefault(team, Account())
+    if _void_entries(accounts, team, float(math.ceil(offset))):
         _own_entry(accounts, team)
 
 
+def _void_entries(accounts: ServiceAccounts, team: str, offset: float) -> bool:
+    """Voids what counts from a lower offset, but for own work in flight."""
+    account = accounts.teams[team]
+    if offset <= account.offset:
+        return False
+    own = account.entries.get(accounts.label)
+    account.offset = offset
+    account.entries.clear()
+    account.total = 0.0
+    if own is not None:
+        own.served = 0.0
+        account.entries[accounts.label] = own
+        account.total = own.reserved
+        if own.reserved:
+            _own_entry(accounts, team)
+    return True
+
+
+def compute_reserved(accounts: ServiceAccounts, team: str) -> float:
+    """Computes a team's reserved units, over all sidecars."""
+    account = accounts.teams.get(team)
+    if account is None:
+        return 0.0
+    return sum(entry.reserved for entry in account.entries.values())
+
+
+def drop_account(accounts: ServiceAccounts, team: str) -> None:
+    """Forgets an account."""
+    accounts.teams.pop(team, None)
+    accounts.unsent.discard(team)
+
+
 def compute_key(accounts: ServiceAccounts, team: str, weight: float) -> float:
     """Computes a team's order key: the least is served next.
 
@@ -122,7 +171,7 @@
         weight: The team's weight.
 
     Returns:
-        Units served and reserved per weight, plus the team's offset.
+        The team's offset plus units served and reserved since, per weight.
 
     Example:
         >>> accounts = ServiceAccounts("engine-1/1")
@@ -133,7 +182,7 @@
     account = accounts.teams.get(team)
     if account is None:
         return 0.0
-    return account.total / weight + account.offset
+    return account.offset + account.total / weight
 
 
 def merge_entries(
@@ -147,8 +196,9 @@
     """
     for received in entries:
         account = accounts.teams.setdefault(received.team, Account())
-        account.offset = max(account.offset, received.offset)
-        if received.label == accounts.label:
+        _void_entries(accounts, received.team, received.offset)
+        outdated = received.offset < account.offset
+        if outdated or received.label == accounts.label:
             continue
         entry = account.entries.setdefault(received.label, Entry())
         if received.sequence <= entry.sequence:
@@ -167,7 +217,7 @@
 
     Args:
         accounts: The accounts.
-        teams: Teams whose entries are wanted.
+        teams: Teams whose entries are wanted; unknown ones are left out.
         own_only: Whether to leave out the entries of other owners.
 
     Returns:
@@ -183,6 +233,7 @@
             offset=accounts.teams[team].offset,
         )
         for team in teams
+        if team in accounts.teams
         for label, entry in accounts.teams[team].entries.items()
         if label == accounts.label or not own_only
     ]
--- a/sycamorefall/sharing/choice.py
+++ b/sycamorefall/sharing/choice.py
@@ -1,15 +1,24 @@
 """The choice of the team that is served next."""
 
-__all__ = ["Fairness", "choose_team", "lift_team"]
+__all__ = [
+    "Fairness",
+    "choose_team",
+    "drop_idle_accounts",
+    "lift_team",
+]
 
 from collections.abc import Callable, Collection
 import dataclasses
+import itertools
 
 from sycamorefall.sharing import accounts as accounts_module
 
 Weigh = Callable[[str], float]
 """Gives a team's weight."""
 
+SWEEP = 256
+"""Accounts looked at in one go when those of idle teams are dropped."""
+
 
 @dataclasses.dataclass(slots=True)
 class Fairness:
@@ -18,12 +27,12 @@
     Attributes:
         floor: Least order key among waiting teams, when last looked at;
             never falls.
-        horizon: Order keys more than this above the floor count as equal, so
-            that a team that got ahead during a partition isn't shut out.
+        horizon: Cost units by which a waiting team may be ahead of another;
+            see `limit_lead`.
     """
 
     floor: float = 0.0
-    horizon: float = 100_000.0
+    horizon: float = float("inf")
 
 
 def choose_team(
@@ -36,7 +45,7 @@
 
     Args:
         fairness: State of the choice; its floor may rise.
-        accounts: The service's accounts.
+        accounts: The service's accounts; teams far behind may be lifted.
         waiting: Teams with work waiting.
         weigh: Gives a team's weight.
 
@@ -49,10 +58,32 @@
         team: accounts_module.compute_key(accounts, team, weigh(team))
         for team in waiting
     }
+    _limit_lead(fairness, accounts, keys, weigh)
     least = min(keys.values())
     fairness.floor = max(fairness.floor, least)
-    ceiling = fairness.floor + fairness.horizon
-    return min(keys, key=lambda team: (min(keys[team], ceiling), team))
+    return min(keys, key=lambda team: (keys[team], team))
+
+
+def _limit_lead(
+    fairness: Fairness,
+    accounts: accounts_module.ServiceAccounts,
+    keys: dict[str, float],
+    weigh: Weigh,
+) -> None:
+    """Lifts the teams that are further behind than the horizon.
+
+    Guards against a team that was served alone during a partition and would
+    then be shut out until all others have caught up with it, for as long as
+    the partition lasted times the number of teams. What the others are
+    behind by more than the horizon is forgiven, so the leader pays back at
+    most the horizon.
+    """
+    top, leader = max((key, team) for team, key in keys.items())
+    ceiling = top - fairness.horizon / weigh(leader)
+    behind = [team for team, key in keys.items() if key < ceiling]
+    for team in behind:
+        _lift_to(accounts, team, ceiling, weigh(team))
+        keys[team] = accounts_module.compute_key(accounts, team, weigh(team))
 
 
 def lift_team(
@@ -74,8 +105,48 @@
     """
     key = accounts_module.compute_key(accounts, team, weight)
     if key < fairness.floor:
-        account = accounts.teams.get(team)
-        offset = account.offset if account else 0.0
-        accounts_module.raise_offset(
-            accounts, team, offset + fairness.floor - key
-        )
+        _lift_to(accounts, team, fairness.floor, weight)
+
+
+def _lift_to(
+    accounts: accounts_module.ServiceAccounts,
+    team: str,
+    key: float,
+    weight: float,
+) -> None:
+    """Lifts a team's order key, what is reserved for it included."""
+    reserved = accounts_module.compute_reserved(accounts, team)
+    accounts_module.raise_offset(accounts, team, key - reserved / weight)
+
+
+def drop_idle_accounts(
+    fairness: Fairness,
+    accounts: accounts_module.ServiceAccounts,
+    waiting: Collection[str],
+    weigh: Weigh,
+    most_entries: int,
+) -> None:
+    """Drops accounts that say nothing, a part of them at each call.
+
+    A team without work whose order key is not above the floor will be lifted
+    to the floor when it returns, whatever its account says. Accounts of
+    teams that always have work are counted anew when they hold the entries
+    of many processes that are gone.
+
+    Args:
+        fairness: State of the choice.
+        accounts: The service's accounts; changed.
+        waiting: Teams with work waiting.
+        weigh: Gives a team's weight.
+        most_entries: Entries that an account may hold.
+    """
+    for team in list(itertools.islice(accounts.teams, SWEEP)):
+        account = accounts.teams.pop(team)
+        accounts.teams[team] = account
+        key = accounts_module.compute_key(accounts, team, weigh(team))
+        reserved = accounts_module.compute_reserved(accounts, team)
+        is_idle = team not in waiting and reserved < 1.0
+        if is_idle and key <= fairness.floor:
+            accounts_module.drop_account(accounts, team)
+        elif len(account.entries) > most_entries:
+            _lift_to(accounts, team, key, weigh(team))
--- a/sycamorefall/sharing/estimates.py
+++ b/sycamorefall/sharing/estimates.py
@@ -1,6 +1,11 @@
 """Estimates of a request's cost, from the team's own recent requests."""
 
-__all__ = ["CostEstimates", "estimate_cost", "note_cost"]
+__all__ = [
+    "CostEstimates",
+    "compute_horizon",
+    "estimate_cost",
+    "note_cost",
+]
 
 import dataclasses
 
@@ -8,13 +13,20 @@
 """Weight of the newest cost in the mean."""
 
 
+HORIZON_REQUESTS = 512
+"""Mean requests by which a team may be ahead of another that waits."""
+
+MOST_TEAMS = 4096
+"""Teams whose costs are remembered; the one served longest ago goes first."""
+
+
 @dataclasses.dataclass(slots=True)
 class CostEstimates:
     """Mean costs at one service.
 
     Attributes:
         overall: Mean over all teams; 0 while nothing has ended.
-        teams: Mean of each team's recent requests.
+        teams: Mean of each team's recent requests, the last served last.
     """
 
     overall: float = 0.0
@@ -29,8 +41,10 @@
         team: Whose request it was.
         units: Its cost.
     """
-    known = estimates.teams.get(team, units)
+    known = estimates.teams.pop(team, units)
     estimates.teams[team] = known + SMOOTHING * (units - known)
+    if len(estimates.teams) > MOST_TEAMS:
+        del estimates.teams[next(iter(estimates.teams))]
     overall = estimates.overall or units
     estimates.overall = overall + SMOOTHING * (units - overall)
 
@@ -42,3 +56,12 @@
         Cost units: the team's mean, else the mean of all, else 0.
     """
     return estimates.teams.get(team, estimates.overall)
+
+
+def compute_horizon(estimates: CostEstimates) -> float:
+    """Computes how far a team may get ahead of another that waits.
+
+    Returns:
+        Cost units; unlimited while no cost is known.
+    """
+    return HORIZON_REQUESTS * estimates.overall or float("inf")
--- /dev/null
+++ b/sycamorefall/sharing/tests/test_choice.py
@@ -0,0 +1,134 @@
+"""The choice of the next team: nobody starves, nobody saves up service."""
+
+import hypothesis
+from hypothesis import strategies as st
+
+from sycamorefall import sharing
+from sycamorefall.sharing import estimates
+
+
+def choose(fairness, accounts, waiting):
+    return sharing.choose_team(fairness, accounts, waiting, lambda team: 1.0)
+
+
+@hypothesis.given(
+    costs=st.lists(st.integers(1, 100), min_size=200, max_size=200),
+    sidecars=st.integers(1, 4),
+    exchange=st.integers(1, 6),
+    flood=st.integers(1, 5),
+)
+def test_no_backlogged_team_starves_under_any_flood(
+    costs, sidecars, exchange, flood
+):
+    # A small mill waits without end while a large member floods: the choice
+    # must come back to the mill, however costs fall and accounts lag.
+    views = [sharing.ServiceAccounts(f"engine-{i}/1") for i in range(sidecars)]
+    states = [sharing.Fairness() for _ in views]
+    teams = ["mill", *(f"flood-{i}" for i in range(flood))]
+    since = dict.fromkeys(teams, 0)
+    served = dict.fromkeys(teams, 0.0)
+    for turn, cost in enumerate(costs):
+        index = turn % sidecars
+        team = choose(states[index], views[index], teams)
+        sharing.charge_team(views[index], team, float(cost))
+        served[team] += cost
+        since = {name: passed + 1 for name, passed in since.items()}
+        since[team] = 0
+        if turn % exchange == 0:
+            for view in views:
+                entries = sharing.list_entries(view, view.teams)
+                for other in views:
+                    sharing.merge_entries(other, entries)
+        # What can pass unseen is one largest request per sidecar and what
+        # is chosen between two exchanges; each may cost 100 times the least.
+        unseen = 100 * (sidecars + exchange)
+        assert max(served.values()) - min(served.values()) <= 2 * unseen
+        assert max(since.values()) <= 2 * unseen * len(teams)
+
+
+def test_team_that_was_idle_has_not_saved_up_service():
+    accounts = sharing.ServiceAccounts("engine-1/1")
+    fairness = sharing.Fairness()
+    for _ in range(100):
+        sharing.charge_team(accounts, choose(fairness, accounts, ["a"]), 10.0)
+    choose(fairness, accounts, ["a"])
+    sharing.lift_team(fairness, accounts, "idle", 1.0)
+    turns = []
+    for _ in range(20):
+        turns.append(choose(fairness, accounts, ["a", "idle"]))
+        sharing.charge_team(accounts, turns[-1], 10.0)
+    assert turns.count("a") == turns.count("idle") == 10
+
+
+def test_team_far_ahead_after_a_partition_pays_back_at_most_the_horizon():
+    # A partition leaves one member alone with half of the upstreams. When it
+    # heals, that member's clerks must not wait until every other team has
+    # caught up with all it got meanwhile.
+    accounts = sharing.ServiceAccounts("engine-1/1")
+    fairness = sharing.Fairness(horizon=500.0)
+    sharing.charge_team(accounts, "ahead", 1_000_000.0)
+    teams = ["ahead", "mill-a", "mill-b"]
+    turns = []
+    while not turns or turns[-1] != "ahead":
+        turns.append(choose(fairness, accounts, teams))
+        sharing.charge_team(accounts, turns[-1], 10.0)
+    assert 500 / 10 <= turns.count("mill-a") <= 500 / 10 + 1
+
+
+def test_lead_within_the_horizon_is_paid_back_in_full():
+    accounts = sharing.ServiceAccounts("engine-1/1")
+    fairness = sharing.Fairness(horizon=500.0)
+    sharing.charge_team(accounts, "ahead", 400.0)
+    choose(fairness, accounts, ["ahead", "mill"])
+    assert sharing.compute_key(accounts, "mill", 1.0) == 0.0
+
+
+def test_horizon_follows_the_costs_seen():
+    seen = sharing.CostEstimates()
+    assert estimates.compute_horizon(seen) == float("inf")
+    sharing.note_cost(seen, "mill-a", 20.0)
+    expected = 20.0 * estimates.HORIZON_REQUESTS
+    assert estimates.compute_horizon(seen) == expected
+
+
+def sweep(fairness, accounts, waiting, most_entries=10, times=1):
+    for _ in range(times):
+        sharing.drop_idle_accounts(
+            fairness, accounts, waiting, lambda team: 1.0, most_entries
+        )
+
+
+def test_accounts_of_idle_teams_are_dropped_and_others_kept():
+    # Memory grows for weeks, as each of 31,000 teams has called once.
+    accounts = sharing.ServiceAccounts("engine-1/1")
+    for number in range(1000):
+        sharing.charge_team(accounts, f"team-{number}", 10.0)
+    sharing.charge_team(accounts, "ahead", 900.0)
+    sharing.reserve_units(accounts, "in-flight", 5.0)
+    fairness = sharing.Fairness(floor=100.0)
+    sweep(fairness, accounts, {"team-7"}, times=8)
+    assert accounts.teams.keys() == {"team-7", "ahead", "in-flight"}
+    assert accounts.unsent == accounts.teams.keys()
+
+
+def test_entries_of_processes_that_are_gone_do_not_pile_up():
+    # A team that always has work is never idle: each restart of a sidecar
+    # would leave one more entry in its account for ever.
+    accounts = sharing.ServiceAccounts("engine-1/1")
+    for number in range(30):
+        gone = sharing.ServiceAccounts(f"engine-2/{number}")
+        sharing.charge_team(gone, "busy", 10.0)
+        sharing.merge_entries(accounts, sharing.list_entries(gone, ["busy"]))
+    sharing.reserve_units(accounts, "busy", 5.0)
+    before = sharing.compute_key(accounts, "busy", 1.0)
+    sweep(sharing.Fairness(), accounts, {"busy"})
+    assert len(accounts.teams["busy"].entries) == 1
+    assert sharing.compute_key(accounts, "busy", 1.0) == before
+
+
+def test_costs_of_teams_not_seen_for_long_are_forgotten():
+    seen = sharing.CostEstimates()
+    for number in range(estimates.MOST_TEAMS + 5):
+        sharing.note_cost(seen, f"team-{number}", 10.0)
+    assert len(seen.teams) == estimates.MOST_TEAMS
+    assert "team-0" not in seen.teams
--- a/sycamorefall/sidecar/claiming.py
+++ b/sycamorefall/sidecar/claiming.py
@@ -1,6 +1,12 @@
 """A sidecar's claims: which team's request it asks which router for."""
 
-__all__ = ["find_weight", "make_claims", "release_expired", "release_no_work"]
+__all__ = [
+    "drop_idle_accounts",
+    "find_weight",
+    "make_claims",
+    "release_expired",
+    "release_no_work",
+]
 
 from sycamorefall import (
     admission,
@@ -97,6 +103,28 @@
 
 
 def release_expired(state: state_module.SidecarState, now: float) -> None:
-    """Ends claims whose lease is over."""
+    """Ends claims whose lease is over.
+
+    Guards against a router that failed or is cut off with work announced:
+    each of its requests would be claimed in turn and hold a slot for a whole
+    lease, while other routers' work waits. A router that answers a claim
+    late announces its work again before long.
+
+    Args:
+        state: The sidecar; changed.
+        now: This process's time.
+    """
     for claim in dispatch.expire_claims(state.claims, now):
         sharing.reserve_units(state.accounts, claim.team, -claim.reserved)
+        demand_module.drop_router(state.demand, claim.router)
+
+
+def drop_idle_accounts(state: state_module.SidecarState) -> None:
+    """Drops accounts that the choice of teams doesn't need."""
+    sharing.drop_idle_accounts(
+        state.fairness,
+        state.accounts,
+        state.demand.teams,
+        lambda name: find_weight(state, name),
+        most_entries=2 * len(state.directory.vms),
+    )
--- a/sycamorefall/sidecar/core.py
+++ b/sycamorefall/sidecar/core.py
@@ -120,6 +120,7 @@
     if now >= state.next_heartbeat:
         state.next_heartbeat = now + HEARTBEAT_INTERVAL
         outcomes.expire_records(state.outcomes, now)
+        claiming.drop_idle_accounts(state)
         due += _send_heartbeats(state)
     if now >= state.next_exchange and state.accounts.unsent:
         state.next_exchange = now + EXCHANGE_INTERVAL
--- a/sycamorefall/sidecar/running.py
+++ b/sycamorefall/sidecar/running.py
@@ -86,6 +86,7 @@
         return
     sharing.reserve_units(state.accounts, run.team, -run.reserved)
     sharing.note_cost(state.estimates, run.team, run.charged)
+    state.fairness.horizon = sharing.compute_horizon(state.estimates)
     outcomes.record_outcome(
         state.outcomes, now, attempt_id, messages.AttemptState.FINISHED
     )
