Count control bytes by kind of message on an event queue

Cause sought: the demo measures 25.0 KB/s of control traffic per node and the budget is 7 KB/s. `make bench-control` runs the real cores on an event queue, encodes every message and counts it at both ends, 8 bytes of framing each, in the second half of 8 s.

--- /dev/null
+++ b/benchmarks/__init__.py
@@ -0,0 +1,1 @@
+"""Benchmarks: the decision cores driven by an event queue, no sockets."""
--- /dev/null
+++ b/benchmarks/control.py
@@ -0,0 +1,72 @@
+"""Measures control bytes per node and second, and how they grow.
+
+Prints one JSON object a line: a row per case.
+"""
+
+import json
+import statistics
+import sys
+
+from benchmarks import events
+
+CASES = {
+    "demo, unloaded": events.Case(
+        routers=2, sidecars=5, services=2, teams=4, rate=60, slots=4, work=0.1
+    ),
+    "demo, overloaded": events.Case(
+        routers=2, sidecars=5, services=2, teams=4, rate=198, slots=4, work=0.15
+    ),
+    "association, 0.25": events.Case(rate=40, work=0.5),
+    "association, 0.9": events.Case(rate=72, work=1.0),
+    "association, 1.25": events.Case(rate=100, work=1.0),
+}
+"""Cases at today's sizes; the numbers are shares of capacity."""
+
+
+def summarize(case: events.Case, counts: events.Counts) -> dict:
+    """Computes a run's figures, bytes per node and second."""
+    seconds = case.seconds / 2
+    total = counts.sent + counts.received
+    routers = [
+        total[f"router-{index}"] / seconds for index in range(case.routers)
+    ]
+    sidecars = [
+        total[f"upstream-{index}"] / seconds for index in range(case.sidecars)
+    ]
+    kinds = {
+        kind: round(2 * size / (case.routers + case.sidecars) / seconds, 1)
+        for kind, size in counts.kinds.most_common()
+    }
+    waits = sorted(counts.waits) or [0.0]
+    return {
+        "routers": case.routers,
+        "sidecars": case.sidecars,
+        "services": case.services,
+        "teams": case.teams,
+        "rate": case.rate,
+        "bytes_per_node_s": round(statistics.mean(routers + sidecars), 1),
+        "router_bytes_s": round(statistics.mean(routers), 1),
+        "router_bytes_s_max": round(max(routers), 1),
+        "sidecar_bytes_s": round(statistics.mean(sidecars), 1),
+        "sidecar_bytes_s_max": round(max(sidecars), 1),
+        "started": len(counts.waits),
+        "wait_trips_p50": round(waits[len(waits) // 2] / events.TRIP, 1),
+        "wait_trips_p95": round(waits[int(len(waits) * 0.95)] / events.TRIP, 1),
+        "by_kind": kinds,
+    }
+
+
+def measure(case: events.Case) -> dict:
+    """Runs a case and computes its figures."""
+    return summarize(case, events.World(case).run())
+
+
+def main() -> int:
+    """Runs all cases; returns the exit status."""
+    for name, case in CASES.items():
+        print(json.dumps({"case": name} | measure(case)), flush=True)
+    return 0
+
+
+if __name__ == "__main__":
+    sys.exit(main())
