Offer fresh requests to hinted room; announce in batches within a budget

Cause: below capacity each request cost one announcement of one waiting request and one of none to every sidecar, a claim of each of them, and an answer "no work" to all but one.

Change: heartbeats of a sidecar carry its free slots while it knows of nothing to claim, and one more is sent when it becomes so, within 500 B/s. A router hands a fresh request to the better of two hinted sidecars chosen by seed, as an unclaimed attempt; the sidecar takes it only with room and if no team it knows to wait received less. Nothing is offered while something of the service waits at the router that sidecars were told of or that came back refused. Announcements are collected per turn of the loop and stay within 1,200 B/s, but for the first word on a team's work. Message tags are one letter; ages are whole milliseconds; heartbeats of routers every 2 s, of sidecars every 1 s and to routers only; SUSPECT_AFTER goes from 2 to 3 s for that, which still is three heartbeats.

Tried and ruled out: the first word on a team's work held back by the budget too.

Conclusion: an unloaded request takes one hop and no control message.

--- a/sycamorefall/membership/directory.py
+++ b/sycamorefall/membership/directory.py
@@ -19,7 +19,7 @@
 
 import msgspec
 
-SUSPECT_AFTER = 2.0
+SUSPECT_AFTER = 3.0
 """Seconds without a message after which a peer gets nothing new."""
 
 
--- a/sycamorefall/messages.py
+++ b/sycamorefall/messages.py
@@ -8,6 +8,7 @@
     "ATTEMPT_PATH",
     "ORDER_HEADER",
     "OUTCOME_HEADER",
+    "UNCLAIMED",
     "AccountEntry",
     "AccountUpdate",
     "AttemptOrder",
@@ -46,6 +47,10 @@
 """Header of a sidecar's answer in place of the upstream's: an `Outcome`."""
 
 
+UNCLAIMED = 0
+"""Claim number of an offer: a hand-out that nobody claimed."""
+
+
 class Outcome(enum.Enum):
     """Why a sidecar answers a hand-out without the upstream's answer.
 
@@ -68,10 +73,17 @@
     FINISHED = "finished"
 
 
-class Heartbeat(msgspec.Struct, frozen=True, array_like=True, tag="heartbeat"):
-    """Says that the sender lives, and whether it takes new work."""
+class Heartbeat(msgspec.Struct, frozen=True, array_like=True, tag="h"):
+    """Says that the sender lives, and whether it takes new work.
+
+    Attributes:
+        stopping: Whether the sender takes nothing new.
+        room: Of a sidecar: slots that are free and that it knows no work
+            for, a hint for routers; 0 of a router.
+    """
 
     stopping: bool = False
+    room: int = 0
 
 
 class TeamWaiting(msgspec.Struct, frozen=True, array_like=True):
@@ -80,15 +92,15 @@
     Attributes:
         team: The team's name.
         count: Waiting requests.
-        oldest_age: Seconds the oldest of them has waited.
+        oldest_ms: Milliseconds the oldest of them has waited.
     """
 
     team: str
     count: int
-    oldest_age: float
+    oldest_ms: int
 
 
-class Waiting(msgspec.Struct, frozen=True, array_like=True, tag="waiting"):
+class Waiting(msgspec.Struct, frozen=True, array_like=True, tag="w"):
     """A router tells which teams of a service have work waiting with it.
 
     Attributes:
@@ -104,7 +116,7 @@
     complete: bool
 
 
-class Claim(msgspec.Struct, frozen=True, array_like=True, tag="claim"):
+class Claim(msgspec.Struct, frozen=True, array_like=True, tag="c"):
     """A sidecar asks a router for one request of a team.
 
     The claim is a lease: the sidecar refuses an attempt that arrives after
@@ -117,7 +129,7 @@
     lease: float
 
 
-class NoWork(msgspec.Struct, frozen=True, array_like=True, tag="no_work"):
+class NoWork(msgspec.Struct, frozen=True, array_like=True, tag="n"):
     """A router's answer to a claim when the team has nothing waiting."""
 
     claim_id: int
@@ -145,22 +157,20 @@
     offset: float
 
 
-class AccountUpdate(
-    msgspec.Struct, frozen=True, array_like=True, tag="account"
-):
+class AccountUpdate(msgspec.Struct, frozen=True, array_like=True, tag="a"):
     """Account entries of a service, the sender's own or passed on."""
 
     service: str
     entries: tuple[AccountEntry, ...]
 
 
-class AttemptQuery(msgspec.Struct, frozen=True, array_like=True, tag="query"):
+class AttemptQuery(msgspec.Struct, frozen=True, array_like=True, tag="q"):
     """A router asks what became of an attempt whose answer broke off."""
 
     attempt_id: str
 
 
-class AttemptReport(msgspec.Struct, frozen=True, array_like=True, tag="report"):
+class AttemptReport(msgspec.Struct, frozen=True, array_like=True, tag="r"):
     """A sidecar's answer to a query."""
 
     attempt_id: str
@@ -201,7 +211,7 @@
 
     Attributes:
         attempt_id: Unique over all routers, incarnations and attempts.
-        claim_id: The claim this attempt answers.
+        claim_id: The claim this attempt answers, or `UNCLAIMED`.
         router: VM name of the router.
         incarnation: The router's incarnation.
         service: The service.
--- a/sycamorefall/router/announcement.py
+++ b/sycamorefall/router/announcement.py
@@ -1,78 +1,222 @@
 """Announcements of waiting work from a router to the sidecars."""
 
-__all__ = ["DIGEST_INTERVAL", "announce_all", "announce_team"]
-
-from sycamorefall import effects, membership, messages
+__all__ = [
+    "DIGEST_INTERVAL",
+    "announce_all",
+    "announce_changes",
+    "announce_team",
+    "announce_to",
+    "find_next_announcement",
+    "find_next_digest",
+]
+
+import itertools
+
+from sycamorefall import effects, membership, messages, sharing
 from sycamorefall.router import state as state_module
 from sycamorefall.sharing import queues
 
-DIGEST_INTERVAL = 0.5
-"""Seconds between complete announcements, which repair lost ones."""
+DIGEST_INTERVAL = 1.0
+"""Least seconds between complete announcements, which repair lost ones."""
+
+DIGEST_SHARE = 0.25
+"""Most of the budget for announcements that complete ones may take."""
+
+URGENT_OVERDRAFT = 6000.0
+"""Bytes by which the first word on a team's work may overdraw the budget."""
+
+HEAD_BYTES = 40
+"""Size of an announcement without its teams, framing included."""
+
+TEAM_BYTES = 16
+"""Size of one team's entry."""
 
 
 def announce_team(
     state: state_module.RouterState, now: float, service: str, team: str
 ) -> list[effects.Send]:
-    """Announces a team's waiting work if it changed enough to matter.
+    """Notes that a team's waiting work changed.
 
-    Told are the change between none and some, and each doubling; sidecars
-    count down by themselves as they claim.
+    Nothing is sent yet: `announce_changes` does that, once what came in
+    together has been taken in and the budget allows.
 
     Args:
-        state: The router; what was announced is noted.
+        state: The router; changed.
         now: This process's time.
         service: The service.
         team: The team.
 
     Returns:
-        Messages to send.
+        No messages.
     """
+    key = service, team
     count = queues.count_waiting(state.waiting, service, team)
-    announced = state.announced.get((service, team), 0)
-    if count == announced or 0 < count < 2 * announced:
-        return []
+    left = state.counted.get(key, 0) - count
+    if left > 0 and key in state.announced:
+        state.announced[key] = max(0, state.announced[key] - left)
+    _set_or_drop(state.counted, key, count)
+    state.changed.add(key)
+    if left < 0:
+        state.fresh.add(service)
+    return []
+
+
+def _set_or_drop(counts: dict, key: tuple[str, str], count: int) -> None:
     if count:
-        state.announced[service, team] = count
+        counts[key] = count
     else:
-        del state.announced[service, team]
-    entry = _describe_team(state, now, service, team)
-    return _send_waiting(state, now, service, (entry,), complete=False)
+        counts.pop(key, None)
+
+
+def find_next_announcement(state: state_module.RouterState) -> float:
+    """Tells when `announce_changes` may send something next."""
+    if any(_is_urgent(state, key) for key in state.changed):
+        return sharing.find_opening(state.announcing, URGENT_OVERDRAFT)
+    if state.changed:
+        return sharing.find_opening(state.announcing)
+    return float("inf")
+
+
+def _is_urgent(state: state_module.RouterState, key: tuple[str, str]) -> bool:
+    """Tells whether work waits that no sidecar may know of any more.
+
+    Guards a team that seldom has work against the announcements of others:
+    were it to wait until the budget has recovered from them, it would be
+    served late and the flooding teams in its place.
+    """
+    waits = queues.count_waiting(state.waiting, *key) > 0
+    return waits and not state.announced.get(key)
+
+
+def announce_changes(
+    state: state_module.RouterState, now: float
+) -> list[effects.Send]:
+    """Announces the teams whose waiting work changed enough to matter.
+
+    Told are the change between none and some, and each doubling; sidecars
+    count down by themselves as they claim. Over the budget, changes wait and
+    are told together; one that was undone meanwhile is not told at all.
+
+    Args:
+        state: The router; what was announced is noted.
+        now: This process's time.
+
+    Returns:
+        Messages to send.
+    """
+    telling = sorted(key for key in state.changed if _is_news(state, key))
+    state.changed.clear()
+    if telling and not state.told:
+        state.next_digest = max(state.next_digest, now + DIGEST_INTERVAL)
+    sends: list[effects.Send] = []
+    for service, keys in itertools.groupby(telling, lambda key: key[0]):
+        teams = [team for _, team in keys]
+        sends += _announce_teams(state, now, service, teams, complete=False)
+    return sends
+
+
+def _is_news(state: state_module.RouterState, key: tuple[str, str]) -> bool:
+    count = queues.count_waiting(state.waiting, *key)
+    if count == 0:
+        return key in state.told
+    return count >= 2 * state.announced.get(key, 0)
+
+
+def find_next_digest(state: state_module.RouterState) -> float:
+    """Tells when `announce_all` is due next; never while nothing waits."""
+    if not state.told and not state.waiting.queues:
+        return float("inf")
+    return max(state.next_digest, sharing.find_opening(state.announcing))
 
 
 def announce_all(
-    state: state_module.RouterState,
-    now: float,
-    only_to: str | None = None,
+    state: state_module.RouterState, now: float
 ) -> list[effects.Send]:
-    """Announces all waiting work.
+    """Announces all waiting work, to repair what was lost on the way.
 
     Args:
         state: The router; what was announced is noted.
         now: This process's time.
-        only_to: VM name of the one sidecar to tell; all if None.
 
     Returns:
         Messages to send.
     """
+    told = {service for service, _ in state.told}
     sends: list[effects.Send] = []
-    services = set(state.waiting.queues) | {
-        service for service, _ in state.announced
-    }
-    for service in services:
+    for service in sorted(set(state.waiting.queues) | told):
         teams = state.waiting.queues.get(service, {})
-        entries = tuple(
-            _describe_team(state, now, service, team) for team in teams
-        )
-        sends += _send_waiting(state, now, service, entries, complete=True)
-    if only_to is not None:
-        return [send for send in sends if send.to == only_to]
-    state.announced = {
-        (service, team): queues.count_waiting(state.waiting, service, team)
-        for service, team in queues.list_queues(state.waiting)
-    }
+        sends += _announce_teams(state, now, service, teams, complete=True)
+    cost = sum(_measure_size(send.message) for send in sends)
+    pause = cost / (state.announcing.rate * DIGEST_SHARE)
+    state.next_digest = now + max(DIGEST_INTERVAL, pause)
     return sends
 
 
+def announce_to(
+    state: state_module.RouterState, now: float, sidecar: str
+) -> list[effects.Send]:
+    """Announces all waiting work to one sidecar, if there is any for it.
+
+    Args:
+        state: The router; what is spent is noted.
+        now: This process's time.
+        sidecar: VM name of a sidecar that is new or has nothing to claim.
+
+    Returns:
+        Messages to send.
+    """
+    service = state.directory.vms[sidecar].service
+    teams = state.waiting.queues.get(service)
+    if not teams:
+        return []
+    message = _build_waiting(state, now, service, teams, complete=True)
+    sharing.spend_bytes(state.announcing, now, _measure_size(message))
+    return [effects.Send(sidecar, message)]
+
+
+def _announce_teams(
+    state: state_module.RouterState,
+    now: float,
+    service: str,
+    teams,
+    complete: bool,
+) -> list[effects.Send]:
+    message = _build_waiting(state, now, service, teams, complete)
+    for entry in message.teams:
+        _note_told(state, (service, entry.team), entry.count)
+    if complete:
+        told = {entry.team for entry in message.teams}
+        for key in [key for key in state.told if key[0] == service]:
+            if key[1] not in told:
+                _note_told(state, key, 0)
+    receivers = membership.select_upstreams(state.directory, now, service)
+    size = _measure_size(message) * len(receivers)
+    sharing.spend_bytes(state.announcing, now, size)
+    return [effects.Send(vm.name, message) for vm in receivers]
+
+
+def _note_told(
+    state: state_module.RouterState, key: tuple[str, str], count: int
+) -> None:
+    _set_or_drop(state.announced, key, count)
+    if count:
+        state.told.add(key)
+    else:
+        state.told.discard(key)
+
+
+def _build_waiting(
+    state: state_module.RouterState,
+    now: float,
+    service: str,
+    teams,
+    complete: bool,
+) -> messages.Waiting:
+    state.announcements += 1
+    entries = tuple(_describe_team(state, now, service, team) for team in teams)
+    return messages.Waiting(service, state.announcements, entries, complete)
+
+
 def _describe_team(
     state: state_module.RouterState, now: float, service: str, team: str
 ) -> messages.TeamWaiting:
@@ -80,20 +224,9 @@
     return messages.TeamWaiting(
         team=team,
         count=queues.count_waiting(state.waiting, service, team),
-        oldest_age=0.0 if oldest is None else now - oldest,
+        oldest_ms=0 if oldest is None else round((now - oldest) * 1000),
     )
 
 
-def _send_waiting(
-    state: state_module.RouterState,
-    now: float,
-    service: str,
-    teams: tuple[messages.TeamWaiting, ...],
-    complete: bool,
-) -> list[effects.Send]:
-    state.announcements += 1
-    message = messages.Waiting(service, state.announcements, teams, complete)
-    return [
-        effects.Send(vm.name, message)
-        for vm in membership.select_upstreams(state.directory, now, service)
-    ]
+def _measure_size(message: messages.Waiting) -> int:
+    return HEAD_BYTES + TEAM_BYTES * len(message.teams)
--- a/sycamorefall/router/core.py
+++ b/sycamorefall/router/core.py
@@ -5,12 +5,12 @@
 import heapq
 
 from sycamorefall import effects, errors, membership, messages
-from sycamorefall.router import announcement, handout, intake
+from sycamorefall.router import announcement, handout, hints, intake, offering
 from sycamorefall.router import effects as router_effects
 from sycamorefall.router import state as state_module
 
-HEARTBEAT_INTERVAL = 0.5
-"""Seconds between heartbeats."""
+HEARTBEAT_INTERVAL = 2.0
+"""Seconds between heartbeats; sidecars need them only to greet a router."""
 
 
 def begin_stop(state: state_module.RouterState) -> None:
@@ -43,8 +43,10 @@
     is_new = membership.note_heartbeat(
         state.directory, now, sender, incarnation, stopping
     )
-    news = announcement.announce_all(state, now, sender) if is_new else []
+    news = _greet(state, now, sender) if is_new else []
     match message:
+        case messages.Heartbeat():
+            news += _take_hint(state, now, envelope, message)
         case messages.Claim():
             news += handout.answer_claim(
                 state, now, sender, incarnation, message
@@ -56,6 +58,29 @@
     return news
 
 
+def _greet(
+    state: state_module.RouterState, now: float, sidecar: str
+) -> list[router_effects.Effect]:
+    """Answers a process that is new, so that both know of each other."""
+    beat = messages.Heartbeat(state.stopping)
+    news = announcement.announce_to(state, now, sidecar)
+    return [effects.Send(sidecar, beat), *news]
+
+
+def _take_hint(
+    state: state_module.RouterState,
+    now: float,
+    envelope: messages.Envelope,
+    beat: messages.Heartbeat,
+) -> list[router_effects.Effect]:
+    """Takes over a sidecar's hint; one that has room learns what waits."""
+    sidecar = envelope.sender
+    service = state.directory.vms[sidecar].service
+    room = 0 if beat.stopping else beat.room
+    hints.note_hint(state, service, sidecar, envelope.incarnation, room)
+    return announcement.announce_to(state, now, sidecar) if room else []
+
+
 def run_timers(
     state: state_module.RouterState, now: float
 ) -> list[router_effects.Effect]:
@@ -75,8 +100,10 @@
     if now >= state.next_heartbeat:
         state.next_heartbeat = now + HEARTBEAT_INTERVAL
         due += _send_heartbeats(state)
-    if now >= state.next_digest:
-        state.next_digest = now + announcement.DIGEST_INTERVAL
+    due += offering.offer_fresh(state, now)
+    if now >= announcement.find_next_announcement(state):
+        due += announcement.announce_changes(state, now)
+    if now >= announcement.find_next_digest(state):
         due += announcement.announce_all(state, now)
     return due
 
@@ -85,7 +112,15 @@
     """Tells when `run_timers` has something to do next."""
     asking = (request.attempt.ask_next for request in _list_asking(state))
     deadlines = (entry[0] for entry in state.deadlines[:1])
-    return min(state.next_heartbeat, state.next_digest, *asking, *deadlines)
+    offers = [0.0] if state.fresh else []
+    return min(
+        state.next_heartbeat,
+        announcement.find_next_announcement(state),
+        announcement.find_next_digest(state),
+        *asking,
+        *deadlines,
+        *offers,
+    )
 
 
 def _list_asking(
--- a/sycamorefall/router/handout.py
+++ b/sycamorefall/router/handout.py
@@ -5,6 +5,7 @@
     "answer_claim",
     "ask_again",
     "end_attempt",
+    "offer_request",
     "take_report",
 ]
 
@@ -18,7 +19,7 @@
     messages,
     sharing,
 )
-from sycamorefall.router import announcement, intake
+from sycamorefall.router import announcement, hints, intake
 from sycamorefall.router import effects as router_effects
 from sycamorefall.router import state as state_module
 
@@ -134,6 +135,30 @@
     return router_effects.HandOut(request.number, sidecar, order)
 
 
+def offer_request(
+    state: state_module.RouterState,
+    now: float,
+    request: state_module.Request,
+    sidecar: str,
+    incarnation: int,
+) -> router_effects.HandOut:
+    """Hands a request that left its queue to a sidecar that didn't claim it.
+
+    Args:
+        state: The router; changed.
+        now: This process's time.
+        request: The request.
+        sidecar: VM name of a sidecar that hinted at free slots.
+        incarnation: Its process.
+
+    Returns:
+        The hand-out; the sidecar may refuse it.
+    """
+    new = request.new
+    unclaimed = messages.Claim(messages.UNCLAIMED, new.service, new.team, 0.0)
+    return _start_attempt(state, now, request, sidecar, incarnation, unclaimed)
+
+
 def end_attempt(
     state: state_module.RouterState,
     now: float,
@@ -156,6 +181,7 @@
     request = state_module.find_request(state, attempt_id)
     if request is None:
         return []
+    hints.note_end(state, request, free=end is AttemptEnd.COMPLETE)
     if end is AttemptEnd.COMPLETE:
         intake.forget_request(state, request.number)
         return []
--- a/sycamorefall/router/state.py
+++ b/sycamorefall/router/state.py
@@ -2,6 +2,7 @@
 
 __all__ = [
     "Attempt",
+    "Hint",
     "NewRequest",
     "Request",
     "RequestState",
@@ -11,6 +12,7 @@
 
 import dataclasses
 import enum
+import random
 
 from sycamorefall import admission, configuration, membership, sharing
 
@@ -48,6 +50,26 @@
     cost_hint: float = 0.0
 
 
+ANNOUNCE_RATE = 1200.0
+"""Bytes per second that a router may send for announcements."""
+
+ANNOUNCE_BURST = 4800.0
+"""Bytes of announcements that a router may save up."""
+
+
+@dataclasses.dataclass(slots=True)
+class Hint:
+    """Free slots of a sidecar, as it last hinted.
+
+    Attributes:
+        incarnation: The sidecar's process.
+        slots: Free slots, less what was offered since.
+    """
+
+    incarnation: int
+    slots: int
+
+
 @dataclasses.dataclass(slots=True)
 class Attempt:
     """A hand-out of a request to a sidecar.
@@ -58,6 +80,7 @@
         incarnation: The sidecar's process when it claimed.
         ask_until: When to give up asking for its outcome.
         ask_next: When to ask again.
+        offered: Whether no claim asked for it.
     """
 
     attempt_id: str
@@ -65,6 +88,7 @@
     incarnation: int
     ask_until: float = 0.0
     ask_next: float = 0.0
+    offered: bool = False
 
 
 @dataclasses.dataclass(slots=True)
@@ -107,7 +131,16 @@
         asking: Numbers of requests whose outcome a sidecar is asked for.
         deadlines: Heap of (deadline, request); may hold answered requests.
         rates: Drain rate by service and team.
-        announced: Last announced count by service and team.
+        announced: What sidecars that claimed believe to wait, by service
+            and team: the last announced count, less what left since.
+        told: Services and teams last announced with something waiting.
+        counted: Count at the last change, by service and team.
+        changed: Services and teams whose count changed and was not looked at
+            for an announcement yet.
+        fresh: Services that a request has just come for.
+        hints: Free slots by service and sidecar.
+        announcing: What may be sent for announcements.
+        chance: Source of random choices.
         announcements: Sequence number of the last announcement.
         last_request: Number of the last request.
         next_heartbeat: When the next heartbeat is due.
@@ -137,6 +170,19 @@
     announced: dict[tuple[str, str], int] = dataclasses.field(
         default_factory=dict
     )
+    told: set[tuple[str, str]] = dataclasses.field(default_factory=set)
+    counted: dict[tuple[str, str], int] = dataclasses.field(
+        default_factory=dict
+    )
+    changed: set[tuple[str, str]] = dataclasses.field(default_factory=set)
+    fresh: set[str] = dataclasses.field(default_factory=set)
+    hints: dict[str, dict[str, Hint]] = dataclasses.field(default_factory=dict)
+    announcing: sharing.ByteBudget = dataclasses.field(
+        default_factory=lambda: sharing.ByteBudget(
+            ANNOUNCE_RATE, ANNOUNCE_BURST, ANNOUNCE_BURST
+        )
+    )
+    chance: random.Random = dataclasses.field(default_factory=random.Random)
     announcements: int = 0
     last_request: int = 0
     next_heartbeat: float = 0.0
@@ -144,6 +190,10 @@
     stopping: bool = False
     late_answers: int = 0
 
+    def __post_init__(self):
+        """Seeds the choices: alike in each run, different at each router."""
+        self.chance.seed(f"{self.vm}/{self.incarnation}")
+
 
 def find_request(state: RouterState, attempt_id: str) -> Request | None:
     """Finds the request whose current attempt this is.
--- /dev/null
+++ b/sycamorefall/router/tests/test_offering.py
@@ -0,0 +1,146 @@
+"""Offers of fresh requests to sidecars that hinted at room."""
+
+import pytest
+
+from sycamorefall import configuration, effects, membership, messages
+from sycamorefall.router import announcement, core, handout, intake
+from sycamorefall.router import effects as router_effects
+from sycamorefall.router import state as state_module
+
+SIDECARS = ("engine-0", "engine-1", "engine-2")
+
+
+@pytest.fixture
+def router():
+    state = state_module.RouterState("router-0", 7)
+    text = "[service assistant]\nkind = engine\nconcurrency = 2\n"
+    configuration.offer_text(state.versions, 1, text)
+    vms = [
+        membership.VmEntry(
+            name, membership.VmRole.UPSTREAM, "d", "", "", "assistant"
+        )
+        for name in SIDECARS
+    ]
+    membership.replace_list(state.directory, membership.VmList(1, tuple(vms)))
+    for name in SIDECARS:
+        hear(state, name, room=0)
+    core.run_timers(state, 0.0)
+    return state
+
+
+def hear(state, sidecar, room, now=0.0, incarnation=1):
+    beat = messages.Heartbeat(room=room)
+    envelope = messages.Envelope(sidecar, incarnation, 1, beat)
+    return core.receive_message(state, now, envelope)
+
+
+def ask(state, team="mill-a", now=0.0):
+    new = state_module.NewRequest("assistant", team, "POST", "/", (), 9.0, True)
+    _, outcome = intake.admit_request(state, now, new)
+    assert outcome == []
+    return split(core.run_timers(state, now))
+
+
+def split(outcome):
+    offers = [e for e in outcome if isinstance(e, router_effects.HandOut)]
+    told = [
+        e.message
+        for e in outcome
+        if isinstance(e, effects.Send)
+        and isinstance(e.message, messages.Waiting)
+    ]
+    return offers, told
+
+
+def test_fresh_request_goes_to_hinted_room_without_control_messages(router):
+    hear(router, "engine-1", room=1)
+    offers, told = ask(router)
+    assert [offer.sidecar for offer in offers] == ["engine-1"]
+    assert offers[0].order.claim_id == messages.UNCLAIMED
+    assert told == []
+
+
+def test_request_beyond_the_hinted_room_is_announced(router):
+    hear(router, "engine-1", room=1)
+    ask(router)
+    offers, told = ask(router, team="mill-b")
+    assert offers == []
+    assert [entry.team for entry in told[0].teams] == ["mill-b"]
+
+
+def test_nothing_is_offered_past_a_team_that_waits(router):
+    # A clerk of mill-a waits, announced; then a sidecar hints at room before
+    # its claim arrives. A newcomer of the flooding team would be offered
+    # that room and overtake the clerk.
+    ask(router, team="mill-a")
+    hear(router, "engine-1", room=1)
+    offers, _ = ask(router, team="flood")
+    assert offers == []
+
+
+def test_refused_offer_waits_and_is_announced_not_offered_again(router):
+    # Two routers offer on the same hint; the second is refused. Offered on
+    # and on, its request would use up its attempts while it never waits in
+    # any team's turn.
+    for name in SIDECARS:
+        hear(router, name, room=2)
+    offers, _ = ask(router)
+    attempt = offers[0].order.attempt_id
+    end = handout.AttemptEnd.REFUSED
+    handout.end_attempt(router, 0.1, attempt, end, answer_begun=False)
+    offers, told = split(core.run_timers(router, 0.1))
+    assert offers == []
+    assert told[0].teams[0].count == 1
+    assert len(router.hints["assistant"]) == 2
+
+
+def test_slot_of_an_ended_offer_is_offered_again(router):
+    hear(router, "engine-2", room=1)
+    offers, _ = ask(router)
+    attempt = offers[0].order.attempt_id
+    end = handout.AttemptEnd.COMPLETE
+    handout.end_attempt(router, 0.1, attempt, end, answer_begun=True)
+    offers, _ = ask(router, now=0.2)
+    assert [offer.sidecar for offer in offers] == ["engine-2"]
+
+
+def test_hint_of_a_silent_sidecar_is_not_used(router):
+    # A VM fails right after its hint; its router would go on offering to it,
+    # and each caller's request would wait for a connection that never opens.
+    hear(router, "engine-1", room=2)
+    later = membership.SUSPECT_AFTER + 0.5
+    hear(router, "engine-0", room=0, now=later)
+    offers, told = ask(router, now=later)
+    assert offers == []
+    assert len(told) == 1
+
+
+def test_offers_spread_over_sidecars_with_equal_room(router):
+    for name in SIDECARS:
+        hear(router, name, room=4)
+    sidecars = [ask(router)[0][0].sidecar for _ in range(12)]
+    assert {sidecars.count(name) for name in SIDECARS} == {4}
+
+
+def test_sidecar_with_room_learns_at_once_what_waits(router):
+    ask(router, team="mill-a")
+    _, told = split(hear(router, "engine-1", room=1))
+    assert told[0].complete
+    assert told[0].teams[0].team == "mill-a"
+
+
+def test_count_that_falls_and_rises_unannounced_is_told_again(router):
+    # The budget is used up while a team's one request leaves by a claim and
+    # another comes. Its count is 1 as announced, but the claiming sidecar
+    # has counted it down: without a word the new request would wait on.
+    ask(router, team="mill-a")
+    overdraft = announcement.URGENT_OVERDRAFT
+    router.announcing.level = -overdraft - 120.0
+    claim = messages.Claim(1, "assistant", "mill-a", 1.0)
+    envelope = messages.Envelope("engine-0", 1, 1, claim)
+    core.receive_message(router, 0.01, envelope)
+    offers, told = ask(router, team="mill-a", now=0.02)
+    assert offers == told == []
+    later = core.find_next_due(router)
+    _, told = split(core.run_timers(router, later))
+    assert told[0].teams[0].count == 1
--- a/sycamorefall/sharing/__init__.py
+++ b/sycamorefall/sharing/__init__.py
@@ -2,6 +2,7 @@
 
 __all__ = [
     "Account",
+    "ByteBudget",
     "CostEstimates",
     "Demand",
     "Fairness",
@@ -12,6 +13,8 @@
     "choose_team",
     "compute_key",
     "estimate_cost",
+    "find_opening",
+    "is_open",
     "join_queue",
     "lift_team",
     "list_entries",
@@ -21,6 +24,7 @@
     "peek_oldest",
     "pop_earliest",
     "reserve_units",
+    "spend_bytes",
 ]
 
 from sycamorefall.sharing.accounts import (
@@ -32,6 +36,12 @@
     merge_entries,
     reserve_units,
 )
+from sycamorefall.sharing.budget import (
+    ByteBudget,
+    find_opening,
+    is_open,
+    spend_bytes,
+)
 from sycamorefall.sharing.choice import Fairness, choose_team, lift_team
 from sycamorefall.sharing.demand import Demand, choose_router, note_waiting
 from sycamorefall.sharing.estimates import (
--- /dev/null
+++ b/sycamorefall/sharing/budget.py
@@ -0,0 +1,69 @@
+"""Byte budgets: what a process may send for control, per second."""
+
+__all__ = ["ByteBudget", "find_opening", "is_open", "spend_bytes"]
+
+import dataclasses
+
+
+@dataclasses.dataclass(slots=True)
+class ByteBudget:
+    """A token bucket that may be overdrawn by one sending.
+
+    Whoever sends waits until the level is above zero and then takes what it
+    needs, so that a sending larger than the bucket still goes, and the next
+    one waits the longer. Over any time the bytes spent are at most
+    `burst + rate * time` and one sending.
+
+    Attributes:
+        rate: Bytes per second.
+        burst: Most bytes that may be saved up.
+        level: Bytes that may be sent now; below 0 if overdrawn.
+        updated: When the level was last brought up to date.
+    """
+
+    rate: float
+    burst: float
+    level: float
+    updated: float = 0.0
+
+
+def _refill(budget: ByteBudget, now: float) -> None:
+    elapsed = max(0.0, now - budget.updated)
+    budget.level = min(budget.burst, budget.level + elapsed * budget.rate)
+    budget.updated = max(budget.updated, now)
+
+
+def spend_bytes(budget: ByteBudget, now: float, size: float) -> None:
+    """Takes bytes out, below zero if need be.
+
+    Args:
+        budget: The budget; changed.
+        now: This process's time.
+        size: Bytes that are sent now, over all receivers.
+    """
+    _refill(budget, now)
+    budget.level -= size
+
+
+def is_open(budget: ByteBudget, now: float, overdraft: float = 0.0) -> bool:
+    """Tells whether something may be sent now."""
+    return now >= find_opening(budget, overdraft)
+
+
+def find_opening(budget: ByteBudget, overdraft: float = 0.0) -> float:
+    """Tells from when on something may be sent.
+
+    Args:
+        budget: The budget.
+        overdraft: Bytes by which the budget may be overdrawn already.
+
+    Returns:
+        The time; in the past if something may be sent now.
+
+    Example:
+        >>> budget = ByteBudget(rate=100.0, burst=50.0, level=50.0)
+        >>> spend_bytes(budget, 10.0, 150.0)
+        >>> find_opening(budget)
+        11.0
+    """
+    return budget.updated + max(0.0, -(budget.level + overdraft) / budget.rate)
--- a/sycamorefall/sharing/demand.py
+++ b/sycamorefall/sharing/demand.py
@@ -92,7 +92,7 @@
         for team in known.teams.keys() - announced:
             _set_count(demand, router, team, 0, now)
     for entry in waiting.teams:
-        since = now - entry.oldest_age
+        since = now - entry.oldest_ms / 1000
         _set_count(demand, router, entry.team, entry.count, since)
     return [team for team in demand.teams if team not in before]
 
--- a/sycamorefall/sidecar/claiming.py
+++ b/sycamorefall/sidecar/claiming.py
@@ -1,6 +1,12 @@
 """A sidecar's claims: which team's request it asks which router for."""
 
-__all__ = ["find_weight", "make_claims", "release_expired", "release_no_work"]
+__all__ = [
+    "find_weight",
+    "make_claims",
+    "may_claim",
+    "release_expired",
+    "release_no_work",
+]
 
 from sycamorefall import (
     admission,
@@ -33,7 +39,7 @@
     Returns:
         Claims to send.
     """
-    if not _may_claim(state):
+    if not may_claim(state):
         return []
     room = admission.count_room(
         state.limit, len(state.runs), len(state.claims.open)
@@ -44,10 +50,12 @@
         if claim is None:
             break
         claims.append(claim)
+        state.was_idle = False
     return claims
 
 
-def _may_claim(state: state_module.SidecarState) -> bool:
+def may_claim(state: state_module.SidecarState) -> bool:
+    """Tells whether this sidecar may take new work at all."""
     in_force = state.versions.configuration
     if state.stopping or in_force is None:
         return False
--- a/sycamorefall/sidecar/core.py
+++ b/sycamorefall/sidecar/core.py
@@ -10,12 +10,15 @@
 
 from sycamorefall import dispatch, effects, membership, messages, sharing
 from sycamorefall.dispatch import outcomes
-from sycamorefall.sidecar import claiming
+from sycamorefall.sidecar import claiming, offers
 from sycamorefall.sidecar import state as state_module
 
-HEARTBEAT_INTERVAL = 0.5
+HEARTBEAT_INTERVAL = 1.0
 """Seconds between heartbeats."""
 
+HEARTBEAT_BYTES = 36
+"""Size of a heartbeat, framing included."""
+
 EXCHANGE_INTERVAL = 0.02
 """Seconds between two sendings of changed account entries."""
 
@@ -90,11 +93,11 @@
 
 
 def _greet(state: state_module.SidecarState, peer: str) -> list[effects.Send]:
-    """Tells a new process all accounts, its own and those of others."""
+    """Tells a new router of this sidecar, a new sidecar all accounts."""
     vm = state.directory.vms[peer]
-    if vm.role is not membership.VmRole.UPSTREAM or not state.accounts.teams:
-        return []
-    if vm.service != state.service:
+    if vm.role is membership.VmRole.ROUTER:
+        return [effects.Send(peer, _build_heartbeat(state))]
+    if vm.service != state.service or not state.accounts.teams:
         return []
     entries = sharing.list_entries(
         state.accounts, state.accounts.teams, own_only=False
@@ -116,7 +119,7 @@
         Messages to send.
     """
     claiming.release_expired(state, now)
-    due: list[effects.Send] = []
+    due = _hint_if_idle(state, now)
     if now >= state.next_heartbeat:
         state.next_heartbeat = now + HEARTBEAT_INTERVAL
         outcomes.expire_records(state.outcomes, now)
@@ -127,24 +130,53 @@
     return due + claiming.make_claims(state, now)
 
 
+def _hint_if_idle(
+    state: state_module.SidecarState, now: float
+) -> list[effects.Send]:
+    """Tells the routers when room comes free and nothing is known to claim.
+
+    Guards against an upstream that idles although work waits: at a router
+    whose announcement was lost or still waits for its budget. The router
+    answers with what waits, or keeps the hint for its next request.
+    """
+    idle = offers.is_idle(state)
+    if not idle:
+        state.was_idle = False
+        return []
+    if state.was_idle or not sharing.is_open(state.hinting, now):
+        return []
+    state.was_idle = True
+    hints = _send_heartbeats(state)
+    size = HEARTBEAT_BYTES * len(hints)
+    sharing.spend_bytes(state.hinting, now, size)
+    return hints
+
+
 def find_next_due(state: state_module.SidecarState) -> float:
     """Tells when `run_timers` has something to do next."""
     leases = (claim.expires for claim in state.claims.open.values())
     exchange = [state.next_exchange] if state.accounts.unsent else []
-    return min([state.next_heartbeat, *leases, *exchange])
+    hints: list[float] = []
+    if not state.was_idle and offers.is_idle(state):
+        hints = [sharing.find_opening(state.hinting)]
+    return min([state.next_heartbeat, *leases, *exchange, *hints])
 
 
 def _send_heartbeats(
     state: state_module.SidecarState,
 ) -> list[effects.Send]:
-    beat = messages.Heartbeat(state.stopping)
+    beat = _build_heartbeat(state)
     return [
         effects.Send(vm.name, beat)
-        for vm in state.directory.vms.values()
-        if vm.role is membership.VmRole.ROUTER or _is_sibling(state, vm)
+        for vm in membership.select_routers(state.directory)
     ]
 
 
+def _build_heartbeat(state: state_module.SidecarState) -> messages.Heartbeat:
+    room = offers.count_free(state) if offers.is_idle(state) else 0
+    return messages.Heartbeat(state.stopping, room)
+
+
 def _is_sibling(
     state: state_module.SidecarState, vm: membership.VmEntry
 ) -> bool:
--- /dev/null
+++ b/sycamorefall/sidecar/offers.py
@@ -0,0 +1,71 @@
+"""Offers at a sidecar: requests that a router sends without a claim."""
+
+__all__ = ["count_free", "is_idle", "redeem_order"]
+
+from sycamorefall import dispatch, messages, sharing
+from sycamorefall.sidecar import claiming
+from sycamorefall.sidecar import state as state_module
+
+
+def redeem_order(
+    state: state_module.SidecarState, now: float, order: messages.AttemptOrder
+) -> dispatch.OpenClaim | None:
+    """Finds the claim that a hand-out answers, or takes it as an offer.
+
+    Args:
+        state: The sidecar; changed.
+        now: This process's time.
+        order: Head of the attempt.
+
+    Returns:
+        The claim, with the units reserved for the request; None if the
+        attempt is to be refused.
+    """
+    if count_free(state) <= 1:
+        state.was_idle = False
+    if order.claim_id != messages.UNCLAIMED:
+        return dispatch.redeem_claim(
+            state.claims, now, order.claim_id, order.router, order.team
+        )
+    if not _may_take_offer(state, order.team):
+        return None
+    reserved = sharing.estimate_cost(state.estimates, order.team)
+    sharing.reserve_units(state.accounts, order.team, reserved)
+    return dispatch.OpenClaim(
+        messages.UNCLAIMED, order.router, order.team, now, reserved
+    )
+
+
+def _may_take_offer(state: state_module.SidecarState, team: str) -> bool:
+    """Tells whether an offer may start now.
+
+    Guards against offers of several routers on the same hint, which would
+    fill the upstream beyond its limit, and against overtaking: a team that
+    waits elsewhere and received less goes first.
+    """
+    if not claiming.may_claim(state) or count_free(state) <= 0:
+        return False
+    # A team that was idle has not saved up service: it counts as lifted.
+    key = max(_compute_key(state, team), state.fairness.floor)
+    return all(
+        _compute_key(state, waiting) >= key for waiting in state.demand.teams
+    )
+
+
+def _compute_key(state: state_module.SidecarState, team: str) -> float:
+    weight = claiming.find_weight(state, team)
+    return sharing.compute_key(state.accounts, team, weight)
+
+
+def count_free(state: state_module.SidecarState) -> int:
+    """Counts slots that are neither in use nor claimed for."""
+    limit = state.limit
+    taken = limit.foreign + len(state.runs) + len(state.claims.open)
+    return max(0, limit.cap - taken)
+
+
+def is_idle(state: state_module.SidecarState) -> bool:
+    """Tells whether there is room and nothing known to claim."""
+    if state.demand.teams or not claiming.may_claim(state):
+        return False
+    return count_free(state) > 0
--- a/sycamorefall/sidecar/running.py
+++ b/sycamorefall/sidecar/running.py
@@ -4,6 +4,7 @@
 
 from sycamorefall import dispatch, messages, sharing
 from sycamorefall.dispatch import outcomes
+from sycamorefall.sidecar import offers
 from sycamorefall.sidecar import state as state_module
 
 
@@ -23,9 +24,7 @@
         True if the attempt is now on record as started; False if it is
         refused, and will be whenever it comes again.
     """
-    claim = dispatch.redeem_claim(
-        state.claims, now, order.claim_id, order.router, order.team
-    )
+    claim = offers.redeem_order(state, now, order)
     if claim is None:
         _refuse(state, now, order.attempt_id)
         return False
--- a/sycamorefall/sidecar/state.py
+++ b/sycamorefall/sidecar/state.py
@@ -6,6 +6,12 @@
 
 from sycamorefall import admission, configuration, dispatch, membership, sharing
 
+HINT_RATE = 500.0
+"""Bytes per second that a sidecar may send for hints between heartbeats."""
+
+HINT_BURST = 2000.0
+"""Bytes of hints that a sidecar may save up."""
+
 
 @dataclasses.dataclass(slots=True)
 class Run:
@@ -43,6 +49,9 @@
         runs: Requests in progress at the upstream, by attempt.
         outcomes: What became of each attempt.
         next_heartbeat: When the next heartbeat is due.
+        was_idle: Whether there was room and nothing to claim, when last
+            looked at.
+        hinting: What may be sent for hints outside of heartbeats.
         next_exchange: When changed accounts are sent next.
         stopping: Whether no new work is taken.
     """
@@ -75,6 +84,12 @@
         default_factory=dispatch.OutcomeRecords
     )
     next_heartbeat: float = 0.0
+    was_idle: bool = False
+    hinting: sharing.ByteBudget = dataclasses.field(
+        default_factory=lambda: sharing.ByteBudget(
+            HINT_RATE, HINT_BURST, HINT_BURST
+        )
+    )
     next_exchange: float = 0.0
     stopping: bool = False
 
--- /dev/null
+++ b/sycamorefall/sidecar/tests/test_offers.py
@@ -0,0 +1,122 @@
+"""Offers at a sidecar, and its hints at free slots."""
+
+import pytest
+
+from sycamorefall import configuration, membership, messages, sharing
+from sycamorefall.sidecar import core, running
+from sycamorefall.sidecar import state as state_module
+
+
+@pytest.fixture
+def sidecar():
+    state = state_module.create_state("engine-0", 1, "assistant")
+    text = "[service assistant]\nkind = engine\nconcurrency = 2\n"
+    configuration.offer_text(state.versions, 1, text)
+    core.apply_configuration(state)
+    vms = (
+        membership.VmEntry(
+            "engine-0", membership.VmRole.UPSTREAM, "d", "", "", "assistant"
+        ),
+        membership.VmEntry("router-0", membership.VmRole.ROUTER, "d", "", ""),
+        membership.VmEntry("router-1", membership.VmRole.ROUTER, "d", "", ""),
+    )
+    membership.replace_list(state.directory, membership.VmList(1, vms))
+    core.run_timers(state, 0.0)
+    return state
+
+
+def offer(state, number, team="mill-a", now=0.1):
+    order = messages.AttemptOrder(
+        attempt_id=f"router-0/1/{number}/1",
+        claim_id=messages.UNCLAIMED,
+        router="router-0",
+        incarnation=1,
+        service="assistant",
+        team=team,
+        method="POST",
+        path="/",
+        headers=(),
+        remaining=9.0,
+        idempotent=True,
+    )
+    return running.accept_attempt(state, now, order)
+
+
+def announce(state, sequence, *teams, now=0.1):
+    entries = tuple(messages.TeamWaiting(team, 1, 0) for team in teams)
+    waiting = messages.Waiting("assistant", sequence, entries, True)
+    envelope = messages.Envelope("router-1", 1, 1, waiting)
+    return core.receive_message(state, now, envelope)
+
+
+def find_hints(sends):
+    return [
+        (send.to, send.message.room)
+        for send in sends
+        if isinstance(send.message, messages.Heartbeat)
+    ]
+
+
+def test_offers_are_taken_up_to_the_limit_and_then_refused(sidecar):
+    assert [offer(sidecar, number) for number in range(3)] == [
+        True,
+        True,
+        False,
+    ]
+    # Refused is certainly not run: the same attempt is refused for ever.
+    running.finish_run(sidecar, 0.2, "router-0/1/0/1")
+    assert not offer(sidecar, 2)
+
+
+def test_offer_reserves_like_a_claim(sidecar):
+    sharing.note_cost(sidecar.estimates, "mill-a", 50.0)
+    offer(sidecar, 1)
+    assert sidecar.accounts.teams["mill-a"].total == 50.0
+
+
+def test_offer_does_not_overtake_a_waiting_team_that_received_less(sidecar):
+    # The flooding team's router offers on an old hint while a mill's request
+    # waits at another router and the claim for it is not yet sent.
+    sharing.charge_team(sidecar.accounts, "flood", 100.0)
+    sidecar.demand.teams["mill-b"] = {"router-1"}
+    assert not offer(sidecar, 1, team="flood")
+    assert offer(sidecar, 2, team="mill-b")
+
+
+def test_stopping_sidecar_refuses_offers(sidecar):
+    core.begin_stop(sidecar)
+    assert not offer(sidecar, 1)
+
+
+def test_hint_is_sent_when_the_last_slot_comes_free_again(sidecar):
+    offer(sidecar, 1)
+    offer(sidecar, 2)
+    assert find_hints(core.run_timers(sidecar, 0.2)) == []
+    running.finish_run(sidecar, 0.3, "router-0/1/1/1")
+    assert core.find_next_due(sidecar) <= 0.3
+    hints = find_hints(core.run_timers(sidecar, 0.3))
+    assert hints == [("router-0", 1), ("router-1", 1)]
+    assert find_hints(core.run_timers(sidecar, 0.31)) == []
+
+
+def test_no_room_is_hinted_while_work_is_known_to_wait(sidecar):
+    announce(sidecar, 1, "mill-a", "mill-b", "large", "flood")
+    hints = find_hints(core.run_timers(sidecar, 1.5))
+    assert hints == [("router-0", 0), ("router-1", 0)]
+
+
+def test_hints_keep_to_their_budget(sidecar):
+    # One short request after the other empties and fills the upstream many
+    # times a second; a hint to every router each time would cost more than
+    # the requests.
+    sent = 0
+    for step in range(2000):
+        now = 1.0 + step * 0.01
+        offer(sidecar, step * 2, now=now)
+        offer(sidecar, step * 2 + 1, now=now)
+        for run in list(sidecar.runs):
+            running.finish_run(sidecar, now, run)
+        sent += len(find_hints(core.run_timers(sidecar, now)))
+    beats = 2 * 20 / core.HEARTBEAT_INTERVAL + 2
+    hints = state_module.HINT_BURST + 20 * state_module.HINT_RATE
+    assert sent <= beats + hints / core.HEARTBEAT_BYTES + 2
