Link each router to a few sidecars of a service; idle sidecars search

Cause: heartbeats, announcements and hints went from everybody to everybody; at 370 routers x 910 sidecars that is 336,700 pairs.

Change: a router is linked to max(3, 12 * sidecars / routers) sidecars of a service by rendezvous hashing, own failure domain first and the last link outside of it; both ends compute the same from the platform's list. Up to 12 routers for each sidecar of a service this is all with all, through the same code. A silent link is joined by the next in order, and a sidecar answers any router that it hears. A sidecar with room and nothing to claim asks two routers it has no link to, from 0.1 s on with doubling pauses up to 8 s, within its budget for hints.

Figures: at 370 routers and 48 sidecars of a service 3 links a router and service, each sidecar with 8 to 40 routers (test_links).

--- a/sycamorefall/membership/__init__.py
+++ b/sycamorefall/membership/__init__.py
@@ -3,11 +3,16 @@
 __all__ = [
     "SUSPECT_AFTER",
     "Directory",
+    "Links",
     "Peer",
     "VmEntry",
     "VmList",
     "VmRole",
     "VmState",
+    "list_routers",
+    "list_siblings",
+    "list_sidecars",
+    "list_unlinked",
     "note_heartbeat",
     "replace_list",
     "select_routers",
@@ -27,3 +32,10 @@
     select_routers,
     select_upstreams,
 )
+from sycamorefall.membership.links import (
+    Links,
+    list_routers,
+    list_siblings,
+    list_sidecars,
+    list_unlinked,
+)
--- a/sycamorefall/router/announcement.py
+++ b/sycamorefall/router/announcement.py
@@ -189,10 +189,21 @@
         for key in [key for key in state.told if key[0] == service]:
             if key[1] not in told:
                 _note_told(state, key, 0)
-    receivers = membership.select_upstreams(state.directory, now, service)
+    receivers = _list_receivers(state, now, service)
     size = _measure_size(message) * len(receivers)
     sharing.spend_bytes(state.announcing, now, size)
-    return [effects.Send(vm.name, message) for vm in receivers]
+    return [effects.Send(name, message) for name in receivers]
+
+
+def _list_receivers(
+    state: state_module.RouterState, now: float, service: str
+) -> list[str]:
+    linked = membership.list_sidecars(
+        state.links, state.directory, now, state.vm, service
+    )
+    usable = membership.select_upstreams(state.directory, now, service)
+    names = {vm.name for vm in usable}
+    return [name for name in linked if name in names]
 
 
 def _note_told(
--- a/sycamorefall/router/core.py
+++ b/sycamorefall/router/core.py
@@ -99,7 +99,7 @@
             due += handout.ask_again(state, now, request)
     if now >= state.next_heartbeat:
         state.next_heartbeat = now + HEARTBEAT_INTERVAL
-        due += _send_heartbeats(state)
+        due += _send_heartbeats(state, now)
     due += offering.offer_fresh(state, now)
     if now >= announcement.find_next_announcement(state):
         due += announcement.announce_changes(state, now)
@@ -130,13 +130,16 @@
 
 
 def _send_heartbeats(
-    state: state_module.RouterState,
+    state: state_module.RouterState, now: float
 ) -> list[router_effects.Effect]:
     beat = messages.Heartbeat(state.stopping)
+    services = {vm.service for vm in state.directory.vms.values()}
     return [
-        effects.Send(vm.name, beat)
-        for vm in state.directory.vms.values()
-        if vm.role is membership.VmRole.UPSTREAM
+        effects.Send(name, beat)
+        for service in sorted(services)
+        for name in membership.list_sidecars(
+            state.links, state.directory, now, state.vm, service
+        )
     ]
 
 
--- a/sycamorefall/router/state.py
+++ b/sycamorefall/router/state.py
@@ -125,6 +125,7 @@
         incarnation: This process's number.
         versions: The configuration in force.
         directory: The VMs of the fleet.
+        links: The sidecars that it is linked to.
         waiting: Queues of requests not handed out.
         requests: Requests not yet answered, by number.
         by_attempt: Request number by attempt.
@@ -157,6 +158,9 @@
     directory: membership.Directory = dataclasses.field(
         default_factory=membership.Directory
     )
+    links: membership.Links = dataclasses.field(
+        default_factory=membership.Links
+    )
     waiting: sharing.WaitingQueues = dataclasses.field(
         default_factory=sharing.WaitingQueues
     )
--- a/sycamorefall/router/tests/test_offering.py
+++ b/sycamorefall/router/tests/test_offering.py
@@ -21,6 +21,9 @@
         )
         for name in SIDECARS
     ]
+    vms.append(
+        membership.VmEntry("router-0", membership.VmRole.ROUTER, "d", "", "")
+    )
     membership.replace_list(state.directory, membership.VmList(1, tuple(vms)))
     for name in SIDECARS:
         hear(state, name, room=0)
--- a/sycamorefall/sidecar/core.py
+++ b/sycamorefall/sidecar/core.py
@@ -10,15 +10,12 @@
 
 from sycamorefall import dispatch, effects, membership, messages, sharing
 from sycamorefall.dispatch import outcomes
-from sycamorefall.sidecar import claiming, offers
+from sycamorefall.sidecar import claiming, hinting
 from sycamorefall.sidecar import state as state_module
 
 HEARTBEAT_INTERVAL = 1.0
 """Seconds between heartbeats."""
 
-HEARTBEAT_BYTES = 36
-"""Size of a heartbeat, framing included."""
-
 EXCHANGE_INTERVAL = 0.02
 """Seconds between two sendings of changed account entries."""
 
@@ -96,7 +93,7 @@
     """Tells a new router of this sidecar, a new sidecar all accounts."""
     vm = state.directory.vms[peer]
     if vm.role is membership.VmRole.ROUTER:
-        return [effects.Send(peer, _build_heartbeat(state))]
+        return [effects.Send(peer, hinting.build_heartbeat(state))]
     if vm.service != state.service or not state.accounts.teams:
         return []
     entries = sharing.list_entries(
@@ -119,78 +116,32 @@
         Messages to send.
     """
     claiming.release_expired(state, now)
-    due = _hint_if_idle(state, now)
+    due = hinting.hint_room(state, now)
     if now >= state.next_heartbeat:
         state.next_heartbeat = now + HEARTBEAT_INTERVAL
         outcomes.expire_records(state.outcomes, now)
-        due += _send_heartbeats(state)
+        due += hinting.send_heartbeats(state, now)
     if now >= state.next_exchange and state.accounts.unsent:
         state.next_exchange = now + EXCHANGE_INTERVAL
-        due += _send_accounts(state)
+        due += _send_accounts(state, now)
     return due + claiming.make_claims(state, now)
 
 
-def _hint_if_idle(
-    state: state_module.SidecarState, now: float
-) -> list[effects.Send]:
-    """Tells the routers when room comes free and nothing is known to claim.
-
-    Guards against an upstream that idles although work waits: at a router
-    whose announcement was lost or still waits for its budget. The router
-    answers with what waits, or keeps the hint for its next request.
-    """
-    idle = offers.is_idle(state)
-    if not idle:
-        state.was_idle = False
-        return []
-    if state.was_idle or not sharing.is_open(state.hinting, now):
-        return []
-    state.was_idle = True
-    hints = _send_heartbeats(state)
-    size = HEARTBEAT_BYTES * len(hints)
-    sharing.spend_bytes(state.hinting, now, size)
-    return hints
-
-
 def find_next_due(state: state_module.SidecarState) -> float:
     """Tells when `run_timers` has something to do next."""
     leases = (claim.expires for claim in state.claims.open.values())
     exchange = [state.next_exchange] if state.accounts.unsent else []
-    hints: list[float] = []
-    if not state.was_idle and offers.is_idle(state):
-        hints = [sharing.find_opening(state.hinting)]
-    return min([state.next_heartbeat, *leases, *exchange, *hints])
-
-
-def _send_heartbeats(
-    state: state_module.SidecarState,
-) -> list[effects.Send]:
-    beat = _build_heartbeat(state)
-    return [
-        effects.Send(vm.name, beat)
-        for vm in membership.select_routers(state.directory)
-    ]
-
-
-def _build_heartbeat(state: state_module.SidecarState) -> messages.Heartbeat:
-    room = offers.count_free(state) if offers.is_idle(state) else 0
-    return messages.Heartbeat(state.stopping, room)
-
-
-def _is_sibling(
-    state: state_module.SidecarState, vm: membership.VmEntry
-) -> bool:
-    return vm.service == state.service and vm.name != state.vm
+    hint = hinting.find_next_hint(state)
+    return min([state.next_heartbeat, hint, *leases, *exchange])
 
 
 def _send_accounts(
-    state: state_module.SidecarState,
+    state: state_module.SidecarState, now: float
 ) -> list[effects.Send]:
     entries = sharing.list_entries(state.accounts, state.accounts.unsent)
     state.accounts.unsent.clear()
     update = messages.AccountUpdate(state.service, tuple(entries))
-    return [
-        effects.Send(vm.name, update)
-        for vm in state.directory.vms.values()
-        if _is_sibling(state, vm)
-    ]
+    siblings = membership.list_siblings(
+        state.links, state.directory, now, state.vm
+    )
+    return [effects.Send(name, update) for name in siblings]
--- a/sycamorefall/sidecar/state.py
+++ b/sycamorefall/sidecar/state.py
@@ -3,6 +3,7 @@
 __all__ = ["Run", "SidecarState", "create_state"]
 
 import dataclasses
+import random
 
 from sycamorefall import admission, configuration, dispatch, membership, sharing
 
@@ -41,6 +42,7 @@
         accounts: What each team received from the service.
         versions: The configuration in force.
         directory: The VMs of the fleet.
+        links: The routers and sidecars that it is linked to.
         fairness: State of the choice of the next team.
         estimates: Costs of the teams' recent requests.
         demand: Work waiting at the routers.
@@ -51,6 +53,9 @@
         next_heartbeat: When the next heartbeat is due.
         was_idle: Whether there was room and nothing to claim, when last
             looked at.
+        next_search: When an idle sidecar asks further routers next.
+        search_pause: Seconds until the search after that.
+        chance: Source of random choices.
         hinting: What may be sent for hints outside of heartbeats.
         next_exchange: When changed accounts are sent next.
         stopping: Whether no new work is taken.
@@ -66,6 +71,9 @@
     directory: membership.Directory = dataclasses.field(
         default_factory=membership.Directory
     )
+    links: membership.Links = dataclasses.field(
+        default_factory=membership.Links
+    )
     fairness: sharing.Fairness = dataclasses.field(
         default_factory=sharing.Fairness
     )
@@ -85,6 +93,9 @@
     )
     next_heartbeat: float = 0.0
     was_idle: bool = False
+    next_search: float = 0.0
+    search_pause: float = 0.0
+    chance: random.Random = dataclasses.field(default_factory=random.Random)
     hinting: sharing.ByteBudget = dataclasses.field(
         default_factory=lambda: sharing.ByteBudget(
             HINT_RATE, HINT_BURST, HINT_BURST
@@ -93,6 +104,10 @@
     next_exchange: float = 0.0
     stopping: bool = False
 
+    def __post_init__(self):
+        """Seeds the choices: alike in each run, different at each sidecar."""
+        self.chance.seed(f"{self.vm}/{self.incarnation}")
+
 
 def create_state(vm: str, incarnation: int, service: str) -> SidecarState:
     """Creates the state of a sidecar that has just started.
--- a/sycamorefall/sidecar/tests/test_offers.py
+++ b/sycamorefall/sidecar/tests/test_offers.py
@@ -3,7 +3,7 @@
 import pytest
 
 from sycamorefall import configuration, membership, messages, sharing
-from sycamorefall.sidecar import core, running
+from sycamorefall.sidecar import core, hinting, running
 from sycamorefall.sidecar import state as state_module
 
 
@@ -119,4 +119,4 @@
         sent += len(find_hints(core.run_timers(sidecar, now)))
     beats = 2 * 20 / core.HEARTBEAT_INTERVAL + 2
     hints = state_module.HINT_BURST + 20 * state_module.HINT_RATE
-    assert sent <= beats + hints / core.HEARTBEAT_BYTES + 2
+    assert sent <= beats + hints / hinting.HEARTBEAT_BYTES + 2
