Adapt the upstream's limit to its load reports and latency

Cause: the limit was the configured cap plus one claim ahead, whatever the upstream could do. A cap above the engine's capacity filled its inner queue, which knows no teams; a restarted sidecar gave a busy engine the whole cap at once; and up to cap + 1 requests were in progress at the upstream.

Change: engines: while an inner queue is reported, what runs is the capacity; the limit grows only if it was used up at all times the report can be about. Plain services: additive increase, multiplicative decrease on the mean latency of a window against a baseline, and the baseline is taken anew if half the limit makes calls no faster. Foreign requests are what the report shows above the most own requests of the last 2 s. A gate in the sidecar holds the claim ahead, so the upstream never has more than the cap. Load is polled every 0.5 s.

--- /dev/null
+++ b/benchmarks/upstreams.py
@@ -0,0 +1,161 @@
+"""Fake upstreams for benchmarks and tests of the concurrency limit.
+
+Time goes in steps; every count is exact, and nothing depends on the machine.
+"""
+
+__all__ = ["Figures", "Upstream", "run_limit"]
+
+import collections
+from collections.abc import Callable
+import dataclasses
+import random
+
+from sycamorefall import admission
+from sycamorefall.sidecar import gate as gate_module
+
+STEP = 0.01
+"""Seconds of one step."""
+
+LAG = 0.5
+"""Seconds by which load reports lag behind."""
+
+
+@dataclasses.dataclass(slots=True)
+class Upstream:
+    """An engine with a capacity, or a plain service that shares itself.
+
+    Attributes:
+        capacity: Requests worked on at once (engine), or at full speed.
+        slots: Slots that its reports name; 0 for none.
+        shares: Whether all requests are worked on, ever slower (plain).
+        left: Seconds of work left by request, in order of arrival.
+        reports: Reports under way, as (time of publication, report).
+    """
+
+    capacity: int
+    slots: int = 0
+    shares: bool = False
+    left: dict[str, float] = dataclasses.field(default_factory=dict)
+    reports: collections.deque = dataclasses.field(
+        default_factory=collections.deque
+    )
+
+
+@dataclasses.dataclass(slots=True)
+class Figures:
+    """What a run showed.
+
+    Attributes:
+        idle: Share of the capacity that was unused while work waited.
+        mean_queue: Mean length of the inner queue.
+        most_queue: Longest inner queue after the first quarter of the run.
+        most_in_flight: Most own requests at the upstream.
+        answers: Requests that ended.
+    """
+
+    idle: float
+    mean_queue: float
+    most_queue: int
+    most_in_flight: int
+    answers: int
+
+
+def _work(upstream: Upstream) -> list[str]:
+    """Lets a step pass; returns the requests that ended in it."""
+    speed = STEP
+    chosen = list(upstream.left)
+    if upstream.shares:
+        speed *= min(1.0, upstream.capacity / max(1, len(chosen)))
+    else:
+        chosen = chosen[: upstream.capacity]
+    for request in chosen:
+        upstream.left[request] -= speed
+    ended = [request for request in chosen if upstream.left[request] <= 0]
+    for request in ended:
+        del upstream.left[request]
+    return ended
+
+
+def _report(upstream: Upstream, now: float) -> admission.LoadReport | None:
+    running = min(len(upstream.left), upstream.capacity)
+    queued = len(upstream.left) - running
+    current = admission.LoadReport(running, queued, upstream.slots)
+    upstream.reports.append((now + LAG, current))
+    published = None
+    while upstream.reports[0][0] <= now:
+        _, published = upstream.reports.popleft()
+    return published
+
+
+def run_limit(
+    upstream: Upstream,
+    limit: admission.ConcurrencyLimit,
+    seconds: float,
+    change: Callable[[float], None] = lambda now: None,
+    reports: bool = True,
+    adapt: bool = True,
+    mean_work: float = 1.0,
+) -> Figures:
+    """Runs a sidecar's gate and limit against an upstream, work waiting.
+
+    Args:
+        upstream: The upstream; foreign requests may be at it already.
+        limit: The sidecar's limit.
+        seconds: How long.
+        change: Called at each step, to change the upstream.
+        reports: Whether the upstream publishes load reports.
+        adapt: Whether the limit adapts; else all that is claimed is passed
+            on at once, up to the cap and one ahead.
+        mean_work: Mean seconds of work of a request.
+
+    Returns:
+        The figures.
+    """
+    rng = random.Random(7)
+    gate = gate_module.Gate(limit)
+    idle = queue = busy = most_queue = most_in_flight = answers = serial = 0
+    steps = round(seconds / STEP)
+
+    def start(name: str, work: float) -> Callable[[], None]:
+        return lambda: upstream.left.update({name: work})
+
+    for step in range(steps):
+        now = step * STEP
+        change(now)
+        published = _report(upstream, now) if step % 50 == 0 else None
+        if adapt and published and reports:
+            note = admission.note_load
+            if upstream.shares:
+                note = admission.note_foreign
+            note(limit, now, published)
+            gate_module.open_gate(gate, now)
+        own = len(gate.passed) + len(gate.held)
+        for _ in range(admission.count_room(limit, own, 0)):
+            serial += 1
+            name = f"own-{serial}"
+            begin = start(name, rng.lognormvariate(-0.5, 1.0) * mean_work)
+            if adapt:
+                gate_module.pass_gate(gate, now, name, begin)
+            else:
+                gate.passed[name] = now
+                begin()
+        ended = _work(upstream)
+        for name in ended:
+            answers += 1
+            if adapt:
+                gate_module.leave_gate(
+                    gate, now, name, True, is_engine=not upstream.shares
+                )
+            else:
+                gate.passed.pop(name, None)
+        inside = len(upstream.left)
+        idle += max(0, upstream.capacity - inside)
+        busy += upstream.capacity
+        surplus = max(0, inside - upstream.capacity)
+        queue += surplus
+        if step > steps / 4:
+            most_queue = max(most_queue, surplus)
+        most_in_flight = max(most_in_flight, len(gate.passed))
+    return Figures(
+        idle / busy, queue / steps, most_queue, most_in_flight, answers
+    )
--- /dev/null
+++ b/sycamorefall/admission/tests/test_limit.py
@@ -0,0 +1,176 @@
+"""The concurrency limit: near empty, never dry, never above the cap."""
+
+import hypothesis
+from hypothesis import strategies
+import pytest
+
+from benchmarks import upstreams
+from sycamorefall import admission
+from sycamorefall.sidecar import gate as gate_module
+
+
+def create_limit(cap):
+    limit = admission.ConcurrencyLimit(cap=cap)
+    admission.begin_low(limit)
+    return limit
+
+
+EVENTS = strategies.lists(
+    strategies.one_of(
+        strategies.tuples(
+            strategies.just("report"),
+            strategies.integers(0, 1 << 20),
+            strategies.integers(0, 1 << 20),
+            strategies.integers(0, 1 << 20),
+        ),
+        strategies.tuples(
+            strategies.just("run"),
+            strategies.booleans(),
+            strategies.floats(0, 1e6),
+        ),
+        strategies.tuples(
+            strategies.just("end"), strategies.booleans(), strategies.booleans()
+        ),
+        strategies.tuples(strategies.just("cap"), strategies.integers(1, 50)),
+    ),
+    max_size=200,
+)
+
+
+@hypothesis.given(EVENTS, strategies.booleans())
+def test_limit_is_never_above_the_cap_nor_stuck_at_zero(events, is_engine):
+    limit = create_limit(8)
+    gate = gate_module.Gate(limit)
+    now, serial = 0.0, 0
+    for event, *values in events:
+        now += 0.3
+        if event == "report":
+            report = admission.LoadReport(*values)
+            note = admission.note_load if is_engine else admission.note_foreign
+            note(limit, now, report)
+        elif event == "run":
+            now += min(values[1], 100.0)
+            serial += 1
+            gate_module.pass_gate(gate, now, f"run-{serial}", lambda: None)
+            assert len(gate.passed) <= limit.cap
+        elif event == "end" and gate.passed:
+            first = next(iter(gate.passed))
+            gate_module.leave_gate(gate, now, first, values[0], is_engine)
+        elif event == "cap" and values[0] >= len(gate.passed):
+            limit.cap = values[0]
+        assert 1 <= admission.count_own(limit) <= limit.cap
+        assert admission.count_room(limit, 0, 0) >= 1
+        if not gate.passed:
+            assert not gate.held
+
+
+@pytest.mark.parametrize("cap", [9, 16, 32])
+@pytest.mark.parametrize(("capacity", "slots"), [(8, 8), (5, 8), (8, 0)])
+def test_inner_queue_of_an_engine_stays_near_empty_and_never_dry(
+    cap, capacity, slots
+):
+    """A cap far above what the engine can do fills its inner queue.
+
+    A user sees a small team's request stand behind a flood inside the
+    engine, which knows no teams. The limit must find the capacity, also when
+    the engine names more slots than its memory lets it use, or none.
+    """
+    before = upstreams.run_limit(
+        upstreams.Upstream(capacity, slots),
+        admission.ConcurrencyLimit(cap=cap),
+        120,
+        adapt=False,
+    )
+    after = upstreams.run_limit(
+        upstreams.Upstream(capacity, slots), create_limit(cap), 120
+    )
+    assert before.mean_queue > cap - capacity
+    assert after.most_queue <= 2
+    assert after.idle < 0.025
+
+
+def test_limit_follows_a_capacity_that_changes_without_oscillating():
+    upstream = upstreams.Upstream(8, 8)
+
+    def change(now):
+        upstream.capacity = 4 if 40 < now < 80 else 8
+
+    figures = upstreams.run_limit(upstream, create_limit(32), 120, change)
+    assert figures.mean_queue < 1.5
+    assert figures.idle < 0.01
+
+
+def test_sidecar_restarted_beside_a_busy_engine_starts_low():
+    """A restarted sidecar knows nothing of what its predecessor started.
+
+    With the whole cap at once the engine would hold twice its slots, and
+    whatever the sidecar hands out next waits in the inner queue.
+    """
+    left = {f"foreign-{index}": 5.0 for index in range(8)}
+    upstream = upstreams.Upstream(8, 8, left=left)
+    figures = upstreams.run_limit(upstream, create_limit(16), 4)
+    # Two until the first report, and one more because that report may be
+    # about a time when the two were already there.
+    assert figures.most_in_flight <= 3
+
+
+def test_foreign_requests_are_not_mistaken_for_own_ones_that_ended():
+    limit = create_limit(8)
+    admission.note_load(limit, 0.0, admission.LoadReport(0, 0, 8))
+    for _ in range(8):
+        admission.note_start(limit, 1.0)
+    for _ in range(8):
+        admission.note_end(limit, 1.6)
+    # The report still shows the eight that have just ended.
+    admission.note_load(limit, 1.7, admission.LoadReport(8, 0, 8))
+    assert limit.foreign == 0
+    admission.note_load(limit, 9.0, admission.LoadReport(3, 0, 8))
+    assert limit.foreign == 3
+
+
+def test_limit_stays_usable_when_reports_end_while_foreign_work_runs():
+    limit = create_limit(8)
+    admission.note_load(limit, 0.0, admission.LoadReport(8, 4, 8))
+    assert admission.count_own(limit) == 1
+    gate = gate_module.Gate(limit)
+    for index in range(20):
+        now = 11.0 + index
+        gate_module.pass_gate(gate, now, f"run-{index}", lambda: None)
+        gate_module.leave_gate(gate, now + 0.5, f"run-{index}", True, True)
+    assert limit.foreign == 0
+    assert admission.count_own(limit) == 8
+
+
+def test_plain_service_is_not_driven_far_beyond_its_capacity():
+    figures = upstreams.run_limit(
+        upstreams.Upstream(8, shares=True),
+        create_limit(32),
+        60,
+        mean_work=0.05,
+    )
+    assert figures.mean_queue < 4
+    assert figures.idle < 0.08
+
+
+def test_plain_calls_that_became_longer_do_not_hold_the_limit_down():
+    """Calls that take four times as long look like congestion.
+
+    A user would see a service at a fraction of its capacity for good. Half
+    the limit does not make the calls faster, which tells the two apart.
+    """
+    limit = create_limit(8)
+    upstream = upstreams.Upstream(8, shares=True)
+    stretched = set()
+
+    def change(now):
+        fresh = [] if now < 30 else upstream.left.keys() - stretched
+        for request in fresh:
+            upstream.left[request] *= 4
+            stretched.add(request)
+
+    upstreams.run_limit(upstream, limit, 30, change, mean_work=0.05)
+    assert limit.capacity == 8
+    upstreams.run_limit(
+        upstream, limit, 120, lambda now: change(now + 30), mean_work=0.05
+    )
+    assert limit.capacity >= 7
--- a/sycamorefall/sidecar/daemon.py
+++ b/sycamorefall/sidecar/daemon.py
@@ -6,9 +6,15 @@
 
 import msgspec
 
-from sycamorefall import configuration, errors, messages, settings, transport
+from sycamorefall import (
+    admission,
+    errors,
+    messages,
+    settings,
+    transport,
+)
 from sycamorefall import node as node_module
-from sycamorefall.sidecar import claiming, core, metering, running
+from sycamorefall.sidecar import claiming, core, gate, load, metering, running
 from sycamorefall.sidecar import state as state_module
 
 _PASSED_ON = frozenset({"content-type", "cache-control"})
@@ -47,6 +53,7 @@
         node_module.choose_incarnation(),
         config.upstream.service,
     )
+    admission.begin_low(state.limit)
     decisions = node_module.Core(
         vm=state.vm,
         incarnation=state.incarnation,
@@ -65,9 +72,34 @@
     node = node_module.create_node(
         config, decisions, lambda call: _take_call(node, config, state, call)
     )
+    poller = load.LoadPoller(
+        node.client,
+        config.upstream.address,
+        lambda report: _take_load(node, state, report),
+    )
+    transport.Ticker(
+        lambda: load.find_next_poll(poller),
+        lambda now: load.poll_load(poller, now),
+    ).register(node.loop)
     node_module.run_node(node)
 
 
+def _take_load(
+    node: node_module.Node,
+    state: state_module.SidecarState,
+    report: admission.LoadReport,
+) -> None:
+    if state.versions.configuration is None:
+        return
+    now = transport.read_clock()
+    if running.serves_engine(state):
+        admission.note_load(state.limit, now, report)
+    else:
+        admission.note_foreign(state.limit, now, report)
+    gate.open_gate(state.gate, now)
+    node_module.perform(node, claiming.make_claims(state, now))
+
+
 def _take_call(
     node: node_module.Node,
     config: settings.SidecarSettings,
@@ -95,7 +127,9 @@
         "refusal": state.versions.refusal,
         "running": len(state.runs),
         "claimed": len(state.claims.open),
-        "limit": state.limit.cap,
+        "limit": admission.count_own(state.limit),
+        "foreign": state.limit.foreign,
+        "held": len(state.gate.held),
         "stopping": state.stopping,
     }
 
@@ -119,7 +153,13 @@
         return
     relay = _Relay(call, order, _choose_meter(state, len(call.body)))
     running.charge_run(state, order.attempt_id, relay.meter.begin())
-    _send_upstream(node, config, state, relay)
+    call.on_hangup = _make_ending(node, state, relay)
+    gate.pass_gate(
+        state.gate,
+        now,
+        order.attempt_id,
+        lambda: _send_upstream(node, config, state, relay),
+    )
 
 
 def _answer_outcome(
@@ -132,7 +172,7 @@
     state: state_module.SidecarState, body_size: int
 ) -> metering.Meter:
     service = state.versions.configuration.services[state.service]
-    if service.kind is configuration.ServiceKind.ENGINE:
+    if running.serves_engine(state):
         return metering.meter_engine(service, body_size)
     return metering.meter_plain()
 
@@ -144,6 +184,7 @@
     relay: _Relay,
 ) -> None:
     order, call = relay.order, relay.call
+    relay.begun_at = transport.read_clock()
     request = transport.OutgoingRequest(
         config.upstream.address,
         order.method,
@@ -173,15 +214,23 @@
     node: node_module.Node,
     state: state_module.SidecarState,
     relay: _Relay,
-) -> Callable[[], None]:
+) -> Callable[..., None]:
     """Makes the function that closes a run's books, once."""
 
-    def end() -> None:
+    def end(whole: bool = False) -> None:
         now = transport.read_clock()
         attempt_id = relay.order.attempt_id
-        rest = relay.meter.finish(now - relay.begun_at)
-        running.charge_run(state, attempt_id, rest)
+        if relay.exchange is not None:
+            rest = relay.meter.finish(now - relay.begun_at)
+            running.charge_run(state, attempt_id, rest)
         running.finish_run(state, now, attempt_id)
+        gate.leave_gate(
+            state.gate,
+            now,
+            attempt_id,
+            whole,
+            is_engine=running.serves_engine(state),
+        )
         node_module.perform(node, claiming.make_claims(state, now))
 
     return end
@@ -204,9 +253,9 @@
         node.client.pause(relay.exchange, True)
 
 
-def _end_whole(relay: _Relay, end: Callable[[], None]) -> None:
+def _end_whole(relay: _Relay, end: Callable[..., None]) -> None:
     relay.call.end()
-    end()
+    end(whole=True)
 
 
 def _end_broken(
--- a/sycamorefall/sidecar/running.py
+++ b/sycamorefall/sidecar/running.py
@@ -1,8 +1,8 @@
 """Attempts at a sidecar: started at most once, charged as they run."""
 
-__all__ = ["accept_attempt", "charge_run", "finish_run"]
+__all__ = ["accept_attempt", "charge_run", "finish_run", "serves_engine"]
 
-from sycamorefall import dispatch, messages, sharing
+from sycamorefall import configuration, dispatch, messages, sharing
 from sycamorefall.dispatch import outcomes
 from sycamorefall.sidecar import state as state_module
 
@@ -89,3 +89,10 @@
     outcomes.record_outcome(
         state.outcomes, now, attempt_id, messages.AttemptState.FINISHED
     )
+
+
+def serves_engine(state: state_module.SidecarState) -> bool:
+    """Tells whether the upstream is a model engine."""
+    service = state.versions.configuration.services.get(state.service)
+    engine = configuration.ServiceKind.ENGINE
+    return service is not None and service.kind is engine
--- a/sycamorefall/sidecar/state.py
+++ b/sycamorefall/sidecar/state.py
@@ -5,6 +5,7 @@
 import dataclasses
 
 from sycamorefall import admission, configuration, dispatch, membership, sharing
+from sycamorefall.sidecar import gate as gate_module
 
 
 @dataclasses.dataclass(slots=True)
@@ -39,6 +40,7 @@
         estimates: Costs of the teams' recent requests.
         demand: Work waiting at the routers.
         limit: The upstream's concurrency limit.
+        gate: Runs held until the limit lets them reach the upstream.
         claims: Requests asked for that have not come yet.
         runs: Requests in progress at the upstream, by attempt.
         outcomes: What became of each attempt.
@@ -67,6 +69,7 @@
     limit: admission.ConcurrencyLimit = dataclasses.field(
         default_factory=admission.ConcurrencyLimit
     )
+    gate: gate_module.Gate = dataclasses.field(init=False)
     claims: dispatch.ClaimTable = dataclasses.field(
         default_factory=dispatch.ClaimTable
     )
@@ -78,6 +81,9 @@
     next_exchange: float = 0.0
     stopping: bool = False
 
+    def __post_init__(self):
+        self.gate = gate_module.Gate(self.limit)
+
 
 def create_state(vm: str, incarnation: int, service: str) -> SidecarState:
     """Creates the state of a sidecar that has just started.
