Judge waits by rank and a rate that follows both ways; bound waiting by weight

Cause: a request was refused by the whole length of its team's queue, though the team's earliest deadline goes first; the drain rate stood still with the queue, so a hung upstream showed the old rate; nobody looked again at work that waits; work of a service whose last upstream vanished was held to its deadline; rates of idle teams were kept for ever; a request that came back to the queue counted as its newest; an overflow looked at every queue; a failed request waited again at once, without a budget.

The longest queue by weight comes from a heap that is put right as it is read. Retries: a tenth of the team's requests and five, exponential back-off with jitter seeded by the attempt.

--- a/sycamorefall/admission/tests/test_limit.py
+++ b/sycamorefall/admission/tests/test_limit.py
@@ -128,6 +128,17 @@
     assert limit.foreign == 3
 
 
+def test_burst_that_the_engine_is_just_admitting_is_no_full_queue():
+    limit = create_limit(8)
+    admission.note_load(limit, 0.0, admission.LoadReport(0, 0, 8))
+    admission.note_load(limit, 0.5, admission.LoadReport(1, 6, 8))
+    admission.note_load(limit, 1.0, admission.LoadReport(7, 0, 8))
+    assert limit.capacity == 8
+    admission.note_load(limit, 1.5, admission.LoadReport(5, 3, 8))
+    admission.note_load(limit, 2.0, admission.LoadReport(5, 3, 8))
+    assert limit.capacity == 5
+
+
 def test_limit_stays_usable_when_reports_end_while_foreign_work_runs():
     limit = create_limit(8)
     admission.note_load(limit, 0.0, admission.LoadReport(8, 4, 8))
--- a/sycamorefall/dispatch/__init__.py
+++ b/sycamorefall/dispatch/__init__.py
@@ -5,12 +5,17 @@
     "ClaimTable",
     "OpenClaim",
     "OutcomeRecords",
+    "RetryBudgets",
     "answer_query",
+    "compute_backoff",
+    "deposit_request",
+    "drop_idle_budgets",
     "expire_claims",
     "open_claim",
     "redeem_claim",
     "release_claim",
     "try_start",
+    "withdraw_retry",
 ]
 
 from sycamorefall.dispatch.claims import (
@@ -27,3 +32,10 @@
     answer_query,
     try_start,
 )
+from sycamorefall.dispatch.retries import (
+    RetryBudgets,
+    compute_backoff,
+    deposit_request,
+    drop_idle_budgets,
+    withdraw_retry,
+)
--- a/sycamorefall/router/core.py
+++ b/sycamorefall/router/core.py
@@ -5,7 +5,7 @@
 import heapq
 
 from sycamorefall import effects, errors, membership, messages
-from sycamorefall.router import announcement, handout, intake
+from sycamorefall.router import announcement, handout, intake, sweep
 from sycamorefall.router import effects as router_effects
 from sycamorefall.router import state as state_module
 
@@ -69,6 +69,8 @@
         What is to be done.
     """
     due = _expire_requests(state, now)
+    due += sweep.end_backoffs(state, now)
+    due += sweep.sweep_waiting(state, now)
     for request in _list_asking(state):
         if request.attempt.ask_next <= now:
             due += handout.ask_again(state, now, request)
@@ -85,7 +87,13 @@
     """Tells when `run_timers` has something to do next."""
     asking = (request.attempt.ask_next for request in _list_asking(state))
     deadlines = (entry[0] for entry in state.deadlines[:1])
-    return min(state.next_heartbeat, state.next_digest, *asking, *deadlines)
+    return min(
+        state.next_heartbeat,
+        state.next_digest,
+        sweep.find_next_due(state),
+        *asking,
+        *deadlines,
+    )
 
 
 def _list_asking(
@@ -127,7 +135,7 @@
     ran = errors.Ran.NO
     if request.attempt is not None or request.failures:
         ran = errors.Ran.UNKNOWN
-    retry_after = intake.suggest_return(state, new.service, new.team)
+    retry_after = intake.suggest_return(state, now, new.service, new.team)
     answer = router_effects.AnswerError(
         request.number, errors.ErrorKind.DEADLINE_EXCEEDED, ran, retry_after
     )
--- a/sycamorefall/router/handout.py
+++ b/sycamorefall/router/handout.py
@@ -9,9 +9,11 @@
 ]
 
 import enum
+import heapq
 
 from sycamorefall import (
     admission,
+    dispatch,
     effects,
     errors,
     membership,
@@ -97,7 +99,8 @@
     oldest: float,
 ) -> None:
     key = (request.new.service, request.new.team)
-    rate = state.rates.setdefault(key, admission.DrainRate())
+    rate = state.rates.pop(key, None) or admission.DrainRate()
+    state.rates[key] = rate
     admission.note_departure(rate, now, busy_since=oldest)
 
 
@@ -114,7 +117,9 @@
         f"{state.vm}/{state.incarnation}/{request.number}/{request.attempts}"
     )
     request.state = state_module.RequestState.HANDED_OUT
-    request.attempt = state_module.Attempt(attempt_id, sidecar, incarnation)
+    request.attempt = state_module.Attempt(
+        attempt_id, sidecar, incarnation, started=now
+    )
     state.by_attempt[attempt_id] = request.number
     new = request.new
     order = messages.AttemptOrder(
@@ -157,6 +162,7 @@
     if request is None:
         return []
     if end is AttemptEnd.COMPLETE:
+        intake.note_run(state, now, request)
         intake.forget_request(state, request.number)
         return []
     if end in (AttemptEnd.REFUSED, AttemptEnd.NOT_RUN):
@@ -173,28 +179,23 @@
     state: state_module.RouterState,
     now: float,
     request: state_module.Request,
+    delay: float = 0.0,
 ) -> list[router_effects.Effect]:
-    """Makes a request that did not run wait again."""
+    """Makes a request wait again, after a delay if it failed."""
     state.by_attempt.pop(request.attempt.attempt_id, None)
     state.asking.discard(request.number)
     request.attempt = None
     request.state = state_module.RequestState.WAITING
-    if now >= request.deadline:
+    if now + delay >= request.deadline:
         kind = errors.ErrorKind.DEADLINE_EXCEEDED
         return _give_up(state, request, kind, errors.Ran.NO)
     if request.attempts >= NOT_RUN_LIMIT and not request.failures:
         kind = errors.ErrorKind.NO_UPSTREAM
         return _give_up(state, request, kind, errors.Ran.NO)
-    new = request.new
-    sharing.join_queue(
-        state.waiting,
-        new.service,
-        new.team,
-        request.number,
-        request.arrived,
-        request.deadline,
-    )
-    return announcement.announce_team(state, now, new.service, new.team)
+    if delay:
+        heapq.heappush(state.backoffs, (now + delay, request.number))
+        return []
+    return intake.enqueue_request(state, now, request)
 
 
 def _retry_or_give_up(
@@ -206,10 +207,15 @@
         kind = errors.ErrorKind.OUTCOME_UNKNOWN
         return _give_up(state, request, kind, errors.Ran.UNKNOWN)
     request.failures += 1
-    if request.failures > state.versions.configuration.limits.retries:
+    retries = state.versions.configuration.limits.retries
+    team, seed = request.new.team, request.attempt.attempt_id
+    if request.failures > retries or not dispatch.withdraw_retry(
+        state.budgets, now, team
+    ):
         kind = errors.ErrorKind.RETRIES_EXHAUSTED
         return _give_up(state, request, kind, errors.Ran.UNKNOWN)
-    return _return_to_queue(state, now, request)
+    delay = dispatch.compute_backoff(request.failures, seed)
+    return _return_to_queue(state, now, request, delay)
 
 
 def _give_up(
--- a/sycamorefall/router/intake.py
+++ b/sycamorefall/router/intake.py
@@ -4,16 +4,23 @@
     "admit_request",
     "cancel_request",
     "check_service",
+    "enqueue_request",
+    "find_outage",
+    "find_run_time",
     "forget_request",
     "identify_team",
+    "note_run",
+    "refuse_waiting",
     "suggest_return",
 ]
 
+import dataclasses
 import heapq
 
 from sycamorefall import (
     admission,
     configuration,
+    dispatch,
     effects,
     errors,
     membership,
@@ -24,6 +31,9 @@
 from sycamorefall.router import state as state_module
 from sycamorefall.sharing import queues
 
+SPARE_DEADLINES = 1024
+"""Deadlines of answered requests that are kept at most beside the open ones."""
+
 
 def identify_team(state: state_module.RouterState, key: str) -> str | None:
     """Finds the team that a bearer key belongs to.
@@ -64,12 +74,30 @@
         return errors.ErrorKind.STOPPING
     if service not in in_force.services:
         return errors.ErrorKind.UNKNOWN_SERVICE
+    return find_outage(state, now, service)
+
+
+def find_outage(
+    state: state_module.RouterState, now: float, service: str
+) -> errors.ErrorKind | None:
+    """Tells why work of a service can't be run now, if so.
+
+    Args:
+        state: The router, with a configuration in force.
+        now: This process's time.
+        service: The service.
+
+    Returns:
+        The kind of failure, or None if it can be run.
+    """
+    known = state.versions.configuration.services.get(service)
+    if known is None:
+        return errors.ErrorKind.UNKNOWN_SERVICE
     if not membership.select_upstreams(state.directory, now, service):
         return errors.ErrorKind.NO_UPSTREAM
-    needed = in_force.services[service].depends_on
     if not all(
         membership.select_upstreams(state.directory, now, name)
-        for name in needed
+        for name in known.depends_on
     ):
         return errors.ErrorKind.DEPENDENCY_UNAVAILABLE
     return None
@@ -95,42 +123,113 @@
     number = state.last_request
     refusal = check_service(state, now, new.service)
     if refusal is None:
-        refusal = _check_wait(state, new)
+        refusal = _check_wait(state, now, new)
     if refusal is not None:
-        return number, [_refuse(state, number, new, refusal)]
+        return number, [_refuse(state, now, number, new, refusal)]
     request = state_module.Request(
         number, new, arrived=now, deadline=now + new.timeout
     )
     state.requests[number] = request
-    heapq.heappush(state.deadlines, (request.deadline, number))
+    _note_deadline(state, request)
+    dispatch.deposit_request(state.budgets, now, new.team)
+    announced = enqueue_request(state, now, request)
+    return number, [*announced, *_shed_overflow(state, now)]
+
+
+def _note_deadline(
+    state: state_module.RouterState, request: state_module.Request
+) -> None:
+    heapq.heappush(state.deadlines, (request.deadline, request.number))
+    if len(state.deadlines) > 2 * len(state.requests) + SPARE_DEADLINES:
+        state.deadlines = [
+            (known.deadline, known.number) for known in state.requests.values()
+        ]
+        heapq.heapify(state.deadlines)
+
+
+def enqueue_request(
+    state: state_module.RouterState,
+    now: float,
+    request: state_module.Request,
+) -> list[effects.Send]:
+    """Makes a request wait for an upstream.
+
+    Args:
+        state: The router; changed.
+        now: This process's time.
+        request: The request, known to the router and bound to no attempt.
+
+    Returns:
+        Announcements.
+    """
+    new = request.new
+    team = state.versions.configuration.teams.get(new.team)
     sharing.join_queue(
         state.waiting,
         new.service,
         new.team,
-        number,
+        request.number,
         request.arrived,
         request.deadline,
+        weight=team.weight if team else 1.0,
     )
-    overflow = _shed_overflow(state)
-    announced = announcement.announce_team(state, now, new.service, new.team)
-    return number, [*overflow, *announced]
+    return announcement.announce_team(state, now, new.service, new.team)
 
 
 def _check_wait(
-    state: state_module.RouterState, new: state_module.NewRequest
+    state: state_module.RouterState,
+    now: float,
+    new: state_module.NewRequest,
 ) -> errors.ErrorKind | None:
     limits = state.versions.configuration.limits
-    ahead = queues.count_waiting(state.waiting, new.service, new.team)
-    if ahead >= limits.waiting_per_team:
+    service, team = new.service, new.team
+    waiting = queues.count_waiting(state.waiting, service, team)
+    if waiting >= limits.waiting_per_team:
         return errors.ErrorKind.TOO_MANY_WAITING
-    rate = state.rates.get((new.service, new.team))
-    if rate and ahead and admission.estimate_wait(rate, ahead) > new.timeout:
+    rate = state.rates.get((service, team))
+    if rate is None or not waiting:
+        return None
+    # Only those with an earlier deadline are handed out before it.
+    deadline = now + new.timeout
+    left = new.timeout - find_run_time(state, now, service)
+    ahead = queues.count_earlier(state.waiting, service, team, deadline)
+    interval = _find_interval(state, now, service, team)
+    if admission.exceeds_deadline(rate, interval, ahead, left):
         return errors.ErrorKind.WAIT_EXCEEDS_DEADLINE
     return None
 
 
+def note_run(
+    state: state_module.RouterState,
+    now: float,
+    request: state_module.Request,
+) -> None:
+    """Learns from a whole answer how long the service's requests run."""
+    run_times = state.run_times
+    run_time = run_times.setdefault(request.new.service, admission.RunTime())
+    admission.note_run(run_time, now, now - request.attempt.started)
+
+
+def find_run_time(
+    state: state_module.RouterState, now: float, service: str
+) -> float:
+    """Finds how long most of a service's requests run, in seconds."""
+    run_time = state.run_times.get(service, admission.RunTime())
+    stale = now - run_time.last_answer > admission.RATE_LIFETIME
+    return 0.0 if stale else run_time.seconds
+
+
+def _find_interval(
+    state: state_module.RouterState, now: float, service: str, team: str
+) -> float:
+    rate = state.rates.get((service, team), admission.DrainRate())
+    oldest = sharing.peek_oldest(state.waiting, service, team)
+    return admission.find_interval(rate, now, oldest)
+
+
 def _refuse(
     state: state_module.RouterState,
+    now: float,
     number: int,
     new: state_module.NewRequest,
     kind: errors.ErrorKind,
@@ -138,32 +237,60 @@
     """Builds the final answer to a request that was not run."""
     retry_after = None
     if errors.ANSWERS[kind].retry:
-        retry_after = suggest_return(state, new.service, new.team)
+        retry_after = suggest_return(state, now, new.service, new.team)
     return router_effects.AnswerError(number, kind, errors.Ran.NO, retry_after)
 
 
+def refuse_waiting(
+    state: state_module.RouterState,
+    now: float,
+    request: state_module.Request,
+    kind: errors.ErrorKind,
+) -> list[router_effects.Effect]:
+    """Answers a request that waits, at once.
+
+    Guards against the claim that it was not run, when an earlier attempt of
+    it broke off after it had begun: its caller is told that this is unknown.
+
+    Args:
+        state: The router; changed.
+        now: This process's time.
+        request: A request bound to no attempt.
+        kind: Why it is not waited for any longer.
+
+    Returns:
+        The answer, and announcements.
+    """
+    answer = _refuse(state, now, request.number, request.new, kind)
+    if request.failures:
+        answer = dataclasses.replace(answer, ran=errors.Ran.UNKNOWN)
+    return [answer, *cancel_request(state, now, request.number)]
+
+
 def suggest_return(
-    state: state_module.RouterState, service: str, team: str
+    state: state_module.RouterState, now: float, service: str, team: str
 ) -> int:
     """Suggests when a team's refused caller should come back, in seconds."""
-    rate = state.rates.get((service, team), admission.DrainRate())
-    ahead = queues.count_waiting(state.waiting, service, team)
-    return admission.suggest_retry_after(rate, ahead)
+    interval = _find_interval(state, now, service, team)
+    waiting = queues.count_waiting(state.waiting, service, team)
+    return admission.suggest_retry_after(interval, waiting)
 
 
 def _shed_overflow(
-    state: state_module.RouterState,
+    state: state_module.RouterState, now: float
 ) -> list[router_effects.Effect]:
-    """Makes the team with the most waiting lose its newest request."""
+    """Makes the team with the most waiting lose its newest request.
+
+    Guards against a flood that fills the router: if whoever comes last were
+    refused, one team's flood would shut out all the others.
+    """
     limits = state.versions.configuration.limits
     shed: list[router_effects.Effect] = []
     while state.waiting.total > limits.waiting_per_router:
         service, team = queues.find_longest_queue(state.waiting)
-        number = queues.pop_newest(state.waiting, service, team)
-        new = state.requests[number].new
+        number = queues.peek_newest(state.waiting, service, team)
         kind = errors.ErrorKind.TOO_MANY_WAITING
-        shed.append(_refuse(state, number, new, kind))
-        forget_request(state, number)
+        shed += refuse_waiting(state, now, state.requests[number], kind)
     return shed
 
 
@@ -195,7 +322,9 @@
     outcome: list[router_effects.Effect | effects.Send] = []
     if request.attempt is not None:
         outcome.append(router_effects.AbortAttempt(request.attempt.attempt_id))
-    elif queues.leave_queue(state.waiting, new.service, new.team, number):
+    elif queues.leave_queue(
+        state.waiting, new.service, new.team, number, request.deadline
+    ):
         outcome += announcement.announce_team(state, now, new.service, new.team)
     forget_request(state, number)
     return outcome
--- a/sycamorefall/router/state.py
+++ b/sycamorefall/router/state.py
@@ -12,7 +12,13 @@
 import dataclasses
 import enum
 
-from sycamorefall import admission, configuration, membership, sharing
+from sycamorefall import (
+    admission,
+    configuration,
+    dispatch,
+    membership,
+    sharing,
+)
 
 
 class RequestState(enum.Enum):
@@ -56,6 +62,7 @@
         attempt_id: Unique over all routers, incarnations and attempts.
         sidecar: VM name of the sidecar.
         incarnation: The sidecar's process when it claimed.
+        started: When it was handed out.
         ask_until: When to give up asking for its outcome.
         ask_next: When to ask again.
     """
@@ -63,6 +70,7 @@
     attempt_id: str
     sidecar: str
     incarnation: int
+    started: float = 0.0
     ask_until: float = 0.0
     ask_next: float = 0.0
 
@@ -106,7 +114,14 @@
         by_attempt: Request number by attempt.
         asking: Numbers of requests whose outcome a sidecar is asked for.
         deadlines: Heap of (deadline, request); may hold answered requests.
-        rates: Drain rate by service and team.
+        rates: Drain rate by service and team, least recent departure first.
+        run_times: Run time by service.
+        budgets: Retry budgets of the teams.
+        backoffs: Heap of (time, request) of failed requests that stay out of
+            the queues until then; may hold answered requests.
+        outages: Since when work of a service can't be run, by service.
+        unswept: Queues not yet looked at in the current sweep.
+        next_sweep: When waiting work is looked at next.
         announced: Last announced count by service and team.
         announcements: Sequence number of the last announcement.
         last_request: Number of the last request.
@@ -134,6 +149,16 @@
     rates: dict[tuple[str, str], admission.DrainRate] = dataclasses.field(
         default_factory=dict
     )
+    run_times: dict[str, admission.RunTime] = dataclasses.field(
+        default_factory=dict
+    )
+    budgets: dispatch.RetryBudgets = dataclasses.field(
+        default_factory=dispatch.RetryBudgets
+    )
+    backoffs: list[tuple[float, int]] = dataclasses.field(default_factory=list)
+    outages: dict[str, float] = dataclasses.field(default_factory=dict)
+    unswept: list[tuple[str, str]] = dataclasses.field(default_factory=list)
+    next_sweep: float = 0.0
     announced: dict[tuple[str, str], int] = dataclasses.field(
         default_factory=dict
     )
--- /dev/null
+++ b/sycamorefall/router/tests/fakes.py
@@ -0,0 +1,95 @@
+"""A router's decisions with faked upstreams, for tests."""
+
+from sycamorefall import configuration, membership, messages
+from sycamorefall.router import core, handout, intake
+from sycamorefall.router import effects as router_effects
+from sycamorefall.router import state as state_module
+
+TEXT = """
+[limits]
+waiting_per_team = 500
+waiting_per_router = 40
+[service assistant]
+kind = engine
+depends_on = ledger
+[service ledger]
+kind = plain
+[team mill]
+[team flood]
+[team large]
+weight = 10
+"""
+
+UPSTREAMS = {"engine-0": "assistant", "ledger-0": "ledger"}
+
+
+class Router:
+    """A router whose upstreams live as long as they are in `live`."""
+
+    def __init__(self, text=TEXT):
+        self.state = state_module.RouterState("router-0", 1)
+        self.live = set(UPSTREAMS)
+        self.claims = 0
+        assert configuration.offer_text(self.state.versions, 1, text)
+        vms = tuple(
+            membership.VmEntry(
+                name,
+                membership.VmRole.UPSTREAM,
+                "a",
+                "127.0.0.1:1",
+                "127.0.0.1:2",
+                service,
+            )
+            for name, service in UPSTREAMS.items()
+        )
+        membership.replace_list(self.state.directory, membership.VmList(1, vms))
+        self.run(0.0)
+
+    def run(self, now):
+        """Lets live upstreams be heard, and timers run; returns answers."""
+        for name in self.live:
+            self.receive(now, messages.Heartbeat(), name)
+        return select_answers(core.run_timers(self.state, now))
+
+    def receive(self, now, message, sender="engine-0"):
+        envelope = messages.Envelope(sender, 1, 1, message)
+        return core.receive_message(self.state, now, envelope)
+
+    def admit(self, now, team="mill", timeout=100.0, service="assistant"):
+        new = state_module.NewRequest(
+            service, team, "POST", "/", (), timeout, idempotent=True
+        )
+        number, outcome = intake.admit_request(self.state, now, new)
+        return number, select_answers(outcome)
+
+    def claim(self, now, team="mill"):
+        """Claims a request; returns its hand-out or None."""
+        self.claims += 1
+        claim = messages.Claim(self.claims, "assistant", team, 1.0)
+        handed = [
+            effect
+            for effect in self.receive(now, claim)
+            if isinstance(effect, router_effects.HandOut)
+        ]
+        return handed[0] if handed else None
+
+    def end(self, now, handed, end=handout.AttemptEnd.COMPLETE):
+        return select_answers(
+            handout.end_attempt(
+                self.state, now, handed.order.attempt_id, end, False
+            )
+        )
+
+
+def select_answers(outcome):
+    """Selects failures as (request, kind, ran, retry_after)."""
+    return [
+        (
+            effect.request,
+            effect.kind.value,
+            effect.ran.value,
+            effect.retry_after,
+        )
+        for effect in outcome
+        if isinstance(effect, router_effects.AnswerError)
+    ]
--- /dev/null
+++ b/sycamorefall/router/tests/test_admission.py
@@ -0,0 +1,249 @@
+"""Who is let in, who waits, and who is answered at once."""
+
+import pytest
+
+from benchmarks import admission as bench
+from sycamorefall import admission
+from sycamorefall.router import handout
+from sycamorefall.router.tests import fakes
+
+
+def drain(router, start, count, interval):
+    """Lets requests come and go at an interval, one always waiting."""
+    for index in range(count):
+        now = start + index * interval
+        router.run(now)
+        router.admit(now)
+        if index:
+            router.end(now, router.claim(now))
+    return start + count * interval
+
+
+def fill(router, now, count, **options):
+    return [router.admit(now, **options) for _ in range(count)]
+
+
+def test_wait_beyond_the_deadline_is_answered_at_once():
+    router = fakes.Router()
+    now = drain(router, 0.0, 20, interval=1.0)
+    fill(router, now, 9)
+    deep = [router.admit(now, timeout=8.0)[1] for _ in range(12)]
+    refused = [entry for answers in deep for entry in answers]
+    assert {entry[1:3] for entry in refused} == {
+        ("wait_exceeds_deadline", "no")
+    }
+    # Those with less time go first: about eight of them fit in eight seconds.
+    assert len(refused) == 4
+    assert [entry[3] for entry in refused] == [19, 19, 19, 19]
+
+
+def test_stale_slow_rate_does_not_refuse_for_ever():
+    """A slow hour leaves a slow rate; then the upstreams are fast again.
+
+    Callers would be refused with all slots free: nothing is let in, so
+    nothing departs, so the rate never changes. One request is always let
+    in, and each departure moves the rate.
+    """
+    router = fakes.Router()
+    now = drain(router, 0.0, 12, interval=10.0)
+    router.run(now)
+    while router.claim(now):
+        pass
+    assert router.admit(now, timeout=1.0)[1] == []
+    assert router.admit(now, timeout=1.0)[1] != []
+    refused = 0
+    for _ in range(60):
+        now += 0.02
+        router.run(now)
+        refused += len(router.admit(now, timeout=1.0)[1])
+        router.claim(now)
+    assert refused < 40
+    assert router.admit(now, timeout=1.0)[1] == []
+
+
+def test_idle_team_is_judged_by_nothing_old():
+    router = fakes.Router()
+    now = drain(router, 0.0, 12, interval=2.0)
+    while router.claim(now):
+        pass
+    assert router.state.rates
+    now += admission.RATE_LIFETIME + 1.0
+    router.run(now)
+    router.run(now + 1.0)
+    assert not router.state.rates
+    assert all(not answers for _, answers in fill(router, now, 20, timeout=3.0))
+
+
+def test_state_of_idle_teams_is_dropped():
+    """31,000 teams call now and then; a router that remembers all grows."""
+    router = fakes.Router()
+    for index in range(2000):
+        now = index * 0.1
+        team = f"team-{index}"
+        router.admit(now, team=team)
+        router.run(now)
+        router.end(now, router.claim(now, team))
+    assert len(router.state.rates) <= 10 * admission.RATE_LIFETIME + 10
+    assert len(router.state.budgets.teams) <= 10 * 60 + 10
+    router.run(now + 300.0)
+    router.run(now + 301.0)
+    assert not router.state.rates
+    assert not router.state.budgets.teams
+    assert len(router.state.deadlines) <= 1100
+
+
+def test_wait_that_grows_beyond_the_deadline_is_answered_then():
+    """Work drains well, then the upstreams hang with callers waiting.
+
+    Without a second look each caller is held to its deadline. It must be
+    told as soon as the wait is known to be too long, and the head of the
+    queue, which may be the next to leave, is kept to the last.
+    """
+    router = fakes.Router()
+    now = drain(router, 0.0, 20, interval=0.5)
+    numbers = [n for n, _ in fill(router, now, 10, timeout=30.0)]
+    told = {}
+    for step in range(1, 130):
+        for number, kind, ran, retry in router.run(now + step * 0.25):
+            told[number] = step * 0.25
+            assert (kind, ran) in {
+                ("wait_exceeds_deadline", "no"),
+                ("deadline_exceeded", "no"),
+            }
+            assert retry >= 1
+    late = [told[number] for number in numbers]
+    assert late == sorted(late, reverse=True)
+    assert late[0] == 30.0
+    assert late[-1] < 20.0
+    assert sum(seconds < 29.0 for seconds in late) >= 8
+
+
+@pytest.mark.parametrize(
+    ("lost", "kind"),
+    [("engine-0", "no_upstream"), ("ledger-0", "dependency_unavailable")],
+)
+def test_waiting_work_is_answered_when_its_last_upstream_vanishes(lost, kind):
+    """The last upstream of a service, or of one it needs, dies.
+
+    Whatever waits for it would be held to its deadline, up to an hour. It
+    is answered after a short grace; new work is refused at once.
+    """
+    router = fakes.Router()
+    number, _ = router.admit(0.0)
+    assert router.run(1.0) == []
+    router.live.discard(lost)
+    answers = [router.run(1.0 + step * 0.25) for step in range(1, 40)]
+    told = [(i, found) for i, found in enumerate(answers) if found]
+    assert [found for _, found in told] == [[(number, kind, "no", 1)]]
+    # Suspected after two seconds of silence, answered after one more.
+    assert 10 <= told[0][0] <= 14
+    assert [entry[1] for entry in router.admit(11.0)[1]] == [kind]
+    assert router.state.waiting.total == 0
+
+
+def test_work_waits_through_a_restart_of_the_only_upstream():
+    router = fakes.Router()
+    number, _ = router.admit(0.0)
+    router.live.discard("engine-0")
+    answers = [router.run(step * 0.25) for step in range(1, 11)]
+    router.live.add("engine-0")
+    answers += [router.run(2.75 + step * 0.25) for step in range(40)]
+    assert not any(answers)
+    assert router.claim(13.0).request == number
+
+
+def test_flood_loses_its_newest_when_the_router_is_full():
+    """One team fills the router to its bound, then others come.
+
+    If whoever comes last were refused, a flood would shut out everyone. The
+    team with the most waiting, by weight, loses its newest instead.
+    """
+    router = fakes.Router()
+    large = [n for n, _ in fill(router, 0.0, 25, team="large")]
+    flood = [n for n, _ in fill(router, 0.0, 15, team="flood")]
+    small, answers = router.admit(0.0, team="mill")
+    assert answers == [(flood[-1], "too_many_waiting", "no", 1)]
+    assert small in router.state.requests
+    assert set(large) <= set(router.state.requests)
+    _, answers = router.admit(0.0, team="flood")
+    assert [entry[0] for entry in answers] == [small + 1]
+
+
+def test_request_that_waits_again_is_not_the_newest():
+    """A request is refused by a sidecar after it has waited long.
+
+    Back in the queue it must not count as the newest: it would be lost on
+    overflow in place of those that have just come.
+    """
+    router = fakes.Router()
+    first, _ = router.admit(0.0, timeout=10.0)
+    numbers = [n for n, _ in fill(router, 1.0, 39)]
+    handed = router.claim(2.0)
+    assert handed.request == first
+    router.admit(2.0)
+    router.end(2.0, handed, handout.AttemptEnd.REFUSED)
+    _, answers = router.admit(2.0, team="flood")
+    lost = [entry[0] for entry in answers]
+    assert first not in lost
+    assert set(lost).isdisjoint(numbers[:-1])
+
+
+def test_failed_request_that_is_given_up_is_not_called_unrun():
+    """An attempt broke off after it began; its retry then waits in vain.
+
+    "Not run" would be a lie: the upstream may have done the work.
+    """
+    router = fakes.Router()
+    number, _ = router.admit(0.0)
+    router.end(1.0, router.claim(1.0), handout.AttemptEnd.FAILED)
+    router.run(2.0)
+    router.live.discard("engine-0")
+    answers = [
+        entry for step in range(40) for entry in router.run(2.0 + step * 0.25)
+    ]
+    assert [entry[:3] for entry in answers] == [
+        (number, "no_upstream", "unknown")
+    ]
+
+
+def test_retry_stays_out_of_the_queue_for_a_while():
+    router = fakes.Router()
+    number, _ = router.admit(0.0)
+    router.end(1.0, router.claim(1.0), handout.AttemptEnd.FAILED)
+    assert router.claim(1.001) is None
+    assert router.run(1.06) == []
+    assert router.claim(1.06).request == number
+
+
+def test_upstreams_that_fail_everything_get_few_retries():
+    """Every attempt fails. With two retries each the load would triple.
+
+    The retries stay within a tenth of the requests and the reserve, and the
+    rest are answered at once.
+    """
+    router = fakes.Router()
+    attempts = 0
+    for index in range(200):
+        now = index * 0.1
+        router.run(now)
+        router.admit(now)
+        while handed := router.claim(now):
+            attempts += 1
+            router.end(now, handed, handout.AttemptEnd.FAILED)
+    assert 200 + 20 <= attempts <= 200 + 20 + 5 + 1
+    assert router.state.budgets.refused > 100
+
+
+@pytest.mark.parametrize(
+    ("load", "most_missed"),
+    [
+        ("light (0.8)", 0.0),
+        ("overload (1.5)", 0.015),
+        ("one team floods", 0.01),
+        ("slow, then fast again", 0.01),
+    ],
+)
+def test_who_is_let_in_is_served_in_time(load, most_missed):
+    shares = bench.run_load(bench.LOADS[load], seconds=90.0)
+    assert shares["missed"] <= most_missed
+    assert shares["refused, but a slot came free"] <= 0.01
