--- a/sycamorefall/sidecar/daemon.py
+++ b/sycamorefall/sidecar/daemon.py
@@ -4,19 +4,30 @@
 
 from collections.abc import Callable
 
-import msgspec
-
 from sycamorefall import (
     admission,
     errors,
     messages,
+    observation,
+    pages,
     settings,
     transport,
 )
 from sycamorefall import node as node_module
-from sycamorefall.sidecar import claiming, core, gate, load, metering, running
+from sycamorefall.sidecar import (
+    claiming,
+    core,
+    gate,
+    load,
+    metering,
+    running,
+    status,
+)
 from sycamorefall.sidecar import state as state_module
 
+REQUEST_ID_HEADER = "X-Request-Id"
+"""Header with the caller's own name for its request."""
+
 _PASSED_ON = frozenset({"content-type", "cache-control"})
 """Headers of an upstream's answer that reach the caller."""
 
@@ -24,14 +35,25 @@
 class _Relay:
     """A run in progress: the router's call and the upstream's answer."""
 
-    __slots__ = ("begun_at", "call", "exchange", "meter", "order")
+    __slots__ = (
+        "begun_at",
+        "call",
+        "exchange",
+        "meter",
+        "order",
+        "streamed",
+        "track",
+    )
 
     def __init__(
         self,
         call: transport.IncomingCall,
         order: messages.AttemptOrder,
         meter: metering.Meter,
+        track: observation.Track,
     ):
+        self.streamed = False
+        self.track = track
         self.call = call
         self.order = order
         self.meter = meter
@@ -69,99 +91,93 @@
         is_idle=lambda: not state.runs and not state.claims.open,
         begin_stop=lambda: core.begin_stop(state),
     )
+    recorder = observation.Recorder()
     node = node_module.create_node(
-        config, decisions, lambda call: _take_call(node, config, state, call)
-    )
-    poller = load.LoadPoller(
-        node.client,
-        config.upstream.address,
-        lambda report: _take_load(node, state, report),
+        config,
+        decisions,
+        lambda call: _take_call(node, config, state, shown, recorder, call),
+        lambda call: _take_operator_call(shown, call),
     )
-    transport.Ticker(
-        lambda: load.find_next_poll(poller),
-        lambda now: load.poll_load(poller, now),
-    ).register(node.loop)
+    shown = status.create_pages(node, state, recorder, config.listen)
+    load.start_polling(node, state, config.upstream.address)
     node_module.run_node(node)
 
 
-def _take_load(
-    node: node_module.Node,
-    state: state_module.SidecarState,
-    report: admission.LoadReport,
-) -> None:
-    if state.versions.configuration is None:
-        return
-    now = transport.read_clock()
-    if running.serves_engine(state):
-        admission.note_load(state.limit, now, report)
-    else:
-        admission.note_foreign(state.limit, now, report)
-    gate.open_gate(state.gate, now)
-    node_module.perform(node, claiming.make_claims(state, now))
-
-
 def _take_call(
     node: node_module.Node,
     config: settings.SidecarSettings,
     state: state_module.SidecarState,
+    shown: pages.Pages,
+    recorder: observation.Recorder,
     call: transport.IncomingCall,
 ) -> None:
-    if call.path == "/status":
-        call.respond(
-            200,
-            msgspec.json.encode(_describe_status(state)),
-            (("Content-Type", "application/json"),),
-        )
-    elif call.path == messages.ATTEMPT_PATH:
-        _take_attempt(node, config, state, call)
-    else:
+    if call.path == messages.ATTEMPT_PATH:
+        _take_attempt(node, config, state, recorder, call)
+    elif not pages.answer_page(shown, call, for_operators=False):
         call.fail(errors.ErrorKind.UNKNOWN_SERVICE)
 
 
-def _describe_status(state: state_module.SidecarState) -> dict[str, object]:
-    return {
-        "vm": state.vm,
-        "role": "sidecar",
-        "service": state.service,
-        "revision": state.versions.in_force,
-        "refusal": state.versions.refusal,
-        "running": len(state.runs),
-        "claimed": len(state.claims.open),
-        "limit": admission.count_own(state.limit),
-        "foreign": state.limit.foreign,
-        "held": len(state.gate.held),
-        "stopping": state.stopping,
-    }
+def _take_operator_call(
+    shown: pages.Pages, call: transport.IncomingCall
+) -> None:
+    if not pages.answer_page(shown, call, for_operators=True):
+        call.fail(errors.ErrorKind.UNKNOWN_SERVICE)
 
 
 def _take_attempt(
     node: node_module.Node,
     config: settings.SidecarSettings,
     state: state_module.SidecarState,
+    recorder: observation.Recorder,
     call: transport.IncomingCall,
 ) -> None:
-    try:
-        order = messages.decode_order(
-            call.headers.get(messages.ORDER_HEADER, "")
-        )
-    except errors.MessageRefused:
-        _answer_outcome(call, messages.Outcome.REFUSED)
-        return
+    order = _read_order(node, recorder, call)
     now = transport.read_clock()
-    if not running.accept_attempt(state, now, order):
+    if order is None or not running.accept_attempt(state, now, order):
+        observation.count_event(recorder, "attempt", "refused")
         _answer_outcome(call, messages.Outcome.REFUSED)
         return
-    relay = _Relay(call, order, _choose_meter(state, len(call.body)))
+    track = observation.begin_request(
+        recorder,
+        now,
+        order.service,
+        order.team,
+        attempt=order.attempt_id,
+        request_id=dict(order.headers).get(REQUEST_ID_HEADER, ""),
+    )
+    meter = _choose_meter(state, len(call.body))
+    relay = _Relay(call, order, meter, track)
     running.charge_run(state, order.attempt_id, relay.meter.begin())
-    call.on_hangup = _make_ending(node, state, relay)
+    end = _make_ending(node, state, recorder, relay)
+    call.on_hangup = lambda: end("cancelled")
     gate.pass_gate(
         state.gate,
         now,
         order.attempt_id,
-        lambda: _send_upstream(node, config, state, relay),
+        lambda: _send_upstream(node, config, relay, state, recorder, end),
     )
 
 
+def _read_order(
+    node: node_module.Node,
+    recorder: observation.Recorder,
+    call: transport.IncomingCall,
+) -> messages.AttemptOrder | None:
+    """Reads a hand-out's head, if it is one and a router signed it."""
+    text = call.headers.get(messages.ORDER_HEADER, "")
+    signature = call.headers.get(messages.SIGNATURE_HEADER, "")
+    if not node.authenticator.check_order(text, call.body, signature):
+        observation.count_event(recorder, "order_unsigned")
+        observation.write_record(
+            observation.Level.WARNING, "order.unsigned", caller=call.remote
+        )
+        return None
+    try:
+        return messages.decode_order(text)
+    except errors.MessageRefused:
+        return None
+
+
 def _answer_outcome(
     call: transport.IncomingCall, outcome: messages.Outcome
 ) -> None:
@@ -180,8 +196,10 @@
 def _send_upstream(
     node: node_module.Node,
     config: settings.SidecarSettings,
-    state: state_module.SidecarState,
     relay: _Relay,
+    state: state_module.SidecarState,
+    recorder: observation.Recorder,
+    end: Callable[[str], None],
 ) -> None:
     order, call = relay.order, relay.call
     relay.begun_at = transport.read_clock()
@@ -193,15 +211,13 @@
         call.body,
         fresh=not order.idempotent,
     )
-    end = _make_ending(node, state, relay)
     relay.exchange = node.client.send(
         request,
         transport.Listener(
-            on_head=lambda status, headers: call.begin(
-                status,
-                tuple(pair for pair in headers if pair[0] in _PASSED_ON),
+            on_head=lambda status, headers: _relay_head(relay, status, headers),
+            on_data=lambda data: _relay_data(
+                node, state, recorder, relay, data
             ),
-            on_data=lambda data: _relay_data(node, state, relay, data),
             on_end=lambda: _end_whole(relay, end),
             on_failure=lambda stage: _end_broken(relay, end, stage),
         ),
@@ -213,11 +229,12 @@
 def _make_ending(
     node: node_module.Node,
     state: state_module.SidecarState,
+    recorder: observation.Recorder,
     relay: _Relay,
-) -> Callable[..., None]:
-    """Makes the function that closes a run's books, once."""
+) -> Callable[[str], None]:
+    """Makes the function that closes a run's books, given its result."""
 
-    def end(whole: bool = False) -> None:
+    def end(result: str) -> None:
         now = transport.read_clock()
         attempt_id = relay.order.attempt_id
         if relay.exchange is not None:
@@ -228,24 +245,37 @@
             state.gate,
             now,
             attempt_id,
-            whole,
+            whole=result == "answered",
             is_engine=running.serves_engine(state),
         )
+        observation.end_request(recorder, relay.track, now, result)
         node_module.perform(node, claiming.make_claims(state, now))
 
     return end
 
 
-MOST_UNSENT = 64
-"""Pieces that may wait for a slow taker before the upstream is paused."""
+MOST_UNSENT = 1 << 18
+"""Bytes that may wait for a slow taker before the upstream is paused."""
+
+
+def _relay_head(
+    relay: _Relay, status_code: int, headers: list[tuple[str, str]]
+) -> None:
+    passed_on = tuple(pair for pair in headers if pair[0] in _PASSED_ON)
+    content_type = dict(passed_on).get("content-type", "")
+    relay.streamed = content_type.startswith(transport.EVENT_STREAM)
+    relay.call.begin(status_code, passed_on)
 
 
 def _relay_data(
     node: node_module.Node,
     state: state_module.SidecarState,
+    recorder: observation.Recorder,
     relay: _Relay,
     data: bytes,
 ) -> None:
+    if relay.streamed:
+        observation.note_piece(recorder, relay.track, transport.read_clock())
     units = relay.meter.feed(data)
     running.charge_run(state, relay.order.attempt_id, units)
     relay.call.write(data)
@@ -253,19 +283,20 @@
         node.client.pause(relay.exchange, True)
 
 
-def _end_whole(relay: _Relay, end: Callable[..., None]) -> None:
+def _end_whole(relay: _Relay, end: Callable[[str], None]) -> None:
     relay.call.end()
-    end(whole=True)
+    end("answered")
 
 
 def _end_broken(
-    relay: _Relay, end: Callable[[], None], stage: transport.Stage
+    relay: _Relay, end: Callable[[str], None], stage: transport.Stage
 ) -> None:
     """Ends a run whose upstream broke off.
 
     An answer that has begun is broken off too: ended in the usual way it
     would pass for a whole one.
     """
+    outcome = messages.Outcome.FAILED
     if relay.call.begun:
         relay.call.abort()
     else:
@@ -274,11 +305,11 @@
             messages.Outcome.NOT_RUN if not_run else (messages.Outcome.FAILED)
         )
         _answer_outcome(relay.call, outcome)
-    end()
+    end(outcome.value)
 
 
 def _end_unwanted(
-    node: node_module.Node, relay: _Relay, end: Callable[[], None]
+    node: node_module.Node, relay: _Relay, end: Callable[[str], None]
 ) -> None:
     """Ends a run whose router went away or gave it up.
 
@@ -288,6 +319,6 @@
     """
     if relay.order.idempotent:
         node.client.abort(relay.exchange)
-        end()
+        end("cancelled")
     else:
         node.client.pause(relay.exchange, False)
--- a/sycamorefall/sidecar/load.py
+++ b/sycamorefall/sidecar/load.py
@@ -1,6 +1,12 @@
 """Reads the upstream's load reports into its concurrency limit."""
 
-__all__ = ["LoadPoller", "decode_report", "find_next_poll", "poll_load"]
+__all__ = [
+    "LoadPoller",
+    "decode_report",
+    "find_next_poll",
+    "poll_load",
+    "start_polling",
+]
 
 from collections.abc import Callable
 import dataclasses
@@ -9,6 +15,9 @@
 import msgspec
 
 from sycamorefall import admission, settings, transport
+from sycamorefall import node as node_module
+from sycamorefall.sidecar import claiming, gate, running
+from sycamorefall.sidecar import state as state_module
 
 LOAD_PATH = "/v1/load"
 """Where upstreams publish their load."""
@@ -142,3 +151,39 @@
         poller.failed += 1
     else:
         poller.on_report(report)
+
+
+def start_polling(
+    node: node_module.Node,
+    state: state_module.SidecarState,
+    upstream: settings.Address,
+) -> None:
+    """Reads an upstream's load for as long as the process runs.
+
+    Args:
+        node: The process.
+        state: The sidecar's decisions.
+        upstream: The upstream beside it.
+    """
+    poller = LoadPoller(
+        node.client, upstream, lambda report: _take_report(node, state, report)
+    )
+    transport.Ticker(
+        lambda: find_next_poll(poller), lambda now: poll_load(poller, now)
+    ).register(node.loop)
+
+
+def _take_report(
+    node: node_module.Node,
+    state: state_module.SidecarState,
+    report: admission.LoadReport,
+) -> None:
+    if state.versions.configuration is None:
+        return
+    now = transport.read_clock()
+    if running.serves_engine(state):
+        admission.note_load(state.limit, now, report)
+    else:
+        admission.note_foreign(state.limit, now, report)
+    gate.open_gate(state.gate, now)
+    node_module.perform(node, claiming.make_claims(state, now))
