--- a/Makefile
+++ b/Makefile
@@ -21,6 +21,9 @@
 bench-control: $(STAMP)
 	$(BIN)/python -m benchmarks.control
 
+bench: $(STAMP)
+	$(BIN)/python -m benchmarks.fairness
+
 lint: $(STAMP)
 	$(BIN)/ruff format --check .
 	$(BIN)/ruff check .
