Spread text and VM list between processes; never go back; watch by a few

Cause: each process polled both values whole each second. At 1,280 processes that is 2,560 reads/s, over the platform's 2,000, and 1 MB a change. A process that restarted took the platform's word alone, so a stale platform brought old texts back. Two texts under one revision split the fleet.

Change: sycamorefall/replication holds, free of I/O, what a process has, whom it asks, and when it is settled after a start; configuration/documents cuts values into blocks by content; configuration/polling chooses watchers by rendezvous hashing over live VMs and time and backs off. In force is always the highest valid (revision, digest), so the order of messages does not matter. Heartbeats carry the list's revision and a fingerprint. The platform's lower answers are ignored and shown as alarms. Requests between replicas are signed where a key is set. A message of a replaced process is ignored; a VM dropped from the list is reachable while it talks. [peers] names addresses to ask before any list is known. Fuzzing found that half a surrogate pair crashed it, and a chain of 3,000 services its recursion; both are refused or taken now.

--- a/standins/fleet.py
+++ b/standins/fleet.py
@@ -58,6 +58,8 @@
         process: The router or sidecar process.
         upstream_process: The upstream's process.
         state: The operators' mark.
+        platform: Port of the platform it reads; 0 for the fleet's.
+        peers: Data addresses that its settings name.
     """
 
     name: str
@@ -70,6 +72,8 @@
     process: subprocess.Popen | None = None
     upstream_process: subprocess.Popen | None = None
     state: str = "live"
+    platform: int = 0
+    peers: tuple[str, ...] = ()
 
 
 @dataclasses.dataclass(slots=True)
@@ -84,6 +88,7 @@
         text: The operators' text last published.
         revision: Its revision.
         vms_revision: Revision of the VM list last published.
+        platform_settings: Further lines of section `[platform]`.
         helpers: Processes of the stand-ins that belong to no VM.
         extra_settings: Further INI sections for all routers and sidecars.
     """
@@ -95,6 +100,7 @@
     text: str = ""
     revision: int = 0
     vms_revision: int = 0
+    platform_settings: str = ""
     helpers: list[subprocess.Popen] = dataclasses.field(default_factory=list)
     extra_settings: str = ""
 
@@ -157,6 +163,7 @@
     routers: int,
     upstreams: list[Upstreams],
     extra_settings: str = "",
+    platform_settings: str = "",
 ) -> Fleet:
     """Starts a fleet and waits until its routers are ready to serve.
 
@@ -166,12 +173,14 @@
         routers: Number of routers.
         upstreams: Upstreams by service.
         extra_settings: Further INI sections for all routers and sidecars.
+        platform_settings: Further lines of section `[platform]`.
 
     Returns:
         The running fleet.
     """
     fleet = _plan_fleet(folder, routers, upstreams)
     fleet.extra_settings = extra_settings
+    fleet.platform_settings = platform_settings
     try:
         _start_surroundings(fleet, upstreams)
         publish_text(fleet, text)
@@ -223,6 +232,15 @@
     wait_until(lambda: call(fleet.relay, "/test/bytes"), "the relay")
 
 
+def start_platform(fleet: Fleet, name: str) -> int:
+    """Starts one more platform beside the fleet's; returns its port."""
+    port = find_ports(1)[0]
+    process = _spawn(fleet, name, "standins.platform", str(port))
+    fleet.helpers.append(process)
+    wait_until(lambda: call(port, "/test/reads"), name)
+    return port
+
+
 def start_upstream(fleet: Fleet, node: Node, group: Upstreams) -> None:
     """Starts the upstream beside a sidecar and waits until it answers."""
     node.upstream_process = _spawn(
@@ -271,8 +289,10 @@
         f"failure_domain = {_choose_domain(node)}\n"
         f"[listen]\ndata = 127.0.0.1:{node.data}\n"
         f"control = 127.0.0.1:{node.control}\n"
-        f"[platform]\naddress = 127.0.0.1:{fleet.platform}\n"
-        f"poll_interval = 0.5\n{upstream}{fleet.extra_settings}"
+        f"[platform]\naddress = 127.0.0.1:{node.platform or fleet.platform}\n"
+        f"start_spread = 0.1\n{fleet.platform_settings}\n"
+        f"[peers]\naddresses = {','.join(node.peers)}\n"
+        f"{upstream}{fleet.extra_settings}"
     )
 
 
@@ -289,10 +309,9 @@
     call(fleet.platform, "/test/config", body)
 
 
-def publish_vms(fleet: Fleet) -> None:
-    """Publishes the list of VMs as the next revision."""
-    fleet.vms_revision += 1
-    vms = [
+def list_vms(fleet: Fleet) -> list[dict]:
+    """Lists the VMs as the platform publishes them."""
+    return [
         {
             "name": node.name,
             "role": node.role,
@@ -304,7 +323,12 @@
         }
         for node in fleet.nodes.values()
     ]
-    body = {"revision": fleet.vms_revision, "vms": vms}
+
+
+def publish_vms(fleet: Fleet) -> None:
+    """Publishes the list of VMs as the next revision."""
+    fleet.vms_revision += 1
+    body = {"revision": fleet.vms_revision, "vms": list_vms(fleet)}
     call(fleet.platform, "/test/vms", body)
 
 
--- a/standins/platform.py
+++ b/standins/platform.py
@@ -1,13 +1,15 @@
 """Stand-in of the platform's configuration service.
 
 Serves the operators' text at `/v1/config` and the list of VMs at `/v1/vms`,
-each with its revision; `?after=N&wait=S` waits for a later one. Everything
-below `/test/` is for tests: replacing what is published, making the service
-stale or down, showing a reader its own list, and counting reads.
+each with its revision; `?after=N&wait=S` waits for a later one and answers
+204 if none came. Everything below `/test/` is for tests: replacing what is
+published, also by something older, making the service fail, and counting
+reads. Two of them side by side are a platform that was split.
 """
 
 import argparse
 import asyncio
+import contextlib
 import dataclasses
 
 from aiohttp import web
@@ -23,7 +25,9 @@
         vms: Entries of the VM list.
         vms_revision: Revision of the list.
         down: Whether every read is refused.
+        fault: How every read fails; empty if none does.
         reads: Reads so far, a waiting watch counted as one.
+        values: Reads that were answered with a value.
         changed: Set and replaced at each change, to wake watches.
     """
 
@@ -32,35 +36,56 @@
     vms: list[dict] = dataclasses.field(default_factory=list)
     vms_revision: int = 0
     down: bool = False
+    fault: str = ""
     reads: int = 0
+    values: int = 0
     changed: asyncio.Event = dataclasses.field(default_factory=asyncio.Event)
 
 
+SLOW = 3600.0
+"""Seconds until a slow service answers: later than anyone waits."""
+
+RETRY_AFTER = "1"
+"""Seconds that an overloaded service asks its readers to stay away."""
+
+
 def _note_change(published: Published) -> None:
     published.changed.set()
     published.changed = asyncio.Event()
 
 
+async def _fail(published: Published) -> web.Response:
+    match "down" if published.down else published.fault:
+        case "garbage":
+            return web.Response(body=b'{"revision": "\xff', status=200)
+        case "slow":
+            await asyncio.sleep(SLOW)
+        case "overloaded":
+            return web.json_response(
+                {"error": "overloaded"},
+                status=429,
+                headers={"Retry-After": RETRY_AFTER},
+            )
+    return web.json_response({"error": "down"}, status=503)
+
+
 async def _serve(request: web.Request, published: Published, read):
     published.reads += 1
-    if published.down:
-        return web.json_response({"error": "down"}, status=503)
     after = int(request.query.get("after", -1))
-    wait = float(request.query.get("wait", 0))
     loop = asyncio.get_running_loop()
-    until = loop.time() + wait
-    while read()["revision"] <= after and loop.time() < until:
-        try:
+    until = loop.time() + float(request.query.get("wait", 0))
+    while not (published.down or published.fault):
+        if read()["revision"] > after:
+            published.values += 1
+            return web.json_response(read())
+        if loop.time() >= until:
+            header = {"Revision": str(read()["revision"])}
+            return web.Response(status=204, headers=header)
+        with contextlib.suppress(TimeoutError):
             await asyncio.wait_for(
                 published.changed.wait(), until - loop.time()
             )
-        except TimeoutError:
-            break
-    if published.down:
-        return web.json_response({"error": "down"}, status=503)
-    if read()["revision"] <= after:
-        return web.Response(status=204)
-    return web.json_response(read())
+    return await _fail(published)
 
 
 def create_application(published: Published) -> web.Application:
@@ -91,8 +116,14 @@
         _note_change(published)
         return web.json_response({})
 
+    async def put_fault(request: web.Request) -> web.Response:
+        published.fault = (await request.json())["fault"]
+        _note_change(published)
+        return web.json_response({})
+
     async def get_reads(_: web.Request) -> web.Response:
-        return web.json_response({"reads": published.reads})
+        counts = {"reads": published.reads, "values": published.values}
+        return web.json_response(counts)
 
     application = web.Application()
     application.add_routes(
@@ -102,6 +133,7 @@
             web.put("/test/config", put_config),
             web.put("/test/vms", put_vms),
             web.put("/test/down", put_down),
+            web.put("/test/fault", put_fault),
             web.get("/test/reads", get_reads),
         ]
     )
--- a/sycamorefall/authentication.py
+++ b/sycamorefall/authentication.py
@@ -131,6 +131,34 @@
         given = digest.encode("latin-1", "replace")
         return any(hmac.compare_digest(given, one.encode()) for one in expected)
 
+    def sign_body(self, path: str, body: bytes) -> str:
+        """Computes the digest of a request or answer between replicas.
+
+        A repeated one does no harm: what it offers is taken only if newer.
+
+        Args:
+            path: Path of the request.
+            body: Body of the request or of its answer.
+
+        Returns:
+            The digest in hex; empty without a key.
+        """
+        return _sign_body(self._keys[0], path, body) if self._keys else ""
+
+    def check_body(self, path: str, body: bytes, digest: str) -> bool:
+        """Tells whether a body between replicas is signed with a key."""
+        if not self._keys:
+            return True
+        given = digest.encode("latin-1", "replace")
+        return any(
+            hmac.compare_digest(given, _sign_body(key, path, body).encode())
+            for key in self._keys
+        )
+
+
+def _sign_body(key: bytes, path: str, body: bytes) -> str:
+    return _digest(key, b"replication", path, body).hex()
+
 
 def _digest(key: bytes, purpose: bytes, *parts: str | bytes) -> bytes:
     """Computes a digest; each part's length keeps the parts apart."""
--- a/sycamorefall/configuration/text.py
+++ b/sycamorefall/configuration/text.py
@@ -11,24 +11,34 @@
     "ServiceKind",
     "Team",
     "hash_key",
+    "parse_blocks",
     "parse_configuration",
 ]
 
+import collections
+from collections.abc import Iterable
 import configparser
+import dataclasses
 import enum
+import functools
+import graphlib
 import hashlib
 import re
-from typing import Annotated
+from typing import Annotated, TypeVar
 
 import msgspec
 from returns import result
 
 from sycamorefall import errors
+from sycamorefall.configuration import documents
 
 Positive = Annotated[float, msgspec.Meta(gt=0)]
 NotNegative = Annotated[float, msgspec.Meta(ge=0)]
 Count = Annotated[int, msgspec.Meta(ge=1)]
 
+KEPT_BLOCKS = 512
+"""Parsed blocks that are kept: a megabyte's, and those of texts before it."""
+
 _NAME = re.compile(r"^[A-Za-z0-9][A-Za-z0-9._-]{0,63}$")
 _KEY_HASH = re.compile(r"^[0-9a-f]{64}$")
 _SECTION = re.compile(r"^\s*\[(?P<section>[^]]*)\]")
@@ -96,6 +106,9 @@
     retries: Annotated[int, msgspec.Meta(ge=0)] = 2
 
 
+Named = TypeVar("Named", Team, Service)
+
+
 class Configuration(msgspec.Struct, frozen=True):
     """A valid configuration.
 
@@ -137,13 +150,73 @@
         >>> parse_configuration("[service a]\nkind = odd").failure().line
         2
     """
+    return parse_blocks(block.text for block in documents.split_blocks(text))
+
+
+def parse_blocks(
+    blocks: Iterable[str],
+) -> result.Result[Configuration, errors.ConfigurationRefused]:
+    """Parses and checks a text that is cut at section boundaries.
+
+    What a block holds is kept, so a change of one section costs the parsing
+    of its block and not of a megabyte, which would stop the one loop of a
+    process for a second, 2,700 times a day.
+
+    Args:
+        blocks: Runs of whole sections; joined they are the text.
+
+    Returns:
+        `Success` with the configuration, or `Failure` with the first fault.
+    """
     try:
-        return result.Success(_parse(text))
+        return result.Success(_join_parts(_parse_parts(blocks)))
     except errors.ConfigurationRefused as fault:
         return result.Failure(fault)
 
 
-def _parse(text: str) -> Configuration:
+@dataclasses.dataclass(slots=True, frozen=True)
+class _Part:
+    """What a block holds.
+
+    Attributes:
+        teams: Teams by name.
+        services: Services by name.
+        limits: The bounds, if they are here.
+        lines: Line numbers within the block.
+        count: Lines of the block.
+    """
+
+    teams: dict[str, Team]
+    services: dict[str, Service]
+    limits: FleetLimits | None
+    lines: "_Lines"
+    count: int
+
+
+def _parse_parts(blocks: Iterable[str]) -> list[tuple[int, _Part]]:
+    """Parses blocks; gives each with the number of lines before it."""
+    parts: list[tuple[int, _Part]] = []
+    before = 0
+    for block in blocks:
+        part = _parse_block(block)
+        if isinstance(part, errors.ConfigurationRefused):
+            line = before + part.line if part.line else 0
+            raise errors.ConfigurationRefused(line, part.reason)
+        parts.append((before, part))
+        before += part.count
+    return parts
+
+
+@functools.lru_cache(maxsize=KEPT_BLOCKS)
+def _parse_block(text: str) -> _Part | errors.ConfigurationRefused:
+    try:
+        return _parse(text)
+    except errors.ConfigurationRefused as fault:
+        return errors.ConfigurationRefused(fault.line, fault.reason)
+
+
+def _parse(text: str) -> _Part:
+    _check_unicode(text)
     lines = _number_lines(text)
     parser = _read_ini(text)
     teams = {
@@ -154,27 +227,83 @@
         name: _parse_service(name, dict(parser[section]), lines)
         for section, name in _select_sections(parser, "service", lines)
     }
-    limits = dict(parser["limits"]) if parser.has_section("limits") else {}
     _refuse_other_sections(parser, lines)
+    limits = None
+    if parser.has_section("limits"):
+        options = dict(parser["limits"])
+        limits = _convert(options, FleetLimits, "limits", lines)
+    return _Part(teams, services, limits, lines, text.count("\n"))
+
+
+def _check_unicode(text: str) -> None:
+    """Refuses half of a surrogate pair, which no codec down the line takes."""
+    try:
+        text.encode("utf-8")
+    except UnicodeEncodeError as fault:
+        line = text.count("\n", 0, fault.start) + 1
+        raise errors.ConfigurationRefused(line, "not Unicode") from fault
+
+
+def _join_parts(parts: list[tuple[int, _Part]]) -> Configuration:
+    lines = _join_lines(parts)
+    teams = _join_named([part.teams for _, part in parts], "team", lines)
+    services = _join_named(
+        [part.services for _, part in parts], "service", lines
+    )
+    limits = [part.limits for _, part in parts if part.limits is not None]
+    if len(limits) > 1:
+        raise errors.ConfigurationRefused(
+            lines.find("limits"), "section [limits] is there twice"
+        )
     _check_dependencies(services, lines)
     return Configuration(
         teams=teams,
         services=services,
-        limits=_convert(limits, FleetLimits, "limits", lines),
+        limits=limits[0] if limits else FleetLimits(),
         team_by_key=_index_keys(teams, lines),
     )
 
 
+def _join_lines(parts: list[tuple[int, _Part]]) -> "_Lines":
+    lines = _Lines({})
+    for before, part in parts:
+        lines.add(part.lines, before)
+    return lines
+
+
+def _join_named(
+    maps: list[dict[str, Named]], kind: str, lines: "_Lines"
+) -> dict[str, Named]:
+    joined: dict[str, Named] = {}
+    for named in maps:
+        # In the text's order, so that all processes name the same one.
+        twice = next((name for name in named if name in joined), None)
+        if twice is not None:
+            raise errors.ConfigurationRefused(
+                lines.find(f"{kind} {twice}"), f"{kind} {twice} is listed twice"
+            )
+        joined |= named
+    return joined
+
+
 class _Lines:
     """Line numbers of sections and options of an INI text."""
 
-    __slots__ = ("_numbers",)
+    __slots__ = ("_numbers", "_parts")
 
     def __init__(self, numbers: dict[tuple[str, str], int]):
         self._numbers = numbers
+        self._parts: list[tuple[int, _Lines]] = []
+
+    def add(self, other: "_Lines", before: int) -> None:
+        """Adds those of a block that has this many lines before it."""
+        self._parts.append((before, other))
 
     def find(self, section: str, option: str = "") -> int:
         """Returns the line of an option, else of its section, else 0."""
+        for before, lines in self._parts:
+            if line := lines.find(section, option):
+                return before + line
         whole = self._numbers.get((section, ""), 0)
         return self._numbers.get((section, option), whole)
 
@@ -182,7 +311,7 @@
 def _number_lines(text: str) -> _Lines:
     numbers: dict[tuple[str, str], int] = {}
     section = ""
-    for number, line in enumerate(text.splitlines(), start=1):
+    for number, line in enumerate(text.split("\n"), start=1):
         if header := _SECTION.match(line):
             section = header["section"]
             numbers.setdefault((section, ""), number)
@@ -216,13 +345,13 @@
         for section in parser.sections()
         if section.startswith(f"{kind} ")
     ]
-    names = [name for _, name in chosen]
+    counts = collections.Counter(name for _, name in chosen)
     for section, name in chosen:
         if not _NAME.match(name):
             raise errors.ConfigurationRefused(
                 lines.find(section), f"bad {kind} name {name!r}"
             )
-        if names.count(name) > 1:
+        if counts[name] > 1:
             raise errors.ConfigurationRefused(
                 lines.find(section), f"{kind} {name} is listed twice"
             )
@@ -326,26 +455,13 @@
                     lines.find(f"service {service.name}", "depends_on"),
                     f"service {service.name} depends on unknown {needed}",
                 )
-    settled: set[str] = set()
-    for name in services:
-        _visit_dependencies(name, services, settled, (), lines)
-
-
-def _visit_dependencies(
-    name: str,
-    services: dict[str, Service],
-    settled: set[str],
-    path: tuple[str, ...],
-    lines: _Lines,
-) -> None:
-    if name in path:
-        cycle = " -> ".join((*path[path.index(name) :], name))
+    needed_by = {name: service.depends_on for name, service in services.items()}
+    try:
+        graphlib.TopologicalSorter(needed_by).prepare()
+    except graphlib.CycleError as fault:
+        cycle = fault.args[1]
         raise errors.ConfigurationRefused(
-            lines.find(f"service {name}", "depends_on"),
-            f"services depend on each other in a cycle: {cycle}",
-        )
-    if name in settled:
-        return
-    for needed in services[name].depends_on:
-        _visit_dependencies(needed, services, settled, (*path, name), lines)
-    settled.add(name)
+            lines.find(f"service {cycle[0]}", "depends_on"),
+            "services depend on each other in a cycle: "
+            + " -> ".join(reversed(cycle)),
+        ) from fault
--- a/sycamorefall/configuration/versions.py
+++ b/sycamorefall/configuration/versions.py
@@ -1,22 +1,37 @@
 """Which revision of the operators' text is in force at a process."""
 
-__all__ = ["Adoption", "VersionState", "offer_text"]
+__all__ = [
+    "Adoption",
+    "VersionState",
+    "note_rival",
+    "offer_document",
+    "offer_text",
+]
 
 import dataclasses
 import enum
 
 from returns import result
 
+from sycamorefall.configuration import documents
 from sycamorefall.configuration import text as text_module
 
 
 class Adoption(enum.Enum):
-    """What came of a text that was offered."""
+    """What came of a text that was offered.
+
+    ADOPTED: it is in force now.
+    REFUSED: it is not valid.
+    KNOWN: it is in force already, or was refused before.
+    OLDER: a higher revision is in force.
+    CONFLICT: another text under the same revision goes before it.
+    """
 
     ADOPTED = "adopted"
     REFUSED = "refused"
     KNOWN = "known"
     OLDER = "older"
+    CONFLICT = "conflict"
 
 
 @dataclasses.dataclass(slots=True)
@@ -24,52 +39,128 @@
     """The configuration in force, and what was offered and not taken.
 
     Attributes:
-        revision: Revision of the text last judged, adopted or refused.
-        text: Text of the configuration in force.
-        in_force: Its revision; below `revision` while a bad text stands.
+        document: The text of the configuration in force.
         configuration: The configuration in force, if there is any.
-        refusal: Why the text at `revision` was refused, if it was.
+        refused: The newest text that was found bad, while it is newer than
+            the one in force.
+        refusal: Why it was.
+        rival: Digest of another text under the revision in force that goes
+            after it: the highest seen; empty if there is none.
         older_seen: Offers of a lower revision, ignored.
     """
 
-    revision: int = 0
-    text: str = ""
-    in_force: int = 0
+    document: documents.Document | None = None
     configuration: text_module.Configuration | None = None
+    refused: documents.Document | None = None
     refusal: str = ""
+    rival: str = ""
     older_seen: int = 0
 
+    @property
+    def in_force(self) -> int:
+        """Revision of the configuration in force; 0 if there is none."""
+        return self.document.revision if self.document else 0
+
+    @property
+    def revision(self) -> int:
+        """Revision of the newest text judged, adopted or refused."""
+        refused = self.refused.revision if self.refused else 0
+        return max(self.in_force, refused)
+
+    @property
+    def conflict(self) -> str:
+        """Which two texts came under the revision in force, if any did."""
+        bad = self.refused
+        is_bad_rival = bad is not None and bad.revision == self.in_force
+        other = bad.digest if is_bad_rival else self.rival
+        if not other or self.document is None:
+            return ""
+        return (
+            f"revision {self.in_force} has two texts: "
+            f"{self.document.digest[:12]} is in force, {other[:12]} is not"
+        )
+
+    @property
+    def text(self) -> str:
+        """Text of the configuration in force."""
+        return self.document.text if self.document else ""
+
 
 def offer_text(state: VersionState, revision: int, text: str) -> Adoption:
     """Takes a text into force if it is newer and valid.
 
+    Args:
+        state: Versions of this process; changed.
+        revision: The platform's revision of the text.
+        text: The operators' text.
+
+    Returns:
+        What came of it.
+    """
+    return offer_document(state, documents.create_document(revision, text))
+
+
+def offer_document(
+    state: VersionState, document: documents.Document
+) -> Adoption:
+    """Takes a text into force if it is newer and valid.
+
     Guards against a stale platform: after it restarts from an old copy it
     shows a lower revision, and a process that followed would bring back a
-    configuration that operators have replaced. Only a higher revision is
-    ever taken, so no order of answers can lead back.
+    configuration that operators have replaced. In force is always the
+    highest valid text offered so far, whatever the order of the offers, so
+    no order leads back and all who saw the same texts agree.
 
     Args:
         state: Versions of this process; changed.
-        revision: The platform's revision of the text.
-        text: The operators' text.
+        document: The operators' text at a revision.
 
     Returns:
         What came of it.
     """
-    if revision < state.revision:
+    if document in (state.document, state.refused):
+        return Adoption.KNOWN
+    if document.revision < state.in_force:
         state.older_seen += 1
         return Adoption.OLDER
-    if revision == state.revision:
-        return Adoption.KNOWN
-    parsed = text_module.parse_configuration(text)
-    state.revision = revision
-    match parsed:
+    if document.revision == state.in_force:
+        note_rival(state, document.revision, document.digest)
+        if document.key < state.document.key:
+            return Adoption.CONFLICT
+    return _judge(state, document)
+
+
+def _judge(state: VersionState, document: documents.Document) -> Adoption:
+    match text_module.parse_blocks(one.text for one in document.blocks):
         case result.Success(configuration):
-            state.text = text
-            state.in_force = revision
+            replaced, state.document = state.document, document
+            if replaced is None or replaced.revision < document.revision:
+                state.rival = ""
+            else:
+                state.rival = max(state.rival, replaced.digest)
             state.configuration = configuration
-            state.refusal = ""
+            if state.refused and state.refused.key < document.key:
+                state.refused = None
+                state.refusal = ""
             return Adoption.ADOPTED
         case result.Failure(fault):
-            state.refusal = str(fault)
+            if state.refused is None or state.refused.key < document.key:
+                state.refused = document
+                state.refusal = str(fault)
     return Adoption.REFUSED
+
+
+def note_rival(state: VersionState, revision: int, digest: str) -> None:
+    """Notes that another text goes about under the revision in force.
+
+    It is not taken where ours goes before it, but operators are to see the
+    conflict, at each process alike.
+
+    Args:
+        state: Versions of this process; changed.
+        revision: The other text's revision.
+        digest: Its digest.
+    """
+    ours = state.document
+    if ours is not None and ours.revision == revision and digest < ours.digest:
+        state.rival = max(state.rival, digest)
--- a/sycamorefall/membership/__init__.py
+++ b/sycamorefall/membership/__init__.py
@@ -1,6 +1,7 @@
 """Which VMs there are and which of them may get new work."""
 
 __all__ = [
+    "FORGET_AFTER",
     "SUSPECT_AFTER",
     "Directory",
     "Peer",
@@ -8,13 +9,18 @@
     "VmList",
     "VmRole",
     "VmState",
+    "create_list_document",
+    "forget_departed",
+    "is_outdated",
     "note_heartbeat",
+    "read_list_document",
     "replace_list",
     "select_routers",
     "select_upstreams",
 ]
 
 from sycamorefall.membership.directory import (
+    FORGET_AFTER,
     SUSPECT_AFTER,
     Directory,
     Peer,
@@ -22,7 +28,11 @@
     VmList,
     VmRole,
     VmState,
+    create_list_document,
+    forget_departed,
+    is_outdated,
     note_heartbeat,
+    read_list_document,
     replace_list,
     select_routers,
     select_upstreams,
--- a/sycamorefall/membership/directory.py
+++ b/sycamorefall/membership/directory.py
@@ -1,6 +1,7 @@
 """The VMs of the fleet: the platform's lagging list joined with heartbeats."""
 
 __all__ = [
+    "FORGET_AFTER",
     "SUSPECT_AFTER",
     "Directory",
     "Peer",
@@ -8,7 +9,11 @@
     "VmList",
     "VmRole",
     "VmState",
+    "create_list_document",
+    "forget_departed",
+    "is_outdated",
     "note_heartbeat",
+    "read_list_document",
     "replace_list",
     "select_routers",
     "select_upstreams",
@@ -19,9 +24,14 @@
 
 import msgspec
 
+from sycamorefall.configuration import documents
+
 SUSPECT_AFTER = 2.0
 """Seconds without a message after which a peer gets nothing new."""
 
+FORGET_AFTER = 30.0
+"""Seconds without a message after which what a peer said no longer counts."""
+
 
 class VmRole(enum.Enum):
     """Which program of the system runs on a VM."""
@@ -71,7 +81,7 @@
     """What this process has heard from another.
 
     Attributes:
-        incarnation: The peer's process, by its last message.
+        incarnation: The peer's process: the newest heard from.
         heard_at: When that message came, by this process's clock.
         stopping: Whether the peer said that it takes nothing new.
     """
@@ -86,19 +96,57 @@
     """VMs of the fleet as this process sees them.
 
     Attributes:
-        revision: Revision of the list in use.
-        vms: Listed VMs by name.
+        document: The list in use.
+        vms: Listed VMs by name, and departed ones that still talk.
+        departed: Names of VMs that the list no longer has.
         peers: Processes heard from, by VM name.
+        older_seen: Lists of a lower revision, ignored.
+        outdated: Messages of replaced processes, ignored.
     """
 
-    revision: int = 0
+    document: documents.Document | None = None
     vms: dict[str, VmEntry] = dataclasses.field(default_factory=dict)
+    departed: set[str] = dataclasses.field(default_factory=set)
     peers: dict[str, Peer] = dataclasses.field(default_factory=dict)
+    older_seen: int = 0
+    outdated: int = 0
+
+    @property
+    def revision(self) -> int:
+        """Revision of the list in use; 0 if there is none."""
+        return self.document.revision if self.document else 0
+
+
+def create_list_document(vms: VmList) -> documents.Document:
+    """Writes a list as a document, one VM a line, for passing it on."""
+    lines = (msgspec.json.encode(vm).decode("utf-8") for vm in vms.vms)
+    text = "".join(f"{line}\n" for line in lines)
+    return documents.create_document(vms.revision, text)
+
+
+def read_list_document(document: documents.Document) -> VmList | None:
+    """Reads a list from its document; None if it is not a list of VMs."""
+    try:
+        vms = tuple(
+            msgspec.json.decode(line, type=VmEntry)
+            for line in document.text.splitlines()
+        )
+    except msgspec.DecodeError:
+        return None
+    return VmList(document.revision, vms)
 
 
 def replace_list(directory: Directory, vms: VmList) -> bool:
     """Takes a newer list of VMs into use.
 
+    Guards against a platform that was restored from an old copy: its list
+    would make VMs that are leaving live again. Only a higher revision is
+    taken; of two lists under one revision, each process takes the same one.
+
+    A VM that the list drops while its process still talks is kept as leaving
+    until it falls silent: requests may be in progress there, and their
+    outcome could not be asked for any more.
+
     Args:
         directory: This process's view; changed.
         vms: The platform's list.
@@ -106,10 +154,23 @@
     Returns:
         Whether it was newer.
     """
-    if vms.revision <= directory.revision:
+    if vms.revision < directory.revision:
+        directory.older_seen += 1
+        return False
+    document = create_list_document(vms)
+    if directory.document and document.key <= directory.document.key:
         return False
-    directory.revision = vms.revision
-    directory.vms = {vm.name: vm for vm in vms.vms}
+    directory.document = document
+    listed = {vm.name: vm for vm in vms.vms}
+    dropped = directory.vms.keys() - listed.keys()
+    directory.departed = {name for name in dropped if name in directory.peers}
+    kept = {
+        name: msgspec.structs.replace(
+            directory.vms[name], state=VmState.LEAVING
+        )
+        for name in directory.departed
+    }
+    directory.vms = listed | kept
     directory.peers = {
         name: peer
         for name, peer in directory.peers.items()
@@ -118,30 +179,87 @@
     return True
 
 
+def forget_departed(directory: Directory, now: float) -> bool:
+    """Drops departed VMs whose processes have fallen silent.
+
+    Args:
+        directory: This process's view; changed.
+        now: This process's time, in seconds.
+
+    Returns:
+        Whether any was dropped.
+    """
+    silent = {
+        name
+        for name in directory.departed
+        if now - directory.peers[name].heard_at > FORGET_AFTER
+    }
+    for name in silent:
+        del directory.vms[name]
+        del directory.peers[name]
+    directory.departed -= silent
+    return bool(silent)
+
+
+def is_outdated(
+    directory: Directory, now: float, name: str, incarnation: int
+) -> bool:
+    """Tells whether a message is from a process that was replaced.
+
+    Guards against a message that comes late: taken for the VM's state, one
+    of the old process would hide the new one, which then looks restarted
+    once more. Later processes have higher numbers, so a lower one is late.
+
+    The numbers come from the VM's clock, which may be set back before a
+    restart; a lower number is therefore believed once the higher one has
+    been silent for `FORGET_AFTER`, longer than any link holds a message.
+
+    Args:
+        directory: This process's view; the count of such messages may rise.
+        now: This process's time, in seconds.
+        name: The sender's VM.
+        incarnation: The sending process.
+
+    Returns:
+        Whether the message is to be ignored.
+    """
+    known = directory.peers.get(name)
+    if known is None or incarnation >= known.incarnation:
+        return False
+    if now - known.heard_at > FORGET_AFTER:
+        return False
+    directory.outdated += 1
+    return True
+
+
 def note_heartbeat(
     directory: Directory,
     now: float,
     name: str,
     incarnation: int,
-    stopping: bool,
+    stopping: bool | None,
 ) -> bool:
-    """Records a message of a peer.
+    """Records a message of a peer, unless a newer process sent one.
 
     Args:
         directory: This process's view; changed.
         now: This process's time, in seconds.
         name: The peer's VM.
         incarnation: The peer's process.
-        stopping: Whether the peer says that it takes nothing new.
+        stopping: Whether the peer says that it takes nothing new; None if
+            the message doesn't say.
 
     Returns:
         Whether the peer is a new process, or was out of reach until now.
     """
+    if is_outdated(directory, now, name, incarnation):
+        return False
     known = directory.peers.get(name)
+    same = known is not None and known.incarnation == incarnation
+    if stopping is None:
+        stopping = same and known.stopping
     directory.peers[name] = Peer(incarnation, now, stopping)
-    if known is None or known.incarnation != incarnation:
-        return True
-    return now - known.heard_at > SUSPECT_AFTER
+    return not same or now - known.heard_at > SUSPECT_AFTER
 
 
 def _is_usable(directory: Directory, now: float, vm: VmEntry) -> bool:
--- a/sycamorefall/messages.py
+++ b/sycamorefall/messages.py
@@ -73,9 +73,18 @@
 
 
 class Heartbeat(msgspec.Struct, frozen=True, array_like=True, tag="heartbeat"):
-    """Says that the sender lives, and whether it takes new work."""
+    """Says that the sender lives, and what it holds.
+
+    Attributes:
+        stopping: Whether the sender takes no new work.
+        vms_revision: Revision of the VM list in use.
+        fingerprint: Differs between processes whose documents differ; 0 of
+            a process that is starting.
+    """
 
     stopping: bool = False
+    vms_revision: int = 0
+    fingerprint: int = 0
 
 
 class TeamWaiting(msgspec.Struct, frozen=True, array_like=True):
--- a/sycamorefall/node.py
+++ b/sycamorefall/node.py
@@ -16,9 +16,11 @@
     messages,
     observation,
     platform,
+    replication,
     settings,
     transport,
 )
+from sycamorefall.configuration import polling
 
 
 @dataclasses.dataclass(slots=True)
@@ -66,6 +68,10 @@
         authenticator: Signs hand-outs and control messages.
         log: Writes the log.
         operators: Takes operators' requests, if at an address of its own.
+        replica: Documents of this process and its peers.
+        exchanger: Fetches documents from peers.
+        settings: The process's settings.
+        watch_turn: Epoch and list for which watchers were last chosen.
         stopping: Whether the process is to end once it is idle.
     """
 
@@ -77,7 +83,11 @@
     reader: platform.PlatformReader
     authenticator: authentication.Authenticator
     log: observation.LogWriter
+    replica: replication.ReplicaState
+    exchanger: replication.Exchanger
+    settings: settings.RouterSettings | settings.SidecarSettings
     operators: transport.HttpServer | None = None
+    watch_turn: tuple[int, int] = (0, 0)
     stopping: bool = False
 
 
@@ -118,24 +128,49 @@
     control = transport.ControlLinks(
         str(config.listen.control),
         lambda name: _find_control(core.directory, name),
-        lambda envelope: perform(
-            node, core.receive(transport.read_clock(), envelope)
-        ),
+        lambda envelope: _receive(node, envelope),
         authenticator,
     ).register(loop)
     control.attach(poller)
     client = transport.HttpClient(poller, transport.read_clock).register(loop)
     server = transport.HttpServer(
-        config.listen.data, config.limits, on_call
+        config.listen.data,
+        config.limits,
+        lambda call: node.exchanger.answer(call) or on_call(call),
     ).register(loop)
+    replica = replication.create_state(
+        core.vm,
+        core.versions,
+        core.directory,
+        config.peers.list_addresses(),
+        seed=core.incarnation,
+    )
     reader = platform.PlatformReader(
         config.platform,
         client,
-        lambda published: _take_text(node, published),
-        lambda vms: _take_vms(node, vms),
+        _make_takers(replica, lambda events: _handle_events(node, events)),
+        core.vm,
         seed=core.incarnation,
     )
-    node = Node(core, loop, control, client, server, reader, authenticator, log)
+    exchanger = replication.Exchanger(
+        replica,
+        client,
+        authenticator,
+        lambda events: _handle_events(node, events),
+    )
+    node = Node(
+        core,
+        loop,
+        control,
+        client,
+        server,
+        reader,
+        authenticator,
+        log,
+        replica,
+        exchanger,
+        config,
+    )
     if config.listen.operators is not None:
         node.operators = transport.HttpServer(
             config.listen.operators,
@@ -193,7 +228,7 @@
                 node.core.vm,
                 node.core.incarnation,
                 node.core.versions.in_force,
-                effect.message,
+                replication.stamp_message(node.replica, effect.message),
             )
             node.control.send(effect.to, envelope)
         else:
@@ -217,6 +252,7 @@
         node.client.find_next_due(),
         *(server.find_next_due() for server in _list_servers(node)),
         node.reader.find_next_due(),
+        node.exchanger.find_next_due(),
     )
 
 
@@ -228,44 +264,83 @@
     node.client.expire(now)
     for server in _list_servers(node):
         server.expire(now)
-    node.reader.run(now)
+    _run_replica(node, now)
     node.log.flush()
     perform(node, node.core.run_timers(now))
     if node.stopping and node.core.is_idle():
         node.loop.stop()
 
 
-def _take_text(node: Node, published: platform.PublishedText) -> None:
-    versions = node.core.versions
-    if published.revision <= versions.revision:
-        configuration.offer_text(versions, published.revision, published.text)
+def _run_replica(node: Node, now: float) -> None:
+    directory = node.core.directory
+    _take_watch_turn(node, now)
+    node.reader.run(now)
+    node.exchanger.run(now)
+    _handle_events(node, replication.try_settle(node.replica, now))
+    if membership.forget_departed(directory, now):
+        node.control.keep_only(set(directory.vms))
+
+
+def _take_watch_turn(node: Node, now: float) -> None:
+    """Begins or ends watching the platform when others are chosen for it.
+
+    The epoch comes from the wall clock, which VMs share roughly; nothing but
+    the number of watchers depends on it.
+    """
+    directory = node.core.directory
+    turn = (int(time.time() / polling.EPOCH), directory.revision)
+    if turn == node.watch_turn:
         return
-    action = observation.start_action(
-        "configuration.change",
-        revision=published.revision,
-        in_force=versions.in_force,
+    node.watch_turn = turn
+    live = [
+        vm.name
+        for vm in directory.vms.values()
+        if vm.state is membership.VmState.LIVE
+    ]
+    watchers = configuration.choose_watchers(
+        live, turn[0], node.settings.platform.watchers
     )
-    adoption = configuration.offer_text(
-        versions, published.revision, published.text
+    node.reader.set_watching(now, node.core.vm in watchers)
+
+
+def _receive(node: Node, envelope: messages.Envelope) -> None:
+    now = transport.read_clock()
+    replication.note_envelope(node.replica, now, envelope)
+    perform(node, node.core.receive(now, envelope))
+
+
+def _make_takers(
+    replica: replication.ReplicaState,
+    handle: Callable[[list[replication.Event]], None],
+) -> platform.Takers:
+    return platform.Takers(
+        text=lambda published: handle(
+            replication.take_published_text(
+                replica, published.revision, published.text
+            )
+        ),
+        vms=lambda vms: handle(replication.take_published_list(replica, vms)),
+        unchanged=lambda kind, revision: replication.take_unchanged(
+            replica, kind, revision
+        ),
+        find_known=lambda kind: replication.find_known(replica, kind),
     )
-    if adoption is configuration.Adoption.ADOPTED:
-        node.core.apply_configuration()
-    if adoption is configuration.Adoption.REFUSED:
-        observation.write_record(
-            observation.Level.WARNING,
-            "configuration.refused",
-            revision=published.revision,
-            reason=versions.refusal,
-        )
-    observation.end_action(action, adoption=adoption.value)
 
 
-def _take_vms(node: Node, vms: membership.VmList) -> None:
-    if membership.replace_list(node.core.directory, vms):
-        observation.write_record(
-            observation.Level.INFO,
-            "vms.changed",
-            revision=vms.revision,
-            vms=len(vms.vms),
-        )
+def _handle_events(node: Node, events: list[replication.Event]) -> None:
+    kinds = {event.kind for event in events}
+    if replication.EventKind.TEXT_ADOPTED in kinds:
+        node.core.apply_configuration()
+    if replication.EventKind.LIST_REPLACED in kinds:
         node.control.keep_only(set(node.core.directory.vms))
+    if replication.EventKind.PLATFORM_OLDER in kinds:
+        # Either it is stale, which the status is to show, or it was changed
+        # between our read and the peers' answer: another read tells.
+        node.reader.read_soon(transport.read_clock())
+    for event in events:
+        level = (
+            observation.Level.WARNING
+            if event.kind in replication.WARNINGS
+            else observation.Level.INFO
+        )
+        observation.write_record(level, event.kind.value, detail=event.detail)
--- a/sycamorefall/observation/status.py
+++ b/sycamorefall/observation/status.py
@@ -6,6 +6,7 @@
     "PeerStatus",
     "PlatformStatus",
     "ProcessStatus",
+    "ReplicationStatus",
     "RouterStatus",
     "SidecarStatus",
     "TeamStatus",
@@ -72,6 +73,36 @@
     bytes_read: int
 
 
+class ReplicationStatus(msgspec.Struct, frozen=True):
+    """What this process holds of the platform's values, and from whom.
+
+    Attributes:
+        settled: Whether peers and platform were asked since the start.
+        watching: Whether this process watches the platform.
+        digest: Start of the digest of the text in force.
+        conflict: Which two texts came under its revision, if any did.
+        alarms: What operators have to mend at the platform.
+        older_lists: VM lists of a lower revision, ignored.
+        outdated: Messages of replaced processes, ignored.
+        fetches: Requests sent to peers.
+        failures: Of these, those that gave nothing usable.
+        bytes_sent: Bytes sent to peers.
+        bytes_received: Bytes received from peers.
+    """
+
+    settled: bool
+    watching: bool
+    digest: str
+    conflict: str
+    alarms: tuple[str, ...]
+    older_lists: int
+    outdated: int
+    fetches: int
+    failures: int
+    bytes_sent: int
+    bytes_received: int
+
+
 class TeamStatus(msgspec.Struct, frozen=True):
     """A team at a service.
 
@@ -131,6 +162,7 @@
         peers: The other processes that this one speaks with.
         control: Control traffic.
         platform: Reads of the platform.
+        replication: What it publishes, as it is held here.
         times: Histograms in short.
         log_dropped: Log records lost.
     """
@@ -150,6 +182,7 @@
     peers: tuple[PeerStatus, ...]
     control: ControlStatus
     platform: PlatformStatus
+    replication: ReplicationStatus
     times: tuple[TimeStatus, ...]
     log_dropped: int
 
--- a/sycamorefall/pages.py
+++ b/sycamorefall/pages.py
@@ -10,7 +10,14 @@
 import msgspec
 from prometheus_client import metrics_core
 
-from sycamorefall import errors, membership, observation, settings, transport
+from sycamorefall import (
+    errors,
+    membership,
+    observation,
+    replication,
+    settings,
+    transport,
+)
 from sycamorefall import node as node_module
 from sycamorefall.observation import metrics as metrics_module
 from sycamorefall.observation import status as status_module
@@ -135,11 +142,32 @@
         "platform": status_module.PlatformStatus(
             node.reader.reads, node.reader.failures, node.reader.bytes_read
         ),
+        "replication": _describe_replication(node),
         "times": status_module.describe_times(recorder.histograms, whole),
         "log_dropped": node.log.dropped,
     }
 
 
+def _describe_replication(
+    node: node_module.Node,
+) -> status_module.ReplicationStatus:
+    versions = node.replica.judged
+    document = versions.document
+    return status_module.ReplicationStatus(
+        settled=node.replica.settled,
+        watching=node.reader.is_watching,
+        digest=document.digest[:12] if document else "",
+        conflict=versions.conflict,
+        alarms=replication.describe_alarms(node.replica),
+        older_lists=node.core.directory.older_seen,
+        outdated=node.core.directory.outdated,
+        fetches=node.exchanger.fetches,
+        failures=node.exchanger.failures,
+        bytes_sent=node.exchanger.bytes_sent,
+        bytes_received=node.exchanger.bytes_received,
+    )
+
+
 def find_common_unready(node: node_module.Node) -> tuple[str, ...]:
     """Lists why a process of either role can't be used."""
     core = node.core
--- /dev/null
+++ b/sycamorefall/replication/tests/test_replica.py
@@ -0,0 +1,188 @@
+"""Two or three replicas whose messages a test carries by hand."""
+
+import pytest
+
+from sycamorefall import configuration, errors, membership, messages
+from sycamorefall.replication import offers, peers, replica, settling
+
+NAMES = ("a", "b", "c")
+
+
+def make_list(revision, names=NAMES):
+    return membership.VmList(
+        revision,
+        tuple(
+            membership.VmEntry(
+                name,
+                membership.VmRole.ROUTER,
+                "domain-1",
+                f"10.0.0.{index}:1",
+                f"10.0.0.{index}:2",
+            )
+            for index, name in enumerate(names)
+        ),
+    )
+
+
+def write_text(weight):
+    return f"[team a]\nweight = {weight}\n"
+
+
+def start_replica(name, seed=1):
+    versions = configuration.VersionState()
+    return replica.create_state(
+        name, versions, membership.Directory(), seed=seed
+    )
+
+
+def read_platform(state, revision=1, weight=1, vms_revision=1):
+    replica.take_published_list(state, make_list(vms_revision))
+    return replica.take_published_text(state, revision, write_text(weight))
+
+
+def create_settled(name, revision=1, weight=1, vms_revision=1):
+    state = start_replica(name)
+    read_platform(state, revision, weight, vms_revision)
+    state.answers = dict.fromkeys(peers.list_others(state), True)
+    settling.try_settle(state, 0.0)
+    assert state.settled
+    return state
+
+
+def fetch(state, now, source):
+    """Carries one whole fetch from a source, and returns what changed."""
+    offer = offers.make_offer(source, offers.make_request(state))
+    wanted = offers.plan_blocks(state, offer)
+    blocks = offers.make_blocks(source, wanted)
+    events, is_whole = offers.take_blocks(state, offer, blocks)
+    assert is_whole
+    address = state.directory.vms[source.vm].data if source.vm else ""
+    peers.note_success(state, now, address, offer.settled)
+    return events
+
+
+def hear(state, now, source):
+    beat = peers.stamp_message(source, messages.Heartbeat())
+    revision = source.versions.in_force
+    envelope = messages.Envelope(source.vm, 1, revision, beat)
+    peers.note_envelope(state, now, envelope)
+
+
+def test_higher_revision_is_fetched_from_the_peer_that_says_it():
+    old, new = create_settled("a"), create_settled("b", 2, weight=2)
+    hear(old, 1.0, new)
+    due = peers.find_next_due(old)
+    assert due <= 1.0 + peers.FETCH_JITTER
+    assert peers.choose_addresses(old, due) == ["10.0.0.1:2"]
+    fetch(old, due, new)
+    assert old.versions.configuration.teams["a"].weight == 2
+    assert peers.find_next_due(old) == float("inf")
+
+
+def test_lower_revision_is_not_asked_for():
+    old, new = create_settled("a"), create_settled("b", 2)
+    hear(new, 1.0, old)
+    assert peers.choose_addresses(new, 9.0) == []
+
+
+def test_two_texts_under_one_revision_become_one_and_both_sides_show_it():
+    one, two = create_settled("a", 2, weight=1), create_settled("b", 2, 2)
+    hear(one, 1.0, two)
+    hear(two, 1.0, one)
+    assert peers.choose_addresses(one, 9.0)
+    assert peers.choose_addresses(two, 9.0)
+    fetch(one, 9.0, two)
+    fetch(two, 9.0, one)
+    assert one.versions.document.key == two.versions.document.key
+    assert one.versions.conflict == two.versions.conflict != ""
+    three = create_settled("c", 1)
+    fetch(three, 9.0, one)
+    assert three.versions.conflict == one.versions.conflict
+
+
+def test_starting_process_takes_the_peers_text_over_a_stale_platforms():
+    # The platform shows an old text as the process starts. Only a peer knows
+    # better, so nothing is in force before a peer has answered.
+    state = start_replica("a")
+    read_platform(state, revision=1, weight=1)
+    settling.try_settle(state, 0.0)
+    assert state.versions.configuration is None
+    peer = create_settled("b", 5, weight=5)
+    state.tried = set(peers.list_others(state))
+    fetch(state, 1.0, peer)
+    settling.try_settle(state, 1.0)
+    assert state.versions.configuration.teams["a"].weight == 5
+
+
+def test_starting_process_waits_for_several_peers_in_a_large_fleet():
+    state = start_replica("a")
+    names = [f"vm-{index}" for index in range(9)]
+    replica.take_published_list(state, make_list(1, ["a", *names]))
+    replica.take_published_text(state, 1, write_text(1))
+    addresses = peers.choose_addresses(state, 0.0)
+    assert len(addresses) == peers.ASKED_AT_ONCE
+    for number, address in enumerate(addresses):
+        settling.try_settle(state, 1.0)
+        assert state.settled is (number >= settling.ENOUGH_PEERS)
+        peers.note_success(state, 1.0, address, settled=True)
+    settling.try_settle(state, 1.0)
+    assert state.settled
+
+
+def test_fleet_that_starts_as_a_whole_settles_on_the_platforms_text():
+    state = start_replica("a")
+    read_platform(state)
+    for address in peers.list_others(state):
+        settling.try_settle(state, 1.0)
+        assert not state.settled
+        peers.note_success(state, 1.0, address, settled=False)
+    settling.try_settle(state, 1.0)
+    assert state.settled
+
+
+def test_starting_process_that_reaches_no_peer_never_settles():
+    state = start_replica("a")
+    read_platform(state)
+    for step in range(100):
+        now = float(step)
+        for address in peers.choose_addresses(state, now):
+            peers.note_failure(state, now, address)
+        settling.try_settle(state, now)
+    assert not state.settled
+
+
+def test_starting_process_offers_nothing_that_a_stale_platform_gave_it():
+    state = start_replica("a")
+    read_platform(state)
+    assert offers.make_offer(state, offers.OfferRequest(())) == offers.Offer(
+        settled=False
+    )
+
+
+def test_platform_rebuilt_with_low_numbers_is_shown_and_not_followed():
+    # The platform was rebuilt and counts from 1 again, for ever. Operators
+    # edit, nothing changes, and nobody would know why.
+    state = create_settled("a", 7, weight=7, vms_revision=7)
+    assert read_platform(state, 1, weight=1, vms_revision=1) == []
+    assert state.versions.configuration.teams["a"].weight == 7
+    assert len(replica.describe_alarms(state)) == 2
+    read_platform(state, 8, weight=8, vms_revision=8)
+    assert replica.describe_alarms(state) == ()
+
+
+def test_failing_peer_is_backed_off_from_and_others_are_asked():
+    state = create_settled("a")
+    newer = create_settled("b", 2), create_settled("c", 2)
+    for source in newer:
+        hear(state, 1.0, source)
+    first = peers.choose_addresses(state, 9.0)
+    peers.note_failure(state, 9.0, first[0])
+    second = peers.choose_addresses(state, 9.0)
+    assert first != second
+    assert len(second) == 1
+
+
+@pytest.mark.parametrize("kind", [offers.Offer, offers.Blocks])
+def test_garbage_from_a_peer_is_refused(kind):
+    with pytest.raises(errors.MessageRefused):
+        offers.decode(b"\xc1garbage", kind)
--- a/sycamorefall/router/core.py
+++ b/sycamorefall/router/core.py
@@ -1,6 +1,12 @@
 """A router's decisions: messages and timers in, effects out; no I/O."""
 
-__all__ = ["begin_stop", "find_next_due", "receive_message", "run_timers"]
+__all__ = [
+    "apply_configuration",
+    "begin_stop",
+    "find_next_due",
+    "receive_message",
+    "run_timers",
+]
 
 import heapq
 
@@ -13,6 +19,11 @@
 """Seconds between heartbeats."""
 
 
+def apply_configuration(state: state_module.RouterState) -> None:
+    """Tells the peers at once that another configuration is in force."""
+    state.next_heartbeat = 0.0
+
+
 def begin_stop(state: state_module.RouterState) -> None:
     """Makes the router take no new request; what it holds is still served."""
     state.stopping = True
@@ -35,11 +46,11 @@
     sender, incarnation = envelope.sender, envelope.incarnation
     if sender not in state.directory.vms:
         return []
+    if membership.is_outdated(state.directory, now, sender, incarnation):
+        return []
     message = envelope.message
-    stopping = isinstance(message, messages.Heartbeat) and message.stopping
-    known = state.directory.peers.get(sender)
-    if known is not None and known.incarnation == incarnation:
-        stopping = stopping or known.stopping
+    is_beat = isinstance(message, messages.Heartbeat)
+    stopping = message.stopping if is_beat else None
     is_new = membership.note_heartbeat(
         state.directory, now, sender, incarnation, stopping
     )
--- a/sycamorefall/router/daemon.py
+++ b/sycamorefall/router/daemon.py
@@ -33,7 +33,7 @@
         ),
         run_timers=lambda now: core.run_timers(state, now),
         find_next_due=lambda: core.find_next_due(state),
-        apply_configuration=lambda: None,
+        apply_configuration=lambda: core.apply_configuration(state),
         perform=lambda effect: relay.perform_effect(node, desk, effect),
         is_idle=lambda: not state.requests and not desk.calls,
         begin_stop=lambda: core.begin_stop(state),
--- a/sycamorefall/settings.py
+++ b/sycamorefall/settings.py
@@ -9,6 +9,7 @@
     "LimitSettings",
     "ListenSettings",
     "LogSettings",
+    "PeerSettings",
     "PlatformSettings",
     "RouterSettings",
     "SecuritySettings",
@@ -30,6 +31,7 @@
 from sycamorefall import errors, ini
 
 Positive = Annotated[float, msgspec.Meta(gt=0)]
+NotNegative = Annotated[float, msgspec.Meta(ge=0)]
 Count = Annotated[int, msgspec.Meta(ge=1)]
 Name = Annotated[str, msgspec.Meta(pattern=r"^[A-Za-z0-9][A-Za-z0-9._-]*$")]
 
@@ -92,11 +94,36 @@
 
     Attributes:
         address: Where it answers.
-        poll_interval: Seconds between two reads, before jitter.
+        poll_interval: Seconds between two polls of a process that holds no
+            watch, before jitter.
+        start_spread: Seconds over which the first reads of a fleet that
+            starts at once are spread.
+        watchers: Processes of the fleet that watch at a time.
     """
 
     address: Address
-    poll_interval: Positive = 1.0
+    poll_interval: Positive = 120.0
+    start_spread: NotNegative = 4.0
+    watchers: Count = 4
+
+
+class PeerSettings(msgspec.Struct, frozen=True, forbid_unknown_fields=True):
+    """Section `[peers]`: processes to ask before any list of VMs is known.
+
+    Attributes:
+        addresses: Their data addresses, `IP:port`, separated by commas.
+    """
+
+    addresses: str = ""
+
+    def __post_init__(self):
+        for address in self.list_addresses():
+            parse_address(address)
+
+    def list_addresses(self) -> tuple[str, ...]:
+        """Lists the addresses one by one."""
+        parts = (part.strip() for part in self.addresses.split(","))
+        return tuple(part for part in parts if part)
 
 
 class UpstreamSettings(msgspec.Struct, frozen=True, forbid_unknown_fields=True):
@@ -166,6 +193,7 @@
     vm: VmSettings
     listen: ListenSettings
     platform: PlatformSettings
+    peers: PeerSettings = PeerSettings()
     limits: LimitSettings = LimitSettings()
     security: SecuritySettings = SecuritySettings()
     log: LogSettings = LogSettings()
@@ -178,6 +206,7 @@
     listen: ListenSettings
     platform: PlatformSettings
     upstream: UpstreamSettings
+    peers: PeerSettings = PeerSettings()
     limits: LimitSettings = LimitSettings()
     security: SecuritySettings = SecuritySettings()
     log: LogSettings = LogSettings()
--- a/sycamorefall/sidecar/core.py
+++ b/sycamorefall/sidecar/core.py
@@ -21,7 +21,11 @@
 
 
 def apply_configuration(state: state_module.SidecarState) -> None:
-    """Takes the upstream's limit from the configuration in force."""
+    """Takes the upstream's limit from the configuration in force.
+
+    The peers are told at once that another one is in force.
+    """
+    state.next_heartbeat = 0.0
     in_force = state.versions.configuration
     service = in_force.services.get(state.service) if in_force else None
     if service is not None:
@@ -50,8 +54,13 @@
     sender = envelope.sender
     if sender not in state.directory.vms:
         return []
+    if membership.is_outdated(
+        state.directory, now, sender, envelope.incarnation
+    ):
+        return []
     message = envelope.message
-    stopping = isinstance(message, messages.Heartbeat) and message.stopping
+    is_beat = isinstance(message, messages.Heartbeat)
+    stopping = message.stopping if is_beat else None
     is_new = membership.note_heartbeat(
         state.directory, now, sender, envelope.incarnation, stopping
     )
@@ -137,7 +146,7 @@
 def _send_heartbeats(
     state: state_module.SidecarState,
 ) -> list[effects.Send]:
-    beat = messages.Heartbeat(state.stopping)
+    beat = messages.Heartbeat(state.stopping or _is_leaving(state))
     return [
         effects.Send(vm.name, beat)
         for vm in state.directory.vms.values()
@@ -145,6 +154,15 @@
     ]
 
 
+def _is_leaving(state: state_module.SidecarState) -> bool:
+    """Tells whether operators marked this VM as leaving.
+
+    Said in heartbeats, it reaches routers whose own list is still stale.
+    """
+    own = state.directory.vms.get(state.vm)
+    return own is not None and own.state is membership.VmState.LEAVING
+
+
 def _is_sibling(
     state: state_module.SidecarState, vm: membership.VmEntry
 ) -> bool:
--- a/tests/conftest.py
+++ b/tests/conftest.py
@@ -18,7 +18,7 @@
 """
 
 
-def start_small_fleet(folder) -> fleet_module.Fleet:
+def start_small_fleet(folder, platform_settings="") -> fleet_module.Fleet:
     """Starts two routers, two engines and two ledgers."""
     return fleet_module.start_fleet(
         folder,
@@ -30,6 +30,7 @@
             ),
             fleet_module.Upstreams("ledger", 2, "standins.ledger", 4),
         ],
+        platform_settings=platform_settings,
     )
 
 
