--- a/sycamorefall/membership/__init__.py
+++ b/sycamorefall/membership/__init__.py
@@ -4,6 +4,7 @@
     "FORGET_AFTER",
     "SUSPECT_AFTER",
     "Directory",
+    "Links",
     "Peer",
     "VmEntry",
     "VmList",
@@ -12,6 +13,10 @@
     "create_list_document",
     "forget_departed",
     "is_outdated",
+    "list_routers",
+    "list_siblings",
+    "list_sidecars",
+    "list_unlinked",
     "note_heartbeat",
     "read_list_document",
     "replace_list",
@@ -37,3 +42,10 @@
     select_routers,
     select_upstreams,
 )
+from sycamorefall.membership.links import (
+    Links,
+    list_routers,
+    list_siblings,
+    list_sidecars,
+    list_unlinked,
+)
--- a/sycamorefall/membership/directory.py
+++ b/sycamorefall/membership/directory.py
@@ -26,7 +26,7 @@
 
 from sycamorefall.configuration import documents
 
-SUSPECT_AFTER = 2.0
+SUSPECT_AFTER = 3.0
 """Seconds without a message after which a peer gets nothing new."""
 
 FORGET_AFTER = 30.0
@@ -194,11 +194,16 @@
         for name in directory.departed
         if now - directory.peers[name].heard_at > FORGET_AFTER
     }
+    if not silent:
+        return False
+    # A new map, as for a new list: links are computed once for each.
+    directory.vms = {
+        name: vm for name, vm in directory.vms.items() if name not in silent
+    }
     for name in silent:
-        del directory.vms[name]
         del directory.peers[name]
     directory.departed -= silent
-    return bool(silent)
+    return True
 
 
 def is_outdated(
--- a/sycamorefall/node.py
+++ b/sycamorefall/node.py
@@ -35,7 +35,7 @@
         receive: Handles a control message.
         run_timers: Does what has come due.
         find_next_due: Tells when something is due next.
-        apply_configuration: Called after a text came into force.
+        apply_configuration: Called after a text or list came into force.
         perform: Carries out effects that are not messages.
         is_idle: Whether nothing is in progress, so a stopping node may end.
         begin_stop: Makes the decisions take nothing new.
@@ -329,9 +329,10 @@
 
 def _handle_events(node: Node, events: list[replication.Event]) -> None:
     kinds = {event.kind for event in events}
-    if replication.EventKind.TEXT_ADOPTED in kinds:
+    listed = replication.EventKind.LIST_REPLACED in kinds
+    if listed or replication.EventKind.TEXT_ADOPTED in kinds:
         node.core.apply_configuration()
-    if replication.EventKind.LIST_REPLACED in kinds:
+    if listed:
         node.control.keep_only(set(node.core.directory.vms))
     if replication.EventKind.PLATFORM_OLDER in kinds:
         # Either it is stale, which the status is to show, or it was changed
--- a/sycamorefall/sidecar/daemon.py
+++ b/sycamorefall/sidecar/daemon.py
@@ -5,7 +5,7 @@
 from collections.abc import Callable
 
 from sycamorefall import (
-    configuration,
+    admission,
     errors,
     messages,
     observation,
@@ -14,7 +14,15 @@
     transport,
 )
 from sycamorefall import node as node_module
-from sycamorefall.sidecar import claiming, core, metering, running, status
+from sycamorefall.sidecar import (
+    claiming,
+    core,
+    gate,
+    load,
+    metering,
+    running,
+    status,
+)
 from sycamorefall.sidecar import state as state_module
 
 REQUEST_ID_HEADER = "X-Request-Id"
@@ -67,6 +75,7 @@
         node_module.choose_incarnation(),
         config.upstream.service,
     )
+    admission.begin_low(state.limit)
     decisions = node_module.Core(
         vm=state.vm,
         incarnation=state.incarnation,
@@ -90,6 +99,7 @@
         lambda call: _take_operator_call(shown, call),
     )
     shown = status.create_pages(node, state, recorder, config.listen)
+    load.start_polling(node, state, config.upstream.address)
     node_module.run_node(node)
 
 
@@ -138,7 +148,14 @@
     meter = _choose_meter(state, len(call.body))
     relay = _Relay(call, order, meter, track)
     running.charge_run(state, order.attempt_id, relay.meter.begin())
-    _send_upstream(node, config, state, recorder, relay)
+    end = _make_ending(node, state, recorder, relay)
+    call.on_hangup = lambda: end("cancelled")
+    gate.pass_gate(
+        state.gate,
+        now,
+        order.attempt_id,
+        lambda: _send_upstream(node, config, relay, state, recorder, end),
+    )
 
 
 def _read_order(
@@ -171,7 +188,7 @@
     state: state_module.SidecarState, body_size: int
 ) -> metering.Meter:
     service = state.versions.configuration.services[state.service]
-    if service.kind is configuration.ServiceKind.ENGINE:
+    if running.serves_engine(state):
         return metering.meter_engine(service, body_size)
     return metering.meter_plain()
 
@@ -179,11 +196,13 @@
 def _send_upstream(
     node: node_module.Node,
     config: settings.SidecarSettings,
+    relay: _Relay,
     state: state_module.SidecarState,
     recorder: observation.Recorder,
-    relay: _Relay,
+    end: Callable[[str], None],
 ) -> None:
     order, call = relay.order, relay.call
+    relay.begun_at = transport.read_clock()
     request = transport.OutgoingRequest(
         config.upstream.address,
         order.method,
@@ -192,7 +211,6 @@
         call.body,
         fresh=not order.idempotent,
     )
-    end = _make_ending(node, state, recorder, relay)
     relay.exchange = node.client.send(
         request,
         transport.Listener(
@@ -219,9 +237,17 @@
     def end(result: str) -> None:
         now = transport.read_clock()
         attempt_id = relay.order.attempt_id
-        rest = relay.meter.finish(now - relay.begun_at)
-        running.charge_run(state, attempt_id, rest)
+        if relay.exchange is not None:
+            rest = relay.meter.finish(now - relay.begun_at)
+            running.charge_run(state, attempt_id, rest)
         running.finish_run(state, now, attempt_id)
+        gate.leave_gate(
+            state.gate,
+            now,
+            attempt_id,
+            whole=result == "answered",
+            is_engine=running.serves_engine(state),
+        )
         observation.end_request(recorder, relay.track, now, result)
         node_module.perform(node, claiming.make_claims(state, now))
 
--- a/sycamorefall/sidecar/status.py
+++ b/sycamorefall/sidecar/status.py
@@ -7,8 +7,15 @@
 
 from prometheus_client import metrics_core
 
+from sycamorefall import (
+    admission,
+    observation,
+    pages,
+    settings,
+    sharing,
+    transport,
+)
 from sycamorefall import node as node_module
-from sycamorefall import observation, pages, settings, sharing, transport
 from sycamorefall.observation import metrics as metrics_module
 from sycamorefall.observation import status as status_module
 from sycamorefall.sidecar import claiming
@@ -71,7 +78,7 @@
         service=state.service,
         running=len(state.runs),
         claimed=len(state.claims.open),
-        limit=state.limit.cap,
+        limit=admission.count_own(state.limit),
     )
 
 
@@ -113,7 +120,15 @@
     values = {
         "running": (len(state.runs), "Requests in progress at the upstream."),
         "claimed": (len(state.claims.open), "Claims not yet fulfilled."),
-        "limit": (state.limit.cap, "Most requests in progress."),
+        "limit": (
+            admission.count_own(state.limit),
+            "Most requests in progress.",
+        ),
+        "foreign": (
+            state.limit.foreign,
+            "Requests at the upstream that this process did not start.",
+        ),
+        "held": (len(state.gate.held), "Runs held until a slot is free."),
         "accounts": (len(state.accounts.teams), "Teams with an account."),
     }
     for name, (value, text) in values.items():
