--- a/sycamorefall/messages.py
+++ b/sycamorefall/messages.py
@@ -78,16 +78,21 @@
 
 
 class Heartbeat(msgspec.Struct, frozen=True, array_like=True, tag="h"):
-    """Says that the sender lives, and whether it takes new work.
+    """Says that the sender lives, and what it holds.
 
     Attributes:
         stopping: Whether the sender takes nothing new.
         room: Of a sidecar: slots that are free and that it knows no work
             for, a hint for routers; 0 of a router.
+        vms_revision: Revision of the VM list in use.
+        fingerprint: Differs between processes whose documents differ; 0 of
+            a process that is starting.
     """
 
     stopping: bool = False
     room: int = 0
+    vms_revision: int = 0
+    fingerprint: int = 0
 
 
 class TeamWaiting(msgspec.Struct, frozen=True, array_like=True):
--- a/sycamorefall/sidecar/core.py
+++ b/sycamorefall/sidecar/core.py
@@ -21,7 +21,11 @@
 
 
 def apply_configuration(state: state_module.SidecarState) -> None:
-    """Takes the upstream's limit from the configuration in force."""
+    """Takes the upstream's limit from the configuration in force.
+
+    The peers are told at once that another one is in force.
+    """
+    state.next_heartbeat = 0.0
     in_force = state.versions.configuration
     service = in_force.services.get(state.service) if in_force else None
     if service is not None:
@@ -50,8 +54,13 @@
     sender = envelope.sender
     if sender not in state.directory.vms:
         return []
+    if membership.is_outdated(
+        state.directory, now, sender, envelope.incarnation
+    ):
+        return []
     message = envelope.message
-    stopping = isinstance(message, messages.Heartbeat) and message.stopping
+    is_beat = isinstance(message, messages.Heartbeat)
+    stopping = message.stopping if is_beat else None
     is_new = membership.note_heartbeat(
         state.directory, now, sender, envelope.incarnation, stopping
     )
