--- a/sycamorefall/membership/__init__.py
+++ b/sycamorefall/membership/__init__.py
@@ -1,20 +1,31 @@
 """Which VMs there are and which of them may get new work."""
 
 __all__ = [
+    "FORGET_AFTER",
     "SUSPECT_AFTER",
     "Directory",
+    "Links",
     "Peer",
     "VmEntry",
     "VmList",
     "VmRole",
     "VmState",
+    "create_list_document",
+    "forget_departed",
+    "is_outdated",
+    "list_routers",
+    "list_siblings",
+    "list_sidecars",
+    "list_unlinked",
     "note_heartbeat",
+    "read_list_document",
     "replace_list",
     "select_routers",
     "select_upstreams",
 ]
 
 from sycamorefall.membership.directory import (
+    FORGET_AFTER,
     SUSPECT_AFTER,
     Directory,
     Peer,
@@ -22,8 +33,19 @@
     VmList,
     VmRole,
     VmState,
+    create_list_document,
+    forget_departed,
+    is_outdated,
     note_heartbeat,
+    read_list_document,
     replace_list,
     select_routers,
     select_upstreams,
 )
+from sycamorefall.membership.links import (
+    Links,
+    list_routers,
+    list_siblings,
+    list_sidecars,
+    list_unlinked,
+)
--- a/sycamorefall/sharing/__init__.py
+++ b/sycamorefall/sharing/__init__.py
@@ -2,6 +2,7 @@
 
 __all__ = [
     "Account",
+    "ByteBudget",
     "CostEstimates",
     "Demand",
     "Fairness",
@@ -14,6 +15,8 @@
     "compute_key",
     "drop_idle_accounts",
     "estimate_cost",
+    "find_opening",
+    "is_open",
     "join_queue",
     "lift_team",
     "list_entries",
@@ -23,6 +26,7 @@
     "peek_oldest",
     "pop_earliest",
     "reserve_units",
+    "spend_bytes",
 ]
 
 from sycamorefall.sharing.accounts import (
@@ -34,6 +38,12 @@
     merge_entries,
     reserve_units,
 )
+from sycamorefall.sharing.budget import (
+    ByteBudget,
+    find_opening,
+    is_open,
+    spend_bytes,
+)
 from sycamorefall.sharing.choice import (
     Fairness,
     choose_team,
--- a/sycamorefall/sidecar/running.py
+++ b/sycamorefall/sidecar/running.py
@@ -1,9 +1,10 @@
 """Attempts at a sidecar: started at most once, charged as they run."""
 
-__all__ = ["accept_attempt", "charge_run", "finish_run"]
+__all__ = ["accept_attempt", "charge_run", "finish_run", "serves_engine"]
 
-from sycamorefall import dispatch, messages, sharing
+from sycamorefall import configuration, dispatch, messages, sharing
 from sycamorefall.dispatch import outcomes
+from sycamorefall.sidecar import offers
 from sycamorefall.sidecar import state as state_module
 
 
@@ -23,9 +24,7 @@
         True if the attempt is now on record as started; False if it is
         refused, and will be whenever it comes again.
     """
-    claim = dispatch.redeem_claim(
-        state.claims, now, order.claim_id, order.router, order.team
-    )
+    claim = offers.redeem_order(state, now, order)
     if claim is None:
         _refuse(state, now, order.attempt_id)
         return False
@@ -90,3 +89,10 @@
     outcomes.record_outcome(
         state.outcomes, now, attempt_id, messages.AttemptState.FINISHED
     )
+
+
+def serves_engine(state: state_module.SidecarState) -> bool:
+    """Tells whether the upstream is a model engine."""
+    service = state.versions.configuration.services.get(state.service)
+    engine = configuration.ServiceKind.ENGINE
+    return service is not None and service.kind is engine
