--- a/sycamorefall/sidecar/claiming.py
+++ b/sycamorefall/sidecar/claiming.py
@@ -1,7 +1,6 @@
 """A sidecar's claims: which team's request it asks which router for."""
 
 __all__ = [
-    "drop_idle_accounts",
     "find_weight",
     "make_claims",
     "may_claim",
@@ -120,14 +119,3 @@
     for claim in dispatch.expire_claims(state.claims, now):
         sharing.reserve_units(state.accounts, claim.team, -claim.reserved)
         demand_module.drop_router(state.demand, claim.router)
-
-
-def drop_idle_accounts(state: state_module.SidecarState) -> None:
-    """Drops accounts that the choice of teams doesn't need."""
-    sharing.drop_idle_accounts(
-        state.fairness,
-        state.accounts,
-        state.demand.teams,
-        lambda name: find_weight(state, name),
-        most_entries=2 * len(state.directory.vms),
-    )
--- a/sycamorefall/sidecar/core.py
+++ b/sycamorefall/sidecar/core.py
@@ -10,7 +10,7 @@
 
 from sycamorefall import dispatch, effects, membership, messages, sharing
 from sycamorefall.dispatch import outcomes
-from sycamorefall.sidecar import claiming, hinting
+from sycamorefall.sidecar import claiming, hinting, sweeping
 from sycamorefall.sidecar import state as state_module
 
 HEARTBEAT_INTERVAL = 1.0
@@ -129,7 +129,7 @@
     if now >= state.next_heartbeat:
         state.next_heartbeat = now + HEARTBEAT_INTERVAL
         outcomes.expire_records(state.outcomes, now)
-        claiming.drop_idle_accounts(state)
+        sweeping.sweep_accounts(state)
         due += hinting.send_heartbeats(state, now)
     if now >= state.next_exchange and state.accounts.unsent:
         state.next_exchange = now + EXCHANGE_INTERVAL
--- /dev/null
+++ b/sycamorefall/sidecar/sweeping.py
@@ -0,0 +1,22 @@
+"""The sweep that keeps a sidecar's accounts to the teams that matter."""
+
+__all__ = ["sweep_accounts"]
+
+from sycamorefall import sharing
+from sycamorefall.sidecar import claiming
+from sycamorefall.sidecar import state as state_module
+
+
+def sweep_accounts(state: state_module.SidecarState) -> None:
+    """Drops accounts that the choice of teams doesn't need.
+
+    Args:
+        state: The sidecar; changed.
+    """
+    sharing.drop_idle_accounts(
+        state.fairness,
+        state.accounts,
+        state.demand.teams,
+        lambda name: claiming.find_weight(state, name),
+        most_entries=2 * len(state.directory.vms),
+    )
