Lift a returning team in the eyes of one sidecar; void accounts at rest only

Cause: the lift to an absolute offset voided, at every sidecar, service that the lifting one had not heard of yet. With fresh accounts that is nothing; with accounts that are a second old a team whose announcements come and go was forgiven a second's service each time.

--- a/sycamorefall/sharing/accounts.py
+++ b/sycamorefall/sharing/accounts.py
@@ -47,11 +47,18 @@
         total: Sum of served and reserved units over the entries.
         offset: Order key from which the entries count; only ever rises, and
             is whole, so that rounding on the way doesn't change it.
+        lift: What this process adds to the order key, and no other does.
+        quiet: Sweeps in a row that found the account unchanged; see
+            `choice.drop_idle_accounts`.
+        swept_total: Total at the last sweep.
     """
 
     entries: dict[str, Entry] = dataclasses.field(default_factory=dict)
     total: float = 0.0
     offset: float = 0.0
+    lift: float = 0.0
+    quiet: int = 0
+    swept_total: float = 0.0
 
 
 @dataclasses.dataclass(slots=True)
@@ -115,10 +122,10 @@
 def raise_offset(accounts: ServiceAccounts, team: str, offset: float) -> None:
     """Raises a team's offset to at least a value, and counts anew from there.
 
-    The offset is a maximum, never a sum, so that two sidecars which lift the
-    same team at the same time do not lift it twice. It stands for itself and
-    not on top of what the team received, so a sidecar that lifts a team
-    without having heard of its latest service does not lift it too far.
+    The offset is a maximum, never a sum, so that two sidecars which raise it
+    at the same time do not raise it twice. Service that this process has not
+    heard of yet is voided with the rest, so this is for accounts that have
+    long been at rest.
 
     Args:
         accounts: The accounts; changed.
@@ -137,6 +144,7 @@
         return False
     own = account.entries.get(accounts.label)
     account.offset = offset
+    account.lift = 0.0
     account.entries.clear()
     account.total = 0.0
     if own is not None:
@@ -171,7 +179,8 @@
         weight: The team's weight.
 
     Returns:
-        The team's offset plus units served and reserved since, per weight.
+        The team's offset and lift, plus units served and reserved since the
+        offset, per weight.
 
     Example:
         >>> accounts = ServiceAccounts("engine-1/1")
@@ -182,7 +191,7 @@
     account = accounts.teams.get(team)
     if account is None:
         return 0.0
-    return account.offset + account.total / weight
+    return account.offset + account.lift + account.total / weight
 
 
 def merge_entries(
--- a/sycamorefall/sharing/choice.py
+++ b/sycamorefall/sharing/choice.py
@@ -19,6 +19,9 @@
 SWEEP = 256
 """Accounts looked at in one go when those of idle teams are dropped."""
 
+QUIET_SWEEPS = 20
+"""Sweeps without a change after which a team is idle: 10 s or more."""
+
 
 @dataclasses.dataclass(slots=True)
 class Fairness:
@@ -95,7 +98,9 @@
     """Lifts a team that was idle to the floor.
 
     Without the lift a team could save up service while idle and then shut
-    the others out until it has caught up.
+    the others out until it has caught up. A team without an account begins
+    to count at the floor, for all sidecars; any other is lifted in the eyes
+    of this one alone, as its account may hold service not yet heard of.
 
     Args:
         fairness: State of the choice.
@@ -103,9 +108,9 @@
         team: A team whose work begins to wait.
         weight: The team's weight.
     """
-    key = accounts_module.compute_key(accounts, team, weight)
-    if key < fairness.floor:
-        _lift_to(accounts, team, fairness.floor, weight)
+    if team not in accounts.teams:
+        accounts_module.raise_offset(accounts, team, fairness.floor)
+    _lift_to(accounts, team, fairness.floor, weight)
 
 
 def _lift_to(
@@ -114,9 +119,10 @@
     key: float,
     weight: float,
 ) -> None:
-    """Lifts a team's order key, what is reserved for it included."""
-    reserved = accounts_module.compute_reserved(accounts, team)
-    accounts_module.raise_offset(accounts, team, key - reserved / weight)
+    """Lifts a team's order key in the eyes of this sidecar."""
+    account = accounts.teams.setdefault(team, accounts_module.Account())
+    current = accounts_module.compute_key(accounts, team, weight)
+    account.lift += max(0.0, key - current)
 
 
 def drop_idle_accounts(
@@ -129,7 +135,9 @@
     """Drops accounts that say nothing, a part of them at each call.
 
     A team without work whose order key is not above the floor will be lifted
-    to the floor when it returns, whatever its account says. Accounts of
+    to the floor when it returns, whatever its account says. It must have
+    been at rest for a while: what is dropped voids the others' entries when
+    the team returns, those too that are still on their way. Accounts of
     teams that always have work are counted anew when they hold the entries
     of many processes that are gone.
 
@@ -143,10 +151,15 @@
     for team in list(itertools.islice(accounts.teams, SWEEP)):
         account = accounts.teams.pop(team)
         accounts.teams[team] = account
-        key = accounts_module.compute_key(accounts, team, weigh(team))
         reserved = accounts_module.compute_reserved(accounts, team)
-        is_idle = team not in waiting and reserved < 1.0
-        if is_idle and key <= fairness.floor:
+        is_quiet = account.total == account.swept_total and reserved < 1.0
+        is_quiet = is_quiet and team not in waiting
+        account.quiet = account.quiet + 1 if is_quiet else 0
+        account.swept_total = account.total
+        key = accounts_module.compute_key(accounts, team, weigh(team))
+        if account.quiet >= QUIET_SWEEPS and key <= fairness.floor:
             accounts_module.drop_account(accounts, team)
         elif len(account.entries) > most_entries:
-            _lift_to(accounts, team, key, weigh(team))
+            accounts_module.raise_offset(
+                accounts, team, key - reserved / weigh(team)
+            )
