Measure capacity with one command; parse many teams in linear time

`make capacity` measures slopes on real processes and in process and writes docs/capacity-measured.md.

Cause found with it: a text of 16,000 teams took 11.5 s to parse and one of 8,000 2.4 s (process time), since each team counted its name among all. A node stands still meanwhile. Ruled out: configparser, which takes 86 us a team. Change: names are counted once.

The test that a team listed twice is refused is new.

--- a/Makefile
+++ b/Makefile
@@ -3,7 +3,7 @@
 BIN := $(VENV)/bin
 STAMP := $(VENV)/.installed
 
-.PHONY: setup test demo bench lint format
+.PHONY: setup test demo bench capacity lint format
 
 $(STAMP): pyproject.toml
 	$(PYTHON) -m venv $(VENV)
@@ -18,6 +18,9 @@
 demo: $(STAMP)
 	$(BIN)/python -m standins.demo
 
+capacity: $(STAMP)
+	$(BIN)/python -m benchmarks.capacity
+
 lint: $(STAMP)
 	$(BIN)/ruff format --check .
 	$(BIN)/ruff check .
--- /dev/null
+++ b/benchmarks/capacity.py
@@ -0,0 +1,92 @@
+"""Measures what docs/CAPACITY.md reckons with, and writes the table of it.
+
+Each module beside this one measures one matter; every slope comes with the
+points that it was fitted to.
+"""
+
+import argparse
+import datetime
+import os
+import pathlib
+import platform
+import subprocess
+
+from benchmarks import (
+    capacity_control,
+    capacity_datapath,
+    capacity_imports,
+    capacity_probe,
+    capacity_state,
+)
+
+TABLE = pathlib.Path("docs/capacity-measured.md")
+
+PARTS = {
+    "Requests and tokens": capacity_datapath.measure,
+    "Control": capacity_control.measure,
+    "State and configuration": capacity_state.measure,
+    "Memory of imports": capacity_imports.measure,
+}
+
+
+def describe_commit() -> str:
+    """Names the commit that is measured."""
+    command = ["git", "describe", "--always", "--dirty", "--exclude=*"]
+    try:
+        done = subprocess.run(command, capture_output=True, text=True)
+    except OSError:
+        return "unknown"
+    return done.stdout.strip() or "unknown"
+
+
+def write_head() -> list[str]:
+    """Writes the lines that say when, where and on what."""
+    now = datetime.datetime.now(datetime.UTC).strftime("%Y-%m-%d %H:%M")
+    return [
+        "# Capacity, as measured",
+        "",
+        "Written by `make capacity`; don't edit. A slope is fitted to the",
+        "points beside it, each a load and a reading.",
+        "",
+        f"- begun: {now} UTC, commit {describe_commit()}",
+        f"- machine: {os.cpu_count()} cores shared with other work, Python"
+        f" {platform.python_version()}, all processes on loopback",
+        f"- load average at the beginning: {os.getloadavg()[0]:.1f}",
+    ]
+
+
+def write_part(title: str, measures: list[capacity_probe.Measure]) -> list[str]:
+    """Writes the measures of one matter as a table."""
+    rows = [
+        f"| `{m.key}` | {m.what} | {m.value:.4g} {m.unit} | {m.points} |"
+        for m in measures
+    ]
+    head = ["| name | what | value | points |", "|---|---|---|---|"]
+    return ["", f"## {title}", "", *head, *rows]
+
+
+def main() -> None:
+    """Measures all parts, or those named, and writes or prints the table."""
+    parser = argparse.ArgumentParser(description=__doc__)
+    parser.add_argument(
+        "--only",
+        choices=list(PARTS),
+        action="append",
+        help="print this part instead of writing the page",
+    )
+    options = parser.parse_args()
+    lines = write_head()
+    for title in options.only or PARTS:
+        print(f"measuring: {title}", flush=True)
+        lines += write_part(title, PARTS[title]())
+    lines += ["", f"Load average at the end: {os.getloadavg()[0]:.1f}"]
+    text = "\n".join(lines) + "\n"
+    if options.only:
+        print(text)
+    else:
+        TABLE.write_text(text)
+        print(f"written: {TABLE}")
+
+
+if __name__ == "__main__":
+    main()
--- a/benchmarks/capacity_datapath.py
+++ b/benchmarks/capacity_datapath.py
@@ -64,6 +64,9 @@
         gap: Time between tokens that 95 in 100 did not exceed, in seconds.
         router: Router's processor time per second.
         sidecar: The same of all sidecars together.
+        router_memory: Router's private memory at the end, in bytes.
+        sidecar_memory: The same of all sidecars together.
+        control: Bytes per second on all control links.
     """
 
     load: Load
@@ -73,6 +76,9 @@
     gap: float
     router: float
     sidecar: float
+    router_memory: int
+    sidecar_memory: int
+    control: float
 
 
 @dataclasses.dataclass(slots=True)
@@ -110,7 +116,7 @@
     count.requests += 1
 
 
-async def _run_load(port: int, load: Load, read) -> tuple[_Count, list, float]:
+async def _run_load(port: int, load: Load, read) -> tuple:
     """Keeps streams open; gives counts and readings of the middle part."""
     count = _Count()
     numbers = itertools.count()
@@ -140,8 +146,7 @@
         for caller in callers:
             caller.cancel()
         await asyncio.gather(*callers, return_exceptions=True)
-    spent = [b - a for a, b in zip(before, after, strict=True)]
-    return counted, spent, lasted
+    return counted, before, after, lasted
 
 
 def measure_load(fleet: fleet_module.Fleet, load: Load) -> Reading:
@@ -149,11 +154,21 @@
     router = next(n for n in fleet.nodes.values() if n.role == "router")
     sidecars = [n for n in fleet.nodes.values() if n.role == "upstream"]
 
-    def read() -> tuple[float, float]:
-        beside = sum(probe.read_cpu(node.process.pid) for node in sidecars)
-        return probe.read_cpu(router.process.pid), beside
-
-    count, spent, lasted = asyncio.run(_run_load(router.data, load, read))
+    def read() -> tuple[float, ...]:
+        pids = [node.process.pid for node in sidecars]
+        control = fleet_module.call(fleet.relay, "/test/bytes")
+        return (
+            probe.read_cpu(router.process.pid),
+            sum(map(probe.read_cpu, pids)),
+            sum(control.values()),
+            probe.read_private(router.process.pid),
+            sum(map(probe.read_private, pids)),
+        )
+
+    count, before, after, lasted = asyncio.run(
+        _run_load(router.data, load, read)
+    )
+    spent = [b - a for a, b in zip(before, after, strict=True)]
     return Reading(
         load,
         count.requests / lasted,
@@ -162,6 +177,9 @@
         _find_gap(count.gaps),
         spent[0] / lasted,
         spent[1] / lasted,
+        after[3],
+        after[4],
+        spent[2] / lasted,
     )
 
 
@@ -222,15 +240,73 @@
 LONG = [Load(streams, 250) for streams in (10, 20, 40)]
 """Loads that show the cost of a token, at 250 tokens to a request."""
 
-RISING = [Load(streams, 125) for streams in (80, 120, 160, 200, 240, 280)]
+RISING = [Load(streams, 125) for streams in (80, 160, 240, 320, 400)]
 """Loads that show how much a router carries."""
 
 
+def measure(report=print) -> list[probe.Measure]:
+    """Measures requests, tokens and open streams."""
+    short = run_loads(13.0, 1, SHORT, report)
+    long = run_loads(13.0, 1, LONG, report)
+    rising = run_loads(30.0, 2, RISING, report)
+    measures = []
+    for role in ("router", "sidecar"):
+        measures += _fit_role(role, short, long, rising)
+    control = [(r.requests, r.control) for r in short]
+    measures.append(
+        probe.fit_slope(
+            "request-control",
+            "control bytes of a request on all links, one sidecar",
+            "bytes",
+            control,
+        )
+    )
+    return [*measures, _find_capacity(rising)]
+
+
+def _fit_role(role: str, short, long, rising) -> list[probe.Measure]:
+    """Fits the slopes of one role."""
+    spent = lambda reading: getattr(reading, role)  # noqa: E731
+    request = probe.fit_slope(
+        f"{role}-request-cpu",
+        f"{role}: a request of one token",
+        "ms",
+        [(r.requests, spent(r)) for r in short],
+        1e3,
+    )
+    token = probe.fit_slope(
+        f"{role}-token-cpu",
+        f"{role}: a token, its share of a request of 250 included",
+        "us",
+        [(r.tokens, spent(r)) for r in long],
+        1e6,
+    )
+    stream = probe.fit_slope(
+        f"{role}-stream-memory",
+        f"{role}: private memory per open stream",
+        "bytes",
+        [(r.load.streams, getattr(r, f"{role}_memory")) for r in rising],
+    )
+    return [request, token, stream]
+
+
+def _find_capacity(rising: list[Reading]) -> probe.Measure:
+    """Finds the highest rate that kept the bound between tokens."""
+    kept = [r for r in rising if r.gap < BOUND and not r.wrong]
+    most = max((r.tokens for r in kept), default=0.0)
+    points = "; ".join(
+        f"{r.tokens:.0f} tokens/s: {r.gap * 1000:.1f} ms, "
+        f"{r.router:.2f} of a core, {r.wrong} not whole"
+        for r in rising
+    )
+    what = f"router: tokens/s with 95% gap below {BOUND * 1000:.0f} ms"
+    return probe.Measure("router-token-rate", what, most, "1/s", points)
+
+
 def main() -> None:
-    """Runs all loads and prints the readings."""
-    run_loads(13.0, 1, SHORT)
-    run_loads(13.0, 1, LONG)
-    run_loads(30.0, 2, RISING)
+    """Runs all loads and prints the readings and slopes."""
+    for line in measure():
+        print(f"{line.key}: {line.value:.4g} {line.unit} ({line.points})")
 
 
 if __name__ == "__main__":
--- /dev/null
+++ b/benchmarks/capacity_state.py
@@ -0,0 +1,212 @@
+"""Memory of a node's state per VM, team, request and line of text.
+
+Built in this process from the library's own functions, at sizes that show a
+slope. Nothing here opens a socket.
+"""
+
+import time
+
+import msgspec
+
+from benchmarks import capacity_probe as probe
+from standins import fleet as fleet_module
+from sycamorefall import configuration, membership, messages, sharing
+from sycamorefall.router import intake
+from sycamorefall.router import state as router_state
+
+SERVICE = "assistant"
+
+TEAMS = 31_000
+"""Teams in two years."""
+
+TEXT_LIMIT = 1 << 20
+"""Bytes that one value of the configuration service holds."""
+
+
+def build_vms(count: int) -> tuple[membership.VmEntry, ...]:
+    """Builds entries of upstream VMs as the platform lists them."""
+    return tuple(
+        membership.VmEntry(
+            f"engine-{index}",
+            membership.VmRole.UPSTREAM,
+            f"domain-{index % 8}",
+            f"10.0.{index // 250}.{index % 250}:7401",
+            f"10.0.{index // 250}.{index % 250}:7400",
+            SERVICE,
+        )
+        for index in range(count)
+    )
+
+
+def build_directory(count: int) -> membership.Directory:
+    """Builds the view of VMs that were all heard from."""
+    directory = membership.Directory()
+    membership.replace_list(directory, membership.VmList(1, build_vms(count)))
+    for name in directory.vms:
+        membership.note_heartbeat(directory, 1.0, name, 10**15, False)
+    return directory
+
+
+def build_accounts(count: int) -> sharing.ServiceAccounts:
+    """Builds accounts of teams that only this sidecar served."""
+    accounts = sharing.ServiceAccounts("engine-0/1")
+    for index in range(count):
+        sharing.charge_team(accounts, f"team-{index}", 10.0)
+    return accounts
+
+
+def build_entries(count: int) -> sharing.ServiceAccounts:
+    """Builds accounts of 100 teams with entries of as many sidecars."""
+    accounts = sharing.ServiceAccounts("engine-0/1")
+    for label in range(count // 100):
+        entries = [
+            messages.AccountEntry(
+                f"team-{index}", f"engine-{label}/1", 5, 1.5 * label, 2.5, 0.0
+            )
+            for index in range(100)
+        ]
+        sharing.merge_entries(accounts, entries)
+    return accounts
+
+
+def build_waiting(count: int) -> router_state.RouterState:
+    """Builds a router with requests waiting for a reachable upstream."""
+    state = router_state.RouterState("router-0", 1)
+    text = fleet_module.write_text(
+        {f"team-{index}": 1.0 for index in range(16)},
+        f"[service {SERVICE}]\nkind = engine\n",
+        f"waiting_per_team = {count + 1}\nwaiting_per_router = {count + 1}",
+    )
+    configuration.offer_text(state.versions, 1, text)
+    vms = membership.VmList(1, build_vms(1))
+    membership.replace_list(state.directory, vms)
+    membership.note_heartbeat(state.directory, 1.0, "engine-0", 1, False)
+    for index in range(count):
+        new = router_state.NewRequest(
+            SERVICE,
+            f"team-{index % 16}",
+            "POST",
+            "/v1/chat/completions",
+            (("content-type", "application/json"),),
+            30.0,
+            True,
+        )
+        intake.admit_request(state, 1.0, new)
+    return state
+
+
+def write_teams(count: int) -> str:
+    """Writes a text with 19 services and teams of one key each."""
+    services = "".join(
+        f"[service model-{index}]\nkind = engine\n" for index in range(19)
+    )
+    teams = {f"team-{index:05d}": 1.0 for index in range(count)}
+    return fleet_module.write_text(teams, services)
+
+
+def build_configuration(count: int) -> configuration.VersionState:
+    """Builds the state after a text with teams came into force."""
+    state = configuration.VersionState()
+    configuration.offer_text(state, 1, write_teams(count))
+    return state
+
+
+def measure_parse(count: int) -> float:
+    """Measures for how long a text with teams stops the loop, in seconds."""
+    text = write_teams(count)
+    state = configuration.VersionState()
+    begun = time.process_time()
+    configuration.offer_text(state, 1, text)
+    return time.process_time() - begun
+
+
+def measure_list(count: int) -> tuple[float, float]:
+    """Measures a list of VMs: its bytes, and its decoding in seconds."""
+    data = msgspec.json.encode(membership.VmList(2, build_vms(count)))
+    directory = build_directory(count)
+    begun = time.process_time()
+    vms = msgspec.json.decode(data, type=membership.VmList)
+    membership.replace_list(directory, vms)
+    return float(len(data)), time.process_time() - begun
+
+
+def measure() -> list[probe.Measure]:
+    """Measures all slopes of memory, and the text."""
+    return [
+        probe.fit_memory(
+            "vm-memory",
+            "a VM in the directory, heard from",
+            build_directory,
+            (320, 640, 1280),
+        ),
+        probe.fit_memory(
+            "account-memory",
+            "a team's account with one entry",
+            build_accounts,
+            (500, 1000, 2000),
+        ),
+        probe.fit_memory(
+            "entry-memory",
+            "one more sidecar's entry in a team's account",
+            build_entries,
+            (1000, 2000, 4000),
+        ),
+        probe.fit_memory(
+            "request-memory",
+            "a waiting request, without its body and connection",
+            build_waiting,
+            (500, 1000, 2000),
+        ),
+        *measure_lists(),
+        *measure_text(),
+    ]
+
+
+def measure_lists() -> list[probe.Measure]:
+    """Measures the platform's list of VMs."""
+    counts = (320, 640, 1280)
+    read = [measure_list(count) for count in counts]
+    return [
+        probe.fit_slope(
+            "list-size",
+            "a VM in the platform's list",
+            "bytes",
+            list(zip(counts, (size for size, _ in read), strict=True)),
+        ),
+        probe.fit_slope(
+            "list-time",
+            "decoding a VM of the list and taking it into use",
+            "us",
+            list(zip(counts, (spent for _, spent in read), strict=True)),
+            1e6,
+        ),
+    ]
+
+
+def measure_text() -> list[probe.Measure]:
+    """Measures a text with many teams: size, memory and parse."""
+    sizes = [(n, float(len(write_teams(n)))) for n in (1000, 2000, 4000)]
+    pauses = [(n, measure_parse(n)) for n in (4000, 8000, 16000)]
+    whole = measure_parse(TEAMS)
+    size = len(write_teams(TEAMS))
+    return [
+        probe.fit_slope(
+            "text-size", "a team in the text, one key", "bytes", sizes
+        ),
+        probe.fit_memory(
+            "team-memory",
+            "a team in the configuration in force, text included",
+            build_configuration,
+            (1000, 2000, 4000),
+        ),
+        probe.fit_slope(
+            "parse-time", "parsing a team's section", "us", pauses, 1e6
+        ),
+        probe.Measure(
+            "parse-pause",
+            f"parse of {TEAMS} teams, the loop stands still",
+            whole,
+            "s",
+            f"one text of {size} bytes; a value holds {TEXT_LIMIT}",
+        ),
+    ]
--- a/sycamorefall/configuration/text.py
+++ b/sycamorefall/configuration/text.py
@@ -14,6 +14,7 @@
     "parse_configuration",
 ]
 
+import collections
 import configparser
 import enum
 import hashlib
@@ -216,13 +217,13 @@
         for section in parser.sections()
         if section.startswith(f"{kind} ")
     ]
-    names = [name for _, name in chosen]
+    listed = collections.Counter(name for _, name in chosen)
     for section, name in chosen:
         if not _NAME.match(name):
             raise errors.ConfigurationRefused(
                 lines.find(section), f"bad {kind} name {name!r}"
             )
-        if names.count(name) > 1:
+        if listed[name] > 1:
             raise errors.ConfigurationRefused(
                 lines.find(section), f"{kind} {name} is listed twice"
             )
--- a/tests/test_command.py
+++ b/tests/test_command.py
@@ -46,6 +46,7 @@
         ("[service a]\nkind = plain\nsize = 3\n", "line 3"),
         ("[service a]\nkind = plain\ndepends_on = b\n", "unknown b"),
         ("[team a]\nweight = 0\n", "line 2"),
+        ("[team a]\n[team  a]\n", "team a is listed twice"),
         ("[teams]\n", "unknown section [teams]"),
         ("no section\n", "line 1"),
     ],
