--- a/sycamorefall/transport/__init__.py
+++ b/sycamorefall/transport/__init__.py
@@ -1,6 +1,7 @@
 """The shell's I/O: event loop, control links, HTTP client and server."""
 
 __all__ = [
+    "EVENT_STREAM",
     "ControlLinks",
     "Exchange",
     "HttpClient",
@@ -15,6 +16,7 @@
     "read_clock",
 ]
 
+from sycamorefall.transport.call import EVENT_STREAM, IncomingCall
 from sycamorefall.transport.client import (
     Exchange,
     HttpClient,
@@ -24,4 +26,4 @@
 )
 from sycamorefall.transport.control import ControlLinks
 from sycamorefall.transport.loop import Loop, Ticker, create_loop, read_clock
-from sycamorefall.transport.server import HttpServer, IncomingCall
+from sycamorefall.transport.server import HttpServer
