--- a/Makefile
+++ b/Makefile
@@ -3,7 +3,7 @@
 BIN := $(VENV)/bin
 STAMP := $(VENV)/.installed
 
-.PHONY: setup test demo bench capacity lint format
+.PHONY: setup test demo bench bench-control capacity lint format
 
 $(STAMP): pyproject.toml
 	$(PYTHON) -m venv $(VENV)
@@ -21,6 +21,9 @@
 capacity: $(STAMP)
 	$(BIN)/python -m benchmarks.capacity
 
+bench-control: $(STAMP)
+	$(BIN)/python -m benchmarks.control
+
 lint: $(STAMP)
 	$(BIN)/ruff format --check .
 	$(BIN)/ruff check .
--- a/benchmarks/capacity.py
+++ b/benchmarks/capacity.py
@@ -14,8 +14,10 @@
 from benchmarks import (
     capacity_control,
     capacity_datapath,
+    capacity_fleet,
     capacity_imports,
     capacity_probe,
+    capacity_projection,
     capacity_state,
 )
 
@@ -24,6 +26,7 @@
 PARTS = {
     "Requests and tokens": capacity_datapath.measure,
     "Control": capacity_control.measure,
+    "Control at full size": capacity_fleet.measure,
     "State and configuration": capacity_state.measure,
     "Memory of imports": capacity_imports.measure,
 }
@@ -76,9 +79,13 @@
     )
     options = parser.parse_args()
     lines = write_head()
+    taken: list[capacity_probe.Measure] = []
     for title in options.only or PARTS:
         print(f"measuring: {title}", flush=True)
-        lines += write_part(title, PARTS[title]())
+        measures = PARTS[title]()
+        lines += write_part(title, measures)
+        taken += measures
+    lines += capacity_projection.write_estimates(taken)
     lines += ["", f"Load average at the end: {os.getloadavg()[0]:.1f}"]
     text = "\n".join(lines) + "\n"
     if options.only:
--- a/benchmarks/capacity_control.py
+++ b/benchmarks/capacity_control.py
@@ -30,6 +30,10 @@
 """Messages per second sent to a process."""
 
 
+TEAMS = (1_000, 4_000, 9_000)
+"""Teams of the texts that are taken into force; the last fills a value."""
+
+
 @dataclasses.dataclass(slots=True)
 class Reading:
     """What a process used during one run.
@@ -258,6 +262,41 @@
     ]
 
 
+def measure_texts(
+    fleet: fleet_module.Fleet, node: fleet_module.Node
+) -> list[probe.Measure]:
+    """Measures a running node that takes texts with many teams into force."""
+    spent, held = [], []
+    for count in TEAMS:
+        fleet_module.publish_text(fleet, capacity_state.write_teams(count))
+        before = probe.read_cpu(node.process.pid)
+        fleet_module.wait_until(
+            lambda: (
+                fleet_module.call(node.data, "/status")["revision"]
+                == fleet.revision
+            ),
+            "the text in force",
+        )
+        spent.append((count, probe.read_cpu(node.process.pid) - before))
+        held.append((count, float(probe.read_private(node.process.pid))))
+    role = node.role if node.role == "router" else "sidecar"
+    return [
+        probe.fit_slope(
+            f"{role}-adopt-cpu",
+            f"{role}: a text taken into force, per team",
+            "us",
+            spent,
+            1e6,
+        ),
+        probe.fit_slope(
+            f"{role}-adopt-memory",
+            f"{role}: private memory per team of the text",
+            "bytes",
+            held,
+        ),
+    ]
+
+
 def measure() -> list[probe.Measure]:
     """Measures idle processes, links and messages."""
     sink = Sink()
@@ -277,6 +316,7 @@
     measures = measure_idle(fleet, router, sink)
     measures += measure_idle(fleet, sidecar, sink)
     reads = read_process(fleet, router, sink).reads
+    # The stand-ins' settings ask for two polls a second; the default is one.
     measures.append(
         probe.Measure(
             "platform-reads",
@@ -317,7 +357,7 @@
             make_update,
         ),
     ]
-    return measures
+    return measures + measure_texts(fleet, router)
 
 
 def main() -> None:
