--- a/sycamorefall/router/offering.py
+++ b/sycamorefall/router/offering.py
@@ -38,7 +38,13 @@
         if sidecar is None:
             break
         incarnation = state.hints[service][sidecar].incarnation
-        queues.leave_queue(state.waiting, service, request.new.team, number)
+        queues.leave_queue(
+            state.waiting,
+            service,
+            request.new.team,
+            number,
+            request.deadline,
+        )
         state.counted.pop((service, request.new.team), None)
         offer = handout.offer_request(state, now, request, sidecar, incarnation)
         request.attempt.offered = True
