--- a/benchmarks/capacity_control.py
+++ b/benchmarks/capacity_control.py
@@ -235,7 +235,7 @@
         sent.append((count, reading.messages))
         spent.append((reading.messages, reading.cpu))
         held.append((count, float(reading.private)))
-    name = "sibling sidecar" if role == "sidecar" else "sidecar"
+    name = "router" if role == "sidecar" else "sidecar"
     return [
         probe.fit_slope(
             f"{role}-peer-messages",
@@ -327,7 +327,7 @@
         )
     )
     measures += measure_links(fleet, router, sink, "upstream")
-    measures += measure_links(fleet, sidecar, sink, "upstream")
+    measures += measure_links(fleet, sidecar, sink, "router")
     publish_phantoms(fleet, sink, "upstream", PHANTOMS[0])
     time.sleep(SETTLE)
     beat = messages.Heartbeat()
