--- a/Makefile
+++ b/Makefile
@@ -3,7 +3,7 @@
 BIN := $(VENV)/bin
 STAMP := $(VENV)/.installed
 
-.PHONY: setup test demo bench bench-control lint format
+.PHONY: setup test demo bench bench-control capacity lint format
 
 $(STAMP): pyproject.toml
 	$(PYTHON) -m venv $(VENV)
@@ -18,6 +18,9 @@
 demo: $(STAMP)
 	$(BIN)/python -m standins.demo
 
+capacity: $(STAMP)
+	$(BIN)/python -m benchmarks.capacity
+
 bench-control: $(STAMP)
 	$(BIN)/python -m benchmarks.control
 
