Average a team's drain rate over 64 departures

Cause: on the real processes of the demo the flooding team was refused with waits of 1.7 s at the median and deadlines of 8 s. Departures come in clumps, as teams take turns; a mean with a weight of 0.1 for the newest swings with every turn, and so does the pause since the last one; multiplied by a queue of a hundred it refused what could have been served.

Ruled out: a window in time; a service that lets one request go every ten seconds would never fill it.

Change: the least weight of a departure, and of the current pause, is 1/64; a rate that has seen no departure says nothing.

--- a/sycamorefall/admission/waits.py
+++ b/sycamorefall/admission/waits.py
@@ -15,8 +15,12 @@
 import dataclasses
 import math
 
-SMOOTHING = 0.1
-"""Weight of the newest interval in the mean time between departures."""
+SMOOTHING = 1 / 64
+"""Least weight of the newest interval in the mean time between departures.
+
+Departures come in clumps, as teams take turns; a mean of the last few would
+swing with every turn, and be multiplied by the whole queue.
+"""
 
 FEWEST_DEPARTURES = 4
 """Departures before which a rate is too little known to refuse by it."""
@@ -96,8 +100,11 @@
     elapsed = max(0.0, now - max(rate.last_departure, busy_since))
     rate.last_departure = now
     rate.departures += 1
-    share = max(SMOOTHING, 1.0 / rate.departures)
-    rate.interval += share * (elapsed - rate.interval)
+    rate.interval += _weigh_newest(rate) * (elapsed - rate.interval)
+
+
+def _weigh_newest(rate: DrainRate) -> float:
+    return max(SMOOTHING, 1.0 / rate.departures)
 
 
 def find_interval(
@@ -119,10 +126,11 @@
     Returns:
         Seconds; 0 while nothing is known.
     """
-    if busy_since is None:
+    if busy_since is None or not rate.departures:
         return rate.interval
     pause = now - max(rate.last_departure, busy_since)
-    return rate.interval + SMOOTHING * max(0.0, pause - rate.interval)
+    excess = max(0.0, pause - rate.interval)
+    return rate.interval + _weigh_newest(rate) * excess
 
 
 def estimate_wait(interval: float, ahead: int) -> float:
