--- a/sycamorefall/sidecar/core.py
+++ b/sycamorefall/sidecar/core.py
@@ -10,10 +10,10 @@
 
 from sycamorefall import dispatch, effects, membership, messages, sharing
 from sycamorefall.dispatch import outcomes
-from sycamorefall.sidecar import claiming
+from sycamorefall.sidecar import claiming, hinting
 from sycamorefall.sidecar import state as state_module
 
-HEARTBEAT_INTERVAL = 0.5
+HEARTBEAT_INTERVAL = 1.0
 """Seconds between heartbeats."""
 
 EXCHANGE_INTERVAL = 0.02
@@ -90,11 +90,11 @@
 
 
 def _greet(state: state_module.SidecarState, peer: str) -> list[effects.Send]:
-    """Tells a new process all accounts, its own and those of others."""
+    """Tells a new router of this sidecar, a new sidecar all accounts."""
     vm = state.directory.vms[peer]
-    if vm.role is not membership.VmRole.UPSTREAM or not state.accounts.teams:
-        return []
-    if vm.service != state.service:
+    if vm.role is membership.VmRole.ROUTER:
+        return [effects.Send(peer, hinting.build_heartbeat(state))]
+    if vm.service != state.service or not state.accounts.teams:
         return []
     entries = sharing.list_entries(
         state.accounts, state.accounts.teams, own_only=False
@@ -116,14 +116,14 @@
         Messages to send.
     """
     claiming.release_expired(state, now)
-    due: list[effects.Send] = []
+    due = hinting.hint_room(state, now)
     if now >= state.next_heartbeat:
         state.next_heartbeat = now + HEARTBEAT_INTERVAL
         outcomes.expire_records(state.outcomes, now)
-        due += _send_heartbeats(state)
+        due += hinting.send_heartbeats(state, now)
     if now >= state.next_exchange and state.accounts.unsent:
         state.next_exchange = now + EXCHANGE_INTERVAL
-        due += _send_accounts(state)
+        due += _send_accounts(state, now)
     return due + claiming.make_claims(state, now)
 
 
@@ -131,34 +131,17 @@
     """Tells when `run_timers` has something to do next."""
     leases = (claim.expires for claim in state.claims.open.values())
     exchange = [state.next_exchange] if state.accounts.unsent else []
-    return min([state.next_heartbeat, *leases, *exchange])
-
-
-def _send_heartbeats(
-    state: state_module.SidecarState,
-) -> list[effects.Send]:
-    beat = messages.Heartbeat(state.stopping)
-    return [
-        effects.Send(vm.name, beat)
-        for vm in state.directory.vms.values()
-        if vm.role is membership.VmRole.ROUTER or _is_sibling(state, vm)
-    ]
-
-
-def _is_sibling(
-    state: state_module.SidecarState, vm: membership.VmEntry
-) -> bool:
-    return vm.service == state.service and vm.name != state.vm
+    hint = hinting.find_next_hint(state)
+    return min([state.next_heartbeat, hint, *leases, *exchange])
 
 
 def _send_accounts(
-    state: state_module.SidecarState,
+    state: state_module.SidecarState, now: float
 ) -> list[effects.Send]:
     entries = sharing.list_entries(state.accounts, state.accounts.unsent)
     state.accounts.unsent.clear()
     update = messages.AccountUpdate(state.service, tuple(entries))
-    return [
-        effects.Send(vm.name, update)
-        for vm in state.directory.vms.values()
-        if _is_sibling(state, vm)
-    ]
+    siblings = membership.list_siblings(
+        state.links, state.directory, now, state.vm
+    )
+    return [effects.Send(name, update) for name in siblings]
