Account an upstream's calls to the request that caused them

Cause: a call that an upstream makes on behalf of a request came to a router as a stranger's: it had no key, or one of its own team, and outlived its parent. Nothing stopped a service from calling one that depends on it.

Ruled out: a secret shared by routers and sidecars (one more thing to hand out; the fleet's key is optional); a deadline on the wall clock (clocks are not compared between VMs).

Change: the sidecar gives the upstream of a service with dependencies a token, Sycamorefall-Parent, signed with a key hash of the request's team, which only that team and the processes know. Sent back to any router it names team and remaining time; the call is let in only at a service that the parent's service depends on (undeclared_dependency, 403, else). Dependencies have no cycle, so slots free from the end of the chain; a parent handed out holds no place in the queues, and a child that finds them full is answered at once. Free slots are told by the adapted limit, no longer by the cap. Estimates of waits moved out of intake into a module of their own.

--- a/sycamorefall/admission/__init__.py
+++ b/sycamorefall/admission/__init__.py
@@ -4,6 +4,8 @@
     "ConcurrencyLimit",
     "DrainRate",
     "LoadReport",
+    "PARENT_HEADER",
+    "Parent",
     "RATE_LIFETIME",
     "RunTime",
     "begin_low",
@@ -14,6 +16,7 @@
     "exceeds_deadline",
     "find_interval",
     "is_stale",
+    "issue_token",
     "note_departure",
     "note_end",
     "note_foreign",
@@ -21,6 +24,7 @@
     "note_load",
     "note_run",
     "note_start",
+    "read_token",
     "suggest_retry_after",
 ]
 
@@ -37,6 +41,12 @@
     note_load,
     note_start,
 )
+from sycamorefall.admission.parents import (
+    PARENT_HEADER,
+    Parent,
+    issue_token,
+    read_token,
+)
 from sycamorefall.admission.waits import (
     RATE_LIFETIME,
     DrainRate,
--- a/sycamorefall/errors.py
+++ b/sycamorefall/errors.py
@@ -78,6 +78,7 @@
     DEADLINE_EXCEEDED = "deadline_exceeded"
     NO_UPSTREAM = "no_upstream"
     DEPENDENCY_UNAVAILABLE = "dependency_unavailable"
+    UNDECLARED_DEPENDENCY = "undeclared_dependency"
     RETRIES_EXHAUSTED = "retries_exhausted"
     DUPLICATE_REQUEST = "duplicate_request"
     ANSWER_INCOMPLETE = "answer_incomplete"
@@ -114,6 +115,7 @@
     ErrorKind.DEADLINE_EXCEEDED: ErrorAnswer(504, Ran.NO, retry=True),
     ErrorKind.NO_UPSTREAM: ErrorAnswer(503, Ran.NO, retry=True),
     ErrorKind.DEPENDENCY_UNAVAILABLE: ErrorAnswer(503, Ran.NO, retry=True),
+    ErrorKind.UNDECLARED_DEPENDENCY: ErrorAnswer(403, Ran.NO),
     ErrorKind.RETRIES_EXHAUSTED: ErrorAnswer(502, Ran.UNKNOWN, retry=True),
     ErrorKind.DUPLICATE_REQUEST: ErrorAnswer(409, Ran.UNKNOWN),
     ErrorKind.ANSWER_INCOMPLETE: ErrorAnswer(502, Ran.YES),
--- a/sycamorefall/router/core.py
+++ b/sycamorefall/router/core.py
@@ -7,6 +7,7 @@
 from sycamorefall import effects, errors, membership, messages
 from sycamorefall.router import (
     announcement,
+    estimates,
     handout,
     hints,
     intake,
@@ -175,7 +176,7 @@
     ran = errors.Ran.NO
     if request.attempt is not None or request.failures:
         ran = errors.Ran.UNKNOWN
-    retry_after = intake.suggest_return(state, now, new.service, new.team)
+    retry_after = estimates.suggest_return(state, now, new.service, new.team)
     answer = router_effects.AnswerError(
         request.number, errors.ErrorKind.DEADLINE_EXCEEDED, ran, retry_after
     )
--- a/sycamorefall/router/daemon.py
+++ b/sycamorefall/router/daemon.py
@@ -4,9 +4,16 @@
 
 from returns import result
 
-from sycamorefall import errors, observation, pages, settings, transport
+from sycamorefall import (
+    admission,
+    errors,
+    observation,
+    pages,
+    settings,
+    transport,
+)
 from sycamorefall import node as node_module
-from sycamorefall.router import core, intake, interface, relay, status
+from sycamorefall.router import core, dependencies, interface, relay, status
 from sycamorefall.router import state as state_module
 
 
@@ -76,18 +83,33 @@
     if state.versions.configuration is None:
         _refuse(desk, call, errors.ErrorKind.NOT_READY, retry_after=1)
         return
-    team = intake.identify_team(state, _read_key(call))
-    if team is None:
+    token = call.headers.get(admission.PARENT_HEADER)
+    caller = dependencies.identify_caller(state, _read_key(call), token)
+    if caller is None:
         _refuse(desk, call, errors.ErrorKind.UNKNOWN_TEAM)
         return
     request = interface.read_request(
-        call, team, state.versions.configuration, config.limits
+        call, caller.team, state.versions.configuration, config.limits
     )
     match request:
         case result.Failure(refusal):
             _refuse(desk, call, refusal.kind, refusal.message)
         case result.Success(new):
-            relay.take_request(node, desk, call, new)
+            _take_bound(node, desk, call, new, caller)
+
+
+def _take_bound(
+    node: node_module.Node,
+    desk: relay.Desk,
+    call: transport.IncomingCall,
+    new: state_module.NewRequest,
+    caller: dependencies.Caller,
+) -> None:
+    match dependencies.bind_request(desk.state, new, caller):
+        case result.Failure(kind):
+            _refuse(desk, call, kind)
+        case result.Success(bound):
+            relay.take_request(node, desk, call, bound)
 
 
 def _refuse(
--- a/sycamorefall/router/handout.py
+++ b/sycamorefall/router/handout.py
@@ -21,7 +21,7 @@
     messages,
     sharing,
 )
-from sycamorefall.router import announcement, hints, intake
+from sycamorefall.router import announcement, estimates, hints, intake
 from sycamorefall.router import effects as router_effects
 from sycamorefall.router import state as state_module
 
@@ -188,7 +188,7 @@
         return []
     hints.note_end(state, request, free=end is AttemptEnd.COMPLETE)
     if end is AttemptEnd.COMPLETE:
-        intake.note_run(state, now, request)
+        estimates.note_run(state, now, request)
         intake.forget_request(state, request.number)
         return []
     if end in (AttemptEnd.REFUSED, AttemptEnd.NOT_RUN):
--- a/sycamorefall/router/intake.py
+++ b/sycamorefall/router/intake.py
@@ -6,19 +6,15 @@
     "check_service",
     "enqueue_request",
     "find_outage",
-    "find_run_time",
     "forget_request",
     "identify_team",
-    "note_run",
     "refuse_waiting",
-    "suggest_return",
 ]
 
 import dataclasses
 import heapq
 
 from sycamorefall import (
-    admission,
     configuration,
     dispatch,
     effects,
@@ -26,7 +22,7 @@
     membership,
     sharing,
 )
-from sycamorefall.router import announcement
+from sycamorefall.router import announcement, estimates
 from sycamorefall.router import effects as router_effects
 from sycamorefall.router import state as state_module
 from sycamorefall.sharing import queues
@@ -123,7 +119,7 @@
     number = state.last_request
     refusal = check_service(state, now, new.service)
     if refusal is None:
-        refusal = _check_wait(state, now, new)
+        refusal = estimates.check_wait(state, now, new)
     if refusal is not None:
         return number, [_refuse(state, now, number, new, refusal)]
     request = state_module.Request(
@@ -176,57 +172,6 @@
     return announcement.announce_team(state, now, new.service, new.team)
 
 
-def _check_wait(
-    state: state_module.RouterState,
-    now: float,
-    new: state_module.NewRequest,
-) -> errors.ErrorKind | None:
-    limits = state.versions.configuration.limits
-    service, team = new.service, new.team
-    waiting = queues.count_waiting(state.waiting, service, team)
-    if waiting >= limits.waiting_per_team:
-        return errors.ErrorKind.TOO_MANY_WAITING
-    rate = state.rates.get((service, team))
-    if rate is None or not waiting:
-        return None
-    # Only those with an earlier deadline are handed out before it.
-    deadline = now + new.timeout
-    left = new.timeout - find_run_time(state, now, service)
-    ahead = queues.count_earlier(state.waiting, service, team, deadline)
-    interval = _find_interval(state, now, service, team)
-    if admission.exceeds_deadline(rate, interval, ahead, left):
-        return errors.ErrorKind.WAIT_EXCEEDS_DEADLINE
-    return None
-
-
-def note_run(
-    state: state_module.RouterState,
-    now: float,
-    request: state_module.Request,
-) -> None:
-    """Learns from a whole answer how long the service's requests run."""
-    run_times = state.run_times
-    run_time = run_times.setdefault(request.new.service, admission.RunTime())
-    admission.note_run(run_time, now, now - request.attempt.started)
-
-
-def find_run_time(
-    state: state_module.RouterState, now: float, service: str
-) -> float:
-    """Finds how long most of a service's requests run, in seconds."""
-    run_time = state.run_times.get(service, admission.RunTime())
-    stale = now - run_time.last_answer > admission.RATE_LIFETIME
-    return 0.0 if stale else run_time.seconds
-
-
-def _find_interval(
-    state: state_module.RouterState, now: float, service: str, team: str
-) -> float:
-    rate = state.rates.get((service, team), admission.DrainRate())
-    oldest = sharing.peek_oldest(state.waiting, service, team)
-    return admission.find_interval(rate, now, oldest)
-
-
 def _refuse(
     state: state_module.RouterState,
     now: float,
@@ -237,7 +182,9 @@
     """Builds the final answer to a request that was not run."""
     retry_after = None
     if errors.ANSWERS[kind].retry:
-        retry_after = suggest_return(state, now, new.service, new.team)
+        retry_after = estimates.suggest_return(
+            state, now, new.service, new.team
+        )
     return router_effects.AnswerError(number, kind, errors.Ran.NO, retry_after)
 
 
@@ -267,15 +214,6 @@
     return [answer, *cancel_request(state, now, request.number)]
 
 
-def suggest_return(
-    state: state_module.RouterState, now: float, service: str, team: str
-) -> int:
-    """Suggests when a team's refused caller should come back, in seconds."""
-    interval = _find_interval(state, now, service, team)
-    waiting = queues.count_waiting(state.waiting, service, team)
-    return admission.suggest_retry_after(interval, waiting)
-
-
 def _shed_overflow(
     state: state_module.RouterState, now: float
 ) -> list[router_effects.Effect]:
--- a/sycamorefall/router/sweep.py
+++ b/sycamorefall/router/sweep.py
@@ -6,7 +6,7 @@
 
 from sycamorefall import admission, dispatch, effects, errors
 from sycamorefall.router import effects as router_effects
-from sycamorefall.router import intake
+from sycamorefall.router import estimates, intake
 from sycamorefall.router import state as state_module
 from sycamorefall.sharing import queues
 
@@ -133,7 +133,7 @@
     oldest = queues.peek_oldest(state.waiting, service, team)
     interval = admission.find_interval(rate, now, oldest)
     longest = admission.estimate_wait(interval, len(deadlines))
-    run_time = intake.find_run_time(state, now, service)
+    run_time = estimates.find_run_time(state, now, service)
     first_left = deadlines[0][0] - now
     if longest <= first_left - run_time and first_left > run_time:
         return []
--- a/sycamorefall/sidecar/daemon.py
+++ b/sycamorefall/sidecar/daemon.py
@@ -202,12 +202,13 @@
     end: Callable[[str], None],
 ) -> None:
     order, call = relay.order, relay.call
-    relay.begun_at = transport.read_clock()
+    held = transport.read_clock() - relay.begun_at
+    relay.begun_at += held
     request = transport.OutgoingRequest(
         config.upstream.address,
         order.method,
         order.path,
-        order.headers,
+        (*order.headers, *running.list_parent_headers(state, order, held)),
         call.body,
         fresh=not order.idempotent,
     )
--- a/sycamorefall/sidecar/offers.py
+++ b/sycamorefall/sidecar/offers.py
@@ -2,7 +2,7 @@
 
 __all__ = ["count_free", "is_idle", "redeem_order"]
 
-from sycamorefall import dispatch, messages, sharing
+from sycamorefall import admission, dispatch, messages, sharing
 from sycamorefall.sidecar import claiming
 from sycamorefall.sidecar import state as state_module
 
@@ -59,9 +59,8 @@
 
 def count_free(state: state_module.SidecarState) -> int:
     """Counts slots that are neither in use nor claimed for."""
-    limit = state.limit
-    taken = limit.foreign + len(state.runs) + len(state.claims.open)
-    return max(0, limit.cap - taken)
+    taken = len(state.runs) + len(state.claims.open)
+    return max(0, admission.count_own(state.limit) - taken)
 
 
 def is_idle(state: state_module.SidecarState) -> bool:
--- a/sycamorefall/sidecar/running.py
+++ b/sycamorefall/sidecar/running.py
@@ -1,8 +1,20 @@
 """Attempts at a sidecar: started at most once, charged as they run."""
 
-__all__ = ["accept_attempt", "charge_run", "finish_run", "serves_engine"]
-
-from sycamorefall import configuration, dispatch, messages, sharing
+__all__ = [
+    "accept_attempt",
+    "charge_run",
+    "finish_run",
+    "list_parent_headers",
+    "serves_engine",
+]
+
+from sycamorefall import (
+    admission,
+    configuration,
+    dispatch,
+    messages,
+    sharing,
+)
 from sycamorefall.dispatch import outcomes
 from sycamorefall.sidecar import offers
 from sycamorefall.sidecar import state as state_module
@@ -95,3 +107,30 @@
     service = state.versions.configuration.services.get(state.service)
     engine = configuration.ServiceKind.ENGINE
     return service is not None and service.kind is engine
+
+
+def list_parent_headers(
+    state: state_module.SidecarState,
+    order: messages.AttemptOrder,
+    held: float,
+) -> tuple[tuple[str, str], ...]:
+    """Lists what an upstream has to pass on with the calls that it makes.
+
+    Args:
+        state: The sidecar.
+        order: Head of the attempt that is passed to the upstream.
+        held: Seconds for which this process held it.
+
+    Returns:
+        Headers for the upstream; none if its service depends on no other.
+    """
+    in_force = state.versions.configuration
+    service = in_force.services.get(state.service)
+    if service is None or not service.depends_on:
+        return ()
+    remaining = max(0.0, order.remaining - held)
+    parent = admission.Parent(
+        order.team, state.service, order.attempt_id, remaining
+    )
+    token = admission.issue_token(in_force, parent)
+    return ((admission.PARENT_HEADER, token),) if token else ()
