Measure the cost of a decision at 16, 1,600 and 31,000 teams

Cause: what admit, announce, choose, claim and hand-out cost as teams grow was not known, and nothing kept it from growing.

--- a/Makefile
+++ b/Makefile
@@ -3,7 +3,7 @@
 BIN := $(VENV)/bin
 STAMP := $(VENV)/.installed
 
-.PHONY: setup test demo bench bench-control lint format
+.PHONY: setup test demo bench bench-control lint format bench-decisions bench-admission
 
 $(STAMP): pyproject.toml
 	$(PYTHON) -m venv $(VENV)
@@ -31,3 +31,9 @@
 format: $(STAMP)
 	$(BIN)/ruff format .
 	$(BIN)/ruff check --fix .
+
+bench-decisions: $(STAMP)
+	$(BIN)/python -m benchmarks.decisions --json decisions.json
+
+bench-admission: $(STAMP)
+	$(BIN)/python -m benchmarks.admission --json admission.json
--- /dev/null
+++ b/benchmarks/decisions.py
@@ -0,0 +1,279 @@
+"""Cost of one decision and memory per team, at three sizes.
+
+A router and a sidecar as they are when a tenth of all teams has work waiting
+at 19 services. Each step of a request is done many times; its cost is process
+time, its growth with the number of teams is also given in function calls,
+which are the same on every machine. `make bench-decisions` prints and writes
+`decisions.json`.
+"""
+
+import argparse
+from collections.abc import Callable
+import dataclasses
+import itertools
+import json
+import sys
+import time
+import tracemalloc
+
+from sycamorefall import configuration, membership, messages
+from sycamorefall.router import core, effects, handout, intake, sweep
+from sycamorefall.router import state as state_module
+from sycamorefall.sidecar import claiming, running
+from sycamorefall.sidecar import core as sidecar_core
+from sycamorefall.sidecar import state as sidecar_state
+
+SIZES = (16, 1600, 31000)
+SERVICES = 19
+BACKLOGGED = 10
+WAITING_EACH = 3
+REPEATS = 200
+ROUTER = "router-0"
+
+
+@dataclasses.dataclass(slots=True)
+class World:
+    """A router, a sidecar of its first service, and who has work waiting."""
+
+    router: state_module.RouterState
+    sidecar: sidecar_state.SidecarState
+    backlogged: list[str]
+    claims: itertools.count
+
+
+def _create_configuration(teams: int) -> configuration.Configuration:
+    services = {
+        f"model-{index}": configuration.Service(
+            f"model-{index}", configuration.ServiceKind.ENGINE
+        )
+        for index in range(SERVICES)
+    }
+    named = {
+        f"team-{index}": configuration.Team(f"team-{index}", ())
+        for index in range(teams)
+    }
+    limits = configuration.FleetLimits(waiting_per_router=10**6)
+    return configuration.Configuration(named, services, limits, {})
+
+
+def _list_vms() -> membership.VmList:
+    upstreams = [
+        membership.VmEntry(
+            f"engine-{index}",
+            membership.VmRole.UPSTREAM,
+            "a",
+            "127.0.0.1:1",
+            "127.0.0.1:2",
+            f"model-{index}",
+        )
+        for index in range(SERVICES)
+    ]
+    router = membership.VmEntry(
+        ROUTER, membership.VmRole.ROUTER, "a", "127.0.0.1:3", "127.0.0.1:4"
+    )
+    return membership.VmList(1, (*upstreams, router))
+
+
+def admit(world: World, team: str, service: str = "model-0") -> int:
+    """Lets the router take a request in."""
+    new = state_module.NewRequest(
+        service, team, "POST", "/", (), 1000.0, idempotent=True
+    )
+    number, _ = intake.admit_request(world.router, 1.0, new)
+    return number
+
+
+def create_world(teams: int, spread: bool) -> World:
+    """Creates a router and a sidecar with a tenth of the teams backlogged.
+
+    Args:
+        teams: Teams in the configuration.
+        spread: Whether the backlogs are spread over all services; else all
+            wait for one.
+
+    Returns:
+        The world, at time 1.
+    """
+    world = World(
+        state_module.RouterState(ROUTER, 1),
+        sidecar_state.create_state("engine-0", 1, "model-0"),
+        [f"team-{index}" for index in range(0, teams, BACKLOGGED)],
+        itertools.count(1),
+    )
+    in_force = _create_configuration(teams)
+    for state in (world.router, world.sidecar):
+        state.versions.configuration = in_force
+        membership.replace_list(state.directory, _list_vms())
+    sidecar_core.apply_configuration(world.sidecar)
+    for index in range(SERVICES):
+        membership.note_heartbeat(
+            world.router.directory, 1.0, f"engine-{index}", 1, False
+        )
+    for index, team in enumerate(world.backlogged):
+        service = f"model-{index % SERVICES if spread else 0}"
+        for _ in range(WAITING_EACH):
+            admit(world, team, service)
+    own = [team for team in world.backlogged if _waits_here(world, team)]
+    announce(world, own, sequence=1)
+    for state, run in (
+        (world.router, core.run_timers),
+        (world.sidecar, sidecar_core.run_timers),
+    ):
+        run(state, 1.0)
+    return world
+
+
+def _waits_here(world: World, team: str) -> bool:
+    return team in world.router.waiting.queues["model-0"]
+
+
+def announce(world: World, teams: list[str], sequence: int) -> None:
+    """Lets the sidecar hear which teams have work waiting."""
+    entries = tuple(messages.TeamWaiting(team, 3, 0.1) for team in teams)
+    message = messages.Waiting("model-0", sequence, entries, False)
+    envelope = messages.Envelope(ROUTER, 1, 1, message)
+    sidecar_core.receive_message(world.sidecar, 1.0, envelope)
+
+
+def list_steps(world: World) -> dict[str, Callable[[int], None]]:
+    """Lists the steps of a request, each done once per call.
+
+    Returns:
+        Functions of a serial number, by name, to be called in this order.
+    """
+    router, sidecar = world.router, world.sidecar
+    names = [
+        f"team-{i}" for i in range(len(router.versions.configuration.teams))
+    ]
+    handed: list[effects.HandOut] = []
+    claimed: list[messages.Claim] = []
+
+    def sweep_queues(serial: int) -> None:
+        router.next_sweep = 0.0
+        sweep.sweep_waiting(router, 1.0)
+
+    def take_announcement(serial: int) -> None:
+        team = world.backlogged[serial * SERVICES % len(world.backlogged)]
+        announce(world, [team], sequence=serial + 2)
+
+    def choose_and_claim(serial: int) -> None:
+        sidecar.limit.cap = len(sidecar.claims.open) + 1
+        sidecar.limit.ahead = 0
+        claimed.extend(
+            send.message for send in claiming.make_claims(sidecar, 1.0)
+        )
+
+    def hand_out(serial: int) -> None:
+        claim = claimed[serial % len(claimed)]
+        envelope = messages.Envelope("engine-0", 1, 1, claim)
+        outcome = core.receive_message(router, 1.0, envelope)
+        handed.extend(e for e in outcome if isinstance(e, effects.HandOut))
+
+    def start_and_finish(serial: int) -> None:
+        order = handed[serial % len(handed)].order
+        running.accept_attempt(sidecar, 1.0, order)
+        running.charge_run(sidecar, order.attempt_id, 10.0)
+        running.finish_run(sidecar, 1.0, order.attempt_id)
+
+    def end(serial: int) -> None:
+        attempt = handed[serial % len(handed)].order.attempt_id
+        done = handout.AttemptEnd.COMPLETE
+        handout.end_attempt(router, 1.0, attempt, done, True)
+
+    return {
+        "admit (router)": lambda n: (
+            admit(world, names[n * 7 % len(names)]) and None
+        ),
+        "run timers (router)": lambda n: (
+            core.run_timers(router, 1.0 + n * 1e-6) and None
+        ),
+        "sweep (router)": sweep_queues,
+        "take announcement (sidecar)": take_announcement,
+        "choose and claim (sidecar)": choose_and_claim,
+        "hand out (router)": hand_out,
+        "start and finish (sidecar)": start_and_finish,
+        "end (router)": end,
+    }
+
+
+def count_calls(step: Callable[[int], None], repeats: int) -> float:
+    """Counts the function calls of a step, a mean over some repeats."""
+    calls = 0
+
+    def count(frame, event, argument):
+        nonlocal calls
+        calls += event in ("call", "c_call")
+
+    sys.setprofile(count)
+    try:
+        for serial in range(repeats):
+            step(serial)
+    finally:
+        sys.setprofile(None)
+    return calls / repeats
+
+
+def measure_calls(teams: int, spread: bool, repeats: int = 50) -> dict:
+    """Measures the function calls of each step."""
+    steps = list_steps(create_world(teams, spread))
+    return {name: count_calls(step, repeats) for name, step in steps.items()}
+
+
+def measure_time(teams: int, spread: bool) -> dict:
+    """Measures the process time of each step, in microseconds."""
+    costs = {}
+    for name, step in list_steps(create_world(teams, spread)).items():
+        begun = time.process_time()
+        for serial in range(REPEATS):
+            step(serial)
+        spent = time.process_time() - begun
+        costs[name] = round(spent / REPEATS * 1e6, 1)
+    return costs
+
+
+def measure_memory(teams: int) -> dict:
+    """Measures what router and sidecar hold, without the configuration."""
+    tracemalloc.start()
+    try:
+        world = create_world(teams, spread=True)
+        whole = tracemalloc.get_traced_memory()[0]
+        in_force = world.router.versions.configuration
+        del world
+        configured = tracemalloc.get_traced_memory()[0]
+        del in_force
+    finally:
+        tracemalloc.stop()
+    waiting = WAITING_EACH * len(range(0, teams, BACKLOGGED))
+    return {
+        "state bytes": whole - configured,
+        "bytes per waiting request": round((whole - configured) / waiting),
+        "configuration bytes per team": round(configured / teams),
+    }
+
+
+def main() -> None:
+    """Measures and prints everything."""
+    parser = argparse.ArgumentParser(description=__doc__)
+    parser.add_argument("--json", help="file to write the figures to")
+    options = parser.parse_args()
+    figures = {
+        f"{teams} teams, {'19 services' if spread else 'one service'}": {
+            "microseconds": measure_time(teams, spread),
+            "calls": measure_calls(teams, spread),
+        }
+        for teams in SIZES
+        for spread in (True, False)
+    }
+    memory = {f"{teams} teams": measure_memory(teams) for teams in SIZES}
+    figures["memory"] = memory
+    for name, shares in figures.items():
+        print(name)
+        for step, cost in shares.items():
+            print(f"  {step}: {cost}")
+    if options.json:
+        with open(options.json, "w", encoding="utf-8") as file:
+            json.dump(figures, file, indent=2)
+
+
+if __name__ == "__main__":
+    main()
