--- a/Makefile
+++ b/Makefile
@@ -3,7 +3,8 @@
 BIN := $(VENV)/bin
 STAMP := $(VENV)/.installed
 
-.PHONY: setup test demo bench bench-control lint format bench-decisions bench-admission
+.PHONY: setup test demo bench bench-control bench-decisions bench-admission \
+        capacity lint format
 
 $(STAMP): pyproject.toml
 	$(PYTHON) -m venv $(VENV)
@@ -18,6 +19,9 @@
 demo: $(STAMP)
 	$(BIN)/python -m standins.demo
 
+capacity: $(STAMP)
+	$(BIN)/python -m benchmarks.capacity
+
 bench-control: $(STAMP)
 	$(BIN)/python -m benchmarks.control
 
--- a/sycamorefall/sidecar/hinting.py
+++ b/sycamorefall/sidecar/hinting.py
@@ -14,7 +14,7 @@
 from sycamorefall.sidecar import offers
 from sycamorefall.sidecar import state as state_module
 
-HEARTBEAT_BYTES = 40
+HEARTBEAT_BYTES = 50
 """Size of a heartbeat, framing included."""
 
 SEARCH_WIDTH = 2
@@ -30,7 +30,16 @@
 def build_heartbeat(state: state_module.SidecarState) -> messages.Heartbeat:
     """Builds a heartbeat with the slots that are free for offers."""
     room = offers.count_free(state) if offers.is_idle(state) else 0
-    return messages.Heartbeat(state.stopping, room)
+    return messages.Heartbeat(state.stopping or _is_leaving(state), room)
+
+
+def _is_leaving(state: state_module.SidecarState) -> bool:
+    """Tells whether operators marked this VM as leaving.
+
+    Said in heartbeats, it reaches routers whose own list is still stale.
+    """
+    own = state.directory.vms.get(state.vm)
+    return own is not None and own.state is membership.VmState.LEAVING
 
 
 def send_heartbeats(
