Double a plain service's limit by time where calls are slow

Cause: after a restart the limit doubles with each 32 answers; calls of three seconds at two in flight take most of a minute for that, with work waiting.

Change: after 2 s and four answers the limit doubles within the window. The comparison of the limit with the cap alone is a program of its own.

--- a/Makefile
+++ b/Makefile
@@ -40,4 +40,5 @@
 	$(BIN)/python -m benchmarks.decisions --json decisions.json
 
 bench-admission: $(STAMP)
+	$(BIN)/python -m benchmarks.upstreams
 	$(BIN)/python -m benchmarks.admission --json admission.json
--- a/benchmarks/upstreams.py
+++ b/benchmarks/upstreams.py
@@ -1,6 +1,7 @@
 """Fake upstreams for benchmarks and tests of the concurrency limit.
 
 Time goes in steps; every count is exact, and nothing depends on the machine.
+`python -m benchmarks.upstreams` compares the limit with none but the cap.
 """
 
 __all__ = ["Figures", "Upstream", "run_limit"]
@@ -159,3 +160,59 @@
     return Figures(
         idle / busy, queue / steps, most_queue, most_in_flight, answers
     )
+
+
+def _create_limit(cap: int, low: bool) -> admission.ConcurrencyLimit:
+    limit = admission.ConcurrencyLimit(cap=cap)
+    if low:
+        admission.begin_low(limit)
+    return limit
+
+
+def _compare(name: str, cap: int, create: Callable, **options) -> None:
+    upstream, change = create()
+    before = run_limit(
+        upstream, _create_limit(cap, False), 120, change, adapt=False, **options
+    )
+    upstream, change = create()
+    after = run_limit(
+        upstream, _create_limit(cap, True), 120, change, **options
+    )
+    for label, figures in (("cap only", before), ("adapted", after)):
+        print(f"{name}, cap {cap}, {label}: {figures}")
+
+
+def _create_changing() -> tuple[Upstream, Callable[[float], None]]:
+    upstream = Upstream(8, 8)
+
+    def change(now: float) -> None:
+        upstream.capacity = 4 if 40 < now < 80 else 8
+
+    return upstream, change
+
+
+def main() -> None:
+    """Prints inner queue and idle share, with and without the limit."""
+    steady = {
+        "engine, 8 slots": lambda: (Upstream(8, 8), lambda now: None),
+        "engine, 5 of 8 slots usable": lambda: (
+            Upstream(5, 8),
+            lambda now: None,
+        ),
+        "engine, 8 slots not told": lambda: (Upstream(8), lambda now: None),
+        "engine, 8 then 4 then 8": _create_changing,
+    }
+    for cap in (8, 9, 16, 32):
+        for name, create in steady.items():
+            _compare(name, cap, create)
+        for work in (0.05, 0.5, 3.0):
+            _compare(
+                f"plain, capacity 8, calls of {work} s",
+                cap,
+                lambda: (Upstream(8, shares=True), lambda now: None),
+                mean_work=work,
+            )
+
+
+if __name__ == "__main__":
+    main()
--- a/sycamorefall/admission/latency.py
+++ b/sycamorefall/admission/latency.py
@@ -11,6 +11,12 @@
 PROBING_WINDOW = 32
 """The same while the limit still doubles with each window."""
 
+PROBING_SECONDS = 2.0
+"""Seconds after which it doubles without a whole window, if calls are slow."""
+
+FEWEST_ANSWERS = 4
+"""Answers without which it doesn't double."""
+
 TOLERANCE = 2.0
 """Mean latency, in baselines, above which the limit is lowered."""
 
@@ -60,6 +66,8 @@
         return
     limit.latency_sum += latency
     limit.latency_count += 1
+    if limit.probing and in_use:
+        _hurry(limit, now)
     window = PROBING_WINDOW if limit.probing else LATENCY_WINDOW
     if limit.latency_count >= window:
         _judge_window(limit, in_use)
@@ -72,9 +80,26 @@
         limit_module.set_capacity(limit, limit.capacity + step)
 
 
+def _hurry(limit: limit_module.ConcurrencyLimit, now: float) -> None:
+    """Doubles the limit in the midst of a window that takes long.
+
+    Guards against slots that idle for minutes after a restart: a window of
+    calls that take seconds lasts as long at a low limit. The price is a
+    baseline that may hold some queueing.
+    """
+    limit.answers += 1
+    if limit.answers == 1:
+        limit.grown = now
+    if limit.answers < FEWEST_ANSWERS or now - limit.grown < PROBING_SECONDS:
+        return
+    limit.answers = 0
+    limit_module.grow(limit, limit.cap)
+
+
 def _judge_window(limit: limit_module.ConcurrencyLimit, in_use: bool) -> None:
     mean = limit.latency_sum / limit.latency_count
     limit.latency_sum, limit.latency_count = 0.0, 0
+    limit.answers = 0
     if limit.baseline == 0.0:
         limit.baseline = mean
     slow = mean > TOLERANCE * limit.baseline
--- a/sycamorefall/admission/limit.py
+++ b/sycamorefall/admission/limit.py
@@ -53,6 +53,8 @@
         slow_mean: Highest mean latency while the limit falls; 0 if it does
             not fall.
         slow_capacity: The capacity when it began to fall.
+        grown: When the first answer came since the limit last grew.
+        answers: Answers since then.
         latency_sum: Sum of latencies in the current window.
         latency_count: Requests in the current window.
     """
@@ -70,6 +72,8 @@
     baseline: float = 0.0
     slow_mean: float = 0.0
     slow_capacity: float = 0.0
+    grown: float = 0.0
+    answers: int = 0
     latency_sum: float = 0.0
     latency_count: int = 0
 
--- a/sycamorefall/admission/tests/test_limit.py
+++ b/sycamorefall/admission/tests/test_limit.py
@@ -163,6 +163,18 @@
     assert figures.idle < 0.08
 
 
+def test_slow_plain_service_is_used_soon_after_a_restart():
+    """Calls of three seconds after a restart of the sidecar.
+
+    A window of 32 answers at two in flight lasts most of a minute; all that
+    time slots idle while work waits.
+    """
+    figures = upstreams.run_limit(
+        upstreams.Upstream(8, shares=True), create_limit(8), 120, mean_work=3.0
+    )
+    assert figures.idle < 0.12
+
+
 def test_plain_calls_that_became_longer_do_not_hold_the_limit_down():
     """Calls that take four times as long look like congestion.
 
