--- a/Makefile
+++ b/Makefile
@@ -3,8 +3,8 @@
 BIN := $(VENV)/bin
 STAMP := $(VENV)/.installed
 
-.PHONY: setup test demo bench bench-control bench-decisions bench-admission \
-        capacity lint format
+.PHONY: setup test demo capacity lint format
+.PHONY: bench bench-control bench-decisions bench-admission
 
 $(STAMP): pyproject.toml
 	$(PYTHON) -m venv $(VENV)
