--- a/sycamorefall/transport/call.py
+++ b/sycamorefall/transport/call.py
@@ -6,12 +6,11 @@
 import socket
 from typing import Protocol
 
-from circuits.web import events as web_events
 from circuits.web import wrappers
 import msgspec
 
 from sycamorefall import errors
-from sycamorefall.transport import inbound
+from sycamorefall.transport import inbound, outflow
 
 EVENT_STREAM = "text/event-stream"
 """Media type of an answer that is streamed token by token."""
@@ -20,17 +19,17 @@
 class Answerer(Protocol):
     """What a call needs of its server."""
 
-    def send(self, event) -> None:
-        """Fires an event at the server's channel."""
+    def push(self, sock: socket.socket, data: bytes) -> None:
+        """Sends bytes on a connection."""
 
     def finish(self, call: "IncomingCall") -> None:
-        """Forgets a call whose answer is complete."""
+        """Turns a call's connection to what comes after its answer."""
 
     def break_off(self, call: "IncomingCall") -> None:
         """Closes a call's connection after what was written to it."""
 
     def count_unsent(self, sock: socket.socket) -> int:
-        """Counts pieces that wait in a connection's send buffer."""
+        """Counts bytes that wait in a connection's send buffer."""
 
 
 class IncomingCall:
@@ -103,11 +102,11 @@
         """Gives the whole answer."""
         if self.begun or self.ended:
             return
-        self._set_head(status, headers)
         self._response.body = body
+        head = self._format_head(status, headers)
         self.begun = True
         self.ended = True
-        self._server.send(web_events.response(self._response))
+        self._server.push(self.sock, head if self._head_only else head + body)
         self._server.finish(self)
 
     def fail(
@@ -130,24 +129,27 @@
         """Begins an answer whose body follows piece by piece."""
         if self.begun or self.ended:
             return
-        self._set_head(status, headers)
         # circuits.web takes a body that is false and no list as one whose
-        # length is open, and sends nothing until `stream` events come.
+        # length is open.
         self._response.body = ()
         self._response.stream = True
         self.begun = True
-        self._server.send(web_events.response(self._response))
+        self._server.push(self.sock, self._format_head(status, headers))
 
     def write(self, data: bytes) -> None:
         """Sends a piece of the body."""
         if data and not self.ended and not self._head_only:
-            self._server.send(web_events.stream(self._response, data))
+            framed = self._response.chunked
+            self._server.push(
+                self.sock, outflow.frame_chunk(data) if framed else data
+            )
 
     def end(self) -> None:
         """Ends the answer as a whole one."""
         if not self.ended:
             self.ended = True
-            self._server.send(web_events.stream(self._response, None))
+            if self._response.chunked:
+                self._server.push(self.sock, outflow.LAST_CHUNK)
             self._server.finish(self)
 
     def abort(self) -> None:
@@ -158,7 +160,7 @@
 
     @property
     def backlog(self) -> int:
-        """Pieces written that the caller has not taken yet."""
+        """Bytes written that the caller has not taken yet."""
         return self._server.count_unsent(self.sock)
 
     @property
@@ -166,10 +168,12 @@
         """Whether the connection may carry another request."""
         return not self._response.close
 
-    def _set_head(
+    def _format_head(
         self, status: int, headers: tuple[tuple[str, str], ...]
-    ) -> None:
+    ) -> bytes:
         self.status = status
         self._response.status = status
         for name, value in headers:
             self._response.headers[name] = value
+        self._response.prepare()
+        return bytes(self._response) + bytes(self._response.headers)
--- a/sycamorefall/transport/server.py
+++ b/sycamorefall/transport/server.py
@@ -1,6 +1,6 @@
 """HTTP server of a process: bounded, answering later.
 
-h11 reads the requests, circuits.web writes the answers; an answer is given
+h11 reads the requests, circuits.web shapes the answers; an answer is given
 whenever it is known, whole or piece by piece.
 """
 
@@ -12,15 +12,12 @@
 import socket
 
 import circuits
-from circuits.net import events as net_events
 from circuits.net import sockets
-from circuits.web import events as web_events
-from circuits.web import http as web_http
 import msgspec
 
 from sycamorefall import errors, settings
 from sycamorefall.transport import call as call_module
-from sycamorefall.transport import inbound, loop
+from sycamorefall.transport import inbound, loop, outflow
 
 DRAIN_LIMIT = 1 << 24
 """Bytes of a refused request that are read and thrown away."""
@@ -28,22 +25,10 @@
 _CONTINUE = b"HTTP/1.1 100 Continue\r\n\r\n"
 
 
-class _break_off(circuits.Event):  # noqa: N801 (circuits' own convention)
-    """Closes a connection after what was already streamed to it.
-
-    A `close` fired at once would overtake the pieces before it, which
-    circuits.web turns into `write` events only as it handles them.
-    """
-
-
 class _resume(circuits.Event):  # noqa: N801 (circuits' own convention)
     """Turns a connection to its next request."""
 
 
-class _end_writing(circuits.Event):  # noqa: N801 (circuits' own convention)
-    """Shuts down one direction of a connection after what was written."""
-
-
 class _Connection:
     """A caller's connection.
 
@@ -148,7 +133,6 @@
         except OSError as fault:
             raise errors.AddressInUse(f"{listen}: {fault}") from fault
         self.server.register(self)
-        web_http.HTTP(self, channel=channel).register(self)
 
     @property
     def host(self) -> str | None:
@@ -183,15 +167,17 @@
             # still unsent, which is what this caller doesn't do.
             self.server._close(sock)
 
-    def send(self, event: circuits.Event) -> None:
-        """Fires an event at this server's channel."""
-        self.fire(event, self.channel)
+    def push(self, sock: socket.socket, data: bytes) -> None:
+        """Sends bytes on a connection."""
+        outflow.push_bytes(self.server, sock, data)
 
     def finish(self, call: call_module.IncomingCall) -> None:
-        """Forgets a call whose answer is complete."""
+        """Turns a call's connection to what comes after its answer."""
         connection = self._connections.get(call.sock)
         if connection is not None and connection.call is call:
-            self.send(_resume(call))
+            # By an event: one packet may hold very many small requests, and
+            # each would be handled inside the last one's answer.
+            self.fire(_resume(call), self.channel)
 
     def break_off(self, call: call_module.IncomingCall) -> None:
         """Closes a call's connection after what was written to it."""
@@ -199,13 +185,11 @@
         if connection is not None:
             connection.call = None
             connection.refused = True
-            self._closing.start(call.sock, self._read_clock())
-            self.send(_break_off(call.sock))
+            self._close_gently(call.sock)
 
     def count_unsent(self, sock: socket.socket) -> int:
-        """Counts pieces that wait in a connection's send buffer."""
-        buffers = self.server._buffers
-        return len(buffers[sock]) if sock in buffers else 0
+        """Counts bytes that wait in a connection's send buffer."""
+        return outflow.count_unsent(self.server, sock)
 
     @circuits.handler("connect")
     def _on_connect(self, sock, *_) -> None:
@@ -246,7 +230,7 @@
         elif taken is None:
             self._reading.start(sock, self._read_clock())
             if connection.reader.take_expectation():
-                self.send(net_events.write(sock, _CONTINUE))
+                self.push(sock, _CONTINUE)
         else:
             self._reading.stop(sock)
             self._begin_call(sock, connection, taken)
@@ -279,12 +263,17 @@
         now = self._read_clock()
         if not call.keep_alive:
             connection.refused = True
-            self._closing.start(call.sock, now)
+            self._close_gently(call.sock)
         elif connection.reader.start_next():
             self._take_request(call.sock, connection)
         else:
             self._idle.start(call.sock, now)
 
+    def _close_gently(self, sock: socket.socket) -> None:
+        """Closes a connection once all that was written to it is taken."""
+        self._closing.start(sock, self._read_clock())
+        self.server.close(sock)
+
     def _refuse(self, sock: socket.socket, kind: errors.ErrorKind) -> None:
         """Answers before the request is whole, then reads on to the end.
 
@@ -301,29 +290,9 @@
             f"Content-Length: {len(body)}\r\n"
             "Connection: close\r\n\r\n"
         )
-        self.send(net_events.write(sock, head.encode() + body))
-        self.send(_end_writing(sock))
-
-    @circuits.handler("_end_writing")
-    def _on_end_writing(self, sock) -> None:
-        if sock in self._connections:
-            self._connections[sock].written = True
-            self._on_written(sock)
-
-    @circuits.handler("httperror", priority=1)
-    def _on_httperror(self, event, request, response, *_, **__) -> None:
-        """Gives failures inside circuits.web the body that ours have."""
-        event.stop()
-        kind = errors.ErrorKind.INTERNAL
-        response.status = errors.ANSWERS[kind].status
-        response.headers["Content-Type"] = "application/json"
-        response.body = msgspec.json.encode(errors.describe_error(kind))
-        response.close = True
-        self.send(web_events.response(response))
-
-    @circuits.handler("_break_off")
-    def _on_break_off(self, sock) -> None:
-        self.send(net_events.close(sock))
+        self.push(sock, head.encode() + body)
+        self._connections[sock].written = True
+        self._on_written(sock)
 
     @circuits.handler("disconnect")
     def _on_disconnect(self, sock, *_) -> None:
