--- a/sycamorefall/observation/status.py
+++ b/sycamorefall/observation/status.py
@@ -195,7 +195,10 @@
 def describe_peers(
     directory: membership.Directory, now: float, own: str
 ) -> tuple[PeerStatus, ...]:
-    """Describes the other processes of the fleet.
+    """Describes the processes that this one should hear from.
+
+    Routers hear from sidecars; sidecars hear from routers and from the
+    sidecars of the same service.
 
     Args:
         directory: This process's view of the fleet.
@@ -203,15 +206,26 @@
         own: This VM's name.
 
     Returns:
-        All listed VMs but this one.
+        Those processes, and any other that was heard from.
     """
+    this = directory.vms.get(own)
     return tuple(
         _describe_peer(directory, now, vm)
         for vm in directory.vms.values()
         if vm.name != own
+        and (vm.name in directory.peers or _is_expected(this, vm))
     )
 
 
+def _is_expected(
+    this: membership.VmEntry | None, other: membership.VmEntry
+) -> bool:
+    if this is None or this.role is not other.role:
+        return True
+    is_upstream = this.role is membership.VmRole.UPSTREAM
+    return is_upstream and this.service == other.service
+
+
 def _describe_peer(
     directory: membership.Directory, now: float, vm: membership.VmEntry
 ) -> PeerStatus:
