Write the pages: quickstart, operators, reference, glossary, developers

Cause: there was a README and nothing else; a stranger could not start a fleet by hand, and the README's call did not work with the stand-in.

Change: docs/ with tables that `make reference` writes from the code and a test compares; each error kind has a meaning, which callers get as message; a script on the developers' page runs as a doctest; links between pages are tested; examples/quickstart and standins.publish.

--- a/Makefile
+++ b/Makefile
@@ -3,7 +3,7 @@
 BIN := $(VENV)/bin
 STAMP := $(VENV)/.installed
 
-.PHONY: setup test demo bench lint format
+.PHONY: setup test demo bench lint format reference
 
 $(STAMP): pyproject.toml
 	$(PYTHON) -m venv $(VENV)
@@ -25,3 +25,6 @@
 format: $(STAMP)
 	$(BIN)/ruff format .
 	$(BIN)/ruff check --fix .
+
+reference: $(STAMP)
+	$(BIN)/python -m tests.reference
--- a/sycamorefall/errors.py
+++ b/sycamorefall/errors.py
@@ -13,6 +13,7 @@
     "ErrorBody",
     "ErrorDetail",
     "ErrorKind",
+    "MEANINGS",
     "MessageRefused",
     "Ran",
     "SettingsRefused",
@@ -124,6 +125,37 @@
 }
 
 
+MEANINGS = {
+    ErrorKind.MALFORMED_REQUEST: "The request is not valid HTTP, or a header "
+    "or the body is not what the service takes.",
+    ErrorKind.UNKNOWN_TEAM: "The bearer key is missing or belongs to no team.",
+    ErrorKind.UNKNOWN_SERVICE: "No service has this name, or nothing is served "
+    "at this path.",
+    ErrorKind.METHOD_NOT_ALLOWED: "The path does not take this HTTP method.",
+    ErrorKind.REQUEST_TIMEOUT: "The request did not come in whole in time.",
+    ErrorKind.HEADERS_TOO_LARGE: "The request's head is larger than allowed.",
+    ErrorKind.BODY_TOO_LARGE: "The request's body is larger than allowed.",
+    ErrorKind.TOO_MANY_WAITING: "Too many requests wait already.",
+    ErrorKind.WAIT_EXCEEDS_DEADLINE: "The estimated wait is longer than the "
+    "request's deadline.",
+    ErrorKind.DEADLINE_EXCEEDED: "The deadline passed before the answer.",
+    ErrorKind.NO_UPSTREAM: "No upstream of the service can be reached.",
+    ErrorKind.DEPENDENCY_UNAVAILABLE: "A service that this one depends on has "
+    "no upstream.",
+    ErrorKind.RETRIES_EXHAUSTED: "All allowed attempts failed; some may have "
+    "run.",
+    ErrorKind.DUPLICATE_REQUEST: "A request with this idempotency key was "
+    "taken before.",
+    ErrorKind.ANSWER_INCOMPLETE: "The answer broke off after it had begun.",
+    ErrorKind.OUTCOME_UNKNOWN: "The request may have run, may not be repeated, "
+    "and nobody can tell.",
+    ErrorKind.NOT_READY: "The router has no configuration yet.",
+    ErrorKind.STOPPING: "The router is stopping and takes nothing new.",
+    ErrorKind.INTERNAL: "A fault in the router; its log has the traceback.",
+}
+"""What each kind means, as callers and the reference read it."""
+
+
 class ErrorDetail(msgspec.Struct, frozen=True):
     """The fields of an error body.
 
@@ -151,7 +183,7 @@
 
     Args:
         kind: What went wrong.
-        message: One sentence for people; the kind's own words if empty.
+        message: One sentence for people; the kind's meaning if empty.
         ran: Overrides the table where a case is known more exactly.
 
     Returns:
@@ -165,6 +197,6 @@
         error=ErrorDetail(
             kind=kind.value,
             ran=(ran or ANSWERS[kind].ran).value,
-            message=message or kind.value.replace("_", " "),
+            message=message or MEANINGS[kind],
         )
     )
--- a/tests/test_command.py
+++ b/tests/test_command.py
@@ -138,14 +138,16 @@
 EXAMPLES = sorted(pathlib.Path(__file__).parents[1].glob("examples/**/*.ini"))
 
 
-@pytest.mark.parametrize("path", EXAMPLES, ids=lambda path: path.name)
+@pytest.mark.parametrize(
+    "path", EXAMPLES, ids=lambda path: "-".join(path.parts[-2:])
+)
 def test_examples_are_valid(path, capsys):
     assert command.main(["check", str(path)]) == 0
     assert "valid" in capsys.readouterr().out
 
 
 def test_examples_are_there():
-    assert len(EXAMPLES) == 4
+    assert len(EXAMPLES) == 7
 
 
 @pytest.mark.parametrize(
