--- a/sycamorefall/observation/status.py
+++ b/sycamorefall/observation/status.py
@@ -14,6 +14,7 @@
     "describe_times",
 ]
 
+from collections.abc import Collection
 import enum
 
 import msgspec
@@ -193,39 +194,31 @@
 
 
 def describe_peers(
-    directory: membership.Directory, now: float, own: str
+    directory: membership.Directory, now: float, linked: Collection[str]
 ) -> tuple[PeerStatus, ...]:
     """Describes the processes that this one should hear from.
 
-    Routers hear from sidecars; sidecars hear from routers and from the
-    sidecars of the same service.
-
     Args:
         directory: This process's view of the fleet.
         now: This process's time.
-        own: This VM's name.
+        linked: Names of the VMs that this process has a link to.
 
     Returns:
-        Those processes, and any other that was heard from.
+        Those processes, and any other that was heard from lately.
     """
-    this = directory.vms.get(own)
+    heard = {
+        name
+        for name, peer in directory.peers.items()
+        if now - peer.heard_at <= membership.SUSPECT_AFTER
+    }
+    names = heard.union(linked)
     return tuple(
         _describe_peer(directory, now, vm)
         for vm in directory.vms.values()
-        if vm.name != own
-        and (vm.name in directory.peers or _is_expected(this, vm))
+        if vm.name in names
     )
 
 
-def _is_expected(
-    this: membership.VmEntry | None, other: membership.VmEntry
-) -> bool:
-    if this is None or this.role is not other.role:
-        return True
-    is_upstream = this.role is membership.VmRole.UPSTREAM
-    return is_upstream and this.service == other.service
-
-
 def _describe_peer(
     directory: membership.Directory, now: float, vm: membership.VmEntry
 ) -> PeerStatus:
--- a/sycamorefall/pages.py
+++ b/sycamorefall/pages.py
@@ -2,7 +2,7 @@
 
 __all__ = ["Pages", "answer_page", "describe_process", "list_metrics"]
 
-from collections.abc import Callable, Iterable, Iterator
+from collections.abc import Callable, Collection, Iterable, Iterator
 import dataclasses
 import ipaddress
 import time
@@ -100,6 +100,7 @@
     node: node_module.Node,
     recorder: observation.Recorder,
     now: float,
+    linked: Collection[str],
     whole: bool,
 ) -> dict[str, object]:
     """Collects the fields of a status that all processes have.
@@ -108,6 +109,7 @@
         node: The process.
         recorder: Its records.
         now: This process's time.
+        linked: VMs that the process has a link to.
         whole: Whether to include whole histograms.
 
     Returns:
@@ -125,7 +127,7 @@
         "older_seen": versions.older_seen,
         "vms_revision": core.directory.revision,
         "stopping": node.stopping,
-        "peers": status_module.describe_peers(core.directory, now, core.vm),
+        "peers": status_module.describe_peers(core.directory, now, linked),
         "control": status_module.ControlStatus(
             node.control.bytes_sent,
             node.control.bytes_received,
@@ -155,7 +157,10 @@
 
 
 def list_metrics(
-    node: node_module.Node, recorder: observation.Recorder, now: float
+    node: node_module.Node,
+    recorder: observation.Recorder,
+    now: float,
+    linked: Collection[str],
 ) -> Iterator[metrics_core.Metric]:
     """Lists the metrics that all processes have.
 
@@ -163,12 +168,13 @@
         node: The process.
         recorder: Its records.
         now: This process's time.
+        linked: VMs that the process has a link to.
 
     Yields:
         The metrics.
     """
     core, control = node.core, node.control
-    peers = status_module.describe_peers(core.directory, now, core.vm)
+    peers = status_module.describe_peers(core.directory, now, linked)
     states = [peer.state.value for peer in peers]
     versions = core.versions
     gauge, count = metrics_module.gauge_metric, metrics_module.count_metric
--- a/sycamorefall/sidecar/status.py
+++ b/sycamorefall/sidecar/status.py
@@ -7,8 +7,15 @@
 
 from prometheus_client import metrics_core
 
+from sycamorefall import (
+    membership,
+    observation,
+    pages,
+    settings,
+    sharing,
+    transport,
+)
 from sycamorefall import node as node_module
-from sycamorefall import observation, pages, settings, sharing, transport
 from sycamorefall.observation import metrics as metrics_module
 from sycamorefall.observation import status as status_module
 from sycamorefall.sidecar import claiming
@@ -50,6 +57,14 @@
     return (*common, f"the configuration has no service {state.service}")
 
 
+def _list_linked(state: state_module.SidecarState, now: float) -> set[str]:
+    links, directory, own = state.links, state.directory, state.vm
+    return {
+        *membership.list_routers(links, directory, now, own),
+        *membership.list_siblings(links, directory, now, own),
+    }
+
+
 def _describe(
     node: node_module.Node,
     state: state_module.SidecarState,
@@ -62,7 +77,9 @@
         status_module.MOST_TEAMS_SHOWN, waiting, key=waiting.get
     )
     return status_module.SidecarStatus(
-        **pages.describe_process(node, recorder, now, whole),
+        **pages.describe_process(
+            node, recorder, now, _list_linked(state, now), whole
+        ),
         unready=_find_unready(node, state),
         teams=tuple(
             _describe_team(state, team, waiting[team]) for team in most
@@ -109,7 +126,9 @@
     state: state_module.SidecarState,
     recorder: observation.Recorder,
 ) -> Iterator[metrics_core.Metric]:
-    yield from pages.list_metrics(node, recorder, transport.read_clock())
+    now = transport.read_clock()
+    linked = _list_linked(state, now)
+    yield from pages.list_metrics(node, recorder, now, linked)
     values = {
         "running": (len(state.runs), "Requests in progress at the upstream."),
         "claimed": (len(state.claims.open), "Claims not yet fulfilled."),
