--- a/sycamorefall/observation/__init__.py
+++ b/sycamorefall/observation/__init__.py
@@ -13,6 +13,7 @@
     "note_piece",
     "open_log",
     "start_action",
+    "write_limited",
     "write_record",
 ]
 
@@ -22,6 +23,7 @@
     end_action,
     open_log,
     start_action,
+    write_limited,
     write_record,
 )
 from sycamorefall.observation.recorder import (
--- a/sycamorefall/observation/log.py
+++ b/sycamorefall/observation/log.py
@@ -11,11 +11,13 @@
     "end_action",
     "open_log",
     "start_action",
+    "write_limited",
     "write_record",
 ]
 
 import collections
 import enum
+import time
 
 import eliot
 import msgspec
@@ -27,6 +29,10 @@
 """Most bytes that wait for a slow reader; further records are dropped."""
 
 
+LIMIT_INTERVAL = 1.0
+"""Seconds between two records of a kind that strangers can provoke."""
+
+
 class Level(enum.IntEnum):
     """How much a record matters; `settings.LogSettings.level` by name."""
 
@@ -134,6 +140,30 @@
         eliot.log_message(kind, level=level.name.lower(), **fields)
 
 
+_limited: dict[str, tuple[float, int]] = {}
+"""When a limited kind was last written, and how many were left out since."""
+
+
+def write_limited(level: Level, kind: str, **fields: object) -> None:
+    """Writes at most one record of a kind a second.
+
+    Guards against a stranger who sends what is refused as fast as he can:
+    without the limit he would push all other records out of the log.
+
+    Args:
+        level: How much it matters.
+        kind: What happened.
+        fields: Details that JSON can show.
+    """
+    now = time.monotonic()
+    last, left_out = _limited.get(kind, (-LIMIT_INTERVAL, 0))
+    if now - last < LIMIT_INTERVAL:
+        _limited[kind] = (last, left_out + 1)
+        return
+    _limited[kind] = (now, 0)
+    write_record(level, kind, left_out=left_out, **fields)
+
+
 def start_action(kind: str, **fields: object) -> eliot.Action | None:
     """Starts an action that ends later, by `end_action`.
 
--- a/sycamorefall/observation/status.py
+++ b/sycamorefall/observation/status.py
@@ -134,6 +134,7 @@
         platform: Reads of the platform.
         times: Histograms in short.
         log_dropped: Log records lost.
+        shared_key: Whether only holders of the shared key are believed.
     """
 
     vm: str
@@ -153,6 +154,7 @@
     platform: PlatformStatus
     times: tuple[TimeStatus, ...]
     log_dropped: int
+    shared_key: bool = False
 
 
 class RouterStatus(
--- a/sycamorefall/observation/tables.py
+++ b/sycamorefall/observation/tables.py
@@ -62,6 +62,7 @@
         "platform": f"{platform.reads} reads, {platform.failures} failed, "
         f"{platform.bytes_read} bytes",
         "log lost": status.log_dropped,
+        "shared key": "yes" if status.shared_key else "NO, all are believed",
     }
     return "\n".join(_align(facts.items()))
 
--- a/sycamorefall/observation/tests/test_log.py
+++ b/sycamorefall/observation/tests/test_log.py
@@ -83,6 +83,21 @@
     assert os.read(reader, 100) == b"a line\n"
 
 
+def test_strangers_can_not_flood_the_log(opened, tmp_path, monkeypatch):
+    """Refusals that anybody can provoke leave room for other records."""
+    now = 100.0
+    monkeypatch.setattr(log.time, "monotonic", lambda: now)
+    log._limited.clear()
+    path = tmp_path / "log"
+    opened(str(path))
+    for _ in range(50):
+        observation.write_limited(observation.Level.WARNING, "refused")
+    now += 1.0
+    observation.write_limited(observation.Level.WARNING, "refused")
+    records = [json.loads(line) for line in path.read_text().splitlines()]
+    assert [record["left_out"] for record in records] == [0, 49]
+
+
 def test_level_leaves_lesser_records_out(opened, tmp_path):
     path = tmp_path / "log"
     opened(str(path), level="warning")
--- a/sycamorefall/pages.py
+++ b/sycamorefall/pages.py
@@ -139,6 +139,7 @@
         ),
         "times": status_module.describe_times(recorder.histograms, whole),
         "log_dropped": node.log.dropped,
+        "shared_key": node.authenticator.enabled,
     }
 
 
--- a/sycamorefall/sidecar/daemon.py
+++ b/sycamorefall/sidecar/daemon.py
@@ -151,7 +151,7 @@
     signature = call.headers.get(messages.SIGNATURE_HEADER, "")
     if not node.authenticator.check_order(text, call.body, signature):
         observation.count_event(recorder, "order_unsigned")
-        observation.write_record(
+        observation.write_limited(
             observation.Level.WARNING, "order.unsigned", caller=call.remote
         )
         return None
--- a/sycamorefall/transport/control.py
+++ b/sycamorefall/transport/control.py
@@ -136,7 +136,7 @@
             envelope = self._authenticator.open_message(data)
         except errors.MessageRefused as fault:
             self.refused += 1
-            observation.write_record(
+            observation.write_limited(
                 observation.Level.WARNING,
                 "control.refused",
                 reason=str(fault),
--- a/tests/test_observation.py
+++ b/tests/test_observation.py
@@ -1,7 +1,11 @@
 """What operators see of running processes."""
 
+import fcntl
 import http.client
 import json
+import os
+import subprocess
+import sys
 import urllib.error
 import urllib.request
 
@@ -207,6 +211,35 @@
     find_record(fleet, "ledger-0", message_type="order.unsigned")
 
 
+def test_router_answers_while_nobody_reads_its_log(own_fleet):
+    """The reader of a router's stderr stops; callers must not notice.
+
+    A write that waits for the reader would stop the router's only loop, and
+    with it every request and heartbeat.
+    """
+    node = own_fleet.nodes["router-0"]
+    fleet_module.stop_process(node.process)
+    reader, writer = os.pipe()
+    fcntl.fcntl(writer, fcntl.F_SETPIPE_SZ, 4096)
+    node.process = subprocess.Popen(
+        [
+            *(sys.executable, "-m", "sycamorefall.command", "router"),
+            str(own_fleet.folder / "router-0.ini"),
+        ],
+        stdin=subprocess.DEVNULL,
+        stderr=writer,
+    )
+    os.close(writer)
+    fleet_module.wait_until(
+        lambda: fleet_module.call(node.data, "/ready"), "readiness"
+    )
+    for number in range(30):
+        assert b"[DONE]" in ask(node, f"unread-{number}")
+    assert len(os.read(reader, 1 << 16)) <= 4096
+    assert fleet_module.stop_process(node.process) == 0
+    os.close(reader)
+
+
 def test_metrics_leave_the_data_address_for_the_operators(own_fleet):
     """With an address of their own, operators' pages are not for callers."""
     node = own_fleet.nodes["router-0"]
