--- a/sycamorefall/node.py
+++ b/sycamorefall/node.py
@@ -172,6 +172,7 @@
             "set [security] shared_key_file",
         )
     node.loop.run()
+    node.control.close()
     observation.write_record(
         observation.Level.INFO, "process.stopped", vm=core.vm
     )
--- a/sycamorefall/router/core.py
+++ b/sycamorefall/router/core.py
@@ -5,7 +5,14 @@
 import heapq
 
 from sycamorefall import effects, errors, membership, messages
-from sycamorefall.router import announcement, handout, hints, intake, offering
+from sycamorefall.router import (
+    announcement,
+    handout,
+    hints,
+    intake,
+    offering,
+    sweep,
+)
 from sycamorefall.router import effects as router_effects
 from sycamorefall.router import state as state_module
 
@@ -94,6 +101,8 @@
         What is to be done.
     """
     due = _expire_requests(state, now)
+    due += sweep.end_backoffs(state, now)
+    due += sweep.sweep_waiting(state, now)
     for request in _list_asking(state):
         if request.attempt.ask_next <= now:
             due += handout.ask_again(state, now, request)
@@ -117,6 +126,7 @@
         state.next_heartbeat,
         announcement.find_next_announcement(state),
         announcement.find_next_digest(state),
+        sweep.find_next_due(state),
         *asking,
         *deadlines,
         *offers,
@@ -165,7 +175,7 @@
     ran = errors.Ran.NO
     if request.attempt is not None or request.failures:
         ran = errors.Ran.UNKNOWN
-    retry_after = intake.suggest_return(state, new.service, new.team)
+    retry_after = intake.suggest_return(state, now, new.service, new.team)
     answer = router_effects.AnswerError(
         request.number, errors.ErrorKind.DEADLINE_EXCEEDED, ran, retry_after
     )
--- a/sycamorefall/sidecar/state.py
+++ b/sycamorefall/sidecar/state.py
@@ -6,6 +6,7 @@
 import random
 
 from sycamorefall import admission, configuration, dispatch, membership, sharing
+from sycamorefall.sidecar import gate as gate_module
 
 HINT_RATE = 500.0
 """Bytes per second that a sidecar may send for hints between heartbeats."""
@@ -47,6 +48,7 @@
         estimates: Costs of the teams' recent requests.
         demand: Work waiting at the routers.
         limit: The upstream's concurrency limit.
+        gate: Runs held until the limit lets them reach the upstream.
         claims: Requests asked for that have not come yet.
         runs: Requests in progress at the upstream, by attempt.
         outcomes: What became of each attempt.
@@ -84,6 +86,7 @@
     limit: admission.ConcurrencyLimit = dataclasses.field(
         default_factory=admission.ConcurrencyLimit
     )
+    gate: gate_module.Gate = dataclasses.field(init=False)
     claims: dispatch.ClaimTable = dataclasses.field(
         default_factory=dispatch.ClaimTable
     )
@@ -105,7 +108,8 @@
     stopping: bool = False
 
     def __post_init__(self):
-        """Seeds the choices: alike in each run, different at each sidecar."""
+        self.gate = gate_module.Gate(self.limit)
+        # Choices are alike in each run, and different at each sidecar.
         self.chance.seed(f"{self.vm}/{self.incarnation}")
 
 
--- a/sycamorefall/sidecar/status.py
+++ b/sycamorefall/sidecar/status.py
@@ -8,6 +8,7 @@
 from prometheus_client import metrics_core
 
 from sycamorefall import (
+    admission,
     membership,
     observation,
     pages,
@@ -88,7 +89,7 @@
         service=state.service,
         running=len(state.runs),
         claimed=len(state.claims.open),
-        limit=state.limit.cap,
+        limit=admission.count_own(state.limit),
     )
 
 
@@ -132,7 +133,15 @@
     values = {
         "running": (len(state.runs), "Requests in progress at the upstream."),
         "claimed": (len(state.claims.open), "Claims not yet fulfilled."),
-        "limit": (state.limit.cap, "Most requests in progress."),
+        "limit": (
+            admission.count_own(state.limit),
+            "Most requests in progress.",
+        ),
+        "foreign": (
+            state.limit.foreign,
+            "Requests at the upstream that this process did not start.",
+        ),
+        "held": (len(state.gate.held), "Runs held until a slot is free."),
         "accounts": (len(state.accounts.teams), "Teams with an account."),
     }
     for name, (value, text) in values.items():
--- a/tests/test_observation.py
+++ b/tests/test_observation.py
@@ -231,7 +231,10 @@
     )
     os.close(writer)
     fleet_module.wait_until(
-        lambda: fleet_module.call(node.data, "/ready"), "readiness"
+        lambda: (
+            "assistant" in fleet_module.call(node.data, "/status")["services"]
+        ),
+        "the assistant's upstreams",
     )
     for number in range(30):
         assert b"[DONE]" in ask(node, f"unread-{number}")
