--- a/Makefile
+++ b/Makefile
@@ -3,7 +3,8 @@
 BIN := $(VENV)/bin
 STAMP := $(VENV)/.installed
 
-.PHONY: setup test demo bench bench-control lint format reference
+.PHONY: setup test demo capacity lint format reference
+.PHONY: bench bench-control bench-decisions bench-admission
 
 $(STAMP): pyproject.toml
 	$(PYTHON) -m venv $(VENV)
@@ -18,9 +19,15 @@
 demo: $(STAMP)
 	$(BIN)/python -m standins.demo
 
+capacity: $(STAMP)
+	$(BIN)/python -m benchmarks.capacity
+
 bench-control: $(STAMP)
 	$(BIN)/python -m benchmarks.control
 
+bench: $(STAMP)
+	$(BIN)/python -m benchmarks.fairness
+
 lint: $(STAMP)
 	$(BIN)/ruff format --check .
 	$(BIN)/ruff check .
@@ -31,3 +38,9 @@
 
 reference: $(STAMP)
 	$(BIN)/python -m tests.reference
+
+bench-decisions: $(STAMP)
+	$(BIN)/python -m benchmarks.decisions --json decisions.json
+
+bench-admission: $(STAMP)
+	$(BIN)/python -m benchmarks.admission --json admission.json
--- a/sycamorefall/errors.py
+++ b/sycamorefall/errors.py
@@ -79,6 +79,7 @@
     DEADLINE_EXCEEDED = "deadline_exceeded"
     NO_UPSTREAM = "no_upstream"
     DEPENDENCY_UNAVAILABLE = "dependency_unavailable"
+    UNDECLARED_DEPENDENCY = "undeclared_dependency"
     RETRIES_EXHAUSTED = "retries_exhausted"
     DUPLICATE_REQUEST = "duplicate_request"
     ANSWER_INCOMPLETE = "answer_incomplete"
@@ -115,6 +116,7 @@
     ErrorKind.DEADLINE_EXCEEDED: ErrorAnswer(504, Ran.NO, retry=True),
     ErrorKind.NO_UPSTREAM: ErrorAnswer(503, Ran.NO, retry=True),
     ErrorKind.DEPENDENCY_UNAVAILABLE: ErrorAnswer(503, Ran.NO, retry=True),
+    ErrorKind.UNDECLARED_DEPENDENCY: ErrorAnswer(403, Ran.NO),
     ErrorKind.RETRIES_EXHAUSTED: ErrorAnswer(502, Ran.UNKNOWN, retry=True),
     ErrorKind.DUPLICATE_REQUEST: ErrorAnswer(409, Ran.UNKNOWN),
     ErrorKind.ANSWER_INCOMPLETE: ErrorAnswer(502, Ran.YES),
@@ -142,6 +144,8 @@
     ErrorKind.NO_UPSTREAM: "No upstream of the service can be reached.",
     ErrorKind.DEPENDENCY_UNAVAILABLE: "A service that this one depends on has "
     "no upstream.",
+    ErrorKind.UNDECLARED_DEPENDENCY: "The call was made on behalf of a request "
+    "to a service that does not list this one in its depends_on.",
     ErrorKind.RETRIES_EXHAUSTED: "All allowed attempts failed; some may have "
     "run.",
     ErrorKind.DUPLICATE_REQUEST: "A request with this idempotency key was "
--- a/sycamorefall/observation/tests/test_snapshots.py
+++ b/sycamorefall/observation/tests/test_snapshots.py
@@ -20,6 +20,9 @@
     "peers": (),
     "control": status.ControlStatus(0, 0, 0, 0),
     "platform": status.PlatformStatus(0, 0, 0),
+    "replication": status.ReplicationStatus(
+        True, True, "", "", (), 0, 0, 0, 0, 0, 0
+    ),
     "log_dropped": 0,
 }
 
--- a/tests/reference.py
+++ b/tests/reference.py
@@ -23,6 +23,7 @@
     "vm": settings.VmSettings,
     "listen": settings.ListenSettings,
     "platform": settings.PlatformSettings,
+    "peers": settings.PeerSettings,
     "upstream": settings.UpstreamSettings,
     "limits": settings.LimitSettings,
     "security": settings.SecuritySettings,
@@ -40,6 +41,7 @@
     status.RouterStatus,
     status.SidecarStatus,
     status.TeamStatus,
+    status.ReplicationStatus,
 )
 
 
