--- /dev/null
+++ b/sycamorefall/tests/test_pages.py
@@ -0,0 +1,53 @@
+"""Which pages are answered to whom."""
+
+import types
+
+import pytest
+
+from sycamorefall import errors, pages, settings
+
+DATA = settings.Address("0.0.0.0", 7400)
+CONTROL = settings.Address("0.0.0.0", 7401)
+OPERATORS = settings.Address("10.0.0.1", 7409)
+LOCAL, DISTANT = "127.0.0.1", "10.0.0.9"
+
+
+class Call:
+    """A call that keeps its answer."""
+
+    def __init__(self, path, remote):
+        self.path, self.remote, self.query = path, remote, ""
+        self.status = 0
+
+    def respond(self, status, *_):
+        self.status = status
+
+    def fail(self, kind):
+        self.status = errors.ANSWERS[kind].status
+
+
+def ask(path, remote, operators=None, for_operators=False, unready=()):
+    shown = pages.Pages(
+        listen=settings.ListenSettings(DATA, CONTROL, operators),
+        find_unready=lambda: unready,
+        describe=lambda whole: types.SimpleNamespace().__dict__,
+        list_metrics=lambda: (),
+    )
+    call = Call(path, remote)
+    assert pages.answer_page(shown, call, for_operators)
+    return call.status
+
+
+@pytest.mark.parametrize("path", ["/status", "/metrics"])
+def test_operators_pages_are_not_for_callers(path):
+    """A caller must not learn the teams and VMs of the fleet."""
+    assert ask(path, DISTANT) == 404
+    assert ask(path, LOCAL) == 200
+    assert ask(path, LOCAL, OPERATORS) == 404
+    assert ask(path, DISTANT, OPERATORS, for_operators=True) == 200
+
+
+def test_balancer_gets_its_pages_everywhere():
+    assert ask("/live", DISTANT) == 200
+    assert ask("/ready", DISTANT, OPERATORS) == 200
+    assert ask("/ready", DISTANT, unready=("stopping",)) == 503
