--- a/sycamorefall/observation/histograms.py
+++ b/sycamorefall/observation/histograms.py
@@ -15,9 +15,11 @@
     "record_time",
 ]
 
+import bisect
 from collections.abc import Iterator
 import dataclasses
 import enum
+import itertools
 
 from hdrh import histogram
 
@@ -121,10 +123,30 @@
         return self.counts.encode().decode("ascii")
 
     def find_quantiles(self, quantiles: tuple[float, ...]) -> list[float]:
-        """Finds the times, in seconds, below which shares of all lie."""
-        percentiles = [100.0 * quantile for quantile in quantiles]
-        found = self.counts.get_percentile_to_value_dict(percentiles)
-        return [found[p] / UNITS_PER_SECOND for p in percentiles]
+        """Finds the times, in seconds, below which shares of all lie.
+
+        The library's own function reads one count after the other, which
+        takes more than twice as long; a scrape asks all histograms at once and
+        stops the loop meanwhile.
+        """
+        counts = self.counts
+        # A slice becomes a list at once; iterating reads one by one too.
+        sums = list(itertools.accumulate(counts.counts[:]))
+        targets = (
+            counts.get_target_count_at_percentile(100.0 * quantile)
+            for quantile in quantiles
+        )
+        # With nothing recorded no sum reaches a target.
+        indexes = (bisect.bisect_left(sums, target) for target in targets)
+        values = (
+            counts.get_highest_equivalent_value(
+                counts.get_value_from_index(index)
+            )
+            if index < len(sums)
+            else 0
+            for index in indexes
+        )
+        return [value / UNITS_PER_SECOND for value in values]
 
 
 _Sets = dict[tuple[str, str], dict[TimeKind, TimeHistogram]]
--- a/sycamorefall/observation/tests/test_recorder.py
+++ b/sycamorefall/observation/tests/test_recorder.py
@@ -3,6 +3,8 @@
 import random
 import tracemalloc
 
+from hypothesis import given
+from hypothesis import strategies as st
 from prometheus_client import parser
 import pytest
 
@@ -88,6 +90,20 @@
     assert held < MOST_MEMORY
 
 
+@given(st.lists(st.floats(0.0, 5000.0), max_size=30))
+def test_quantiles_are_those_of_the_library(times):
+    recorded = histograms.TimeHistogram()
+    for seconds in times:
+        recorded.record(seconds)
+    shares = (0.5, 0.9, 0.99, 1.0)
+    expected = [
+        recorded.counts.get_value_at_percentile(100.0 * share)
+        / histograms.UNITS_PER_SECOND
+        for share in shares
+    ]
+    assert recorded.find_quantiles(shares) == expected
+
+
 def test_times_out_of_range_are_kept_at_its_ends():
     recorder = observation.Recorder()
     for seconds in (0.0, 7200.0):
