--- a/sycamorefall/transport/server.py
+++ b/sycamorefall/transport/server.py
@@ -8,7 +8,6 @@
 
 from collections.abc import Callable
 import contextlib
-import itertools
 import socket
 
 import circuits
@@ -17,7 +16,7 @@
 
 from sycamorefall import errors, settings
 from sycamorefall.transport import call as call_module
-from sycamorefall.transport import inbound, loop, outflow
+from sycamorefall.transport import deadlines, inbound, loop, outflow
 
 DRAIN_LIMIT = 1 << 24
 """Bytes of a refused request that are read and thrown away."""
@@ -50,42 +49,6 @@
         self.written = False
 
 
-class _Deadlines:
-    """Sockets in the order in which the same time limit ends for them."""
-
-    __slots__ = ("_dues", "limit")
-
-    def __init__(self, limit: float):
-        self.limit = limit
-        self._dues: dict[socket.socket, float] = {}
-
-    def start(self, sock: socket.socket, now: float) -> None:
-        """Starts the limit for a socket, unless it runs already."""
-        self._dues.setdefault(sock, now + self.limit)
-
-    def stop(self, sock: socket.socket) -> None:
-        """Ends the limit for a socket."""
-        self._dues.pop(sock, None)
-
-    def find_next(self) -> float:
-        """Returns when the limit ends next for a socket."""
-        return next(iter(self._dues.values()), float("inf"))
-
-    def find_first(self) -> socket.socket | None:
-        """Returns the socket for which the limit ends next."""
-        return next(iter(self._dues), None)
-
-    def pop_expired(self, now: float) -> list[socket.socket]:
-        """Takes out the sockets whose limit is over."""
-        late = itertools.takewhile(
-            lambda item: item[1] <= now, self._dues.items()
-        )
-        expired = [sock for sock, _ in late]
-        for sock in expired:
-            del self._dues[sock]
-        return expired
-
-
 class HttpServer(circuits.BaseComponent):
     """Listens for HTTP and hands each request to a function.
 
@@ -125,9 +88,9 @@
         self._on_call = on_call
         self._read_clock = read_clock
         self._connections: dict[socket.socket, _Connection] = {}
-        self._reading = _Deadlines(limits.header_timeout)
-        self._idle = _Deadlines(limits.idle_timeout)
-        self._closing = _Deadlines(limits.header_timeout)
+        self._reading = deadlines.Deadlines(limits.header_timeout)
+        self._idle = deadlines.Deadlines(limits.idle_timeout)
+        self._closing = deadlines.Deadlines(limits.header_timeout)
         try:
             self.server = sockets.TCPServer(listen.pair, channel=channel)
         except OSError as fault:
--- a/tests/reference.py
+++ b/tests/reference.py
@@ -14,6 +14,7 @@
 import msgspec
 
 from sycamorefall import command, configuration, errors, settings
+from sycamorefall.admission import parents
 from sycamorefall.observation import status
 from sycamorefall.router import interface
 
@@ -187,6 +188,13 @@
                 "The caller's name for the request; passed on, and in the "
                 "logs of router and sidecar.",
             ),
+            (
+                parents.PARENT_HEADER,
+                "as received",
+                "For upstreams: sent back with the calls that they make on "
+                "behalf of a request, which are accounted to its team and "
+                "end with its time.",
+            ),
         )
     ]
     return write_rows(("header", "value", "meaning"), rows)
