--- a/sycamorefall/command.py
+++ b/sycamorefall/command.py
@@ -4,6 +4,7 @@
 
 import argparse
 import contextlib
+import os
 import sys
 import time
 
@@ -209,12 +210,28 @@
     router_daemon.run_router(
         settings.read_settings(options.settings, settings.RouterSettings)
     )
+    _end_process()
 
 
 def _run_sidecar(options: argparse.Namespace) -> None:
     sidecar_daemon.run_sidecar(
         settings.read_settings(options.settings, settings.SidecarSettings)
     )
+    _end_process()
+
+
+def _end_process() -> None:
+    """Ends a daemon's process without the clean-up of the interpreter.
+
+    Guards against an abort after a flawless stop: pynng has nng cleaned up
+    at the interpreter's exit, while nng's own threads may still be taking
+    connections down; nng then panics in `nni_aio_stop`, and the supervisor
+    sees SIGABRT in place of status 0. All sockets are closed by now and the
+    log is written, so there is nothing left to clean up.
+    """
+    sys.stdout.flush()
+    sys.stderr.flush()
+    os._exit(0)
 
 
 def _check_file(options: argparse.Namespace) -> None:
--- a/sycamorefall/observation/tables.py
+++ b/sycamorefall/observation/tables.py
@@ -44,6 +44,7 @@
 
 def _format_facts(status: status_module.ProcessStatus) -> str:
     control, platform = status.control, status.platform
+    replication = status.replication
     refusal = "none"
     if status.refusal:
         refusal = f"revision {status.refused_revision}: {status.refusal}"
@@ -61,7 +62,15 @@
         "control lost": f"{control.dropped} dropped, {control.refused} refused",
         "platform": f"{platform.reads} reads, {platform.failures} failed, "
         f"{platform.bytes_read} bytes",
+        "documents": f"{replication.fetches} fetched from peers, "
+        f"{replication.failures} failed, "
+        f"{replication.bytes_sent + replication.bytes_received} bytes",
+        "alarms": "; ".join(
+            filter(None, [*replication.alarms, replication.conflict])
+        )
+        or "none",
         "log lost": status.log_dropped,
+        "shared key": "yes" if status.shared_key else "NO, all are believed",
     }
     return "\n".join(_align(facts.items()))
 
--- a/sycamorefall/transport/server.py
+++ b/sycamorefall/transport/server.py
@@ -1,6 +1,6 @@
 """HTTP server of a process: bounded, answering later.
 
-h11 reads the requests, circuits.web writes the answers; an answer is given
+h11 reads the requests, circuits.web shapes the answers; an answer is given
 whenever it is known, whole or piece by piece.
 """
 
@@ -8,19 +8,15 @@
 
 from collections.abc import Callable
 import contextlib
-import itertools
 import socket
 
 import circuits
-from circuits.net import events as net_events
 from circuits.net import sockets
-from circuits.web import events as web_events
-from circuits.web import http as web_http
 import msgspec
 
 from sycamorefall import errors, settings
 from sycamorefall.transport import call as call_module
-from sycamorefall.transport import inbound, loop, outflow
+from sycamorefall.transport import deadlines, inbound, loop, outflow
 
 DRAIN_LIMIT = 1 << 24
 """Bytes of a refused request that are read and thrown away."""
@@ -32,10 +28,6 @@
     """Turns a connection to its next request."""
 
 
-class _end_writing(circuits.Event):  # noqa: N801 (circuits' own convention)
-    """Shuts down one direction of a connection after what was written."""
-
-
 class _Connection:
     """A caller's connection.
 
@@ -57,42 +49,6 @@
         self.written = False
 
 
-class _Deadlines:
-    """Sockets in the order in which the same time limit ends for them."""
-
-    __slots__ = ("_dues", "limit")
-
-    def __init__(self, limit: float):
-        self.limit = limit
-        self._dues: dict[socket.socket, float] = {}
-
-    def start(self, sock: socket.socket, now: float) -> None:
-        """Starts the limit for a socket, unless it runs already."""
-        self._dues.setdefault(sock, now + self.limit)
-
-    def stop(self, sock: socket.socket) -> None:
-        """Ends the limit for a socket."""
-        self._dues.pop(sock, None)
-
-    def find_next(self) -> float:
-        """Returns when the limit ends next for a socket."""
-        return next(iter(self._dues.values()), float("inf"))
-
-    def find_first(self) -> socket.socket | None:
-        """Returns the socket for which the limit ends next."""
-        return next(iter(self._dues), None)
-
-    def pop_expired(self, now: float) -> list[socket.socket]:
-        """Takes out the sockets whose limit is over."""
-        late = itertools.takewhile(
-            lambda item: item[1] <= now, self._dues.items()
-        )
-        expired = [sock for sock, _ in late]
-        for sock in expired:
-            del self._dues[sock]
-        return expired
-
-
 class HttpServer(circuits.BaseComponent):
     """Listens for HTTP and hands each request to a function.
 
@@ -132,15 +88,14 @@
         self._on_call = on_call
         self._read_clock = read_clock
         self._connections: dict[socket.socket, _Connection] = {}
-        self._reading = _Deadlines(limits.header_timeout)
-        self._idle = _Deadlines(limits.idle_timeout)
-        self._closing = _Deadlines(limits.header_timeout)
+        self._reading = deadlines.Deadlines(limits.header_timeout)
+        self._idle = deadlines.Deadlines(limits.idle_timeout)
+        self._closing = deadlines.Deadlines(limits.header_timeout)
         try:
             self.server = sockets.TCPServer(listen.pair, channel=channel)
         except OSError as fault:
             raise errors.AddressInUse(f"{listen}: {fault}") from fault
         self.server.register(self)
-        web_http.HTTP(self, channel=channel).register(self)
 
     @property
     def host(self) -> str | None:
@@ -175,15 +130,17 @@
             # still unsent, which is what this caller doesn't do.
             self.server._close(sock)
 
-    def send(self, event: circuits.Event) -> None:
-        """Fires an event at this server's channel."""
-        self.fire(event, self.channel)
+    def push(self, sock: socket.socket, data: bytes) -> None:
+        """Sends bytes on a connection."""
+        outflow.push_bytes(self.server, sock, data)
 
     def finish(self, call: call_module.IncomingCall) -> None:
-        """Forgets a call whose answer is complete."""
+        """Turns a call's connection to what comes after its answer."""
         connection = self._connections.get(call.sock)
         if connection is not None and connection.call is call:
-            self.send(_resume(call))
+            # By an event: one packet may hold very many small requests, and
+            # each would be handled inside the last one's answer.
+            self.fire(_resume(call), self.channel)
 
     def break_off(self, call: call_module.IncomingCall) -> None:
         """Closes a call's connection after what was written to it."""
@@ -191,15 +148,10 @@
         if connection is not None:
             connection.call = None
             connection.refused = True
-            self._closing.start(call.sock, self._read_clock())
-            self.server.close(call.sock)
-
-    def push(self, call: call_module.IncomingCall, data: bytes) -> None:
-        """Sends bytes of a streamed answer."""
-        outflow.push_bytes(self.server, call.sock, data)
+            self._close_gently(call.sock)
 
     def count_unsent(self, sock: socket.socket) -> int:
-        """Counts the bytes that wait in a connection's send buffer."""
+        """Counts bytes that wait in a connection's send buffer."""
         return outflow.count_unsent(self.server, sock)
 
     @circuits.handler("connect")
@@ -241,7 +193,7 @@
         elif taken is None:
             self._reading.start(sock, self._read_clock())
             if connection.reader.take_expectation():
-                self.send(net_events.write(sock, _CONTINUE))
+                self.push(sock, _CONTINUE)
         else:
             self._reading.stop(sock)
             self._begin_call(sock, connection, taken)
@@ -274,12 +226,17 @@
         now = self._read_clock()
         if not call.keep_alive:
             connection.refused = True
-            self._closing.start(call.sock, now)
+            self._close_gently(call.sock)
         elif connection.reader.start_next():
             self._take_request(call.sock, connection)
         else:
             self._idle.start(call.sock, now)
 
+    def _close_gently(self, sock: socket.socket) -> None:
+        """Closes a connection once all that was written to it is taken."""
+        self._closing.start(sock, self._read_clock())
+        self.server.close(sock)
+
     def _refuse(self, sock: socket.socket, kind: errors.ErrorKind) -> None:
         """Answers before the request is whole, then reads on to the end.
 
@@ -296,25 +253,9 @@
             f"Content-Length: {len(body)}\r\n"
             "Connection: close\r\n\r\n"
         )
-        self.send(net_events.write(sock, head.encode() + body))
-        self.send(_end_writing(sock))
-
-    @circuits.handler("_end_writing")
-    def _on_end_writing(self, sock) -> None:
-        if sock in self._connections:
-            self._connections[sock].written = True
-            self._on_written(sock)
-
-    @circuits.handler("httperror", priority=1)
-    def _on_httperror(self, event, request, response, *_, **__) -> None:
-        """Gives failures inside circuits.web the body that ours have."""
-        event.stop()
-        kind = errors.ErrorKind.INTERNAL
-        response.status = errors.ANSWERS[kind].status
-        response.headers["Content-Type"] = "application/json"
-        response.body = msgspec.json.encode(errors.describe_error(kind))
-        response.close = True
-        self.send(web_events.response(response))
+        self.push(sock, head.encode() + body)
+        self._connections[sock].written = True
+        self._on_written(sock)
 
     @circuits.handler("disconnect")
     def _on_disconnect(self, sock, *_) -> None:
