--- a/sycamorefall/configuration/text.py
+++ b/sycamorefall/configuration/text.py
@@ -217,7 +217,7 @@
 
 def _parse(text: str) -> _Part:
     _check_unicode(text)
-    lines = _number_lines(text)
+    lines = _Lines(text)
     parser = _read_ini(text)
     teams = {
         name: _parse_team(name, dict(parser[section]), lines)
@@ -265,7 +265,7 @@
 
 
 def _join_lines(parts: list[tuple[int, _Part]]) -> "_Lines":
-    lines = _Lines({})
+    lines = _Lines("")
     for before, part in parts:
         lines.add(part.lines, before)
     return lines
@@ -287,12 +287,17 @@
 
 
 class _Lines:
-    """Line numbers of sections and options of an INI text."""
+    """Line numbers of sections and options of an INI text.
 
-    __slots__ = ("_numbers", "_parts")
+    They are wanted only where a text is refused, so they are counted then;
+    kept for all blocks they would take more memory than what these say.
+    """
+
+    __slots__ = ("_numbers", "_parts", "_text")
 
-    def __init__(self, numbers: dict[tuple[str, str], int]):
-        self._numbers = numbers
+    def __init__(self, text: str):
+        self._text = text
+        self._numbers: dict[tuple[str, str], int] | None = None
         self._parts: list[tuple[int, _Lines]] = []
 
     def add(self, other: "_Lines", before: int) -> None:
@@ -304,11 +309,13 @@
         for before, lines in self._parts:
             if line := lines.find(section, option):
                 return before + line
+        if self._numbers is None:
+            self._numbers = _number_lines(self._text)
         whole = self._numbers.get((section, ""), 0)
         return self._numbers.get((section, option), whole)
 
 
-def _number_lines(text: str) -> _Lines:
+def _number_lines(text: str) -> dict[tuple[str, str], int]:
     numbers: dict[tuple[str, str], int] = {}
     section = ""
     for number, line in enumerate(text.split("\n"), start=1):
@@ -317,7 +324,7 @@
             numbers.setdefault((section, ""), number)
         elif option := _OPTION.match(line):
             numbers.setdefault((section, option["option"].lower()), number)
-    return _Lines(numbers)
+    return numbers
 
 
 def _read_ini(text: str) -> configparser.ConfigParser:
@@ -330,6 +337,12 @@
     except configparser.ParsingError as fault:
         line = fault.errors[0][0]
         raise errors.ConfigurationRefused(line, "not an INI line") from fault
+    except configparser.DuplicateSectionError as fault:
+        reason = f"[{fault.section}] is listed twice"
+        raise errors.ConfigurationRefused(fault.lineno, reason) from fault
+    except configparser.DuplicateOptionError as fault:
+        reason = f"[{fault.section}]: {fault.option} is given twice"
+        raise errors.ConfigurationRefused(fault.lineno, reason) from fault
     except configparser.Error as fault:
         line = getattr(fault, "lineno", None) or 0
         reason = " ".join(str(fault).split())
--- a/sycamorefall/node.py
+++ b/sycamorefall/node.py
@@ -207,6 +207,7 @@
             "set [security] shared_key_file",
         )
     node.loop.run()
+    node.control.close()
     observation.write_record(
         observation.Level.INFO, "process.stopped", vm=core.vm
     )
@@ -327,11 +328,23 @@
     )
 
 
+def _apply_changes(node: Node, events: list[replication.Event]) -> None:
+    action = observation.start_action(
+        "configuration.change",
+        revision=node.core.versions.in_force,
+        vms_revision=node.core.directory.revision,
+    )
+    node.core.apply_configuration()
+    observation.end_action(
+        action, changes=[event.kind.value for event in events]
+    )
+
+
 def _handle_events(node: Node, events: list[replication.Event]) -> None:
     kinds = {event.kind for event in events}
     listed = replication.EventKind.LIST_REPLACED in kinds
     if listed or replication.EventKind.TEXT_ADOPTED in kinds:
-        node.core.apply_configuration()
+        _apply_changes(node, events)
     if listed:
         node.control.keep_only(set(node.core.directory.vms))
     if replication.EventKind.PLATFORM_OLDER in kinds:
--- a/sycamorefall/sidecar/status.py
+++ b/sycamorefall/sidecar/status.py
@@ -9,6 +9,7 @@
 
 from sycamorefall import (
     admission,
+    membership,
     observation,
     pages,
     settings,
@@ -57,6 +58,14 @@
     return (*common, f"the configuration has no service {state.service}")
 
 
+def _list_linked(state: state_module.SidecarState, now: float) -> set[str]:
+    links, directory, own = state.links, state.directory, state.vm
+    return {
+        *membership.list_routers(links, directory, now, own),
+        *membership.list_siblings(links, directory, now, own),
+    }
+
+
 def _describe(
     node: node_module.Node,
     state: state_module.SidecarState,
@@ -69,7 +78,9 @@
         status_module.MOST_TEAMS_SHOWN, waiting, key=waiting.get
     )
     return status_module.SidecarStatus(
-        **pages.describe_process(node, recorder, now, whole),
+        **pages.describe_process(
+            node, recorder, now, _list_linked(state, now), whole
+        ),
         unready=_find_unready(node, state),
         teams=tuple(
             _describe_team(state, team, waiting[team]) for team in most
@@ -116,7 +127,9 @@
     state: state_module.SidecarState,
     recorder: observation.Recorder,
 ) -> Iterator[metrics_core.Metric]:
-    yield from pages.list_metrics(node, recorder, transport.read_clock())
+    now = transport.read_clock()
+    linked = _list_linked(state, now)
+    yield from pages.list_metrics(node, recorder, now, linked)
     values = {
         "running": (len(state.runs), "Requests in progress at the upstream."),
         "claimed": (len(state.claims.open), "Claims not yet fulfilled."),
