Stop without cutting off anything; pass over routers that hear no claims

Cause: a stopping process ended as soon as its decisions were done with the last request, before the last bytes had left, with idle connections open and the last accounts unsent.

Change: a stopping router closes idle connections and all others after their answer; a process takes no more connections once it is idle, waits until all is sent, and lingers for the last control messages. A sidecar is idle only once its accounts are handed over.

--- a/sycamorefall/node.py
+++ b/sycamorefall/node.py
@@ -22,6 +22,12 @@
 )
 from sycamorefall.configuration import polling
 
+STOP_CHECK = 0.05
+"""Seconds between two looks of a stopping process at whether it is idle."""
+
+STOP_LINGER = 0.3
+"""Seconds that a stopping process stays after all that it had to do."""
+
 
 @dataclasses.dataclass(slots=True)
 class Core:
@@ -73,6 +79,8 @@
         settings: The process's settings.
         watch_turn: Epoch and list for which watchers were last chosen.
         stopping: Whether the process is to end once it is idle.
+        stop_check: When to look next whether it is.
+        stop_at: When it ends, if nothing comes up until then.
     """
 
     core: Core
@@ -89,6 +97,8 @@
     operators: transport.HttpServer | None = None
     watch_turn: tuple[int, int] = (0, 0)
     stopping: bool = False
+    stop_check: float = 0.0
+    stop_at: float | None = None
 
 
 def choose_incarnation() -> int:
@@ -218,6 +228,20 @@
         observation.write_record(observation.Level.INFO, "process.stopping")
         node.stopping = True
         node.core.begin_stop()
+        if isinstance(node.settings, settings.RouterSettings):
+            _stop_servers(node)
+
+
+def _stop_servers(node: Node) -> None:
+    """Closes idle connections: a router's at once, a sidecar's at the end.
+
+    A router may be about to send the request of an open claim on a kept
+    connection of a sidecar; closed under it, the request's outcome would be
+    in doubt.
+    """
+    for server in _list_servers(node):
+        if not server.stopping:
+            server.begin_stop()
 
 
 def perform(node: Node, outcome: Iterable) -> None:
@@ -242,7 +266,7 @@
 
 def _find_next_due(node: Node) -> float:
     if node.stopping:
-        return 0.0 if node.core.is_idle() else _find_next_timer(node)
+        return min(node.stop_check, _find_next_timer(node))
     return _find_next_timer(node)
 
 
@@ -267,7 +291,31 @@
     _run_replica(node, now)
     node.log.flush()
     perform(node, node.core.run_timers(now))
-    if node.stopping and node.core.is_idle():
+    if node.stopping:
+        _continue_stop(node, now)
+
+
+def _continue_stop(node: Node, now: float) -> None:
+    """Ends the process once nothing is in progress.
+
+    Guards against a stop that cuts off the end of an answer: the decisions
+    are done with a request before its last bytes have left. So the process
+    first takes no more connections and then waits until all is sent, a while
+    longer than that for the last control messages, which leave on threads of
+    the library; a sidecar's last accounts are among them.
+    """
+    node.stop_check = now + STOP_CHECK
+    if not node.core.is_idle():
+        return
+    _stop_servers(node)
+    servers = _list_servers(node)
+    for server in servers:
+        server.end_listening()
+    if not all(server.is_quiet() for server in servers):
+        node.stop_at = None
+    elif node.stop_at is None:
+        node.stop_at = now + STOP_LINGER
+    elif now >= node.stop_at:
         node.loop.stop()
 
 
--- a/sycamorefall/sidecar/claiming.py
+++ b/sycamorefall/sidecar/claiming.py
@@ -17,6 +17,7 @@
     sharing,
 )
 from sycamorefall.sharing import demand as demand_module
+from sycamorefall.sidecar import silence
 from sycamorefall.sidecar import state as state_module
 
 
@@ -98,6 +99,7 @@
         router: The router.
         message: Its answer.
     """
+    silence.note_answer(state, router)
     claim = dispatch.release_claim(state.claims, message.claim_id)
     if claim is not None:
         sharing.reserve_units(state.accounts, claim.team, -claim.reserved)
@@ -107,4 +109,5 @@
 def release_expired(state: state_module.SidecarState, now: float) -> None:
     """Ends claims whose lease is over."""
     for claim in dispatch.expire_claims(state.claims, now):
+        silence.note_expired(state, now, claim)
         sharing.reserve_units(state.accounts, claim.team, -claim.reserved)
--- a/sycamorefall/sidecar/core.py
+++ b/sycamorefall/sidecar/core.py
@@ -4,13 +4,14 @@
     "apply_configuration",
     "begin_stop",
     "find_next_due",
+    "is_idle",
     "receive_message",
     "run_timers",
 ]
 
 from sycamorefall import dispatch, effects, membership, messages, sharing
 from sycamorefall.dispatch import outcomes
-from sycamorefall.sidecar import claiming, hinting
+from sycamorefall.sidecar import claiming, hinting, silence
 from sycamorefall.sidecar import state as state_module
 
 HEARTBEAT_INTERVAL = 1.0
@@ -38,6 +39,16 @@
     state.next_heartbeat = 0.0
 
 
+def is_idle(state: state_module.SidecarState) -> bool:
+    """Tells whether nothing is in progress and all accounts are handed over.
+
+    What this process knows of the teams' service dies with it: unless the
+    other sidecars have it, teams would get that much service twice.
+    """
+    busy = state.runs or state.claims.open or state.accounts.unsent
+    return not busy
+
+
 def receive_message(
     state: state_module.SidecarState, now: float, envelope: messages.Envelope
 ) -> list[effects.Send]:
@@ -90,6 +101,9 @@
 ) -> None:
     if message.service != state.service:
         return
+    message = silence.limit_waiting(state, now, envelope.sender, message)
+    if message is None:
+        return
     fresh = sharing.note_waiting(
         state.demand, now, envelope.sender, envelope.incarnation, message
     )
--- a/sycamorefall/sidecar/daemon.py
+++ b/sycamorefall/sidecar/daemon.py
@@ -88,7 +88,7 @@
         find_next_due=lambda: core.find_next_due(state),
         apply_configuration=lambda: core.apply_configuration(state),
         perform=lambda effect: None,
-        is_idle=lambda: not state.runs and not state.claims.open,
+        is_idle=lambda: core.is_idle(state),
         begin_stop=lambda: core.begin_stop(state),
     )
     recorder = observation.Recorder()
--- a/sycamorefall/sidecar/running.py
+++ b/sycamorefall/sidecar/running.py
@@ -4,7 +4,7 @@
 
 from sycamorefall import configuration, dispatch, messages, sharing
 from sycamorefall.dispatch import outcomes
-from sycamorefall.sidecar import offers
+from sycamorefall.sidecar import offers, silence
 from sycamorefall.sidecar import state as state_module
 
 
@@ -24,6 +24,8 @@
         True if the attempt is now on record as started; False if it is
         refused, and will be whenever it comes again.
     """
+    if order.claim_id != messages.UNCLAIMED:
+        silence.note_answer(state, order.router)
     claim = offers.redeem_order(state, now, order)
     if claim is None:
         _refuse(state, now, order.attempt_id)
--- a/sycamorefall/sidecar/state.py
+++ b/sycamorefall/sidecar/state.py
@@ -1,6 +1,6 @@
 """State of a sidecar's decisions. All of it is lost with the process."""
 
-__all__ = ["Run", "SidecarState", "create_state"]
+__all__ = ["Run", "SidecarState", "Silence", "create_state"]
 
 import dataclasses
 import random
@@ -32,6 +32,21 @@
     charged: float = 0.0
 
 
+@dataclasses.dataclass(slots=True)
+class Silence:
+    """A router that let a claim expire.
+
+    Attributes:
+        since: When a claim there expired last.
+        until: Until when its work is passed over.
+        pause: For how long it was passed over last, in seconds.
+    """
+
+    since: float
+    until: float
+    pause: float
+
+
 @dataclasses.dataclass(slots=True)
 class SidecarState:
     """Everything a sidecar decides from.
@@ -52,6 +67,7 @@
         claims: Requests asked for that have not come yet.
         runs: Requests in progress at the upstream, by attempt.
         outcomes: What became of each attempt.
+        silences: Routers that let a claim expire, by VM name.
         next_heartbeat: When the next heartbeat is due.
         was_idle: Whether there was room and nothing to claim, when last
             looked at.
@@ -94,6 +110,7 @@
     outcomes: dispatch.OutcomeRecords = dataclasses.field(
         default_factory=dispatch.OutcomeRecords
     )
+    silences: dict[str, Silence] = dataclasses.field(default_factory=dict)
     next_heartbeat: float = 0.0
     was_idle: bool = False
     next_search: float = 0.0
--- a/sycamorefall/transport/call.py
+++ b/sycamorefall/transport/call.py
@@ -169,6 +169,11 @@
             self.ended = True
             self._server.break_off(self)
 
+    def close_after(self) -> None:
+        """Has the connection closed after the answer, if it has not begun."""
+        if not self.begun:
+            self._response.close = True
+
     @property
     def backlog(self) -> int:
         """Bytes written that the caller has not taken yet."""
--- a/sycamorefall/transport/server.py
+++ b/sycamorefall/transport/server.py
@@ -74,6 +74,10 @@
         """Ends the limit for a socket."""
         self._dues.pop(sock, None)
 
+    def has(self, sock: socket.socket) -> bool:
+        """Tells whether the limit runs for a socket."""
+        return sock in self._dues
+
     def find_next(self) -> float:
         """Returns when the limit ends next for a socket."""
         return next(iter(self._dues.values()), float("inf"))
@@ -132,6 +136,7 @@
         self._on_call = on_call
         self._read_clock = read_clock
         self._connections: dict[socket.socket, _Connection] = {}
+        self.stopping = False
         self._reading = _Deadlines(limits.header_timeout)
         self._idle = _Deadlines(limits.idle_timeout)
         self._closing = _Deadlines(limits.header_timeout)
@@ -175,6 +180,47 @@
             # still unsent, which is what this caller doesn't do.
             self.server._close(sock)
 
+    def begin_stop(self) -> None:
+        """Closes idle connections, and all others after their answer.
+
+        What has not been sent whole yet is still taken and answered.
+        """
+        self.stopping = True
+        for sock, connection in list(self._connections.items()):
+            if connection.call is not None:
+                connection.call.close_after()
+            elif self._idle.has(sock):
+                self.server.close(sock)
+
+    def end_listening(self) -> None:
+        """Takes no more connections, but for those already made.
+
+        Guards against callers whose connection the kernel has made and
+        nobody accepted: they would be reset with their request under way.
+        """
+        listening = self.server._sock
+        if listening is None:
+            return
+        while self._accept_one():
+            pass
+        self.server._poller.discard(listening)
+        self.server._sock = None
+        listening.close()
+
+    def _accept_one(self) -> bool:
+        before = len(self.server._clients)
+        self.server._accept()
+        return len(self.server._clients) > before
+
+    def is_quiet(self) -> bool:
+        """Tells whether no request and no answer is under way."""
+        return not any(
+            connection.call is not None
+            or self._reading.has(sock)
+            or self.count_unsent(sock)
+            for sock, connection in self._connections.items()
+        )
+
     def send(self, event: circuits.Event) -> None:
         """Fires an event at this server's channel."""
         self.fire(event, self.channel)
@@ -257,6 +303,8 @@
         except OSError:
             return  # The caller has gone; `disconnect` follows.
         connection.call = call
+        if self.stopping:
+            call.close_after()
         try:
             self._on_call(call)
         except Exception:
@@ -272,9 +320,12 @@
             return
         connection.call = None
         now = self._read_clock()
-        if not call.keep_alive:
+        if self.stopping or not call.keep_alive:
             connection.refused = True
             self._closing.start(call.sock, now)
+            if call.keep_alive:
+                # Its head was sent before the stop and promised more.
+                self.server.close(call.sock)
         elif connection.reader.start_next():
             self._take_request(call.sock, connection)
         else:
