--- a/sycamorefall/sidecar/running.py
+++ b/sycamorefall/sidecar/running.py
@@ -16,7 +16,7 @@
     sharing,
 )
 from sycamorefall.dispatch import outcomes
-from sycamorefall.sidecar import offers
+from sycamorefall.sidecar import offers, silence
 from sycamorefall.sidecar import state as state_module
 
 
@@ -36,6 +36,8 @@
         True if the attempt is now on record as started; False if it is
         refused, and will be whenever it comes again.
     """
+    if order.claim_id != messages.UNCLAIMED:
+        silence.note_answer(state, order.router)
     claim = offers.redeem_order(state, now, order)
     if claim is None:
         _refuse(state, now, order.attempt_id)
