Let callers with little time wait for half of it

Cause: the run time that most requests of a service need was kept free of waiting; a caller with less time than that was refused whenever anyone waited, though some of its requests would have been served in time.

Change: at most half the caller's time is kept.

--- a/sycamorefall/router/estimates.py
+++ b/sycamorefall/router/estimates.py
@@ -4,6 +4,7 @@
     "check_wait",
     "find_interval",
     "find_run_time",
+    "keep_for_run",
     "note_run",
     "suggest_return",
 ]
@@ -38,7 +39,8 @@
         return None
     # Only those with an earlier deadline are handed out before it.
     deadline = now + new.timeout
-    left = new.timeout - find_run_time(state, now, service)
+    run_time = find_run_time(state, now, service)
+    left = new.timeout - keep_for_run(run_time, new.timeout)
     ahead = queues.count_earlier(state.waiting, service, team, deadline)
     interval = find_interval(state, now, service, team)
     if admission.exceeds_deadline(rate, interval, ahead, left):
@@ -66,6 +68,23 @@
     return 0.0 if stale else run_time.seconds
 
 
+def keep_for_run(run_time: float, timeout: float) -> float:
+    """Tells how much of its time a request must have left to run.
+
+    Guards callers with little patience: where most requests run longer than
+    they wait, they would be refused whenever anyone waits, though some of
+    them would have their answer in time. They may wait half their time.
+
+    Args:
+        run_time: Seconds that most of the service's requests run.
+        timeout: Seconds that its caller waits in all.
+
+    Returns:
+        Seconds.
+    """
+    return min(run_time, timeout / 2)
+
+
 def find_interval(
     state: state_module.RouterState, now: float, service: str, team: str
 ) -> float:
--- a/sycamorefall/router/sweep.py
+++ b/sycamorefall/router/sweep.py
@@ -142,7 +142,8 @@
     kind = errors.ErrorKind.WAIT_EXCEEDS_DEADLINE
     for deadline, number in deadlines:
         request = state.requests[number]
-        left = MARGIN * (deadline - now) - run_time
+        kept = estimates.keep_for_run(run_time, request.new.timeout)
+        left = MARGIN * (deadline - now) - kept
         if _is_too_late(request, now, run_time) or admission.exceeds_deadline(
             rate, interval, ahead, left
         ):
--- a/sycamorefall/router/tests/test_admission.py
+++ b/sycamorefall/router/tests/test_admission.py
@@ -61,6 +61,24 @@
     assert router.admit(now, timeout=1.0)[1] == []
 
 
+def test_caller_with_less_time_than_most_requests_run_may_wait():
+    """Most answers take eight seconds; a caller waits six.
+
+    Some answers are short, so it may be served in time. It must not be
+    refused for the run time alone whenever anyone else waits.
+    """
+    router = fakes.Router()
+    now = drain(router, 0.0, 12, interval=0.1)
+    handed = router.claim(now)
+    router.admit(now)
+    router.state.run_times["assistant"] = admission.RunTime(8.0, now)
+    router.end(now + 8.0, handed)
+    assert router.admit(now, timeout=6.0)[1] == []
+    assert router.admit(now, timeout=6.0)[1] == []
+    deep = [router.admit(now, timeout=6.0)[1] for _ in range(35)]
+    assert any(deep)
+
+
 def test_idle_team_is_judged_by_nothing_old():
     router = fakes.Router()
     now = drain(router, 0.0, 12, interval=2.0)
