--- a/sycamorefall/observation/report.py
+++ b/sycamorefall/observation/report.py
@@ -78,8 +78,9 @@
     rows = (panels + 1) // 2
     drawing = figure.Figure(figsize=(13, 3.6 * rows), layout="constrained")
     axes = drawing.subplots(rows, 2, squeeze=False).flat
+    colours = _choose_colours(times)
     for (service, time), teams in sorted(times.items()):
-        _draw_times(next(axes), service, time, teams)
+        _draw_times(next(axes), service, time, teams, colours)
     for service, points in gaps.items():
         _draw_gap(next(axes), service, points)
     for unused in axes:
@@ -89,19 +90,32 @@
     return output.getvalue()
 
 
+def _choose_colours(times: snapshots_module.TimesByKind) -> dict[str, str]:
+    """Gives each team one colour in all panels."""
+    teams = sorted({team for panel in times.values() for team in panel})
+    return {team: f"C{number % 10}" for number, team in enumerate(teams)}
+
+
 def _draw_times(
-    axis, service: str, time: str, teams: dict[str, histogram.HdrHistogram]
+    axis,
+    service: str,
+    time: str,
+    teams: dict[str, histogram.HdrHistogram],
+    colours: dict[str, str],
 ) -> None:
     busiest = sorted(teams, key=lambda team: -teams[team].get_total_count())
     for team in busiest[:MOST_CURVES]:
         counts = teams[team]
         seconds, shares = _list_curve(counts)
         name = team or tables.ALL_OTHERS
-        axis.plot(seconds, shares, label=f"{name}: {counts.get_total_count()}")
+        label = f"{name}: {counts.get_total_count()}"
+        axis.plot(seconds, shares, label=label, color=colours[team])
     left_out = len(busiest) - MOST_CURVES
     more = f", {left_out} more teams not drawn" if left_out > 0 else ""
     axis.set_title(f"{service}: {time.replace('_', ' ')}{more}")
     axis.set_xscale("log")
+    # Labels of minor ticks would overlap where an axis spans one decade.
+    axis.xaxis.set_minor_formatter("")
     axis.set_xlabel("seconds")
     axis.set_ylabel("share that took no longer")
     axis.set_ylim(0, 1.02)
--- a/sycamorefall/observation/snapshots.py
+++ b/sycamorefall/observation/snapshots.py
@@ -112,8 +112,15 @@
 
 @dataclasses.dataclass(slots=True)
 class _Lead:
-    """How far one team is ahead of another while both have work waiting."""
+    """How far one team is ahead of another while both have work waiting.
 
+    Attributes:
+        now: At the last status.
+        least: The least since both have work waiting.
+        most: The most since then.
+    """
+
+    now: float
     least: float
     most: float
 
@@ -169,12 +176,15 @@
             pair: _extend(leads.get(pair), lead)
             for pair, lead in current.items()
         }
-        gaps = [lead.most - lead.least for lead in leads.values()]
+        gaps = [
+            max(lead.most - lead.now, lead.now - lead.least)
+            for lead in leads.values()
+        ]
         points.append(GapPoint(status.taken_at, max(gaps, default=0.0)))
     return points
 
 
 def _extend(known: _Lead | None, lead: float) -> _Lead:
     if known is None:
-        return _Lead(lead, lead)
-    return _Lead(min(known.least, lead), max(known.most, lead))
+        return _Lead(lead, lead, lead)
+    return _Lead(lead, min(known.least, lead), max(known.most, lead))
--- a/sycamorefall/pages.py
+++ b/sycamorefall/pages.py
@@ -2,7 +2,7 @@
 
 __all__ = ["Pages", "answer_page", "describe_process", "list_metrics"]
 
-from collections.abc import Callable, Iterable, Iterator
+from collections.abc import Callable, Collection, Iterable, Iterator
 import dataclasses
 import ipaddress
 import time
@@ -107,6 +107,7 @@
     node: node_module.Node,
     recorder: observation.Recorder,
     now: float,
+    linked: Collection[str],
     whole: bool,
 ) -> dict[str, object]:
     """Collects the fields of a status that all processes have.
@@ -115,6 +116,7 @@
         node: The process.
         recorder: Its records.
         now: This process's time.
+        linked: VMs that the process has a link to.
         whole: Whether to include whole histograms.
 
     Returns:
@@ -132,7 +134,7 @@
         "older_seen": versions.older_seen,
         "vms_revision": core.directory.revision,
         "stopping": node.stopping,
-        "peers": status_module.describe_peers(core.directory, now, core.vm),
+        "peers": status_module.describe_peers(core.directory, now, linked),
         "control": status_module.ControlStatus(
             node.control.bytes_sent,
             node.control.bytes_received,
@@ -145,6 +147,7 @@
         "replication": _describe_replication(node),
         "times": status_module.describe_times(recorder.histograms, whole),
         "log_dropped": node.log.dropped,
+        "shared_key": node.authenticator.enabled,
     }
 
 
@@ -183,7 +186,10 @@
 
 
 def list_metrics(
-    node: node_module.Node, recorder: observation.Recorder, now: float
+    node: node_module.Node,
+    recorder: observation.Recorder,
+    now: float,
+    linked: Collection[str],
 ) -> Iterator[metrics_core.Metric]:
     """Lists the metrics that all processes have.
 
@@ -191,12 +197,13 @@
         node: The process.
         recorder: Its records.
         now: This process's time.
+        linked: VMs that the process has a link to.
 
     Yields:
         The metrics.
     """
     core, control = node.core, node.control
-    peers = status_module.describe_peers(core.directory, now, core.vm)
+    peers = status_module.describe_peers(core.directory, now, linked)
     states = [peer.state.value for peer in peers]
     versions = core.versions
     gauge, count = metrics_module.gauge_metric, metrics_module.count_metric
@@ -222,14 +229,22 @@
     )
     yield count(
         "control_bytes",
-        "Control messages and platform reads.",
+        "Control messages, platform reads, documents between peers.",
         ("direction",),
         {
             ("sent",): control.bytes_sent,
             ("received",): control.bytes_received,
             ("platform",): node.reader.bytes_read,
+            ("peers_sent",): node.exchanger.bytes_sent,
+            ("peers_received",): node.exchanger.bytes_received,
         },
     )
+    yield gauge(
+        "alarms",
+        "What operators have to mend at the platform; status says what.",
+        (),
+        {(): len(replication.describe_alarms(node.replica))},
+    )
     yield count(
         "control_lost",
         "Control messages dropped or refused.",
