--- a/benchmarks/capacity_control.py
+++ b/benchmarks/capacity_control.py
@@ -20,6 +20,9 @@
 SECONDS = 6.0
 """Length of one measured run."""
 
+IDLE_SECONDS = 15.0
+"""Length of a run of an idle process, whose time is read in hundredths."""
+
 SETTLE = 2.0
 """Seconds that processes get to open their links."""
 
@@ -111,14 +114,17 @@
 
 
 def read_process(
-    fleet: fleet_module.Fleet, node: fleet_module.Node, sink: Sink, work=None
+    node: fleet_module.Node,
+    sink: Sink,
+    work=None,
+    seconds: float = SECONDS,
 ) -> Reading:
     """Reads what a process uses while some work is done to it."""
     pid, name = node.process.pid, node.name.encode()
     sink.drain()
     begun, before = time.monotonic(), probe.read_cpu(pid)
     taken: list[bytes] = []
-    while (now := time.monotonic()) < begun + SECONDS:
+    while (now := time.monotonic()) < begun + seconds:
         if work is not None:
             work(now - begun)
         taken += sink.drain()
@@ -200,7 +206,7 @@
     points = []
     for rate in RATES:
         push, link = make_pusher(node, rate, make_message)
-        reading = read_process(fleet, node, sink, push)
+        reading = read_process(node, sink, push)
         link.close()
         points.append((float(rate), reading.cpu))
     return probe.fit_slope(key, what, "us", points, 1e6)
@@ -210,9 +216,9 @@
     fleet: fleet_module.Fleet, node: fleet_module.Node, sink: Sink
 ) -> list[probe.Measure]:
     """Measures a process that has nothing to do but its heartbeats."""
-    reading = read_process(fleet, node, sink)
+    reading = read_process(node, sink, seconds=IDLE_SECONDS)
     role = node.role if node.role == "router" else "sidecar"
-    how = f"over {SECONDS:g} s, one router and one sidecar"
+    how = f"over {IDLE_SECONDS:g} s, one router and one sidecar"
     mib = 1 << 20
     lines = (
         ("cpu", "processor time while idle", reading.cpu * 100, "% of a core"),
@@ -240,7 +246,7 @@
     for count in PHANTOMS:
         publish_phantoms(fleet, sink, peer, count)
         time.sleep(SETTLE)
-        reading = read_process(fleet, node, sink)
+        reading = read_process(node, sink)
         sent.append((count, reading.messages))
         spent.append((reading.messages, reading.cpu))
         held.append((count, float(reading.private)))
--- a/benchmarks/capacity_projection.py
+++ b/benchmarks/capacity_projection.py
@@ -69,11 +69,11 @@
     return m["router-idle-resident"] + state / MIB
 
 
-def _hold_sidecar(m: dict[str, float]) -> float:
+def _hold_sidecar(m: dict[str, float], share: float = 1.0) -> float:
     links = m["sidecar-peers"] * m["sidecar-peer-memory"]
     vms = (ROUTERS + SIDECARS) * m["vm-memory"]
     text = FIT / m["text-size"] * m["router-adopt-memory"]
-    state = links + vms + text + _hold_accounts(m) * MIB
+    state = links + vms + text + share * _hold_accounts(m) * MIB
     return m["sidecar-idle-resident"] + state / MIB
 
 
@@ -210,6 +210,13 @@
             _hold_accounts,
             "MiB",
         ),
+        Estimate(
+            "sidecar, a tenth of the accounts, the others at rest",
+            "as below, with a tenth of the accounts",
+            lambda m: _hold_sidecar(m, 0.1),
+            "MiB",
+            64,
+        ),
         Estimate(
             "sidecar",
             "`sidecar-idle-resident` + `sidecar-peers` x"
