--- a/Makefile
+++ b/Makefile
@@ -3,7 +3,7 @@
 BIN := $(VENV)/bin
 STAMP := $(VENV)/.installed
 
-.PHONY: setup test demo capacity lint format
+.PHONY: setup test demo capacity lint format reference
 .PHONY: bench bench-control bench-decisions bench-admission
 
 $(STAMP): pyproject.toml
@@ -36,8 +36,12 @@
 	$(BIN)/ruff format .
 	$(BIN)/ruff check --fix .
 
+reference: $(STAMP)
+	$(BIN)/python -m tests.reference
+
 bench-decisions: $(STAMP)
 	$(BIN)/python -m benchmarks.decisions --json decisions.json
 
 bench-admission: $(STAMP)
+	$(BIN)/python -m benchmarks.upstreams
 	$(BIN)/python -m benchmarks.admission --json admission.json
--- a/sycamorefall/admission/__init__.py
+++ b/sycamorefall/admission/__init__.py
@@ -28,17 +28,14 @@
     "suggest_retry_after",
 ]
 
+from sycamorefall.admission.latency import note_latency
 from sycamorefall.admission.limit import (
     ConcurrencyLimit,
-    LoadReport,
     begin_low,
     count_own,
     count_room,
     count_startable,
     note_end,
-    note_foreign,
-    note_latency,
-    note_load,
     note_start,
 )
 from sycamorefall.admission.parents import (
@@ -47,6 +44,11 @@
     issue_token,
     read_token,
 )
+from sycamorefall.admission.reports import (
+    LoadReport,
+    note_foreign,
+    note_load,
+)
 from sycamorefall.admission.waits import (
     RATE_LIFETIME,
     DrainRate,
--- a/sycamorefall/router/status.py
+++ b/sycamorefall/router/status.py
@@ -61,6 +61,17 @@
     )
 
 
+def _list_linked(state: state_module.RouterState, now: float) -> set[str]:
+    in_force = state.versions.configuration
+    return {
+        name
+        for service in (in_force.services if in_force else ())
+        for name in membership.list_sidecars(
+            state.links, state.directory, now, state.vm, service
+        )
+    }
+
+
 def _describe(
     node: node_module.Node,
     state: state_module.RouterState,
@@ -71,7 +82,9 @@
     in_force = state.versions.configuration
     listed = queues.list_queues(state.waiting)
     return status_module.RouterStatus(
-        **pages.describe_process(node, recorder, now, whole),
+        **pages.describe_process(
+            node, recorder, now, _list_linked(state, now), whole
+        ),
         unready=_find_unready(node, state),
         teams=_describe_teams(state, now, listed),
         teams_total=len(listed),
@@ -112,7 +125,9 @@
     state: state_module.RouterState,
     recorder: observation.Recorder,
 ) -> Iterator[metrics_core.Metric]:
-    yield from pages.list_metrics(node, recorder, transport.read_clock())
+    now = transport.read_clock()
+    linked = _list_linked(state, now)
+    yield from pages.list_metrics(node, recorder, now, linked)
     yield metrics_module.gauge_metric(
         "waiting",
         "Requests waiting here.",
--- a/sycamorefall/sidecar/silence.py
+++ b/sycamorefall/sidecar/silence.py
@@ -5,7 +5,6 @@
 import msgspec
 
 from sycamorefall import dispatch, messages
-from sycamorefall.sharing import demand as demand_module
 from sycamorefall.sidecar import state as state_module
 
 LONGEST_PAUSE = 8.0
@@ -22,6 +21,9 @@
     its whole lease, again and again, and the upstream would serve next to
     nobody while other routers' callers wait.
 
+    What it announced is dropped with the claim; this keeps what it announces
+    next from filling the slots again.
+
     Only this link is judged; the router may serve others well.
 
     Args:
@@ -38,7 +40,6 @@
         return  # Made before the router was in doubt: tells nothing more.
     pause = min(LONGEST_PAUSE, max(dispatch.CLAIM_LEASE, 2 * known.pause))
     state.silences[claim.router] = state_module.Silence(now, now + pause, pause)
-    demand_module.drop_router(state.demand, claim.router)
 
 
 def note_answer(state: state_module.SidecarState, router: str) -> None:
--- a/sycamorefall/sidecar/tests/test_silence.py
+++ b/sycamorefall/sidecar/tests/test_silence.py
@@ -70,11 +70,12 @@
 def test_router_that_answers_again_gets_all_its_work_claimed(sidecar):
     count_claims(sidecar, 0.0, "deaf", 1)
     core.run_timers(sidecar, 1.1)
-    core.run_timers(sidecar, 2.2)
-    assert count_claims(sidecar, 2.3, "deaf", 2) == 0
-    probe = list_claims(announce(sidecar, 3.5, "deaf", 3, 50))
+    assert count_claims(sidecar, 1.2, "deaf", 2) == 1
+    core.run_timers(sidecar, 2.3)
+    assert count_claims(sidecar, 2.4, "deaf", 3) == 0
+    probe = list_claims(announce(sidecar, 3.5, "deaf", 4, 50))
     assert len(probe) == 1
     answer = messages.NoWork(probe[0][1].claim_id, "ledger", "mill-a")
     envelope = messages.Envelope("deaf", 1, 1, answer)
     core.receive_message(sidecar, 3.6, envelope)
-    assert count_claims(sidecar, 3.7, "deaf", 4) > 1
+    assert count_claims(sidecar, 3.7, "deaf", 5) > 1
--- a/sycamorefall/transport/call.py
+++ b/sycamorefall/transport/call.py
@@ -6,7 +6,6 @@
 import socket
 from typing import Protocol
 
-from circuits.web import events as web_events
 from circuits.web import wrappers
 import msgspec
 
@@ -20,20 +19,17 @@
 class Answerer(Protocol):
     """What a call needs of its server."""
 
-    def send(self, event) -> None:
-        """Fires an event at the server's channel."""
+    def push(self, sock: socket.socket, data: bytes) -> None:
+        """Sends bytes on a connection."""
 
     def finish(self, call: "IncomingCall") -> None:
-        """Forgets a call whose answer is complete."""
+        """Turns a call's connection to what comes after its answer."""
 
     def break_off(self, call: "IncomingCall") -> None:
         """Closes a call's connection after what was written to it."""
 
     def count_unsent(self, sock: socket.socket) -> int:
-        """Counts the bytes that wait in a connection's send buffer."""
-
-    def push(self, call: "IncomingCall", data: bytes) -> None:
-        """Sends bytes of a streamed answer."""
+        """Counts bytes that wait in a connection's send buffer."""
 
 
 class IncomingCall:
@@ -106,11 +102,11 @@
         """Gives the whole answer."""
         if self.begun or self.ended:
             return
-        self._set_head(status, headers)
         self._response.body = body
+        head = self._format_head(status, headers)
         self.begun = True
         self.ended = True
-        self._server.send(web_events.response(self._response))
+        self._server.push(self.sock, head if self._head_only else head + body)
         self._server.finish(self)
 
     def fail(
@@ -133,35 +129,28 @@
         """Begins an answer whose body follows piece by piece."""
         if self.begun or self.ended:
             return
-        self._set_head(status, headers)
         # circuits.web takes a body that is false and no list as one whose
         # length is open.
         self._response.body = ()
         self._response.stream = True
         self.begun = True
-        self._response.prepare()
-        head = bytes(self._response) + bytes(self._response.headers)
-        self._server.push(self, head)
+        self._server.push(self.sock, self._format_head(status, headers))
 
     def write(self, data: bytes) -> None:
         """Sends a piece of the body."""
         if data and not self.ended and not self._head_only:
             framed = self._response.chunked
             self._server.push(
-                self, outflow.frame_chunk(data) if framed else data
+                self.sock, outflow.frame_chunk(data) if framed else data
             )
 
     def end(self) -> None:
         """Ends the answer as a whole one."""
-        if self.ended:
-            return
-        self.ended = True
-        if self._response.chunked:
-            self._server.push(self, outflow.LAST_CHUNK)
-        if self.keep_alive:
+        if not self.ended:
+            self.ended = True
+            if self._response.chunked:
+                self._server.push(self.sock, outflow.LAST_CHUNK)
             self._server.finish(self)
-        else:
-            self._server.break_off(self)
 
     def abort(self) -> None:
         """Breaks the answer off so that nobody can take it for whole."""
@@ -184,10 +173,12 @@
         """Whether the connection may carry another request."""
         return not self._response.close
 
-    def _set_head(
+    def _format_head(
         self, status: int, headers: tuple[tuple[str, str], ...]
-    ) -> None:
+    ) -> bytes:
         self.status = status
         self._response.status = status
         for name, value in headers:
             self._response.headers[name] = value
+        self._response.prepare()
+        return bytes(self._response) + bytes(self._response.headers)
