--- a/sycamorefall/sidecar/claiming.py
+++ b/sycamorefall/sidecar/claiming.py
@@ -109,11 +109,6 @@
 def release_expired(state: state_module.SidecarState, now: float) -> None:
     """Ends claims whose lease is over.
 
-    Guards against a router that failed or is cut off with work announced:
-    each of its requests would be claimed in turn and hold a slot for a whole
-    lease, while other routers' work waits. A router that answers a claim
-    late announces its work again before long.
-
     Args:
         state: The sidecar; changed.
         now: This process's time.
@@ -121,4 +116,3 @@
     for claim in dispatch.expire_claims(state.claims, now):
         silence.note_expired(state, now, claim)
         sharing.reserve_units(state.accounts, claim.team, -claim.reserved)
-        demand_module.drop_router(state.demand, claim.router)
--- a/sycamorefall/sidecar/silence.py
+++ b/sycamorefall/sidecar/silence.py
@@ -5,6 +5,7 @@
 import msgspec
 
 from sycamorefall import dispatch, messages
+from sycamorefall.sharing import demand as demand_module
 from sycamorefall.sidecar import state as state_module
 
 LONGEST_PAUSE = 8.0
@@ -21,9 +22,6 @@
     its whole lease, again and again, and the upstream would serve next to
     nobody while other routers' callers wait.
 
-    What it announced is dropped with the claim; this keeps what it announces
-    next from filling the slots again.
-
     Only this link is judged; the router may serve others well.
 
     Args:
@@ -32,8 +30,10 @@
         claim: The claim.
     """
     known = state.silences.get(claim.router)
+    demand_module.drop_router(state.demand, claim.router)
     if known is None:
-        # One message may be lost; the next claims tell whether more is.
+        # One message may be lost: the next announcement is tried at once,
+        # with a single claim that tells whether more is.
         state.silences[claim.router] = state_module.Silence(now, now, 0.0)
         return
     if claim.expires - dispatch.CLAIM_LEASE < known.since:
--- a/sycamorefall/transport/server.py
+++ b/sycamorefall/transport/server.py
@@ -131,6 +131,10 @@
             # still unsent, which is what this caller doesn't do.
             self.server._close(sock)
 
+    def push(self, sock: socket.socket, data: bytes) -> None:
+        """Sends bytes on a connection."""
+        outflow.push_bytes(self.server, sock, data)
+
     def begin_stop(self) -> None:
         """Closes idle connections, and all others after their answer.
 
@@ -172,10 +176,6 @@
             for sock, connection in self._connections.items()
         )
 
-    def push(self, sock: socket.socket, data: bytes) -> None:
-        """Sends bytes on a connection."""
-        outflow.push_bytes(self.server, sock, data)
-
     def finish(self, call: call_module.IncomingCall) -> None:
         """Turns a call's connection to what comes after its answer."""
         connection = self._connections.get(call.sock)
