--- a/sycamorefall/transport/deadlines.py
+++ b/sycamorefall/transport/deadlines.py
@@ -30,6 +30,10 @@
         """Ends the limit for a socket."""
         self._dues.pop(sock, None)
 
+    def has(self, sock: socket.socket) -> bool:
+        """Tells whether the limit runs for a socket."""
+        return sock in self._dues
+
     def find_next(self) -> float:
         """Returns when the limit ends next for a socket."""
         return next(iter(self._dues.values()), float("inf"))
