--- /dev/null
+++ b/benchmarks/tests/test_spreading.py
@@ -0,0 +1,11 @@
+"""A change reaches a fleet in few hops, each process by one fetch."""
+
+from benchmarks import spreading
+
+
+def test_change_reaches_all_and_the_load_is_spread():
+    routers, sidecars = 20, 50
+    times, served = spreading.measure_spreading(routers, sidecars, seed=1)
+    assert len(times) == routers + sidecars
+    assert times[-1] < 10.0
+    assert served.total() <= routers + sidecars
