Exchange accounts under a byte budget; names travel once per link

Cause: account entries were half to nine tenths of the control bytes: every change of any part of an entry went to every sibling each 20 ms, 60 bytes of names and floats each.

Change: sharing/exchange.py tells a team's entry when its sum (served and reserved) or offset changed by a unit or more, so an answer that streams within its reservation makes no news; at once while a token bucket of 1,800 B/s lasts, else together, most-changed first, 64 in an update. Each entry is told a second time a little later, which repairs a lost update. A new or long silent sibling is told all own entries again by everybody and the entries of all owners, also of those that are gone, by two. names.py turns teams, services and owners into indexes at the link; a receiver that lacks one drops the message and asks. Sums are sent as whole units.

--- a/benchmarks/events.py
+++ b/benchmarks/events.py
@@ -13,7 +13,7 @@
 import itertools
 import random
 
-from sycamorefall import configuration, effects, membership, messages
+from sycamorefall import configuration, effects, membership, messages, names
 from sycamorefall.router import core as router_core
 from sycamorefall.router import effects as router_effects
 from sycamorefall.router import handout, intake
@@ -25,6 +25,9 @@
 FRAME_BYTES = 8
 """What the transport adds to each message: its length."""
 
+INCARNATION = 1_790_000_000_000_000
+"""Incarnation of all nodes, as long as a real one."""
+
 TRIP = 0.0005
 """Seconds one way between two nodes."""
 
@@ -98,6 +101,7 @@
         self._numbers = itertools.count()
         self._timers: dict[str, float] = {}
         self.nodes = _create_nodes(case)
+        self.names = {name: names.NameTable() for name in self.nodes}
 
     def run(self) -> Counts:
         """Runs the case to its end."""
@@ -149,7 +153,10 @@
         """Sends a control message and counts it."""
         node = self.nodes[name]
         envelope = messages.Envelope(name, node.incarnation, 1, effect.message)
-        data = messages.encode_envelope(envelope)
+        names_sent = names.compact_envelope(
+            self.names[name], effect.to, envelope
+        )
+        data = messages.encode_envelope(names_sent)
         size = len(data) + FRAME_BYTES
         if self.is_counted():
             kind = type(effect.message).__name__
@@ -165,8 +172,18 @@
         """Takes a control message."""
         if self.is_counted():
             self.counts.received[name] += size
-        envelope = messages.decode_envelope(data)
+        decoded = messages.decode_envelope(data)
+        envelope, unknown = names.expand_envelope(self.names[name], decoded)
         node = self.nodes[name]
+        if unknown:
+            question = messages.UnknownNames(unknown)
+            self.send(name, effects.Send(decoded.sender, question))
+        if envelope is None:
+            return
+        if isinstance(envelope.message, messages.UnknownNames):
+            names.forget_told(
+                self.names[name], envelope.sender, envelope.message.indexes
+            )
         core = _find_core(node)
         self.perform(name, core.receive_message(node, self.now, envelope))
 
@@ -188,7 +205,7 @@
         number, outcome = intake.admit_request(
             self.nodes[router], self.now, new
         )
-        self.arrivals[f"{router}/1/{number}"] = self.now
+        self.arrivals[f"{router}/{INCARNATION}/{number}"] = self.now
         self.perform(router, outcome)
         self.at(self.now + self.chance.expovariate(case.rate), self.arrive)
 
@@ -251,9 +268,9 @@
     nodes: dict = {}
     for vm in vms.vms:
         if vm.role is membership.VmRole.ROUTER:
-            node = router_state.RouterState(vm.name, 1, versions)
+            node = router_state.RouterState(vm.name, INCARNATION, versions)
         else:
-            node = sidecar_state.create_state(vm.name, 1, vm.service)
+            node = sidecar_state.create_state(vm.name, INCARNATION, vm.service)
             node.versions = versions
             sidecar_core.apply_configuration(node)
         membership.replace_list(node.directory, vms)
--- a/sycamorefall/membership/__init__.py
+++ b/sycamorefall/membership/__init__.py
@@ -9,6 +9,7 @@
     "VmList",
     "VmRole",
     "VmState",
+    "choose_tellers",
     "list_routers",
     "list_siblings",
     "list_sidecars",
@@ -34,6 +35,7 @@
 )
 from sycamorefall.membership.links import (
     Links,
+    choose_tellers,
     list_routers,
     list_siblings,
     list_sidecars,
--- a/sycamorefall/membership/links.py
+++ b/sycamorefall/membership/links.py
@@ -8,6 +8,7 @@
 __all__ = [
     "Links",
     "choose_sidecars",
+    "choose_tellers",
     "list_routers",
     "list_siblings",
     "list_sidecars",
@@ -27,6 +28,9 @@
 LEAST_ROUTERS = 12
 """Routers that a sidecar is linked to on average, if there are."""
 
+TELLERS = 2
+"""Sidecars that tell a new one the entries of all owners."""
+
 Vms = Sequence[directory_module.VmEntry]
 
 
@@ -91,6 +95,20 @@
     return names, _count_until(ranked, count)
 
 
+def choose_tellers(newcomer: str, sidecars: Sequence[str]) -> list[str]:
+    """Chooses the sidecars that tell a new one the entries of all owners.
+
+    Args:
+        newcomer: VM name of the new sidecar.
+        sidecars: VM names of the service's sidecars.
+
+    Returns:
+        A few VM names, the same at every sidecar.
+    """
+    others = (name for name in sidecars if name != newcomer)
+    return sorted(others, key=lambda name: _score(newcomer, name))[:TELLERS]
+
+
 def _score(router: str, sidecar: str) -> bytes:
     pair = f"{router}/{sidecar}".encode()
     return hashlib.blake2b(pair, digest_size=8).digest()
--- a/sycamorefall/messages.py
+++ b/sycamorefall/messages.py
@@ -19,9 +19,12 @@
     "Envelope",
     "Heartbeat",
     "Message",
+    "Name",
+    "NameEntry",
     "NoWork",
     "Outcome",
     "TeamWaiting",
+    "UnknownNames",
     "Waiting",
     "decode_envelope",
     "decode_order",
@@ -51,6 +54,10 @@
 """Claim number of an offer: a hand-out that nobody claimed."""
 
 
+Name = str | int
+"""A name; on the wire an index that the sender defined, see `names`."""
+
+
 class Outcome(enum.Enum):
     """Why a sidecar answers a hand-out without the upstream's answer.
 
@@ -95,7 +102,7 @@
         oldest_ms: Milliseconds the oldest of them has waited.
     """
 
-    team: str
+    team: Name
     count: int
     oldest_ms: int
 
@@ -110,7 +117,7 @@
         complete: Whether `teams` is all there is, replacing what was known.
     """
 
-    service: str
+    service: Name
     sequence: int
     teams: tuple[TeamWaiting, ...]
     complete: bool
@@ -124,8 +131,8 @@
     """
 
     claim_id: int
-    service: str
-    team: str
+    service: Name
+    team: Name
     lease: float
 
 
@@ -133,8 +140,8 @@
     """A router's answer to a claim when the team has nothing waiting."""
 
     claim_id: int
-    service: str
-    team: str
+    service: Name
+    team: Name
 
 
 class AccountEntry(msgspec.Struct, frozen=True, array_like=True):
@@ -149,8 +156,8 @@
         offset: Lift of the team's order key, a maximum over all sidecars.
     """
 
-    team: str
-    label: str
+    team: Name
+    label: Name
     sequence: int
     served: float
     reserved: float
@@ -160,7 +167,7 @@
 class AccountUpdate(msgspec.Struct, frozen=True, array_like=True, tag="a"):
     """Account entries of a service, the sender's own or passed on."""
 
-    service: str
+    service: Name
     entries: tuple[AccountEntry, ...]
 
 
@@ -177,6 +184,19 @@
     state: AttemptState
 
 
+class UnknownNames(msgspec.Struct, frozen=True, array_like=True, tag="u"):
+    """A receiver lacks names, and dropped a message because of it."""
+
+    indexes: tuple[int, ...]
+
+
+class NameEntry(msgspec.Struct, frozen=True, array_like=True):
+    """Defines a name of the sender's process by an index."""
+
+    index: int
+    name: str
+
+
 Message = (
     Heartbeat
     | Waiting
@@ -185,6 +205,7 @@
     | AccountUpdate
     | AttemptQuery
     | AttemptReport
+    | UnknownNames
 )
 
 
@@ -196,12 +217,14 @@
         incarnation: Number of the sending process, new at each start.
         revision: Revision of the configuration in force at the sender.
         message: The message.
+        names: Names that the sender defines.
     """
 
     sender: str
     incarnation: int
     revision: int
     message: Message
+    names: tuple[NameEntry, ...] = ()
 
 
 class AttemptOrder(msgspec.Struct, frozen=True):
--- /dev/null
+++ b/sycamorefall/names.py
@@ -0,0 +1,191 @@
+"""Names on the wire: each travels once per link, then as a small index.
+
+A process numbers the names it sends (teams, services, owners of accounts) in
+the order in which it first uses them. The first message on a link that uses
+a name defines it. Messages may be lost and peers restart with no memory: a
+receiver that lacks a name says so, drops the message, and gets the name with
+the next message that uses it.
+"""
+
+__all__ = [
+    "NameTable",
+    "PeerNames",
+    "compact_envelope",
+    "expand_envelope",
+    "forget_told",
+    "keep_peers",
+]
+
+from collections.abc import Callable, Collection
+import dataclasses
+import sys
+
+import msgspec
+
+from sycamorefall import messages
+
+Rename = Callable[[str | int], str | int]
+
+
+@dataclasses.dataclass(slots=True)
+class PeerNames:
+    """Names that a peer's process defined.
+
+    Attributes:
+        incarnation: The peer's process.
+        names: Names by index.
+    """
+
+    incarnation: int
+    names: dict[int, str] = dataclasses.field(default_factory=dict)
+
+
+@dataclasses.dataclass(slots=True)
+class NameTable:
+    """Names of one process and of its peers.
+
+    Attributes:
+        indexes: Indexes of own names.
+        told: Indexes that a peer was told, as bits of a number, by VM name.
+        peers: Names that peers defined, by VM name.
+    """
+
+    indexes: dict[str, int] = dataclasses.field(default_factory=dict)
+    told: dict[str, int] = dataclasses.field(default_factory=dict)
+    peers: dict[str, PeerNames] = dataclasses.field(default_factory=dict)
+
+
+def compact_envelope(
+    table: NameTable, to: str, envelope: messages.Envelope
+) -> messages.Envelope:
+    """Replaces the names in an envelope by indexes, defining new ones.
+
+    Args:
+        table: This process's names; changed.
+        to: VM name of the receiver.
+        envelope: The envelope with names.
+
+    Returns:
+        The envelope to be encoded.
+
+    Example:
+        >>> claim = messages.Claim(1, "assistant", "mill-a", 1.0)
+        >>> sent = messages.Envelope("engine-0", 5, 1, claim)
+        >>> table = NameTable()
+        >>> [entry.name for entry in
+        ...  compact_envelope(table, "router-0", sent).names]
+        ['assistant', 'mill-a']
+        >>> compact_envelope(table, "router-0", sent).names
+        ()
+    """
+    told = table.told.get(to, 0)
+    fresh: list[messages.NameEntry] = []
+
+    def index_name(name: str) -> int:
+        nonlocal told
+        index = table.indexes.setdefault(name, len(table.indexes))
+        if not told >> index & 1:
+            told |= 1 << index
+            fresh.append(messages.NameEntry(index, name))
+        return index
+
+    message = _rename(envelope.message, index_name)
+    table.told[to] = told
+    return messages.Envelope(
+        envelope.sender,
+        envelope.incarnation,
+        envelope.revision,
+        message,
+        tuple(fresh),
+    )
+
+
+def expand_envelope(
+    table: NameTable, envelope: messages.Envelope
+) -> tuple[messages.Envelope | None, tuple[int, ...]]:
+    """Replaces the indexes in a received envelope by names.
+
+    Args:
+        table: This process's names; changed.
+        envelope: The envelope as decoded.
+
+    Returns:
+        The envelope with names, or None if it is to be dropped; and the
+        indexes that the sender is to define again.
+    """
+    sender, incarnation = envelope.sender, envelope.incarnation
+    peer = table.peers.get(sender)
+    if peer is None or peer.incarnation < incarnation:
+        peer = table.peers[sender] = PeerNames(incarnation)
+        # The peer's new process knows none of what its old one was told.
+        table.told.pop(sender, None)
+    if peer.incarnation > incarnation:
+        # A late message of a process that is gone: by now its indexes mean
+        # other names, and there is nobody left to define them.
+        return None, ()
+    for entry in envelope.names:
+        peer.names[entry.index] = sys.intern(entry.name)
+    unknown: dict[int, None] = {}
+
+    def find_name(index: str | int) -> str:
+        name = peer.names.get(index)
+        if name is None:
+            unknown[index] = None
+            return ""
+        return name
+
+    message = _rename(envelope.message, find_name)
+    if unknown:
+        return None, tuple(unknown)
+    return msgspec.structs.replace(envelope, message=message, names=()), ()
+
+
+def forget_told(table: NameTable, peer: str, indexes: Collection[int]) -> None:
+    """Notes that a peer lacks names, so that they are defined to it again."""
+    told = table.told.get(peer, 0)
+    for index in indexes:
+        if 0 <= index < len(table.indexes):
+            told &= ~(1 << index)
+    table.told[peer] = told
+
+
+def keep_peers(table: NameTable, names: Collection[str]) -> None:
+    """Forgets peers that are not among the named VMs."""
+    for part in (table.told, table.peers):
+        for name in part.keys() - set(names):
+            del part[name]
+
+
+def _rename(message: messages.Message, rename: Rename) -> messages.Message:
+    match message:
+        case messages.Waiting():
+            teams = tuple(
+                messages.TeamWaiting(
+                    rename(entry.team), entry.count, entry.oldest_ms
+                )
+                for entry in message.teams
+            )
+            service = rename(message.service)
+            return messages.Waiting(
+                service, message.sequence, teams, message.complete
+            )
+        case messages.AccountUpdate():
+            entries = tuple(
+                messages.AccountEntry(
+                    rename(entry.team),
+                    rename(entry.label),
+                    entry.sequence,
+                    entry.served,
+                    entry.reserved,
+                    entry.offset,
+                )
+                for entry in message.entries
+            )
+            return messages.AccountUpdate(rename(message.service), entries)
+        case messages.Claim() | messages.NoWork():
+            return msgspec.structs.replace(
+                message,
+                service=rename(message.service),
+                team=rename(message.team),
+            )
+    return message
--- a/sycamorefall/router/core.py
+++ b/sycamorefall/router/core.py
@@ -47,6 +47,8 @@
     match message:
         case messages.Heartbeat():
             news += _take_hint(state, now, envelope, message)
+        case messages.UnknownNames():
+            news += announcement.announce_to(state, now, sender)
         case messages.Claim():
             news += handout.answer_claim(
                 state, now, sender, incarnation, message
--- a/sycamorefall/sharing/__init__.py
+++ b/sycamorefall/sharing/__init__.py
@@ -5,6 +5,7 @@
     "ByteBudget",
     "CostEstimates",
     "Demand",
+    "Exchange",
     "Fairness",
     "ServiceAccounts",
     "WaitingQueues",
@@ -13,13 +14,16 @@
     "choose_team",
     "compute_key",
     "estimate_cost",
+    "find_next_exchange",
     "find_opening",
     "is_open",
     "join_queue",
     "lift_team",
     "list_entries",
+    "list_news",
     "merge_entries",
     "note_cost",
+    "note_sibling",
     "note_waiting",
     "peek_oldest",
     "pop_earliest",
@@ -49,6 +53,12 @@
     estimate_cost,
     note_cost,
 )
+from sycamorefall.sharing.exchange import (
+    Exchange,
+    find_next_exchange,
+    list_news,
+    note_sibling,
+)
 from sycamorefall.sharing.queues import (
     WaitingQueues,
     join_queue,
--- /dev/null
+++ b/sycamorefall/sharing/tests/test_exchange.py
@@ -0,0 +1,146 @@
+"""The exchange of accounts: under its budget, and whole in the end."""
+
+import random
+
+from hypothesis import given
+from hypothesis import strategies as st
+import pytest
+
+from sycamorefall import messages, names, sharing
+from sycamorefall.sharing import exchange as exchange_module
+
+SIBLINGS = ["engine-1", "engine-2"]
+
+
+def measure_size(news):
+    """Bytes on the wire, once all names are known, framing included."""
+    table = names.NameTable()
+    size = 0
+    for sibling, entries in news:
+        update = messages.AccountUpdate("assistant", tuple(entries))
+        envelope = messages.Envelope("upstream-100", 1 << 50, 900, update)
+        for _ in range(2):
+            compact = names.compact_envelope(table, sibling, envelope)
+        size += len(messages.encode_envelope(compact)) + 8
+    return size
+
+
+def run(accounts, seconds, change, siblings=SIBLINGS, begin=0.0):
+    """Runs an exchange, changing the accounts every 10 ms."""
+    exchange = sharing.Exchange()
+    sent = []
+    for step in range(round(seconds * 100)):
+        now = begin + step * 0.01
+        change(now)
+        if now >= sharing.find_next_exchange(exchange, accounts):
+            news = sharing.list_news(exchange, accounts, now, siblings)
+            sent.append((now, news))
+    return sent
+
+
+def test_change_goes_out_at_once_while_the_budget_lasts():
+    accounts, exchange = sharing.ServiceAccounts("own"), sharing.Exchange()
+    for step in range(10):
+        now = step * 0.1
+        sharing.reserve_units(accounts, "mill-a", 50.0)
+        assert sharing.find_next_exchange(exchange, accounts) <= now
+        news = sharing.list_news(exchange, accounts, now, SIBLINGS)
+        assert [name for name, _ in news] == SIBLINGS
+        assert news[0][1][0].reserved == 50 * (step + 1)
+
+
+@pytest.mark.parametrize("siblings", [1, 9, 47])
+@pytest.mark.parametrize("teams", [4, 400])
+def test_exchange_keeps_to_its_budget_and_uses_it(siblings, teams):
+    accounts = sharing.ServiceAccounts("own")
+    chance = random.Random(5)
+    names_ = [f"engine-{index}" for index in range(siblings)]
+
+    def change(_):
+        for _ in range(3):
+            team = f"team-{chance.randrange(teams)}"
+            sharing.charge_team(accounts, team, chance.uniform(1, 5000))
+
+    sent = run(accounts, 60.0, change, names_)
+    size = sum(measure_size(news) for _, news in sent)
+    allowed = (
+        exchange_module.EXCHANGE_BURST + 60 * exchange_module.EXCHANGE_RATE
+    )
+    largest = max(measure_size(news) for _, news in sent)
+    assert size <= allowed + largest
+    assert size >= 0.7 * (allowed - largest)
+
+
+def test_most_changed_teams_go_first_when_not_all_fit():
+    accounts, exchange = sharing.ServiceAccounts("own"), sharing.Exchange()
+    for index in range(200):
+        sharing.charge_team(accounts, f"team-{index:03d}", 10.0 + index)
+    (_, entries), _ = sharing.list_news(exchange, accounts, 0.0, SIBLINGS)
+    assert len(entries) == exchange_module.MOST_ENTRIES
+    assert min(entry.served for entry in entries) >= 10 + 200 - len(entries)
+    assert len(accounts.unsent) == 200 - len(entries)
+
+
+def test_charge_within_the_reservation_is_no_news():
+    accounts, exchange = sharing.ServiceAccounts("own"), sharing.Exchange()
+    sharing.reserve_units(accounts, "mill-a", 100.0)
+    sharing.list_news(exchange, accounts, 0.0, SIBLINGS)
+    exchange.repeats.clear()
+    for _ in range(20):
+        sharing.charge_team(accounts, "mill-a", 4.0)
+        sharing.reserve_units(accounts, "mill-a", -4.0)
+    assert sharing.list_news(exchange, accounts, 1.0, SIBLINGS) == []
+
+
+@given(st.integers(0, 1 << 30), st.integers(1, 40))
+def test_one_lost_update_is_repaired_by_the_repetition(seed, teams):
+    # One update is lost on the way. Until its teams change again the sibling
+    # would order them by old sums, for ever if they stay as they are.
+    chance = random.Random(seed)
+    accounts = sharing.ServiceAccounts("own")
+    sibling = sharing.ServiceAccounts("other")
+
+    def change(now):
+        if now < 2.0:
+            team = f"team-{chance.randrange(teams)}"
+            sharing.charge_team(accounts, team, chance.uniform(2, 500))
+
+    sent = run(accounts, 60.0, change)
+    lost = chance.randrange(len(sent))
+    for index, (_, news) in enumerate(sent):
+        if index != lost:
+            sharing.merge_entries(sibling, news[0][1])
+    for team, account in accounts.teams.items():
+        known = sibling.teams[team].total
+        assert abs(known - account.total) <= exchange_module.WORTH_TELLING
+
+
+def test_new_sibling_is_told_of_owners_that_are_gone():
+    # A sidecar fails for good, another restarts: only older siblings still
+    # know what the first one gave to the flooding team, which the restarted
+    # one would serve ahead of all others.
+    accounts, exchange = sharing.ServiceAccounts("own"), sharing.Exchange()
+    gone = [
+        messages.AccountEntry(f"team-{n}", "gone/1", 3, 100 * n, 0, 0)
+        for n in range(1, 151)
+    ]
+    sharing.merge_entries(accounts, gone)
+    newcomer = sharing.ServiceAccounts("engine-1/2")
+    sharing.note_sibling(exchange, accounts, "engine-1", everything=True)
+    now = 0.0
+    while exchange.pages:
+        now = max(now, sharing.find_next_exchange(exchange, accounts))
+        for name, entries in sharing.list_news(
+            exchange, accounts, now, SIBLINGS
+        ):
+            assert name == "engine-1"
+            sharing.merge_entries(newcomer, entries)
+    assert {
+        team: account.total for team, account in newcomer.teams.items()
+    } == {team: account.total for team, account in accounts.teams.items()}
+
+
+def test_nothing_is_due_while_nothing_changed():
+    exchange = sharing.Exchange()
+    accounts = sharing.ServiceAccounts("own")
+    assert sharing.find_next_exchange(exchange, accounts) == float("inf")
--- a/sycamorefall/sidecar/core.py
+++ b/sycamorefall/sidecar/core.py
@@ -16,8 +16,11 @@
 HEARTBEAT_INTERVAL = 1.0
 """Seconds between heartbeats."""
 
-EXCHANGE_INTERVAL = 0.02
-"""Seconds between two sendings of changed account entries."""
+SIBLING_INTERVAL = 5.0
+"""Seconds between heartbeats to siblings."""
+
+SIBLING_SILENCE = 12.0
+"""Seconds of silence after which a sibling is told everything again."""
 
 
 def apply_configuration(state: state_module.SidecarState) -> None:
@@ -52,10 +55,11 @@
         return []
     message = envelope.message
     stopping = isinstance(message, messages.Heartbeat) and message.stopping
-    is_new = membership.note_heartbeat(
+    known = state.directory.peers.get(sender)
+    membership.note_heartbeat(
         state.directory, now, sender, envelope.incarnation, stopping
     )
-    replies = _greet(state, sender) if is_new else []
+    replies = _greet(state, now, sender, known)
     match message:
         case messages.Waiting():
             _take_waiting(state, now, envelope, message)
@@ -64,6 +68,10 @@
         case messages.AccountUpdate():
             if message.service == state.service:
                 sharing.merge_entries(state.accounts, message.entries)
+        case messages.UnknownNames():
+            sharing.note_sibling(
+                state.exchange, state.accounts, sender, everything=False
+            )
         case messages.AttemptQuery():
             known = dispatch.answer_query(
                 state.outcomes, now, message.attempt_id
@@ -89,18 +97,33 @@
         sharing.lift_team(state.fairness, state.accounts, team, weight)
 
 
-def _greet(state: state_module.SidecarState, peer: str) -> list[effects.Send]:
-    """Tells a new router of this sidecar, a new sidecar all accounts."""
-    vm = state.directory.vms[peer]
+def _greet(
+    state: state_module.SidecarState,
+    now: float,
+    sender: str,
+    known: membership.Peer | None,
+) -> list[effects.Send]:
+    """Tells a new router of this sidecar, a new sibling of the accounts.
+
+    Guards against a sibling that restarted, or that a partition cut off for
+    longer than any repetition lasts: without the entries it missed it would
+    serve a team first that others know to be far ahead.
+    """
+    vm = state.directory.vms[sender]
+    peer = state.directory.peers[sender]
+    restarted = known is None or known.incarnation != peer.incarnation
+    silence = float("inf") if restarted else now - known.heard_at
     if vm.role is membership.VmRole.ROUTER:
-        return [effects.Send(peer, hinting.build_heartbeat(state))]
-    if vm.service != state.service or not state.accounts.teams:
-        return []
-    entries = sharing.list_entries(
-        state.accounts, state.accounts.teams, own_only=False
-    )
-    update = messages.AccountUpdate(state.service, tuple(entries))
-    return [effects.Send(peer, update)]
+        met = silence > membership.SUSPECT_AFTER
+        beat = hinting.build_heartbeat(state)
+        return [effects.Send(sender, beat)] if met else []
+    if vm.service == state.service and silence > SIBLING_SILENCE:
+        siblings = _list_siblings(state, now)
+        tellers = membership.choose_tellers(sender, [state.vm, *siblings])
+        sharing.note_sibling(
+            state.exchange, state.accounts, sender, state.vm in tellers
+        )
+    return []
 
 
 def run_timers(
@@ -121,8 +144,11 @@
         state.next_heartbeat = now + HEARTBEAT_INTERVAL
         outcomes.expire_records(state.outcomes, now)
         due += hinting.send_heartbeats(state, now)
-    if now >= state.next_exchange and state.accounts.unsent:
-        state.next_exchange = now + EXCHANGE_INTERVAL
+    if now >= state.next_sibling_beat:
+        state.next_sibling_beat = now + SIBLING_INTERVAL
+        beat = messages.Heartbeat(state.stopping)
+        due += [effects.Send(name, beat) for name in _list_siblings(state, now)]
+    if now >= sharing.find_next_exchange(state.exchange, state.accounts):
         due += _send_accounts(state, now)
     return due + claiming.make_claims(state, now)
 
@@ -130,18 +156,27 @@
 def find_next_due(state: state_module.SidecarState) -> float:
     """Tells when `run_timers` has something to do next."""
     leases = (claim.expires for claim in state.claims.open.values())
-    exchange = [state.next_exchange] if state.accounts.unsent else []
-    hint = hinting.find_next_hint(state)
-    return min([state.next_heartbeat, hint, *leases, *exchange])
+    return min(
+        state.next_heartbeat,
+        state.next_sibling_beat,
+        hinting.find_next_hint(state),
+        sharing.find_next_exchange(state.exchange, state.accounts),
+        *leases,
+    )
 
 
 def _send_accounts(
     state: state_module.SidecarState, now: float
 ) -> list[effects.Send]:
-    entries = sharing.list_entries(state.accounts, state.accounts.unsent)
-    state.accounts.unsent.clear()
-    update = messages.AccountUpdate(state.service, tuple(entries))
-    siblings = membership.list_siblings(
-        state.links, state.directory, now, state.vm
-    )
-    return [effects.Send(name, update) for name in siblings]
+    siblings = _list_siblings(state, now)
+    news = sharing.list_news(state.exchange, state.accounts, now, siblings)
+    return [
+        effects.Send(
+            name, messages.AccountUpdate(state.service, tuple(entries))
+        )
+        for name, entries in news
+    ]
+
+
+def _list_siblings(state: state_module.SidecarState, now: float) -> list[str]:
+    return membership.list_siblings(state.links, state.directory, now, state.vm)
--- a/sycamorefall/sidecar/state.py
+++ b/sycamorefall/sidecar/state.py
@@ -53,11 +53,11 @@
         next_heartbeat: When the next heartbeat is due.
         was_idle: Whether there was room and nothing to claim, when last
             looked at.
-        next_search: When an idle sidecar asks further routers next.
+        next_sibling_beat: When the next heartbeat to siblings is due.
         search_pause: Seconds until the search after that.
         chance: Source of random choices.
         hinting: What may be sent for hints outside of heartbeats.
-        next_exchange: When changed accounts are sent next.
+        exchange: What siblings were told of the accounts.
         stopping: Whether no new work is taken.
     """
 
@@ -93,6 +93,7 @@
     )
     next_heartbeat: float = 0.0
     was_idle: bool = False
+    next_sibling_beat: float = 0.0
     next_search: float = 0.0
     search_pause: float = 0.0
     chance: random.Random = dataclasses.field(default_factory=random.Random)
@@ -101,7 +102,9 @@
             HINT_RATE, HINT_BURST, HINT_BURST
         )
     )
-    next_exchange: float = 0.0
+    exchange: sharing.Exchange = dataclasses.field(
+        default_factory=sharing.Exchange
+    )
     stopping: bool = False
 
     def __post_init__(self):
--- a/sycamorefall/transport/control.py
+++ b/sycamorefall/transport/control.py
@@ -12,9 +12,10 @@
 
 import circuits
 from circuits.core import pollers
+import msgspec
 import pynng
 
-from sycamorefall import errors, messages
+from sycamorefall import errors, messages, names
 
 SEND_BUFFER = 256
 """Messages that wait for a peer that is slow or not reached yet."""
@@ -55,6 +56,7 @@
         bytes_received: Size of all messages received.
         dropped: Messages that a full link dropped.
         refused: Received messages that could not be decoded.
+        unnamed: Received messages dropped for names not known.
     """
 
     channel = "control"
@@ -83,6 +85,9 @@
         self.bytes_received = 0
         self.dropped = 0
         self.refused = 0
+        self.unnamed = 0
+        self._names = names.NameTable()
+        self._last_sent: messages.Envelope | None = None
         self._inbox = pynng.Pull0(recv_buffer_size=RECEIVE_BUFFER)
         try:
             self._inbox.listen(f"tcp://{listen}")
@@ -102,7 +107,9 @@
         if link is None or link.address != address:
             self._close_link(to)
             link = self._links[to] = _Link(address)
-        data = messages.encode_envelope(envelope)
+        self._last_sent = envelope
+        compact = names.compact_envelope(self._names, to, envelope)
+        data = messages.encode_envelope(compact)
         try:
             link.socket.send(data, block=False)
         except pynng.NNGException:
@@ -115,10 +122,11 @@
         if link is not None:
             link.socket.close()
 
-    def keep_only(self, names: set[str]) -> None:
+    def keep_only(self, vms: set[str]) -> None:
         """Closes the links to VMs that are not among the named."""
-        for name in self._links.keys() - names:
+        for name in self._links.keys() - vms:
             self._close_link(name)
+        names.keep_peers(self._names, vms)
 
     @circuits.handler("_read")
     def _on_read(self, _) -> None:
@@ -137,4 +145,25 @@
             self.refused += 1
             _logger.warning("control message refused: %s", fault)
             return
-        self._on_envelope(envelope)
+        expanded, unknown = names.expand_envelope(self._names, envelope)
+        if expanded is None:
+            self.unnamed += 1
+            self._ask_names(envelope.sender, unknown)
+            return
+        if isinstance(expanded.message, messages.UnknownNames):
+            indexes = expanded.message.indexes
+            names.forget_told(self._names, expanded.sender, indexes)
+        self._on_envelope(expanded)
+
+    def _ask_names(self, sender: str, unknown: tuple[int, ...]) -> None:
+        """Asks a peer for names.
+
+        Guards against a lost definition, and against a restart of this
+        process, which forgot what peers defined: every message that uses the
+        name would be dropped. The peer also sends anew what it may have lost.
+        """
+        if unknown and self._last_sent is not None:
+            question = msgspec.structs.replace(
+                self._last_sent, message=messages.UnknownNames(unknown)
+            )
+            self.send(sender, question)
