Claim ahead only for a backlog

Change: without a free slot a sidecar claims only if more requests are known to wait than it has siblings.

--- a/benchmarks/control.py
+++ b/benchmarks/control.py
@@ -52,6 +52,9 @@
         "started": len(counts.waits),
         "wait_trips_p50": round(waits[len(waits) // 2] / events.TRIP, 1),
         "wait_trips_p95": round(waits[int(len(waits) * 0.95)] / events.TRIP, 1),
+        "lost_capacity": round(
+            counts.lost / (case.slots * case.sidecars * seconds), 4
+        ),
         "by_kind": kinds,
     }
 
--- a/benchmarks/events.py
+++ b/benchmarks/events.py
@@ -71,6 +71,7 @@
         kinds: Bytes sent by kind of message.
         messages: Messages sent by kind.
         waits: Seconds from arrival to start, by request.
+        lost: Slot seconds that were free while requests waited.
     """
 
     sent: collections.Counter = dataclasses.field(
@@ -86,6 +87,24 @@
         default_factory=collections.Counter
     )
     waits: list[float] = dataclasses.field(default_factory=list)
+    lost: float = 0.0
+
+
+@dataclasses.dataclass(slots=True)
+class Load:
+    """Requests of one service that wait and run, over all nodes.
+
+    Attributes:
+        slots: Slots of all upstreams.
+        waiting: Requests that came and did not start.
+        running: Requests in progress.
+        changed: When one of these changed last.
+    """
+
+    slots: int
+    waiting: int = 0
+    running: int = 0
+    changed: float = 0.0
 
 
 class World:
@@ -101,6 +120,12 @@
         self._numbers = itertools.count()
         self._timers: dict[str, float] = {}
         self.nodes = _create_nodes(case)
+        self.loads = {
+            f"service-{index}": Load(
+                case.slots * len(range(index, case.sidecars, case.services))
+            )
+            for index in range(case.services)
+        }
         self.names = {name: names.NameTable() for name in self.nodes}
 
     def run(self) -> Counts:
@@ -121,6 +146,17 @@
         """Tells whether the run's second half has begun."""
         return self.now >= self.case.seconds / 2
 
+    def note_load(self, service: str, waiting: int, running: int) -> None:
+        """Counts requests that wait or run, and capacity lost until now."""
+        load = self.loads[service]
+        if self.is_counted():
+            begun = max(load.changed, self.case.seconds / 2)
+            idle = max(0, min(load.slots - load.running, load.waiting))
+            self.counts.lost += (self.now - begun) * idle
+        load.changed = self.now
+        load.waiting += waiting
+        load.running += running
+
     def tick(self, name: str) -> None:
         """Runs a node's timers."""
         core = _find_core(self.nodes[name])
@@ -206,6 +242,7 @@
             self.nodes[router], self.now, new
         )
         self.arrivals[f"{router}/{INCARNATION}/{number}"] = self.now
+        self.note_load(new.service, 1, 0)
         self.perform(router, outcome)
         self.at(self.now + self.chance.expovariate(case.rate), self.arrive)
 
@@ -221,6 +258,7 @@
                 lambda: self.finish(router, order.attempt_id, end),
             )
             return
+        self.note_load(order.service, -1, 1)
         arrived = self.arrivals.pop(order.attempt_id.rpartition("/")[0], None)
         if arrived is not None and self.is_counted():
             self.counts.waits.append(self.now - arrived)
@@ -236,6 +274,7 @@
     ) -> None:
         """Lets a run end at its upstream."""
         node = self.nodes[name]
+        self.note_load(node.service, 0, -1)
         running.charge_run(node, attempt_id, seconds * 1000.0)
         running.finish_run(node, self.now, attempt_id)
         self.perform(name, claiming.make_claims(node, self.now))
--- a/sycamorefall/sharing/demand.py
+++ b/sycamorefall/sharing/demand.py
@@ -51,10 +51,12 @@
     Attributes:
         routers: Announcements by router.
         teams: Names of routers with work, by team.
+        total: Requests believed to wait, over all teams and routers.
     """
 
     routers: dict[str, RouterDemand] = dataclasses.field(default_factory=dict)
     teams: dict[str, set[str]] = dataclasses.field(default_factory=dict)
+    total: int = 0
 
 
 def note_waiting(
@@ -101,6 +103,8 @@
     demand: Demand, router: str, team: str, count: int, since: float
 ) -> None:
     teams = demand.routers[router].teams
+    before = teams[team].count if team in teams else 0
+    demand.total += max(0, count) - before
     if count > 0:
         teams[team] = TeamDemand(count, since)
         demand.teams.setdefault(team, set()).add(router)
--- a/sycamorefall/sidecar/claiming.py
+++ b/sycamorefall/sidecar/claiming.py
@@ -1,6 +1,7 @@
 """A sidecar's claims: which team's request it asks which router for."""
 
 __all__ = [
+    "count_free",
     "find_weight",
     "make_claims",
     "may_claim",
@@ -45,7 +46,7 @@
         state.limit, len(state.runs), len(state.claims.open)
     )
     claims: list[effects.Send] = []
-    while len(claims) < room:
+    while len(claims) < room and _is_worth_claiming(state, now):
         claim = _claim_one(state, now)
         if claim is None:
             break
@@ -54,6 +55,29 @@
     return claims
 
 
+def _is_worth_claiming(state: state_module.SidecarState, now: float) -> bool:
+    """Tells whether a claim would get a request, and get it served soon.
+
+    Guards against claims by everybody for the same few requests: with no
+    slot free, a claim ahead is for a backlog. For less than a request a
+    sidecar most of them come back empty, and the first one binds its request
+    to an upstream that is full, while another comes free sooner.
+    """
+    if count_free(state) > 0:
+        return True
+    siblings = membership.list_siblings(
+        state.links, state.directory, now, state.vm
+    )
+    return state.demand.total > len(siblings)
+
+
+def count_free(state: state_module.SidecarState) -> int:
+    """Counts slots that are neither in use nor claimed for."""
+    limit = state.limit
+    taken = limit.foreign + len(state.runs) + len(state.claims.open)
+    return max(0, limit.cap - taken)
+
+
 def may_claim(state: state_module.SidecarState) -> bool:
     """Tells whether this sidecar may take new work at all."""
     in_force = state.versions.configuration
--- a/sycamorefall/sidecar/hinting.py
+++ b/sycamorefall/sidecar/hinting.py
@@ -11,7 +11,7 @@
 from collections.abc import Sequence
 
 from sycamorefall import effects, membership, messages, sharing
-from sycamorefall.sidecar import offers
+from sycamorefall.sidecar import claiming, offers
 from sycamorefall.sidecar import state as state_module
 
 HEARTBEAT_BYTES = 40
@@ -29,7 +29,7 @@
 
 def build_heartbeat(state: state_module.SidecarState) -> messages.Heartbeat:
     """Builds a heartbeat with the slots that are free for offers."""
-    room = offers.count_free(state) if offers.is_idle(state) else 0
+    room = claiming.count_free(state) if offers.is_idle(state) else 0
     return messages.Heartbeat(state.stopping, room)
 
 
--- a/sycamorefall/sidecar/offers.py
+++ b/sycamorefall/sidecar/offers.py
@@ -1,6 +1,6 @@
 """Offers at a sidecar: requests that a router sends without a claim."""
 
-__all__ = ["count_free", "is_idle", "redeem_order"]
+__all__ = ["is_idle", "redeem_order"]
 
 from sycamorefall import dispatch, messages, sharing
 from sycamorefall.sidecar import claiming
@@ -21,7 +21,7 @@
         The claim, with the units reserved for the request; None if the
         attempt is to be refused.
     """
-    if count_free(state) <= 1:
+    if claiming.count_free(state) <= 1:
         state.was_idle = False
     if order.claim_id != messages.UNCLAIMED:
         return dispatch.redeem_claim(
@@ -43,7 +43,7 @@
     fill the upstream beyond its limit, and against overtaking: a team that
     waits elsewhere and received less goes first.
     """
-    if not claiming.may_claim(state) or count_free(state) <= 0:
+    if not claiming.may_claim(state) or claiming.count_free(state) <= 0:
         return False
     # A team that was idle has not saved up service: it counts as lifted.
     key = max(_compute_key(state, team), state.fairness.floor)
@@ -57,15 +57,8 @@
     return sharing.compute_key(state.accounts, team, weight)
 
 
-def count_free(state: state_module.SidecarState) -> int:
-    """Counts slots that are neither in use nor claimed for."""
-    limit = state.limit
-    taken = limit.foreign + len(state.runs) + len(state.claims.open)
-    return max(0, limit.cap - taken)
-
-
 def is_idle(state: state_module.SidecarState) -> bool:
     """Tells whether there is room and nothing known to claim."""
     if state.demand.teams or not claiming.may_claim(state):
         return False
-    return count_free(state) > 0
+    return claiming.count_free(state) > 0
