Tell a few sidecars of each waiting request, and hint anew as room doubles

Cause: just below capacity the announcements to all sidecars overdrew their budget, so waiting requests stayed unknown while sidecars idled that had hinted once and whose hint was used up. A trace of the event queue showed 28 requests waiting beside 29 free slots, the routers 8,000 B overdrawn.

Change: a waiting request is told to two sidecars, hinted ones first and by the newest hint, and its end only to those; a hint that finds one team waiting is answered with offers; hints repeat when the room has doubled, to four routers; budgets for announcements and hints are what heartbeats leave of them, so they are larger with few links. A claim whose lease runs out drops that router's announced work: a failed router costs one lease and not one for each request. The event queue lets requests beyond an upstream's slots wait there; without that, claims ahead had looked like free capacity.

--- a/benchmarks/events.py
+++ b/benchmarks/events.py
@@ -120,6 +120,10 @@
         self._numbers = itertools.count()
         self._timers: dict[str, float] = {}
         self.nodes = _create_nodes(case)
+        self.slots = {
+            f"upstream-{index}": [0.0] * case.slots
+            for index in range(case.sidecars)
+        }
         self.loads = {
             f"service-{index}": Load(
                 case.slots * len(range(index, case.sidecars, case.services))
@@ -258,16 +262,29 @@
                 lambda: self.finish(router, order.attempt_id, end),
             )
             return
+        # A request claimed ahead of a slot waits for it at the upstream.
+        begins = max(self.now, heapq.heappop(self.slots[name]))
+        seconds = self.chance.expovariate(1 / self.case.work)
+        heapq.heappush(self.slots[name], begins + seconds)
+        self.at(begins, lambda: self.begin(router, name, order, seconds))
+        self.plan_tick(name)
+
+    def begin(
+        self,
+        router: str,
+        name: str,
+        order: messages.AttemptOrder,
+        seconds: float,
+    ) -> None:
+        """Lets a run begin at its upstream."""
         self.note_load(order.service, -1, 1)
         arrived = self.arrivals.pop(order.attempt_id.rpartition("/")[0], None)
         if arrived is not None and self.is_counted():
             self.counts.waits.append(self.now - arrived)
-        seconds = self.chance.expovariate(1 / self.case.work)
         self.at(
             self.now + seconds,
             lambda: self.end(router, name, order.attempt_id, seconds),
         )
-        self.plan_tick(name)
 
     def end(
         self, router: str, name: str, attempt_id: str, seconds: float
--- a/sycamorefall/router/announcement.py
+++ b/sycamorefall/router/announcement.py
@@ -13,6 +13,7 @@
 import itertools
 
 from sycamorefall import effects, membership, messages, sharing
+from sycamorefall.router import hints
 from sycamorefall.router import state as state_module
 from sycamorefall.sharing import queues
 
@@ -25,6 +26,9 @@
 URGENT_OVERDRAFT = 6000.0
 """Bytes by which the first word on a team's work may overdraw the budget."""
 
+TOLD_PER_REQUEST = 2
+"""Sidecars that are told of one waiting request."""
+
 HEAD_BYTES = 40
 """Size of an announcement without its teams, framing included."""
 
@@ -111,10 +115,49 @@
     sends: list[effects.Send] = []
     for service, keys in itertools.groupby(telling, lambda key: key[0]):
         teams = [team for _, team in keys]
-        sends += _announce_teams(state, now, service, teams, complete=False)
+        sends += _tell_teams(state, now, service, teams)
     return sends
 
 
+def _tell_teams(
+    state: state_module.RouterState,
+    now: float,
+    service: str,
+    teams: list[str],
+) -> list[effects.Send]:
+    """Tells of changes to as many sidecars as can do something about them.
+
+    Guards against claims by everybody for the same few requests, most of
+    which come back empty: for each waiting request a few sidecars are told,
+    those with free slots first, the others drawn anew each time; and of none
+    only those who were told of some. A sidecar that was not told and has
+    nothing to claim hints, and is told then.
+    """
+    receivers = _list_receivers(state, now, service)
+    drawn = state.chance.sample(receivers, len(receivers))
+    parts: dict[str, list[messages.TeamWaiting]] = {}
+    for team in teams:
+        key = service, team
+        entry = _describe_team(state, now, service, team)
+        before = state.told.get(key, set())
+        chosen = hints.take_slots(state, now, service, entry.count)
+        others = [name for name in drawn if name not in chosen]
+        wanted = TOLD_PER_REQUEST * entry.count - len(chosen)
+        chosen += others[: max(0, wanted)]
+        if entry.count:
+            state.told[key] = before | set(chosen)
+        else:
+            chosen = sorted(before)
+            del state.told[key]
+        _set_or_drop(state.announced, key, entry.count)
+        for name in chosen:
+            parts.setdefault(name, []).append(entry)
+    return [
+        _send_waiting(state, now, name, service, entries, complete=False)
+        for name, entries in parts.items()
+    ]
+
+
 def _is_news(state: state_module.RouterState, key: tuple[str, str]) -> bool:
     count = queues.count_waiting(state.waiting, *key)
     if count == 0:
@@ -141,11 +184,12 @@
     Returns:
         Messages to send.
     """
-    told = {service for service, _ in state.told}
+    services = {service for service, _ in state.told}
+    state.told.clear()
+    state.announced.clear()
     sends: list[effects.Send] = []
-    for service in sorted(set(state.waiting.queues) | told):
-        teams = state.waiting.queues.get(service, {})
-        sends += _announce_teams(state, now, service, teams, complete=True)
+    for service in sorted(services | set(state.waiting.queues)):
+        sends += _tell_all(state, now, service)
     cost = sum(_measure_size(send.message) for send in sends)
     pause = cost / (state.announcing.rate * DIGEST_SHARE)
     state.next_digest = now + max(DIGEST_INTERVAL, pause)
@@ -169,30 +213,42 @@
     teams = state.waiting.queues.get(service)
     if not teams:
         return []
-    message = _build_waiting(state, now, service, teams, complete=True)
-    sharing.spend_bytes(state.announcing, now, _measure_size(message))
-    return [effects.Send(sidecar, message)]
+    entries = [_describe_team(state, now, service, team) for team in teams]
+    for team in teams:
+        state.told.setdefault((service, team), set()).add(sidecar)
+    return [_send_waiting(state, now, sidecar, service, entries, complete=True)]
 
 
-def _announce_teams(
+def _tell_all(
+    state: state_module.RouterState, now: float, service: str
+) -> list[effects.Send]:
+    receivers = _list_receivers(state, now, service)
+    teams = state.waiting.queues.get(service, {})
+    entries = [_describe_team(state, now, service, team) for team in teams]
+    for entry in entries:
+        key = service, entry.team
+        state.told[key] = set(receivers)
+        state.announced[key] = entry.count
+    return [
+        _send_waiting(state, now, name, service, entries, complete=True)
+        for name in receivers
+    ]
+
+
+def _send_waiting(
     state: state_module.RouterState,
     now: float,
+    to: str,
     service: str,
-    teams,
+    entries: list[messages.TeamWaiting],
     complete: bool,
-) -> list[effects.Send]:
-    message = _build_waiting(state, now, service, teams, complete)
-    for entry in message.teams:
-        _note_told(state, (service, entry.team), entry.count)
-    if complete:
-        told = {entry.team for entry in message.teams}
-        for key in [key for key in state.told if key[0] == service]:
-            if key[1] not in told:
-                _note_told(state, key, 0)
-    receivers = _list_receivers(state, now, service)
-    size = _measure_size(message) * len(receivers)
-    sharing.spend_bytes(state.announcing, now, size)
-    return [effects.Send(name, message) for name in receivers]
+) -> effects.Send:
+    state.announcements += 1
+    message = messages.Waiting(
+        service, state.announcements, tuple(entries), complete
+    )
+    sharing.spend_bytes(state.announcing, now, _measure_size(message))
+    return effects.Send(to, message)
 
 
 def _list_receivers(
@@ -206,28 +262,6 @@
     return [name for name in linked if name in names]
 
 
-def _note_told(
-    state: state_module.RouterState, key: tuple[str, str], count: int
-) -> None:
-    _set_or_drop(state.announced, key, count)
-    if count:
-        state.told.add(key)
-    else:
-        state.told.discard(key)
-
-
-def _build_waiting(
-    state: state_module.RouterState,
-    now: float,
-    service: str,
-    teams,
-    complete: bool,
-) -> messages.Waiting:
-    state.announcements += 1
-    entries = tuple(_describe_team(state, now, service, team) for team in teams)
-    return messages.Waiting(service, state.announcements, entries, complete)
-
-
 def _describe_team(
     state: state_module.RouterState, now: float, service: str, team: str
 ) -> messages.TeamWaiting:
--- a/sycamorefall/router/core.py
+++ b/sycamorefall/router/core.py
@@ -4,7 +4,7 @@
 
 import heapq
 
-from sycamorefall import effects, errors, membership, messages
+from sycamorefall import effects, errors, membership, messages, sharing
 from sycamorefall.router import announcement, handout, hints, intake, offering
 from sycamorefall.router import effects as router_effects
 from sycamorefall.router import state as state_module
@@ -80,7 +80,10 @@
     service = state.directory.vms[sidecar].service
     room = 0 if beat.stopping else beat.room
     hints.note_hint(state, service, sidecar, envelope.incarnation, room)
-    return announcement.announce_to(state, now, sidecar) if room else []
+    if not room:
+        return []
+    offers = offering.offer_to_room(state, now, service, sidecar)
+    return offers or announcement.announce_to(state, now, sidecar)
 
 
 def run_timers(
@@ -136,13 +139,17 @@
 ) -> list[router_effects.Effect]:
     beat = messages.Heartbeat(state.stopping)
     services = {vm.service for vm in state.directory.vms.values()}
-    return [
-        effects.Send(name, beat)
+    linked = [
+        name
         for service in sorted(services)
         for name in membership.list_sidecars(
             state.links, state.directory, now, state.vm, service
         )
     ]
+    state.announcing.rate = sharing.share_rate(
+        state_module.ANNOUNCE_RATE, state_module.HEARTBEAT_RATE, len(linked)
+    )
+    return [effects.Send(name, beat) for name in linked]
 
 
 def _expire_requests(
--- a/sycamorefall/router/hints.py
+++ b/sycamorefall/router/hints.py
@@ -1,6 +1,6 @@
 """Hints of sidecars at free slots, and what a router makes of them."""
 
-__all__ = ["note_end", "note_hint", "take_slot"]
+__all__ = ["list_free", "note_end", "note_hint", "take_slot", "take_slots"]
 
 from sycamorefall import membership
 from sycamorefall.router import state as state_module
@@ -27,10 +27,9 @@
         slots: Slots that are free and that it knows no work for.
     """
     hints = state.hints.setdefault(service, {})
+    hints.pop(sidecar, None)
     if slots > 0:
         hints[sidecar] = state_module.Hint(incarnation, slots)
-    else:
-        hints.pop(sidecar, None)
 
 
 def note_end(
@@ -57,6 +56,65 @@
         hint.slots += 1
 
 
+def list_free(
+    state: state_module.RouterState, now: float, service: str
+) -> dict[str, state_module.Hint]:
+    """Lists the sidecars that are known to have free slots.
+
+    Args:
+        state: The router; hints that are too old to use are dropped.
+        now: This process's time.
+        service: The service.
+
+    Returns:
+        Hints by VM name, the newest last.
+    """
+    hints = state.hints.get(service)
+    if not hints:
+        return {}
+    usable = {
+        vm.name: state.directory.peers[vm.name].incarnation
+        for vm in membership.select_upstreams(state.directory, now, service)
+    }
+    state.hints[service] = {
+        name: hint
+        for name, hint in hints.items()
+        if usable.get(name) == hint.incarnation
+    }
+    return {
+        name: hint
+        for name, hint in state.hints[service].items()
+        if hint.slots > 0
+    }
+
+
+def take_slots(
+    state: state_module.RouterState, now: float, service: str, count: int
+) -> list[str]:
+    """Takes free slots for waiting requests, by the newest hints first.
+
+    The fuller the upstreams, the sooner a hint is out of date.
+
+    Args:
+        state: The router; changed.
+        now: This process's time.
+        service: The service.
+        count: Requests that wait.
+
+    Returns:
+        VM names of sidecars.
+    """
+    chosen: list[str] = []
+    for name, hint in reversed(list_free(state, now, service).items()):
+        if count == 0:
+            break
+        taken = min(count, hint.slots)
+        hint.slots -= taken
+        count -= taken
+        chosen.append(name)
+    return chosen
+
+
 def take_slot(
     state: state_module.RouterState, now: float, service: str
 ) -> str | None:
@@ -74,19 +132,10 @@
     Returns:
         VM name of the sidecar, or None if none is known to have room.
     """
-    hints = state.hints.get(service)
-    if not hints:
-        return None
-    usable = {
-        vm.name
-        for vm in membership.select_upstreams(state.directory, now, service)
-    }
-    for name in [name for name in hints if name not in usable]:
-        del hints[name]
-    free = [name for name, hint in hints.items() if hint.slots > 0]
+    free = list_free(state, now, service)
     if not free:
         return None
-    pair = state.chance.sample(free, min(2, len(free)))
-    best = max(pair, key=lambda name: hints[name].slots)
-    hints[best].slots -= 1
+    pair = state.chance.sample(list(free), min(2, len(free)))
+    best = max(pair, key=lambda name: free[name].slots)
+    free[best].slots -= 1
     return best
--- a/sycamorefall/router/offering.py
+++ b/sycamorefall/router/offering.py
@@ -1,9 +1,9 @@
 """Offers: a fresh request goes to a sidecar with room without a claim."""
 
-__all__ = ["offer_fresh"]
+__all__ = ["offer_fresh", "offer_to_room"]
 
+from sycamorefall.router import announcement, handout, hints
 from sycamorefall.router import effects as router_effects
-from sycamorefall.router import handout, hints
 from sycamorefall.router import state as state_module
 from sycamorefall.sharing import queues
 
@@ -30,19 +30,57 @@
 def _offer_service(
     state: state_module.RouterState, now: float, service: str
 ) -> list[router_effects.Effect]:
-    numbers = _list_fresh(state, service)
     offers: list[router_effects.Effect] = []
-    for number in numbers:
-        request = state.requests[number]
+    for number in _list_fresh(state, service):
         sidecar = hints.take_slot(state, now, service)
         if sidecar is None:
             break
-        incarnation = state.hints[service][sidecar].incarnation
-        queues.leave_queue(state.waiting, service, request.new.team, number)
-        state.counted.pop((service, request.new.team), None)
-        offer = handout.offer_request(state, now, request, sidecar, incarnation)
-        request.attempt.offered = True
-        offers.append(offer)
+        offers.append(_offer(state, now, number, sidecar))
+    return offers
+
+
+def _offer(
+    state: state_module.RouterState, now: float, number: int, sidecar: str
+) -> router_effects.Effect:
+    request = state.requests[number]
+    new = request.new
+    incarnation = state.hints[new.service][sidecar].incarnation
+    queues.leave_queue(state.waiting, new.service, new.team, number)
+    announcement.announce_team(state, now, new.service, new.team)
+    offer = handout.offer_request(state, now, request, sidecar, incarnation)
+    request.attempt.offered = True
+    return offer
+
+
+def offer_to_room(
+    state: state_module.RouterState, now: float, service: str, sidecar: str
+) -> list[router_effects.Effect]:
+    """Offers what waits to a sidecar that just hinted, if one team waits.
+
+    With one team there is nothing to choose, so its requests take the hint
+    at once; among several the sidecar chooses, by the accounts. A request
+    that was refused before is left to the sidecars' claims.
+
+    Args:
+        state: The router; changed.
+        now: This process's time.
+        service: The sidecar's service.
+        sidecar: VM name of the sidecar.
+
+    Returns:
+        Hand-outs without a claim.
+    """
+    teams = state.waiting.queues.get(service, {})
+    hint = hints.list_free(state, now, service).get(sidecar)
+    if len(teams) != 1 or hint is None:
+        return []
+    numbers = [number for queue in teams.values() for number in queue.arrivals]
+    offers: list[router_effects.Effect] = []
+    for number in numbers:
+        if hint.slots == 0 or state.requests[number].attempts:
+            break
+        hint.slots -= 1
+        offers.append(_offer(state, now, number, sidecar))
     return offers
 
 
--- a/sycamorefall/router/state.py
+++ b/sycamorefall/router/state.py
@@ -50,8 +50,11 @@
     cost_hint: float = 0.0
 
 
-ANNOUNCE_RATE = 1200.0
-"""Bytes per second that a router may send for announcements."""
+ANNOUNCE_RATE = 3300.0
+"""Bytes per second that a router without links may send for announcements."""
+
+HEARTBEAT_RATE = 50.0
+"""Bytes per second that the heartbeats of a link take, both ways."""
 
 ANNOUNCE_BURST = 4800.0
 """Bytes of announcements that a router may save up."""
@@ -134,7 +137,7 @@
         rates: Drain rate by service and team.
         announced: What sidecars that claimed believe to wait, by service
             and team: the last announced count, less what left since.
-        told: Services and teams last announced with something waiting.
+        told: Sidecars that believe something to wait, by service and team.
         counted: Count at the last change, by service and team.
         changed: Services and teams whose count changed and was not looked at
             for an announcement yet.
@@ -174,7 +177,9 @@
     announced: dict[tuple[str, str], int] = dataclasses.field(
         default_factory=dict
     )
-    told: set[tuple[str, str]] = dataclasses.field(default_factory=set)
+    told: dict[tuple[str, str], set[str]] = dataclasses.field(
+        default_factory=dict
+    )
     counted: dict[tuple[str, str], int] = dataclasses.field(
         default_factory=dict
     )
--- a/sycamorefall/sharing/__init__.py
+++ b/sycamorefall/sharing/__init__.py
@@ -28,6 +28,7 @@
     "peek_oldest",
     "pop_earliest",
     "reserve_units",
+    "share_rate",
     "spend_bytes",
 ]
 
@@ -44,6 +45,7 @@
     ByteBudget,
     find_opening,
     is_open,
+    share_rate,
     spend_bytes,
 )
 from sycamorefall.sharing.choice import Fairness, choose_team, lift_team
--- a/sycamorefall/sharing/budget.py
+++ b/sycamorefall/sharing/budget.py
@@ -1,6 +1,12 @@
 """Byte budgets: what a process may send for control, per second."""
 
-__all__ = ["ByteBudget", "find_opening", "is_open", "spend_bytes"]
+__all__ = [
+    "ByteBudget",
+    "find_opening",
+    "is_open",
+    "share_rate",
+    "spend_bytes",
+]
 
 import dataclasses
 
@@ -27,6 +33,24 @@
     updated: float = 0.0
 
 
+def share_rate(most: float, per_link: float, links: int) -> float:
+    """Computes what is left of a budget beside its links' heartbeats.
+
+    Args:
+        most: Bytes per second without any link.
+        per_link: Bytes per second that a link's heartbeats take.
+        links: Number of links.
+
+    Returns:
+        Bytes per second, at least a tenth of the most.
+
+    Example:
+        >>> share_rate(4000.0, 50.0, 4), share_rate(4000.0, 50.0, 400)
+        (3800.0, 400.0)
+    """
+    return max(most / 10, most - per_link * links)
+
+
 def _refill(budget: ByteBudget, now: float) -> None:
     elapsed = max(0.0, now - budget.updated)
     budget.level = min(budget.burst, budget.level + elapsed * budget.rate)
--- a/sycamorefall/sidecar/claiming.py
+++ b/sycamorefall/sidecar/claiming.py
@@ -51,7 +51,7 @@
         if claim is None:
             break
         claims.append(claim)
-        state.was_idle = False
+        state.hinted = 0
     return claims
 
 
@@ -129,6 +129,17 @@
 
 
 def release_expired(state: state_module.SidecarState, now: float) -> None:
-    """Ends claims whose lease is over."""
+    """Ends claims whose lease is over.
+
+    Guards against a router that failed or is cut off with work announced:
+    each of its requests would be claimed in turn and hold a slot for a whole
+    lease, while other routers' work waits. A router that answers a claim
+    late announces its work again before long.
+
+    Args:
+        state: The sidecar; changed.
+        now: This process's time.
+    """
     for claim in dispatch.expire_claims(state.claims, now):
         sharing.reserve_units(state.accounts, claim.team, -claim.reserved)
+        demand_module.drop_router(state.demand, claim.router)
--- a/sycamorefall/sidecar/hinting.py
+++ b/sycamorefall/sidecar/hinting.py
@@ -17,6 +17,9 @@
 HEARTBEAT_BYTES = 40
 """Size of a heartbeat, framing included."""
 
+HINT_WIDTH = 4
+"""Linked routers that are told at once of room that came free."""
+
 SEARCH_WIDTH = 2
 """Further routers that an idle sidecar asks at once."""
 
@@ -40,9 +43,30 @@
     routers = membership.list_routers(
         state.links, state.directory, now, state.vm
     )
+    state.hinted = build_heartbeat(state).room
+    state.hinting.rate = sharing.share_rate(
+        state_module.HINT_RATE, state_module.HEARTBEAT_RATE, len(routers)
+    )
     return _send_to(state, routers)
 
 
+def _send_hints(
+    state: state_module.SidecarState, now: float
+) -> list[effects.Send]:
+    """Tells a few linked routers, drawn anew each time, of the room."""
+    routers = membership.list_routers(
+        state.links, state.directory, now, state.vm
+    )
+    state.hinted = build_heartbeat(state).room
+    count = min(HINT_WIDTH, len(routers))
+    return _send_to(state, state.chance.sample(routers, count))
+
+
+def _has_news(state: state_module.SidecarState) -> bool:
+    """Tells whether there is room for the first time, or twice as much."""
+    return claiming.count_free(state) >= max(1, 2 * state.hinted)
+
+
 def _send_to(
     state: state_module.SidecarState, routers: Sequence[str]
 ) -> list[effects.Send]:
@@ -55,6 +79,9 @@
 ) -> list[effects.Send]:
     """Tells routers when room comes free and nothing is known to claim.
 
+    Told are the first free slot and each doubling; routers count down by
+    themselves as they offer.
+
     Guards against an upstream that idles although work waits: at a linked
     router whose announcement was lost or still waits for its budget, or at a
     router that this sidecar has no link to. A router answers with what
@@ -69,17 +96,15 @@
         Heartbeats to send.
     """
     if not offers.is_idle(state):
-        state.was_idle = False
+        state.hinted = 0
         return []
     if now < find_next_hint(state):
         return []
-    if state.was_idle:
-        hints = _search(state, now)
-    else:
-        hints = send_heartbeats(state, now)
-        state.was_idle = True
+    if state.hinted == 0:
         state.search_pause = FIRST_SEARCH
         state.next_search = now + FIRST_SEARCH
+    tell = _send_hints if _has_news(state) else _search
+    hints = tell(state, now)
     size = HEARTBEAT_BYTES * len(hints)
     sharing.spend_bytes(state.hinting, now, size)
     return hints
@@ -102,7 +127,7 @@
     if not offers.is_idle(state):
         return float("inf")
     opening = sharing.find_opening(state.hinting)
-    if not state.was_idle:
+    if _has_news(state):
         return opening
     if not state.links.unlinked:
         return float("inf")
--- a/sycamorefall/sidecar/offers.py
+++ b/sycamorefall/sidecar/offers.py
@@ -22,7 +22,7 @@
         attempt is to be refused.
     """
     if claiming.count_free(state) <= 1:
-        state.was_idle = False
+        state.hinted = 0
     if order.claim_id != messages.UNCLAIMED:
         return dispatch.redeem_claim(
             state.claims, now, order.claim_id, order.router, order.team
--- a/sycamorefall/sidecar/state.py
+++ b/sycamorefall/sidecar/state.py
@@ -7,8 +7,11 @@
 
 from sycamorefall import admission, configuration, dispatch, membership, sharing
 
-HINT_RATE = 500.0
-"""Bytes per second that a sidecar may send for hints between heartbeats."""
+HINT_RATE = 1500.0
+"""Bytes per second that a sidecar without links may send for hints."""
+
+HEARTBEAT_RATE = 50.0
+"""Bytes per second that the heartbeats of a link take, both ways."""
 
 HINT_BURST = 2000.0
 """Bytes of hints that a sidecar may save up."""
@@ -51,8 +54,8 @@
         runs: Requests in progress at the upstream, by attempt.
         outcomes: What became of each attempt.
         next_heartbeat: When the next heartbeat is due.
-        was_idle: Whether there was room and nothing to claim, when last
-            looked at.
+        hinted: Free slots that routers were last told of; 0 since there was
+            none or work to claim.
         next_sibling_beat: When the next heartbeat to siblings is due.
         search_pause: Seconds until the search after that.
         chance: Source of random choices.
@@ -92,7 +95,7 @@
         default_factory=dispatch.OutcomeRecords
     )
     next_heartbeat: float = 0.0
-    was_idle: bool = False
+    hinted: int = 0
     next_sibling_beat: float = 0.0
     next_search: float = 0.0
     search_pause: float = 0.0
