--- a/benchmarks/__init__.py
+++ b/benchmarks/__init__.py
@@ -1,1 +1,1 @@
-"""Benchmarks: the decision cores driven by an event queue, no sockets."""
+"""Benchmarks that drive the I/O-free cores with a plain event queue."""
--- a/benchmarks/control.py
+++ b/benchmarks/control.py
@@ -7,23 +7,23 @@
 import statistics
 import sys
 
-from benchmarks import events
+from benchmarks import world
 
 CASES = {
-    "demo, unloaded": events.Case(
+    "demo, unloaded": world.Case(
         routers=2, sidecars=5, services=2, teams=4, rate=60, slots=4, work=0.1
     ),
-    "demo, overloaded": events.Case(
+    "demo, overloaded": world.Case(
         routers=2, sidecars=5, services=2, teams=4, rate=198, slots=4, work=0.15
     ),
-    "association, 0.25": events.Case(rate=40, work=0.5),
-    "association, 0.9": events.Case(rate=72, work=1.0),
-    "association, 1.25": events.Case(rate=100, work=1.0),
+    "association, 0.25": world.Case(rate=40, work=0.5),
+    "association, 0.9": world.Case(rate=72, work=1.0),
+    "association, 1.25": world.Case(rate=100, work=1.0),
 }
 """Cases at today's sizes; the numbers are shares of capacity."""
 
 
-def summarize(case: events.Case, counts: events.Counts) -> dict:
+def summarize(case: world.Case, counts: world.Counts) -> dict:
     """Computes a run's figures, bytes per node and second."""
     seconds = case.seconds / 2
     total = counts.sent + counts.received
@@ -50,8 +50,8 @@
         "sidecar_bytes_s": round(statistics.mean(sidecars), 1),
         "sidecar_bytes_s_max": round(max(sidecars), 1),
         "started": len(counts.waits),
-        "wait_trips_p50": round(waits[len(waits) // 2] / events.TRIP, 1),
-        "wait_trips_p95": round(waits[int(len(waits) * 0.95)] / events.TRIP, 1),
+        "wait_trips_p50": round(waits[len(waits) // 2] / world.TRIP, 1),
+        "wait_trips_p95": round(waits[int(len(waits) * 0.95)] / world.TRIP, 1),
         "lost_capacity": round(
             counts.lost / (case.slots * case.sidecars * seconds), 4
         ),
@@ -59,9 +59,9 @@
     }
 
 
-def measure(case: events.Case) -> dict:
+def measure(case: world.Case) -> dict:
     """Runs a case and computes its figures."""
-    return summarize(case, events.World(case).run())
+    return summarize(case, world.World(case).run())
 
 
 def main() -> int:
--- a/benchmarks/tests/test_control.py
+++ b/benchmarks/tests/test_control.py
@@ -4,7 +4,7 @@
 
 import pytest
 
-from benchmarks import control, events
+from benchmarks import control, world
 
 BUDGET = 7000
 """Bytes per node and second for control."""
@@ -39,7 +39,7 @@
 
 def test_unloaded_requests_cost_hardly_any_control_message():
     case = control.CASES["association, 0.25"]
-    counts = events.World(case).run()
+    counts = world.World(case).run()
     per_request = ("Waiting", "Claim", "NoWork")
     sent = sum(counts.messages[kind] for kind in per_request)
     assert sent <= 0.05 * len(counts.waits)
@@ -48,10 +48,10 @@
 def test_lost_messages_leave_nothing_waiting():
     # Three control messages in a hundred are lost: hints, announcements,
     # claims, definitions of names. Requests come later, but they all come.
-    case = events.Case(rate=72, work=1.0, loss=0.03, seconds=12)
-    world = events.World(case)
-    counts = world.run()
-    load = world.loads["service-0"]
+    case = world.Case(rate=72, work=1.0, loss=0.03, seconds=12)
+    fleet = world.World(case)
+    counts = fleet.run()
+    load = fleet.loads["service-0"]
     assert counts.lost / (load.slots * case.seconds / 2) < 0.03
-    oldest = min(world.arrivals.values(), default=case.seconds)
+    oldest = min(fleet.arrivals.values(), default=case.seconds)
     assert oldest > case.seconds - 3.0
--- a/sycamorefall/membership/__init__.py
+++ b/sycamorefall/membership/__init__.py
@@ -1,6 +1,7 @@
 """Which VMs there are and which of them may get new work."""
 
 __all__ = [
+    "FORGET_AFTER",
     "SUSPECT_AFTER",
     "Directory",
     "Links",
@@ -10,17 +11,22 @@
     "VmRole",
     "VmState",
     "choose_tellers",
+    "create_list_document",
+    "forget_departed",
+    "is_outdated",
     "list_routers",
     "list_siblings",
     "list_sidecars",
     "list_unlinked",
     "note_heartbeat",
+    "read_list_document",
     "replace_list",
     "select_routers",
     "select_upstreams",
 ]
 
 from sycamorefall.membership.directory import (
+    FORGET_AFTER,
     SUSPECT_AFTER,
     Directory,
     Peer,
@@ -28,7 +34,11 @@
     VmList,
     VmRole,
     VmState,
+    create_list_document,
+    forget_departed,
+    is_outdated,
     note_heartbeat,
+    read_list_document,
     replace_list,
     select_routers,
     select_upstreams,
--- a/sycamorefall/router/core.py
+++ b/sycamorefall/router/core.py
@@ -1,11 +1,24 @@
 """A router's decisions: messages and timers in, effects out; no I/O."""
 
-__all__ = ["begin_stop", "find_next_due", "receive_message", "run_timers"]
+__all__ = [
+    "apply_configuration",
+    "begin_stop",
+    "find_next_due",
+    "receive_message",
+    "run_timers",
+]
 
 import heapq
 
 from sycamorefall import effects, errors, membership, messages, sharing
-from sycamorefall.router import announcement, handout, hints, intake, offering
+from sycamorefall.router import (
+    announcement,
+    handout,
+    hints,
+    intake,
+    offering,
+    sweep,
+)
 from sycamorefall.router import effects as router_effects
 from sycamorefall.router import state as state_module
 
@@ -13,6 +26,11 @@
 """Seconds between heartbeats; sidecars need them only to greet a router."""
 
 
+def apply_configuration(state: state_module.RouterState) -> None:
+    """Tells the peers at once that another configuration is in force."""
+    state.next_heartbeat = 0.0
+
+
 def begin_stop(state: state_module.RouterState) -> None:
     """Makes the router take no new request; what it holds is still served."""
     state.stopping = True
@@ -35,11 +53,11 @@
     sender, incarnation = envelope.sender, envelope.incarnation
     if sender not in state.directory.vms:
         return []
+    if membership.is_outdated(state.directory, now, sender, incarnation):
+        return []
     message = envelope.message
-    stopping = isinstance(message, messages.Heartbeat) and message.stopping
-    known = state.directory.peers.get(sender)
-    if known is not None and known.incarnation == incarnation:
-        stopping = stopping or known.stopping
+    is_beat = isinstance(message, messages.Heartbeat)
+    stopping = message.stopping if is_beat else None
     is_new = membership.note_heartbeat(
         state.directory, now, sender, incarnation, stopping
     )
@@ -99,6 +117,8 @@
         What is to be done.
     """
     due = _expire_requests(state, now)
+    due += sweep.end_backoffs(state, now)
+    due += sweep.sweep_waiting(state, now)
     for request in _list_asking(state):
         if request.attempt.ask_next <= now:
             due += handout.ask_again(state, now, request)
@@ -122,6 +142,7 @@
         state.next_heartbeat,
         announcement.find_next_announcement(state),
         announcement.find_next_digest(state),
+        sweep.find_next_due(state),
         *asking,
         *deadlines,
         *offers,
@@ -174,7 +195,7 @@
     ran = errors.Ran.NO
     if request.attempt is not None or request.failures:
         ran = errors.Ran.UNKNOWN
-    retry_after = intake.suggest_return(state, new.service, new.team)
+    retry_after = intake.suggest_return(state, now, new.service, new.team)
     answer = router_effects.AnswerError(
         request.number, errors.ErrorKind.DEADLINE_EXCEEDED, ran, retry_after
     )
--- a/sycamorefall/router/offering.py
+++ b/sycamorefall/router/offering.py
@@ -45,7 +45,9 @@
     request = state.requests[number]
     new = request.new
     incarnation = state.hints[new.service][sidecar].incarnation
-    queues.leave_queue(state.waiting, new.service, new.team, number)
+    queues.leave_queue(
+        state.waiting, new.service, new.team, number, request.deadline
+    )
     announcement.announce_team(state, now, new.service, new.team)
     offer = handout.offer_request(state, now, request, sidecar, incarnation)
     request.attempt.offered = True
--- a/sycamorefall/sidecar/state.py
+++ b/sycamorefall/sidecar/state.py
@@ -6,6 +6,7 @@
 import random
 
 from sycamorefall import admission, configuration, dispatch, membership, sharing
+from sycamorefall.sidecar import gate as gate_module
 
 HINT_RATE = 1500.0
 """Bytes per second that a sidecar without links may send for hints."""
@@ -50,6 +51,7 @@
         estimates: Costs of the teams' recent requests.
         demand: Work waiting at the routers.
         limit: The upstream's concurrency limit.
+        gate: Runs held until the limit lets them reach the upstream.
         claims: Requests asked for that have not come yet.
         runs: Requests in progress at the upstream, by attempt.
         outcomes: What became of each attempt.
@@ -87,6 +89,7 @@
     limit: admission.ConcurrencyLimit = dataclasses.field(
         default_factory=admission.ConcurrencyLimit
     )
+    gate: gate_module.Gate = dataclasses.field(init=False)
     claims: dispatch.ClaimTable = dataclasses.field(
         default_factory=dispatch.ClaimTable
     )
@@ -111,7 +114,8 @@
     stopping: bool = False
 
     def __post_init__(self):
-        """Seeds the choices: alike in each run, different at each sidecar."""
+        self.gate = gate_module.Gate(self.limit)
+        # Choices are alike in each run, and different at each sidecar.
         self.chance.seed(f"{self.vm}/{self.incarnation}")
 
 
