Send teams of a large text as digests; leases as whole milliseconds

Change: with more than 1,000 teams in the text, a team travels as 31 bits of a digest, which the receiver looks up in its own text; one that lacks it asks and gets a numbered definition. Two teams with the same digest have none. A claim's lease is sent as whole milliseconds, 3 bytes in place of 9.

Ruled out: digests for all sizes.

--- a/benchmarks/world.py
+++ b/benchmarks/world.py
@@ -131,6 +131,12 @@
             for index in range(case.services)
         }
         self.names = {name: names.NameTable() for name in self.nodes}
+        digests = names.NameTable()
+        known = [f"member-{index:05d}" for index in range(case.teams)]
+        names.learn_names(digests, known)
+        for table in self.names.values():
+            table.digests = digests.digests
+            table.by_digest = digests.by_digest
 
     def run(self) -> Counts:
         """Runs the case to its end."""
--- a/sycamorefall/messages.py
+++ b/sycamorefall/messages.py
@@ -136,13 +136,13 @@
     """A sidecar asks a router for one request of a team.
 
     The claim is a lease: the sidecar refuses an attempt that arrives after
-    `lease` seconds by its own clock.
+    `lease_ms` milliseconds by its own clock.
     """
 
     claim_id: int
     service: Name
     team: Name
-    lease: float
+    lease_ms: int
 
 
 class NoWork(msgspec.Struct, frozen=True, array_like=True, tag="n"):
--- a/sycamorefall/names.py
+++ b/sycamorefall/names.py
@@ -1,10 +1,11 @@
-"""Names on the wire: each travels once per link, then as a small index.
-
-A process numbers the names it sends (teams, services, owners of accounts) in
-the order in which it first uses them. The first message on a link that uses
-a name defines it. Messages may be lost and peers restart with no memory: a
-receiver that lacks a name says so, drops the message, and gets the name with
-the next message that uses it.
+"""Names on the wire: as numbers, which both ends know or define once.
+
+A name is numbered by its sender, and the first message on a link that uses it
+defines the number. Where teams are too many for that, a team travels as a
+digest of its name instead: it stands in the operators' text that both ends
+hold, or else is numbered too. Messages may be lost and
+peers restart with no memory: a receiver that lacks a name says so, drops the
+message, and gets the name with the next message that uses it.
 """
 
 __all__ = [
@@ -14,10 +15,12 @@
     "expand_envelope",
     "forget_told",
     "keep_peers",
+    "learn_names",
 ]
 
 from collections.abc import Callable, Collection
 import dataclasses
+import hashlib
 import sys
 
 import msgspec
@@ -27,6 +30,14 @@
 Rename = Callable[[str | int], str | int]
 
 
+DIGESTS = 1 << 31
+"""Numbers from here on are digests of teams in the operators' text."""
+
+
+MOST_NUMBERED = 1000
+"""Teams of a text up to which each is numbered rather than digested."""
+
+
 @dataclasses.dataclass(slots=True)
 class PeerNames:
     """Names that a peer's process defined.
@@ -48,11 +59,62 @@
         indexes: Indexes of own names.
         told: Indexes that a peer was told, as bits of a number, by VM name.
         peers: Names that peers defined, by VM name.
+        digests: Digests of the names in the text.
+        by_digest: The names by digest.
+        lacking: Digests that a peer could not read, by VM name.
     """
 
     indexes: dict[str, int] = dataclasses.field(default_factory=dict)
     told: dict[str, int] = dataclasses.field(default_factory=dict)
     peers: dict[str, PeerNames] = dataclasses.field(default_factory=dict)
+    digests: dict[str, int] = dataclasses.field(default_factory=dict)
+    by_digest: dict[int, str] = dataclasses.field(default_factory=dict)
+    lacking: dict[str, set[int]] = dataclasses.field(default_factory=dict)
+
+
+def learn_names(table: NameTable, names: Collection[str]) -> None:
+    """Learns the teams in the operators' text, in place of an older text's.
+
+    A few teams get no digests: a number is shorter and soon defined on every
+    link. Many would take longer to be defined than their sender lives.
+
+    Guards against two names with the same digest: one would be charged for
+    the other. Neither has a digest then, and both are defined on each link.
+
+    Args:
+        table: This process's names; changed.
+        names: Teams of the text in force.
+
+    Example:
+        >>> table = NameTable()
+        >>> learn_names(table, [f"member-{n}" for n in range(2000)])
+        >>> len(table.by_digest)
+        2000
+    """
+    before = table.digests
+    if len(names) <= MOST_NUMBERED:
+        names = ()
+    table.digests, table.by_digest = {}, {}
+    shared: set[int] = set()
+    for name in names:
+        digest = before.get(name) or _digest(name)
+        if digest in table.by_digest:
+            shared.add(digest)
+        table.by_digest[digest] = name
+        table.digests[name] = digest
+    if shared:
+        table.digests = {
+            name: digest
+            for name, digest in table.digests.items()
+            if digest not in shared
+        }
+        for digest in shared:
+            del table.by_digest[digest]
+
+
+def _digest(name: str) -> int:
+    data = hashlib.blake2b(name.encode(), digest_size=4).digest()
+    return int.from_bytes(data, "big") | DIGESTS
 
 
 def compact_envelope(
@@ -69,7 +131,7 @@
         The envelope to be encoded.
 
     Example:
-        >>> claim = messages.Claim(1, "assistant", "mill-a", 1.0)
+        >>> claim = messages.Claim(1, "assistant", "mill-a", 1000)
         >>> sent = messages.Envelope("engine-0", 5, 1, claim)
         >>> table = NameTable()
         >>> [entry.name for entry in
@@ -79,10 +141,14 @@
         ()
     """
     told = table.told.get(to, 0)
+    lacking = table.lacking.get(to, ())
     fresh: list[messages.NameEntry] = []
 
     def index_name(name: str) -> int:
         nonlocal told
+        digest = table.digests.get(name)
+        if digest is not None and digest not in lacking:
+            return digest
         index = table.indexes.setdefault(name, len(table.indexes))
         if not told >> index & 1:
             told |= 1 << index
@@ -119,6 +185,7 @@
         peer = table.peers[sender] = PeerNames(incarnation)
         # The peer's new process knows none of what its old one was told.
         table.told.pop(sender, None)
+        table.lacking.pop(sender, None)
     if peer.incarnation > incarnation:
         # A late message of a process that is gone: by now its indexes mean
         # other names, and there is nobody left to define them.
@@ -128,7 +195,8 @@
     unknown: dict[int, None] = {}
 
     def find_name(index: str | int) -> str:
-        name = peer.names.get(index)
+        known = table.by_digest if index >= DIGESTS else peer.names
+        name = known.get(index)
         if name is None:
             unknown[index] = None
             return ""
@@ -144,14 +212,16 @@
     """Notes that a peer lacks names, so that they are defined to it again."""
     told = table.told.get(peer, 0)
     for index in indexes:
-        if 0 <= index < len(table.indexes):
+        if index in table.by_digest:
+            table.lacking.setdefault(peer, set()).add(index)
+        elif 0 <= index < len(table.indexes):
             told &= ~(1 << index)
     table.told[peer] = told
 
 
 def keep_peers(table: NameTable, names: Collection[str]) -> None:
     """Forgets peers that are not among the named VMs."""
-    for part in (table.told, table.peers):
+    for part in (table.told, table.peers, table.lacking):
         for name in part.keys() - set(names):
             del part[name]
 
--- a/sycamorefall/node.py
+++ b/sycamorefall/node.py
@@ -332,6 +332,9 @@
     listed = replication.EventKind.LIST_REPLACED in kinds
     if listed or replication.EventKind.TEXT_ADOPTED in kinds:
         node.core.apply_configuration()
+    if replication.EventKind.TEXT_ADOPTED in kinds:
+        in_force = node.core.versions.configuration
+        node.control.learn_names(in_force.teams)
     if listed:
         node.control.keep_only(set(node.core.directory.vms))
     if replication.EventKind.PLATFORM_OLDER in kinds:
--- a/sycamorefall/router/handout.py
+++ b/sycamorefall/router/handout.py
@@ -160,7 +160,7 @@
         The hand-out; the sidecar may refuse it.
     """
     new = request.new
-    unclaimed = messages.Claim(messages.UNCLAIMED, new.service, new.team, 0.0)
+    unclaimed = messages.Claim(messages.UNCLAIMED, new.service, new.team, 0)
     return _start_attempt(state, now, request, sidecar, incarnation, unclaimed)
 
 
--- a/sycamorefall/router/tests/test_offering.py
+++ b/sycamorefall/router/tests/test_offering.py
@@ -150,7 +150,7 @@
     ask(router, team="mill-a")
     overdraft = announcement.URGENT_OVERDRAFT
     router.announcing.level = -overdraft - 120.0
-    claim = messages.Claim(1, "assistant", "mill-a", 1.0)
+    claim = messages.Claim(1, "assistant", "mill-a", 1000)
     envelope = messages.Envelope("engine-0", 1, 1, claim)
     core.receive_message(router, 0.01, envelope)
     offers, told = ask(router, team="mill-a", now=0.02)
--- a/sycamorefall/sharing/exchange.py
+++ b/sycamorefall/sharing/exchange.py
@@ -36,8 +36,8 @@
 HEAD_BYTES = 36
 """Size of an update without its entries, framing included."""
 
-TEAM_INDEX = 1 << 15
-"""Stands for a team's index where an entry's size is measured."""
+TEAM_NUMBER = 1 << 15
+"""Stands for a team's number where an entry's size is measured."""
 
 MOST_ENTRIES = 64
 """Entries in one update."""
@@ -181,7 +181,7 @@
     """
     parts = [
         (
-            TEAM_INDEX,
+            TEAM_NUMBER,
             0,
             entry.sequence,
             entry.served,
--- a/sycamorefall/sidecar/claiming.py
+++ b/sycamorefall/sidecar/claiming.py
@@ -105,7 +105,10 @@
     sharing.reserve_units(state.accounts, team, reserved)
     claim = dispatch.open_claim(state.claims, now, router, team, reserved)
     message = messages.Claim(
-        claim.claim_id, state.service, team, dispatch.CLAIM_LEASE
+        claim.claim_id,
+        state.service,
+        team,
+        round(dispatch.CLAIM_LEASE * 1000),
     )
     return effects.Send(router, message)
 
--- a/sycamorefall/transport/control.py
+++ b/sycamorefall/transport/control.py
@@ -7,7 +7,7 @@
 
 __all__ = ["ControlLinks"]
 
-from collections.abc import Callable
+from collections.abc import Callable, Collection
 
 import circuits
 from circuits.core import pollers
@@ -129,6 +129,10 @@
         if link is not None:
             link.socket.close()
 
+    def learn_names(self, known: Collection[str]) -> None:
+        """Learns the names in the text that came into force."""
+        names.learn_names(self._names, known)
+
     def keep_only(self, vms: set[str]) -> None:
         """Closes the links to VMs that are not among the named."""
         for name in self._links.keys() - vms:
