--- a/Makefile
+++ b/Makefile
@@ -3,7 +3,8 @@
 BIN := $(VENV)/bin
 STAMP := $(VENV)/.installed
 
-.PHONY: setup test demo bench bench-control lint format
+.PHONY: setup test demo capacity lint format
+.PHONY: bench bench-control bench-decisions bench-admission
 
 $(STAMP): pyproject.toml
 	$(PYTHON) -m venv $(VENV)
@@ -18,6 +19,9 @@
 demo: $(STAMP)
 	$(BIN)/python -m standins.demo
 
+capacity: $(STAMP)
+	$(BIN)/python -m benchmarks.capacity
+
 bench-control: $(STAMP)
 	$(BIN)/python -m benchmarks.control
 
@@ -31,3 +35,9 @@
 format: $(STAMP)
 	$(BIN)/ruff format .
 	$(BIN)/ruff check --fix .
+
+bench-decisions: $(STAMP)
+	$(BIN)/python -m benchmarks.decisions --json decisions.json
+
+bench-admission: $(STAMP)
+	$(BIN)/python -m benchmarks.admission --json admission.json
--- /dev/null
+++ b/benchmarks/tests/test_capacity.py
@@ -0,0 +1,38 @@
+"""The capacity table says what was measured, and what wasn't."""
+
+import pytest
+
+from benchmarks import capacity_probe, capacity_projection
+
+
+def test_slope_is_the_cost_of_one_more():
+    points = [(1.0, 10.0), (2.0, 12.0), (4.0, 16.0)]
+    measure = capacity_probe.fit_slope("k", "what", "us", points, 1e3)
+    assert measure.value == pytest.approx(2000.0)
+    assert measure.points == "1: 10, 2: 12, 4: 16"
+
+
+def test_missing_measure_is_named_and_not_guessed():
+    """A page with a guessed value would pass for a measured one."""
+    lines = capacity_projection.write_estimates([])
+    rows = [line for line in lines if "`" in line]
+    assert rows
+    assert all("not measured" in row for row in rows)
+
+
+@pytest.mark.parametrize(("value", "over"), [(1.0, False), (100.0, True)])
+def test_value_over_its_bound_is_marked(value, over):
+    measures = [
+        capacity_probe.Measure("platform-reads", "reads", value, "1/s", "")
+    ]
+    lines = capacity_projection.write_estimates(measures)
+    row = next(line for line in lines if line.startswith("| all nodes"))
+    assert ("**over**" in row) is over
+
+
+def test_memory_grows_with_what_is_built():
+    few, many = (
+        capacity_probe.measure_allocations(lambda n: [object()] * n, n)
+        for n in (1_000, 100_000)
+    )
+    assert many - few > 99_000 * 8 * 0.9
--- a/sycamorefall/sharing/exchange.py
+++ b/sycamorefall/sharing/exchange.py
@@ -42,6 +42,15 @@
 MOST_ENTRIES = 64
 """Entries in one update."""
 
+LEAST_ENTRIES = 4
+"""Entries in one update, however many siblings get it."""
+
+SENDING_BYTES = 7200
+"""Rough size of one sending to all siblings, the largest."""
+
+TYPICAL_BYTES = 22
+"""Rough size of an entry."""
+
 REPEATS = 2
 """Entries told a second time in each update."""
 
@@ -158,7 +167,7 @@
         exchange.pages.clear()
         return []
     exchange.next_send = now + EXCHANGE_INTERVAL
-    changed = _take_changed(exchange, accounts)
+    changed = _take_changed(exchange, accounts, _limit_entries(siblings))
     repeated: list[str] = []
     if changed or now >= exchange.next_repeat:
         repeated = _take_repeats(exchange, accounts, changed)
@@ -193,8 +202,20 @@
     return HEAD_BYTES + len(msgspec.msgpack.encode(parts))
 
 
+def _limit_entries(siblings: list[str]) -> int:
+    """Limits an update so that its sending doesn't overdraw for long.
+
+    Guards against one large update to many siblings: nothing could be told
+    for half a minute after it, however much a team receives meanwhile.
+    """
+    room = (SENDING_BYTES / len(siblings) - HEAD_BYTES) / TYPICAL_BYTES
+    return max(LEAST_ENTRIES, min(MOST_ENTRIES, int(room)))
+
+
 def _take_changed(
-    exchange: Exchange, accounts: accounts_module.ServiceAccounts
+    exchange: Exchange,
+    accounts: accounts_module.ServiceAccounts,
+    most: int,
 ) -> list[str]:
     """Takes the teams whose sum changed most since it was last told.
 
@@ -210,8 +231,8 @@
         key=lambda team: (-changes[team], team),
     )
     accounts.unsent.clear()
-    accounts.unsent.update(telling[MOST_ENTRIES:])
-    del telling[MOST_ENTRIES:]
+    accounts.unsent.update(telling[most:])
+    del telling[most:]
     for team in telling:
         exchange.told[team] = _sum_own(accounts, team)
     return telling
@@ -241,7 +262,7 @@
     accounts: accounts_module.ServiceAccounts,
     changed: list[str],
 ) -> list[str]:
-    most = REPEATS if changed else MOST_ENTRIES
+    most = REPEATS if changed else LEAST_ENTRIES
     for team in changed:
         exchange.repeats.pop(team, None)
     taken = list(itertools.islice(exchange.repeats, most))
--- a/sycamorefall/sidecar/claiming.py
+++ b/sycamorefall/sidecar/claiming.py
@@ -73,9 +73,8 @@
 
 def count_free(state: state_module.SidecarState) -> int:
     """Counts slots that are neither in use nor claimed for."""
-    limit = state.limit
-    taken = limit.foreign + len(state.runs) + len(state.claims.open)
-    return max(0, limit.cap - taken)
+    taken = len(state.runs) + len(state.claims.open)
+    return max(0, admission.count_own(state.limit) - taken)
 
 
 def may_claim(state: state_module.SidecarState) -> bool:
--- a/sycamorefall/sidecar/core.py
+++ b/sycamorefall/sidecar/core.py
@@ -179,6 +179,9 @@
 ) -> list[effects.Send]:
     siblings = _list_siblings(state, now)
     news = sharing.list_news(state.exchange, state.accounts, now, siblings)
+    if len(news) >= len(siblings):
+        # An update to all of them tells as well that this sidecar lives.
+        state.next_sibling_beat = now + SIBLING_INTERVAL
     return [
         effects.Send(
             name, messages.AccountUpdate(state.service, tuple(entries))
--- a/sycamorefall/sidecar/hinting.py
+++ b/sycamorefall/sidecar/hinting.py
@@ -53,12 +53,23 @@
         state.links, state.directory, now, state.vm
     )
     state.hinted = build_heartbeat(state).room
-    state.hinting.rate = sharing.share_rate(
-        state_module.HINT_RATE, state_module.HEARTBEAT_RATE, len(routers)
-    )
+    state.hinting.rate = _share_hints(state, len(routers))
     return _send_to(state, routers)
 
 
+def _share_hints(state: state_module.SidecarState, routers: int) -> float:
+    """Computes what this sidecar may send for hints, in bytes per second.
+
+    Guards the routers too, which hear the hints of all their sidecars: many
+    sidecars before a few routers each hint the less.
+    """
+    own = sharing.share_rate(
+        state_module.HINT_RATE, state_module.HEARTBEAT_RATE, routers
+    )
+    sidecars = len(state.links.siblings) + 1
+    return min(own, state_module.ROUTER_HINT_RATE * routers / sidecars)
+
+
 def _send_hints(
     state: state_module.SidecarState, now: float
 ) -> list[effects.Send]:
--- a/sycamorefall/sidecar/state.py
+++ b/sycamorefall/sidecar/state.py
@@ -11,10 +11,13 @@
 HINT_RATE = 1500.0
 """Bytes per second that a sidecar without links may send for hints."""
 
+ROUTER_HINT_RATE = 4000.0
+"""Bytes per second of hints that a router is to hear from a service."""
+
 HEARTBEAT_RATE = 50.0
 """Bytes per second that the heartbeats of a link take, both ways."""
 
-HINT_BURST = 2000.0
+HINT_BURST = 1000.0
 """Bytes of hints that a sidecar may save up."""
 
 
