--- a/sycamorefall/observation/status.py
+++ b/sycamorefall/observation/status.py
@@ -15,6 +15,7 @@
     "describe_times",
 ]
 
+from collections.abc import Collection
 import enum
 
 import msgspec
@@ -165,6 +166,7 @@
         replication: What it publishes, as it is held here.
         times: Histograms in short.
         log_dropped: Log records lost.
+        shared_key: Whether only holders of the shared key are believed.
     """
 
     vm: str
@@ -185,6 +187,7 @@
     replication: ReplicationStatus
     times: tuple[TimeStatus, ...]
     log_dropped: int
+    shared_key: bool = False
 
 
 class RouterStatus(
@@ -226,22 +229,28 @@
 
 
 def describe_peers(
-    directory: membership.Directory, now: float, own: str
+    directory: membership.Directory, now: float, linked: Collection[str]
 ) -> tuple[PeerStatus, ...]:
-    """Describes the other processes of the fleet.
+    """Describes the processes that this one should hear from.
 
     Args:
         directory: This process's view of the fleet.
         now: This process's time.
-        own: This VM's name.
+        linked: Names of the VMs that this process has a link to.
 
     Returns:
-        All listed VMs but this one.
+        Those processes, and any other that was heard from lately.
     """
+    heard = {
+        name
+        for name, peer in directory.peers.items()
+        if now - peer.heard_at <= membership.SUSPECT_AFTER
+    }
+    names = heard.union(linked)
     return tuple(
         _describe_peer(directory, now, vm)
         for vm in directory.vms.values()
-        if vm.name != own
+        if vm.name in names
     )
 
 
--- a/sycamorefall/router/announcement.py
+++ b/sycamorefall/router/announcement.py
@@ -26,7 +26,7 @@
 URGENT_OVERDRAFT = 6000.0
 """Bytes by which the first word on a team's work may overdraw the budget."""
 
-TOLD_PER_REQUEST = 2
+TOLD_PER_REQUEST = 3
 """Sidecars that are told of one waiting request."""
 
 HEAD_BYTES = 40
--- a/sycamorefall/transport/control.py
+++ b/sycamorefall/transport/control.py
@@ -124,6 +124,11 @@
         else:
             self.bytes_sent += len(data)
 
+    def close(self) -> None:
+        """Closes all sockets; no message can be sent any more."""
+        self._inbox.close()
+        self.keep_only(set())
+
     def _close_link(self, name: str) -> None:
         link = self._links.pop(name, None)
         if link is not None:
@@ -154,7 +159,7 @@
             envelope = self._authenticator.open_message(data)
         except errors.MessageRefused as fault:
             self.refused += 1
-            observation.write_record(
+            observation.write_limited(
                 observation.Level.WARNING,
                 "control.refused",
                 reason=str(fault),
