--- a/sycamorefall/router/announcement.py
+++ b/sycamorefall/router/announcement.py
@@ -257,9 +257,11 @@
     linked = membership.list_sidecars(
         state.links, state.directory, now, state.vm, service
     )
-    usable = membership.select_upstreams(state.directory, now, service)
-    names = {vm.name for vm in usable}
-    return [name for name in linked if name in names]
+    return [
+        name
+        for name in linked
+        if membership.is_upstream(state.directory, now, name, service)
+    ]
 
 
 def _describe_team(
--- a/sycamorefall/router/hints.py
+++ b/sycamorefall/router/hints.py
@@ -72,14 +72,12 @@
     hints = state.hints.get(service)
     if not hints:
         return {}
-    usable = {
-        vm.name: state.directory.peers[vm.name].incarnation
-        for vm in membership.select_upstreams(state.directory, now, service)
-    }
+    peers = state.directory.peers
     state.hints[service] = {
         name: hint
         for name, hint in hints.items()
-        if usable.get(name) == hint.incarnation
+        if membership.is_upstream(state.directory, now, name, service)
+        and peers[name].incarnation == hint.incarnation
     }
     return {
         name: hint
--- a/sycamorefall/sidecar/claiming.py
+++ b/sycamorefall/sidecar/claiming.py
@@ -18,6 +18,7 @@
     sharing,
 )
 from sycamorefall.sharing import demand as demand_module
+from sycamorefall.sidecar import silence
 from sycamorefall.sidecar import state as state_module
 
 
@@ -124,6 +125,7 @@
         router: The router.
         message: Its answer.
     """
+    silence.note_answer(state, router)
     claim = dispatch.release_claim(state.claims, message.claim_id)
     if claim is not None:
         sharing.reserve_units(state.accounts, claim.team, -claim.reserved)
@@ -133,15 +135,10 @@
 def release_expired(state: state_module.SidecarState, now: float) -> None:
     """Ends claims whose lease is over.
 
-    Guards against a router that failed or is cut off with work announced:
-    each of its requests would be claimed in turn and hold a slot for a whole
-    lease, while other routers' work waits. A router that answers a claim
-    late announces its work again before long.
-
     Args:
         state: The sidecar; changed.
         now: This process's time.
     """
     for claim in dispatch.expire_claims(state.claims, now):
+        silence.note_expired(state, now, claim)
         sharing.reserve_units(state.accounts, claim.team, -claim.reserved)
-        demand_module.drop_router(state.demand, claim.router)
