--- a/benchmarks/control.py
+++ b/benchmarks/control.py
@@ -52,6 +52,9 @@
         "started": len(counts.waits),
         "wait_trips_p50": round(waits[len(waits) // 2] / world.TRIP, 1),
         "wait_trips_p95": round(waits[int(len(waits) * 0.95)] / world.TRIP, 1),
+        "lost_capacity": round(
+            counts.lost / (case.slots * case.sidecars * seconds), 4
+        ),
         "by_kind": kinds,
     }
 
@@ -61,10 +64,44 @@
     return summarize(case, world.World(case).run())
 
 
+SLOPES = {
+    "routers": [{"routers": count} for count in (4, 16, 64)],
+    "sidecars": [
+        {"sidecars": count, "rate": 7.2 * count} for count in (10, 20, 40)
+    ],
+    "teams": [{"teams": count} for count in (16, 160, 1600)],
+    "fleet": [
+        {"routers": 2 * n, "sidecars": 5 * n, "rate": 36.0 * n}
+        for n in (2, 4, 8)
+    ],
+}
+"""What grows, and the fleets at which it is measured, at 0.9 of capacity."""
+
+
+def measure_slopes() -> list[dict]:
+    """Measures bytes per node and second as one number grows at a time."""
+    rows: list[dict] = []
+    for name, changes in SLOPES.items():
+        points = []
+        for change in changes:
+            case = world.Case(**({"rate": 72, "work": 1.0} | change))
+            size = change.get(name, case.routers + case.sidecars)
+            points.append((size, measure(case)))
+        (least, first), *_, (most, last) = points
+        rows.append({"grows": name, "points": [row for _, row in points]})
+        for kind in ("router", "sidecar"):
+            grown = last[f"{kind}_bytes_s"] - first[f"{kind}_bytes_s"]
+            slope = round(grown / (most - least), 3)
+            rows[-1][f"{kind}_bytes_s_slope"] = slope
+    return rows
+
+
 def main() -> int:
     """Runs all cases; returns the exit status."""
     for name, case in CASES.items():
         print(json.dumps({"case": name} | measure(case)), flush=True)
+    for row in measure_slopes():
+        print(json.dumps(row), flush=True)
     return 0
 
 
