--- a/sycamorefall/sidecar/hinting.py
+++ b/sycamorefall/sidecar/hinting.py
@@ -67,7 +67,9 @@
         state_module.HINT_RATE, state_module.HEARTBEAT_RATE, routers
     )
     sidecars = len(state.links.siblings) + 1
-    return min(own, state_module.ROUTER_HINT_RATE * routers / sidecars)
+    # A list without routers must not stop the budget for good.
+    shared = state_module.ROUTER_HINT_RATE * max(1, routers) / sidecars
+    return min(own, shared)
 
 
 def _send_hints(
