Say not run only of what never ran, and search failures for a lie

Change: started records have no age limit; routers believe never seen only about attempts younger than 480 s; repeated is a word of its own; orders name the sidecar process; silent attempts are asked about; answers name their attempt; overdue idempotent runs are cancelled at the sidecar.

--- a/sycamorefall/dispatch/outcomes.py
+++ b/sycamorefall/dispatch/outcomes.py
@@ -1,11 +1,12 @@
-"""Outcome records of a sidecar: what became of each attempt it was sent."""
+"""Outcome records: what a sidecar knows of each attempt it was sent."""
 
 __all__ = [
     "RECORD_LIFETIME",
-    "OutcomeRecord",
     "OutcomeRecords",
+    "SettledRecord",
     "answer_query",
     "expire_records",
+    "find_outcome",
     "record_outcome",
     "try_start",
 ]
@@ -15,15 +16,19 @@
 from sycamorefall import messages
 
 RECORD_LIFETIME = 600.0
-"""Seconds for which an outcome is remembered after its last change."""
+"""Seconds for which an outcome is remembered once it is settled.
+
+A router believes "never seen" only about attempts younger than this, so a
+record that was dropped can't be taken for an attempt that never came.
+"""
 
 
 @dataclasses.dataclass(slots=True)
-class OutcomeRecord:
-    """What is known of one attempt.
+class SettledRecord:
+    """What became of one attempt.
 
     Attributes:
-        state: What became of it.
+        state: `REFUSED` or `FINISHED`.
         changed: When that became known.
     """
 
@@ -33,9 +38,27 @@
 
 @dataclasses.dataclass(slots=True)
 class OutcomeRecords:
-    """Records of one sidecar incarnation by attempt, oldest change first."""
+    """Records of one sidecar incarnation.
+
+    Attributes:
+        started: Attempts in progress. They are kept for as long as they run:
+            dropped by age, a long run would be reported as never seen, and
+            its request would be run a second time.
+        settled: Attempts that were refused or have ended, oldest first.
+    """
 
-    records: dict[str, OutcomeRecord] = dataclasses.field(default_factory=dict)
+    started: set[str] = dataclasses.field(default_factory=set)
+    settled: dict[str, SettledRecord] = dataclasses.field(default_factory=dict)
+
+
+def find_outcome(
+    outcomes: OutcomeRecords, attempt_id: str
+) -> messages.AttemptState | None:
+    """Tells what became of an attempt, or None if it was never seen."""
+    if attempt_id in outcomes.started:
+        return messages.AttemptState.STARTED
+    record = outcomes.settled.get(attempt_id)
+    return record.state if record else None
 
 
 def record_outcome(
@@ -44,12 +67,13 @@
     attempt_id: str,
     state: messages.AttemptState,
 ) -> None:
-    """Records what became of an attempt."""
-    outcomes.records.pop(attempt_id, None)
-    outcomes.records[attempt_id] = OutcomeRecord(state, now)
+    """Records that an attempt is settled: `REFUSED` or `FINISHED`."""
+    outcomes.started.discard(attempt_id)
+    outcomes.settled.pop(attempt_id, None)
+    outcomes.settled[attempt_id] = SettledRecord(state, now)
 
 
-def try_start(outcomes: OutcomeRecords, now: float, attempt_id: str) -> bool:
+def try_start(outcomes: OutcomeRecords, attempt_id: str) -> bool:
     """Records the start of an attempt unless there is a record of it.
 
     Guards against a hand-out that arrives twice, or after the router was
@@ -59,9 +83,9 @@
     Returns:
         Whether the attempt may start.
     """
-    if attempt_id in outcomes.records:
+    if find_outcome(outcomes, attempt_id) is not None:
         return False
-    record_outcome(outcomes, now, attempt_id, messages.AttemptState.STARTED)
+    outcomes.started.add(attempt_id)
     return True
 
 
@@ -77,18 +101,25 @@
 
     Returns:
         Its state.
+
+    Example:
+        >>> records = OutcomeRecords()
+        >>> answer_query(records, 0.0, "router-1/1/1/1").value
+        'never_seen'
+        >>> try_start(records, "router-1/1/1/1")
+        False
     """
-    record = outcomes.records.get(attempt_id)
-    if record is not None:
-        return record.state
+    known = find_outcome(outcomes, attempt_id)
+    if known is not None:
+        return known
     record_outcome(outcomes, now, attempt_id, messages.AttemptState.REFUSED)
     return messages.AttemptState.NEVER_SEEN
 
 
 def expire_records(outcomes: OutcomeRecords, now: float) -> None:
-    """Forgets outcomes that no router can still ask for."""
-    while outcomes.records:
-        attempt_id, record = next(iter(outcomes.records.items()))
+    """Forgets settled outcomes that no router can still ask for."""
+    while outcomes.settled:
+        attempt_id, record = next(iter(outcomes.settled.items()))
         if now - record.changed < RECORD_LIFETIME:
             return
-        del outcomes.records[attempt_id]
+        del outcomes.settled[attempt_id]
--- a/sycamorefall/messages.py
+++ b/sycamorefall/messages.py
@@ -5,6 +5,7 @@
 """
 
 __all__ = [
+    "ATTEMPT_HEADER",
     "ATTEMPT_PATH",
     "ORDER_HEADER",
     "OUTCOME_HEADER",
@@ -39,6 +40,9 @@
 ATTEMPT_PATH = "/v1/attempts"
 """Where a sidecar takes attempts over HTTP."""
 
+ATTEMPT_HEADER = "Sycamorefall-Attempt"
+"""Header of a sidecar's answer that names the attempt it answers."""
+
 ORDER_HEADER = "Sycamorefall-Order"
 """Header of a hand-out that carries its `AttemptOrder`."""
 
@@ -49,12 +53,14 @@
 class Outcome(enum.Enum):
     """Why a sidecar answers a hand-out without the upstream's answer.
 
-    REFUSED: it did not start the attempt.
+    REFUSED: it did not start the attempt and never will.
+    REPEATED: it started this attempt before; this was a copy of it.
     NOT_RUN: it could not reach the upstream.
     FAILED: the upstream broke off after it had the request.
     """
 
     REFUSED = "refused"
+    REPEATED = "repeated"
     NOT_RUN = "not-run"
     FAILED = "failed"
 
@@ -161,10 +167,17 @@
 
 
 class AttemptReport(msgspec.Struct, frozen=True, array_like=True, tag="report"):
-    """A sidecar's answer to a query."""
+    """A sidecar's answer to a query.
+
+    Attributes:
+        attempt_id: The attempt.
+        state: What the sidecar knows of it.
+        sent: Bytes of its answer that the sidecar has passed on so far.
+    """
 
     attempt_id: str
     state: AttemptState
+    sent: int = 0
 
 
 Message = (
@@ -212,6 +225,8 @@
         remaining: Seconds left until the caller's deadline.
         idempotent: Whether the request may be run again.
         cost_hint: The caller's estimate in cost units, 0 if none.
+        sidecar: VM name of the sidecar it is meant for.
+        sidecar_incarnation: The process there that it is meant for.
     """
 
     attempt_id: str
@@ -226,6 +241,8 @@
     remaining: float
     idempotent: bool
     cost_hint: float = 0.0
+    sidecar: str = ""
+    sidecar_incarnation: int = 0
 
 
 _encoder = msgspec.msgpack.Encoder()
@@ -257,7 +274,7 @@
     """
     try:
         return _envelope_decoder.decode(data)
-    except (msgspec.DecodeError, UnicodeDecodeError) as fault:
+    except (msgspec.DecodeError, UnicodeDecodeError, RecursionError) as fault:
         raise errors.MessageRefused(str(fault)) from fault
 
 
--- a/sycamorefall/router/core.py
+++ b/sycamorefall/router/core.py
@@ -5,7 +5,7 @@
 import heapq
 
 from sycamorefall import effects, errors, membership, messages
-from sycamorefall.router import announcement, handout, intake
+from sycamorefall.router import announcement, checks, handout, intake
 from sycamorefall.router import effects as router_effects
 from sycamorefall.router import state as state_module
 
@@ -72,6 +72,8 @@
     for request in _list_asking(state):
         if request.attempt.ask_next <= now:
             due += handout.ask_again(state, now, request)
+    for request in checks.pop_silent(state, now):
+        due += _check_attempt(state, now, request)
     if now >= state.next_heartbeat:
         state.next_heartbeat = now + HEARTBEAT_INTERVAL
         due += _send_heartbeats(state)
@@ -81,11 +83,29 @@
     return due
 
 
+def _check_attempt(
+    state: state_module.RouterState,
+    now: float,
+    request: state_module.Request,
+) -> list[router_effects.Effect]:
+    if not checks.is_abandoned(state, now, request):
+        return [checks.ask_sidecar(state, now, request)]
+    abort = router_effects.AbortAttempt(request.attempt.attempt_id)
+    return [abort, *handout.retry_or_give_up(state, now, request)]
+
+
 def find_next_due(state: state_module.RouterState) -> float:
     """Tells when `run_timers` has something to do next."""
     asking = (request.attempt.ask_next for request in _list_asking(state))
     deadlines = (entry[0] for entry in state.deadlines[:1])
-    return min(state.next_heartbeat, state.next_digest, *asking, *deadlines)
+    silent = (entry[0] for entry in state.checks[:1])
+    return min(
+        state.next_heartbeat,
+        state.next_digest,
+        *asking,
+        *deadlines,
+        *silent,
+    )
 
 
 def _list_asking(
@@ -124,9 +144,7 @@
 ) -> list[router_effects.Effect]:
     new = request.new
     outcome = intake.cancel_request(state, now, request.number)
-    ran = errors.Ran.NO
-    if request.attempt is not None or request.failures:
-        ran = errors.Ran.UNKNOWN
+    ran = handout.judge_ran(request)
     retry_after = intake.suggest_return(state, new.service, new.team)
     answer = router_effects.AnswerError(
         request.number, errors.ErrorKind.DEADLINE_EXCEEDED, ran, retry_after
--- a/sycamorefall/router/handout.py
+++ b/sycamorefall/router/handout.py
@@ -5,6 +5,10 @@
     "answer_claim",
     "ask_again",
     "end_attempt",
+    "give_up",
+    "judge_ran",
+    "retry_or_give_up",
+    "return_to_queue",
     "take_report",
 ]
 
@@ -18,7 +22,8 @@
     messages,
     sharing,
 )
-from sycamorefall.router import announcement, intake
+from sycamorefall.dispatch import outcomes
+from sycamorefall.router import announcement, checks, intake
 from sycamorefall.router import effects as router_effects
 from sycamorefall.router import state as state_module
 
@@ -31,6 +36,9 @@
 NOT_RUN_LIMIT = 8
 """Attempts after which a request that no upstream takes is given up."""
 
+TRUST_LIMIT = 0.8 * outcomes.RECORD_LIFETIME
+"""Age of an attempt, in seconds, up to which "never seen" is believed."""
+
 
 class AttemptEnd(enum.Enum):
     """How an attempt ended, as the router saw it.
@@ -114,8 +122,11 @@
         f"{state.vm}/{state.incarnation}/{request.number}/{request.attempts}"
     )
     request.state = state_module.RequestState.HANDED_OUT
-    request.attempt = state_module.Attempt(attempt_id, sidecar, incarnation)
+    request.attempt = state_module.Attempt(
+        attempt_id, sidecar, incarnation, handed_out=now
+    )
     state.by_attempt[attempt_id] = request.number
+    checks.watch_attempt(state, now, request.attempt)
     new = request.new
     order = messages.AttemptOrder(
         attempt_id=attempt_id,
@@ -130,6 +141,8 @@
         remaining=request.deadline - now,
         idempotent=new.idempotent,
         cost_hint=new.cost_hint,
+        sidecar=sidecar,
+        sidecar_incarnation=incarnation,
     )
     return router_effects.HandOut(request.number, sidecar, order)
 
@@ -160,31 +173,37 @@
         intake.forget_request(state, request.number)
         return []
     if end in (AttemptEnd.REFUSED, AttemptEnd.NOT_RUN):
-        return _return_to_queue(state, now, request)
-    if answer_begun:
-        kind = errors.ErrorKind.ANSWER_INCOMPLETE
-        return _give_up(state, request, kind, errors.Ran.YES)
-    if end is AttemptEnd.BROKEN and not request.new.idempotent:
+        return return_to_queue(state, now, request)
+    request.attempt.begun = request.attempt.begun or answer_begun
+    asks = end is AttemptEnd.BROKEN and not request.new.idempotent
+    if asks and not request.attempt.begun:
         return _start_asking(state, now, request)
-    return _retry_or_give_up(state, now, request)
+    return retry_or_give_up(state, now, request)
 
 
-def _return_to_queue(
+def return_to_queue(
     state: state_module.RouterState,
     now: float,
     request: state_module.Request,
 ) -> list[router_effects.Effect]:
-    """Makes a request that did not run wait again."""
+    """Makes a request that did not run wait again.
+
+    Args:
+        state: The router; changed.
+        now: This process's time.
+        request: A request whose attempt surely never ran, or may run again.
+
+    Returns:
+        Announcements, or the final answer if it is too late to wait.
+    """
     state.by_attempt.pop(request.attempt.attempt_id, None)
     state.asking.discard(request.number)
     request.attempt = None
     request.state = state_module.RequestState.WAITING
     if now >= request.deadline:
-        kind = errors.ErrorKind.DEADLINE_EXCEEDED
-        return _give_up(state, request, kind, errors.Ran.NO)
+        return give_up(state, request, errors.ErrorKind.DEADLINE_EXCEEDED)
     if request.attempts >= NOT_RUN_LIMIT and not request.failures:
-        kind = errors.ErrorKind.NO_UPSTREAM
-        return _give_up(state, request, kind, errors.Ran.NO)
+        return give_up(state, request, errors.ErrorKind.NO_UPSTREAM)
     new = request.new
     sharing.join_queue(
         state.waiting,
@@ -197,29 +216,61 @@
     return announcement.announce_team(state, now, new.service, new.team)
 
 
-def _retry_or_give_up(
+def retry_or_give_up(
     state: state_module.RouterState,
     now: float,
     request: state_module.Request,
 ) -> list[router_effects.Effect]:
+    """Decides about a request whose attempt may have run without an answer.
+
+    Args:
+        state: The router; changed.
+        now: This process's time.
+        request: The request.
+
+    Returns:
+        Announcements if it waits again, or its final answer.
+    """
+    if request.attempt.begun:
+        return give_up(state, request, errors.ErrorKind.ANSWER_INCOMPLETE)
     if not request.new.idempotent:
-        kind = errors.ErrorKind.OUTCOME_UNKNOWN
-        return _give_up(state, request, kind, errors.Ran.UNKNOWN)
+        return give_up(state, request, errors.ErrorKind.OUTCOME_UNKNOWN)
     request.failures += 1
     if request.failures > state.versions.configuration.limits.retries:
-        kind = errors.ErrorKind.RETRIES_EXHAUSTED
-        return _give_up(state, request, kind, errors.Ran.UNKNOWN)
-    return _return_to_queue(state, now, request)
+        return give_up(state, request, errors.ErrorKind.RETRIES_EXHAUSTED)
+    return return_to_queue(state, now, request)
+
 
+def judge_ran(request: state_module.Request) -> errors.Ran:
+    """Tells what is known of whether a request ran.
 
-def _give_up(
+    "Not run" is said only if each of its attempts is known to have been
+    refused: an attempt that is still open, or that failed on the way, may
+    have run or may yet.
+    """
+    if request.attempt is not None and request.attempt.begun:
+        return errors.Ran.YES
+    if request.attempt is not None or request.failures:
+        return errors.Ran.UNKNOWN
+    return errors.Ran.NO
+
+
+def give_up(
     state: state_module.RouterState,
     request: state_module.Request,
     kind: errors.ErrorKind,
-    ran: errors.Ran,
 ) -> list[router_effects.Effect]:
-    if request.failures and ran is errors.Ran.NO:
-        ran = errors.Ran.UNKNOWN
+    """Ends a request with a failure as its final answer.
+
+    Args:
+        state: The router; changed.
+        request: The request.
+        kind: The kind of failure.
+
+    Returns:
+        The answer.
+    """
+    ran = judge_ran(request)
     intake.forget_request(state, request.number)
     retry_after = 1 if errors.ANSWERS[kind].retry else None
     return [router_effects.AnswerError(request.number, kind, ran, retry_after)]
@@ -258,8 +309,7 @@
     peer = state.directory.peers.get(attempt.sidecar)
     replaced = peer is not None and peer.incarnation != attempt.incarnation
     if replaced or now >= attempt.ask_until:
-        kind = errors.ErrorKind.OUTCOME_UNKNOWN
-        return _give_up(state, request, kind, errors.Ran.UNKNOWN)
+        return give_up(state, request, errors.ErrorKind.OUTCOME_UNKNOWN)
     attempt.ask_next = now + ASK_INTERVAL
     query = messages.AttemptQuery(attempt.attempt_id)
     return [effects.Send(attempt.sidecar, query)]
@@ -272,7 +322,7 @@
     incarnation: int,
     report: messages.AttemptReport,
 ) -> list[router_effects.Effect]:
-    """Decides by a sidecar's word on an attempt whose link broke.
+    """Decides by a sidecar's word on an attempt.
 
     Args:
         state: The router; changed.
@@ -288,14 +338,32 @@
     if request is None:
         return []
     attempt = request.attempt
-    if request.state is not state_module.RequestState.ASKING:
-        return []
     if (attempt.sidecar, attempt.incarnation) != (sidecar, incarnation):
         return []
+    abort = [router_effects.AbortAttempt(attempt.attempt_id)]
+    if _proves_not_run(now, attempt, report):
+        return abort + return_to_queue(state, now, request)
+    if request.state is state_module.RequestState.ASKING:
+        return retry_or_give_up(state, now, request)
+    if checks.judge_report(state, now, request, report):
+        return abort + retry_or_give_up(state, now, request)
+    return []
+
+
+def _proves_not_run(
+    now: float,
+    attempt: state_module.Attempt,
+    report: messages.AttemptReport,
+) -> bool:
+    """Tells whether a report proves that the attempt never ran.
+
+    Guards against a router that was frozen for longer than the sidecar keeps
+    its records: to it, "never seen" of an old attempt may mean "forgotten",
+    and a request that ran would be handed out again. An attempt's record is
+    settled after its hand-out, so it outlives the limit on the age here.
+    """
     never_ran = report.state in (
         messages.AttemptState.NEVER_SEEN,
         messages.AttemptState.REFUSED,
     )
-    if never_ran:
-        return _return_to_queue(state, now, request)
-    return _retry_or_give_up(state, now, request)
+    return never_ran and now - attempt.handed_out < TRUST_LIMIT
--- a/sycamorefall/router/relay.py
+++ b/sycamorefall/router/relay.py
@@ -8,7 +8,7 @@
 
 from sycamorefall import errors, messages, settings, transport
 from sycamorefall import node as node_module
-from sycamorefall.router import effects, handout, intake
+from sycamorefall.router import checks, effects, handout, intake
 from sycamorefall.router import state as state_module
 
 MOST_UNSENT = 64
@@ -18,6 +18,7 @@
 
 _ENDS = {
     messages.Outcome.REFUSED.value: handout.AttemptEnd.REFUSED,
+    messages.Outcome.REPEATED.value: handout.AttemptEnd.BROKEN,
     messages.Outcome.NOT_RUN.value: handout.AttemptEnd.NOT_RUN,
     messages.Outcome.FAILED.value: handout.AttemptEnd.FAILED,
 }
@@ -141,9 +142,9 @@
         request,
         transport.Listener(
             on_head=lambda status, headers: _take_head(
-                node, call, delivery, status, headers
+                node, desk, call, delivery, status, headers
             ),
-            on_data=lambda data: _take_data(node, call, delivery, data),
+            on_data=lambda data: _take_data(node, desk, call, delivery, data),
             on_end=lambda: _take_end(node, desk, call, delivery),
             on_failure=lambda stage: _take_failure(
                 node, desk, call, delivery, stage
@@ -154,12 +155,22 @@
 
 def _take_head(
     node: node_module.Node,
+    desk: Desk,
     call: transport.IncomingCall,
     delivery: _Delivery,
     status: int,
     headers: list[tuple[str, str]],
 ) -> None:
     named = dict(headers)
+    answered = named.get(messages.ATTEMPT_HEADER.lower())
+    if answered != delivery.attempt_id:
+        # Guards against someone else's answer: of an earlier request on this
+        # connection, of another process at this address, or of a server that
+        # never got as far as the attempt. It would be taken for the answer
+        # of the upstream. What became of the attempt itself is open.
+        node.client.abort(delivery.exchange)
+        _finish(node, desk, call, delivery, handout.AttemptEnd.BROKEN)
+        return
     outcome = named.get(messages.OUTCOME_HEADER.lower())
     if outcome is not None:
         delivery.end = _ENDS.get(outcome, handout.AttemptEnd.FAILED)
@@ -172,23 +183,43 @@
     )
     content_type = named.get("content-type", "")
     delivery.streamed = content_type.startswith(_STREAM_TYPE)
+    _note_progress(desk, delivery, 0)
     if delivery.streamed:
         call.begin(status, delivery.headers)
-        call.on_drained = lambda: node.client.pause(delivery.exchange, False)
+        call.on_drained = lambda: _pause(node, desk, delivery, False)
+
+
+def _note_progress(desk: Desk, delivery: _Delivery, size: int) -> None:
+    checks.note_progress(
+        desk.state,
+        transport.read_clock(),
+        delivery.attempt_id,
+        size,
+        begun=delivery.streamed,
+    )
+
+
+def _pause(
+    node: node_module.Node, desk: Desk, delivery: _Delivery, paused: bool
+) -> None:
+    node.client.pause(delivery.exchange, paused)
+    checks.note_pause(desk.state, delivery.attempt_id, paused)
 
 
 def _take_data(
     node: node_module.Node,
+    desk: Desk,
     call: transport.IncomingCall,
     delivery: _Delivery,
     data: bytes,
 ) -> None:
+    _note_progress(desk, delivery, len(data))
     if not delivery.streamed:
         delivery.held.append(data)
         return
     call.write(data)
     if call.backlog > MOST_UNSENT:
-        node.client.pause(delivery.exchange, True)
+        _pause(node, desk, delivery, True)
 
 
 def _take_end(
--- a/sycamorefall/router/state.py
+++ b/sycamorefall/router/state.py
@@ -56,15 +56,32 @@
         attempt_id: Unique over all routers, incarnations and attempts.
         sidecar: VM name of the sidecar.
         incarnation: The sidecar's process when it claimed.
+        handed_out: When the request was handed out.
         ask_until: When to give up asking for its outcome.
         ask_next: When to ask again.
+        begun: Whether the caller already has part of the answer.
+        paused: Whether this router reads no further for a slow caller.
+        received: Bytes of the answer that have come.
+        heard_at: When something of the answer last came.
+        check_interval: Seconds of silence until its outcome is asked for.
+        asked_since: Since when a question for it is open, or None.
+        behind: Bytes received when the sidecar first said that it had sent
+            more, or None.
     """
 
     attempt_id: str
     sidecar: str
     incarnation: int
+    handed_out: float = 0.0
     ask_until: float = 0.0
     ask_next: float = 0.0
+    begun: bool = False
+    paused: bool = False
+    received: int = 0
+    heard_at: float = 0.0
+    check_interval: float = 0.0
+    asked_since: float | None = None
+    behind: int | None = None
 
 
 @dataclasses.dataclass(slots=True)
@@ -105,6 +122,8 @@
         requests: Requests not yet answered, by number.
         by_attempt: Request number by attempt.
         asking: Numbers of requests whose outcome a sidecar is asked for.
+        checks: Heap of (time, attempt) at which silent attempts are checked;
+            may hold attempts that are over.
         deadlines: Heap of (deadline, request); may hold answered requests.
         rates: Drain rate by service and team.
         announced: Last announced count by service and team.
@@ -130,6 +149,7 @@
     requests: dict[int, Request] = dataclasses.field(default_factory=dict)
     by_attempt: dict[str, int] = dataclasses.field(default_factory=dict)
     asking: set[int] = dataclasses.field(default_factory=set)
+    checks: list[tuple[float, str]] = dataclasses.field(default_factory=list)
     deadlines: list[tuple[float, int]] = dataclasses.field(default_factory=list)
     rates: dict[tuple[str, str], admission.DrainRate] = dataclasses.field(
         default_factory=dict
--- a/sycamorefall/sidecar/core.py
+++ b/sycamorefall/sidecar/core.py
@@ -8,9 +8,10 @@
     "run_timers",
 ]
 
-from sycamorefall import dispatch, effects, membership, messages, sharing
+from sycamorefall import effects, membership, messages, sharing
 from sycamorefall.dispatch import outcomes
-from sycamorefall.sidecar import claiming
+from sycamorefall.sidecar import claiming, running
+from sycamorefall.sidecar import effects as sidecar_effects
 from sycamorefall.sidecar import state as state_module
 
 HEARTBEAT_INTERVAL = 0.5
@@ -65,10 +66,7 @@
             if message.service == state.service:
                 sharing.merge_entries(state.accounts, message.entries)
         case messages.AttemptQuery():
-            known = dispatch.answer_query(
-                state.outcomes, now, message.attempt_id
-            )
-            report = messages.AttemptReport(message.attempt_id, known)
+            report = running.report_attempt(state, now, message.attempt_id)
             replies.append(effects.Send(sender, report))
     return replies + claiming.make_claims(state, now)
 
@@ -105,7 +103,7 @@
 
 def run_timers(
     state: state_module.SidecarState, now: float
-) -> list[effects.Send]:
+) -> list[effects.Send | sidecar_effects.CancelRun]:
     """Does what has come due.
 
     Args:
@@ -113,10 +111,11 @@
         now: This process's time.
 
     Returns:
-        Messages to send.
+        Messages to send and runs to cancel.
     """
     claiming.release_expired(state, now)
-    due: list[effects.Send] = []
+    due: list[effects.Send | sidecar_effects.CancelRun] = []
+    due += running.cancel_overdue(state, now)
     if now >= state.next_heartbeat:
         state.next_heartbeat = now + HEARTBEAT_INTERVAL
         outcomes.expire_records(state.outcomes, now)
@@ -131,7 +130,8 @@
     """Tells when `run_timers` has something to do next."""
     leases = (claim.expires for claim in state.claims.open.values())
     exchange = [state.next_exchange] if state.accounts.unsent else []
-    return min([state.next_heartbeat, *leases, *exchange])
+    overdue = running.find_next_overdue(state)
+    return min([state.next_heartbeat, overdue, *leases, *exchange])
 
 
 def _send_heartbeats(
--- a/sycamorefall/sidecar/running.py
+++ b/sycamorefall/sidecar/running.py
@@ -1,17 +1,42 @@
 """Attempts at a sidecar: started at most once, charged as they run."""
 
-__all__ = ["accept_attempt", "charge_run", "finish_run"]
+__all__ = [
+    "Acceptance",
+    "accept_attempt",
+    "cancel_overdue",
+    "charge_run",
+    "find_next_overdue",
+    "finish_run",
+    "note_sent",
+    "report_attempt",
+]
+
+import enum
 
 from sycamorefall import dispatch, messages, sharing
 from sycamorefall.dispatch import outcomes
+from sycamorefall.sidecar import effects
 from sycamorefall.sidecar import state as state_module
 
 
+class Acceptance(enum.Enum):
+    """What a sidecar does with a hand-out.
+
+    STARTED: it is now on record as started and is to be run.
+    REFUSED: it did not start here, and never will.
+    REPEATED: it started here before; this is a copy.
+    """
+
+    STARTED = "started"
+    REFUSED = "refused"
+    REPEATED = "repeated"
+
+
 def accept_attempt(
     state: state_module.SidecarState,
     now: float,
     order: messages.AttemptOrder,
-) -> bool:
+) -> Acceptance:
     """Decides whether an attempt may start, directly before it would.
 
     Args:
@@ -20,32 +45,71 @@
         order: Head of the attempt.
 
     Returns:
-        True if the attempt is now on record as started; False if it is
-        refused, and will be whenever it comes again.
+        Whether it starts. A refusal is on record, so that the attempt is
+        refused whenever it comes again.
     """
-    claim = dispatch.redeem_claim(
-        state.claims, now, order.claim_id, order.router, order.team
-    )
+    known = outcomes.find_outcome(state.outcomes, order.attempt_id)
+    if known in (
+        messages.AttemptState.STARTED,
+        messages.AttemptState.FINISHED,
+    ):
+        # Guards against a copy of a hand-out: called refused, its request
+        # would be handed out again although it runs.
+        return Acceptance.REPEATED
+    claim = None
+    if _is_meant_here(state, order) and not _is_outdated(state, order):
+        claim = dispatch.redeem_claim(
+            state.claims, now, order.claim_id, order.router, order.team
+        )
     if claim is None:
         _refuse(state, now, order.attempt_id)
-        return False
-    if not dispatch.try_start(state.outcomes, now, order.attempt_id):
+        return Acceptance.REFUSED
+    if not dispatch.try_start(state.outcomes, order.attempt_id):
         sharing.reserve_units(state.accounts, order.team, -claim.reserved)
-        return False
+        return Acceptance.REFUSED
     state.runs[order.attempt_id] = state_module.Run(
-        order.attempt_id, order.team, claim.reserved
+        order.attempt_id,
+        order.team,
+        claim.reserved,
+        idempotent=order.idempotent,
+        deadline=now + order.remaining,
     )
-    return True
+    return Acceptance.STARTED
+
+
+def _is_meant_here(
+    state: state_module.SidecarState, order: messages.AttemptOrder
+) -> bool:
+    """Tells whether a hand-out is meant for this very process.
+
+    Guards against a claim redeemed for another request: claim numbers begin
+    anew in each process, so a hand-out for the process before this one, or
+    for the VM that had this address before, could match a claim of this one
+    by chance. Its router would hear of it under the wrong incarnation.
+    """
+    meant = (order.sidecar, order.sidecar_incarnation, order.service)
+    return meant == (state.vm, state.incarnation, state.service)
+
+
+def _is_outdated(
+    state: state_module.SidecarState, order: messages.AttemptOrder
+) -> bool:
+    """Tells whether a hand-out comes from a router that has restarted since.
+
+    Guards against a hand-out that was on its way as its router died: nobody
+    waits for its answer, its caller may already have come back with the same
+    order, and the claim it names belongs to the router's new process.
+    """
+    peer = state.directory.peers.get(order.router)
+    return peer is not None and peer.incarnation > order.incarnation
 
 
 def _refuse(
     state: state_module.SidecarState, now: float, attempt_id: str
 ) -> None:
-    """Records a refusal, but not over the record of an earlier start."""
-    if dispatch.try_start(state.outcomes, now, attempt_id):
-        outcomes.record_outcome(
-            state.outcomes, now, attempt_id, messages.AttemptState.REFUSED
-        )
+    outcomes.record_outcome(
+        state.outcomes, now, attempt_id, messages.AttemptState.REFUSED
+    )
 
 
 def charge_run(
@@ -71,8 +135,20 @@
     sharing.reserve_units(state.accounts, run.team, -released)
 
 
+def note_sent(
+    state: state_module.SidecarState, attempt_id: str, size: int
+) -> None:
+    """Counts bytes of an answer that were passed on to the router."""
+    run = state.runs.get(attempt_id)
+    if run is not None:
+        run.sent += size
+
+
 def finish_run(
-    state: state_module.SidecarState, now: float, attempt_id: str
+    state: state_module.SidecarState,
+    now: float,
+    attempt_id: str,
+    ran: bool = True,
 ) -> None:
     """Ends a run and learns from its cost.
 
@@ -80,12 +156,67 @@
         state: The sidecar; changed.
         now: This process's time.
         attempt_id: The attempt that ended, in whichever way.
+        ran: Whether the upstream may have seen it. If no byte reached the
+            upstream, the attempt goes on record as refused, so that a router
+            that didn't hear of it can still say "not run".
     """
     run = state.runs.pop(attempt_id, None)
     if run is None:
         return
     sharing.reserve_units(state.accounts, run.team, -run.reserved)
-    sharing.note_cost(state.estimates, run.team, run.charged)
-    outcomes.record_outcome(
-        state.outcomes, now, attempt_id, messages.AttemptState.FINISHED
+    if ran:
+        sharing.note_cost(state.estimates, run.team, run.charged)
+    settled = messages.AttemptState.FINISHED
+    if not ran:
+        settled = messages.AttemptState.REFUSED
+    outcomes.record_outcome(state.outcomes, now, attempt_id, settled)
+
+
+def report_attempt(
+    state: state_module.SidecarState, now: float, attempt_id: str
+) -> messages.AttemptReport:
+    """Tells a router what became of an attempt.
+
+    Args:
+        state: The sidecar; an attempt never seen is refused from now on.
+        now: This process's time.
+        attempt_id: The attempt.
+
+    Returns:
+        The report.
+    """
+    known = dispatch.answer_query(state.outcomes, now, attempt_id)
+    run = state.runs.get(attempt_id)
+    return messages.AttemptReport(attempt_id, known, run.sent if run else 0)
+
+
+def cancel_overdue(
+    state: state_module.SidecarState, now: float
+) -> list[effects.CancelRun]:
+    """Cancels idempotent runs whose callers have stopped waiting.
+
+    Guards against a router that vanished without closing its connection, as
+    in a partition: its runs would hold their slots until the kernel gives
+    the connection up, after minutes. A run that is not idempotent goes on to
+    its end, since breaking it off could leave half an order booked.
+
+    Args:
+        state: The sidecar.
+        now: This process's time.
+
+    Returns:
+        Runs to be cancelled.
+    """
+    return [
+        effects.CancelRun(run.attempt_id)
+        for run in state.runs.values()
+        if run.idempotent and run.deadline <= now
+    ]
+
+
+def find_next_overdue(state: state_module.SidecarState) -> float:
+    """Tells when `cancel_overdue` has something to do next."""
+    return min(
+        (run.deadline for run in state.runs.values() if run.idempotent),
+        default=float("inf"),
     )
--- a/sycamorefall/sidecar/state.py
+++ b/sycamorefall/sidecar/state.py
@@ -16,12 +16,18 @@
         team: Whose request it is.
         reserved: Cost units still reserved for it.
         charged: Cost units charged so far.
+        idempotent: Whether it may be cancelled and run again.
+        deadline: When its caller stops waiting, by this process's clock.
+        sent: Bytes of the answer passed on to the router so far.
     """
 
     attempt_id: str
     team: str
     reserved: float
     charged: float = 0.0
+    idempotent: bool = True
+    deadline: float = float("inf")
+    sent: int = 0
 
 
 @dataclasses.dataclass(slots=True)
