--- a/sycamorefall/messages.py
+++ b/sycamorefall/messages.py
@@ -9,6 +9,7 @@
     "ATTEMPT_PATH",
     "ORDER_HEADER",
     "OUTCOME_HEADER",
+    "SIGNATURE_HEADER",
     "AccountEntry",
     "AccountUpdate",
     "AttemptOrder",
@@ -46,6 +47,9 @@
 ORDER_HEADER = "Sycamorefall-Order"
 """Header of a hand-out that carries its `AttemptOrder`."""
 
+SIGNATURE_HEADER = "Sycamorefall-Signature"
+"""Header of a hand-out with the digest of its order and body."""
+
 OUTCOME_HEADER = "Sycamorefall-Outcome"
 """Header of a sidecar's answer in place of the upstream's: an `Outcome`."""
 
--- a/sycamorefall/node.py
+++ b/sycamorefall/node.py
@@ -4,16 +4,17 @@
 
 from collections.abc import Callable, Iterable
 import dataclasses
-import sys
 import time
 
 from circuits.core import pollers
 
 from sycamorefall import (
+    authentication,
     configuration,
     effects,
     membership,
     messages,
+    observation,
     platform,
     settings,
     transport,
@@ -62,6 +63,9 @@
         client: Sends HTTP requests.
         server: Takes HTTP requests.
         reader: Reads the platform.
+        authenticator: Signs hand-outs and control messages.
+        log: Writes the log.
+        operators: Takes operators' requests, if at an address of its own.
         stopping: Whether the process is to end once it is idle.
     """
 
@@ -71,6 +75,9 @@
     client: transport.HttpClient
     server: transport.HttpServer
     reader: platform.PlatformReader
+    authenticator: authentication.Authenticator
+    log: observation.LogWriter
+    operators: transport.HttpServer | None = None
     stopping: bool = False
 
 
@@ -83,21 +90,28 @@
     config: settings.RouterSettings | settings.SidecarSettings,
     core: Core,
     on_call: Callable[[transport.IncomingCall], None],
+    on_operator_call: Callable[[transport.IncomingCall], None],
 ) -> Node:
     """Opens a node's sockets and wires them to its decisions.
 
     Args:
         config: The process's settings.
         core: The decisions.
-        on_call: Called with each HTTP request.
+        on_call: Called with each HTTP request at the data address.
+        on_operator_call: Called with each one at the operators' address.
 
     Returns:
         The node, ready to run.
 
     Raises:
         errors.AddressInUse: A listening address can't be bound.
+        errors.SettingsRefused: The log or the key file can't be used.
     """
-    loop = transport.create_loop(lambda: begin_stop(node))
+    authenticator = authentication.create_authenticator(
+        core.vm, config.security
+    )
+    log = observation.open_log(config.log)
+    loop = transport.create_loop(lambda: begin_stop(node), _report_fault)
     poller = next(
         part for part in loop.components if isinstance(part, pollers.BasePoller)
     )
@@ -107,6 +121,7 @@
         lambda envelope: perform(
             node, core.receive(transport.read_clock(), envelope)
         ),
+        authenticator,
     ).register(loop)
     control.attach(poller)
     client = transport.HttpClient(poller, transport.read_clock).register(loop)
@@ -120,21 +135,52 @@
         lambda vms: _take_vms(node, vms),
         seed=core.incarnation,
     )
-    node = Node(core, loop, control, client, server, reader)
+    node = Node(core, loop, control, client, server, reader, authenticator, log)
+    if config.listen.operators is not None:
+        node.operators = transport.HttpServer(
+            config.listen.operators,
+            config.limits,
+            on_operator_call,
+            channel="operators",
+        ).register(loop)
     transport.Ticker(
         lambda: _find_next_due(node), lambda now: _run_timers(node, now)
     ).register(loop)
     return node
 
 
+def _report_fault(trace: str) -> None:
+    observation.write_record(
+        observation.Level.ERROR, "process.fault", traceback=trace
+    )
+
+
 def run_node(node: Node) -> None:
     """Runs a node until it is told to stop and has nothing in progress."""
+    core = node.core
+    observation.write_record(
+        observation.Level.INFO,
+        "process.started",
+        vm=core.vm,
+        incarnation=core.incarnation,
+    )
+    if not node.authenticator.enabled:
+        observation.write_record(
+            observation.Level.WARNING,
+            "security.no_shared_key",
+            meaning="every process that reaches this one is believed; "
+            "set [security] shared_key_file",
+        )
     node.loop.run()
+    observation.write_record(
+        observation.Level.INFO, "process.stopped", vm=core.vm
+    )
 
 
 def begin_stop(node: Node) -> None:
     """Begins a graceful stop: nothing new is taken, the rest is finished."""
     if not node.stopping:
+        observation.write_record(observation.Level.INFO, "process.stopping")
         node.stopping = True
         node.core.begin_stop()
 
@@ -169,13 +215,21 @@
     return min(
         node.core.find_next_due(),
         node.client.find_next_due(),
+        *(server.find_next_due() for server in _list_servers(node)),
         node.reader.find_next_due(),
     )
 
 
+def _list_servers(node: Node) -> list[transport.HttpServer]:
+    return [node.server, *filter(None, [node.operators])]
+
+
 def _run_timers(node: Node, now: float) -> None:
     node.client.expire(now)
+    for server in _list_servers(node):
+        server.expire(now)
     node.reader.run(now)
+    node.log.flush()
     perform(node, node.core.run_timers(now))
     if node.stopping and node.core.is_idle():
         node.loop.stop()
@@ -183,19 +237,35 @@
 
 def _take_text(node: Node, published: platform.PublishedText) -> None:
     versions = node.core.versions
+    if published.revision <= versions.revision:
+        configuration.offer_text(versions, published.revision, published.text)
+        return
+    action = observation.start_action(
+        "configuration.change",
+        revision=published.revision,
+        in_force=versions.in_force,
+    )
     adoption = configuration.offer_text(
         versions, published.revision, published.text
     )
     if adoption is configuration.Adoption.ADOPTED:
         node.core.apply_configuration()
     if adoption is configuration.Adoption.REFUSED:
-        print(
-            f"configuration revision {published.revision} refused: "
-            f"{versions.refusal}",
-            file=sys.stderr,
+        observation.write_record(
+            observation.Level.WARNING,
+            "configuration.refused",
+            revision=published.revision,
+            reason=versions.refusal,
         )
+    observation.end_action(action, adoption=adoption.value)
 
 
 def _take_vms(node: Node, vms: membership.VmList) -> None:
     if membership.replace_list(node.core.directory, vms):
+        observation.write_record(
+            observation.Level.INFO,
+            "vms.changed",
+            revision=vms.revision,
+            vms=len(vms.vms),
+        )
         node.control.keep_only(set(node.core.directory.vms))
--- a/sycamorefall/settings.py
+++ b/sycamorefall/settings.py
@@ -11,6 +11,7 @@
     "LogSettings",
     "PlatformSettings",
     "RouterSettings",
+    "SecuritySettings",
     "SidecarSettings",
     "UpstreamSettings",
     "VmSettings",
@@ -26,7 +27,7 @@
 
 import msgspec
 
-from sycamorefall import errors
+from sycamorefall import errors, ini
 
 Positive = Annotated[float, msgspec.Meta(gt=0)]
 Count = Annotated[int, msgspec.Meta(ge=1)]
@@ -60,7 +61,12 @@
 
 
 class VmSettings(msgspec.Struct, frozen=True, forbid_unknown_fields=True):
-    """Section `[vm]`: where this process runs."""
+    """Section `[vm]`: where this process runs.
+
+    Attributes:
+        name: The VM, as the platform's list names it.
+        failure_domain: The failure domain it stands in.
+    """
 
     name: Name
     failure_domain: Name
@@ -70,12 +76,15 @@
     """Section `[listen]`: addresses this process is reached at.
 
     Attributes:
-        data: HTTP: callers and operators at a router, attempts at a sidecar.
+        data: HTTP: callers at a router, attempts at a sidecar.
         control: Messages of the other processes.
+        operators: HTTP: `/status` and `/metrics`. Without it, the data
+            address answers them to callers on the same VM only.
     """
 
     data: Address
     control: Address
+    operators: Address | None = None
 
 
 class PlatformSettings(msgspec.Struct, frozen=True, forbid_unknown_fields=True):
@@ -91,7 +100,12 @@
 
 
 class UpstreamSettings(msgspec.Struct, frozen=True, forbid_unknown_fields=True):
-    """Section `[upstream]` of a sidecar: the upstream beside it."""
+    """Section `[upstream]` of a sidecar: the upstream beside it.
+
+    Attributes:
+        service: The service of the operators' text that it belongs to.
+        address: Where it answers.
+    """
 
     service: Name
     address: Address
@@ -104,7 +118,9 @@
         max_body_bytes: Largest request body.
         max_header_bytes: Largest request head.
         max_connections: Open connections of callers.
-        header_timeout: Seconds a caller may take to send a whole request.
+        header_timeout: Seconds a caller may take to send a whole request,
+            and to take what is left of an answer on a closing connection.
+        idle_timeout: Seconds a connection stays open without a request.
         default_timeout: Seconds until the deadline of a request that names
             none.
         max_timeout: Longest deadline a caller may name, in seconds.
@@ -114,12 +130,31 @@
     max_header_bytes: Count = 1 << 15
     max_connections: Count = 4096
     header_timeout: Positive = 20.0
+    idle_timeout: Positive = 120.0
     default_timeout: Positive = 120.0
     max_timeout: Positive = 3600.0
 
 
+class SecuritySettings(msgspec.Struct, frozen=True, forbid_unknown_fields=True):
+    """Section `[security]`: who may speak between the processes.
+
+    Attributes:
+        shared_key_file: File with the fleet's shared keys, one a line; the
+            first one signs, all are accepted. Without it, every process that
+            reaches this one is believed.
+    """
+
+    shared_key_file: str = ""
+
+
 class LogSettings(msgspec.Struct, frozen=True, forbid_unknown_fields=True):
-    """Section `[log]`: where log records go and how many."""
+    """Section `[log]`: where log records go and how many.
+
+    Attributes:
+        destination: `stderr`, `stdout` or the path of a file.
+        level: Least level that is written; `warning` and above leave the
+            records of single requests out.
+    """
 
     destination: str = "stderr"
     level: Literal["debug", "info", "warning", "error", "off"] = "info"
@@ -132,6 +167,7 @@
     listen: ListenSettings
     platform: PlatformSettings
     limits: LimitSettings = LimitSettings()
+    security: SecuritySettings = SecuritySettings()
     log: LogSettings = LogSettings()
 
 
@@ -143,6 +179,7 @@
     platform: PlatformSettings
     upstream: UpstreamSettings
     limits: LimitSettings = LimitSettings()
+    security: SecuritySettings = SecuritySettings()
     log: LogSettings = LogSettings()
 
 
@@ -191,15 +228,48 @@
     Raises:
         errors.SettingsRefused: The text can't be used; one line says why.
     """
-    parser = configparser.ConfigParser(interpolation=None)
+    parser = configparser.ConfigParser(interpolation=None, default_section="")
     try:
         parser.read_string(text)
-        sections = {name: dict(parser[name]) for name in parser.sections()}
-        return msgspec.convert(
+    except configparser.ParsingError as fault:
+        line = fault.errors[0][0]
+        raise errors.SettingsRefused(f"line {line}: not an INI line") from fault
+    except configparser.Error as fault:
+        reason = " ".join(fault.message.replace("\n", " ").split())
+        raise errors.SettingsRefused(reason) from fault
+    sections = {name: dict(parser[name]) for name in parser.sections()}
+    try:
+        checked = msgspec.convert(
             sections, kind, strict=False, dec_hook=_decode_hook
         )
-    except (configparser.Error, ValueError) as fault:
-        raise errors.SettingsRefused(" ".join(str(fault).split())) from fault
+    except (msgspec.ValidationError, ValueError) as fault:
+        raise errors.SettingsRefused(
+            ini.locate_fault(text, str(fault))
+        ) from fault
+    _check_addresses(checked)
+    return checked
+
+
+def _check_addresses(checked: RouterSettings | SidecarSettings) -> None:
+    """Refuses settings by which a process would meet itself."""
+    listen = checked.listen
+    named = {
+        "[listen] data": listen.data,
+        "[listen] control": listen.control,
+        "[listen] operators": listen.operators,
+        "[platform] address": checked.platform.address,
+    }
+    if isinstance(checked, SidecarSettings):
+        named["[upstream] address"] = checked.upstream.address
+    seen: dict[Address, str] = {}
+    for name, address in named.items():
+        if address is None:
+            continue
+        if address in seen:
+            raise errors.SettingsRefused(
+                f"{seen[address]} and {name} are both {address}"
+            )
+        seen[address] = name
 
 
 def read_settings(path: str, kind: type[Settings]) -> Settings:
--- a/sycamorefall/sidecar/daemon.py
+++ b/sycamorefall/sidecar/daemon.py
@@ -5,13 +5,29 @@
 from collections.abc import Callable
 import dataclasses
 
-import msgspec
-
-from sycamorefall import configuration, errors, messages, settings, transport
+from sycamorefall import (
+    configuration,
+    errors,
+    messages,
+    observation,
+    pages,
+    settings,
+    transport,
+)
 from sycamorefall import node as node_module
-from sycamorefall.sidecar import claiming, core, effects, metering, running
+from sycamorefall.sidecar import (
+    claiming,
+    core,
+    effects,
+    metering,
+    running,
+    status,
+)
 from sycamorefall.sidecar import state as state_module
 
+REQUEST_ID_HEADER = "X-Request-Id"
+"""Header with the caller's own name for its request."""
+
 _PASSED_ON = frozenset({"content-type", "cache-control"})
 """Headers of an upstream's answer that reach the caller."""
 
@@ -25,27 +41,40 @@
 class _Relay:
     """A run in progress: the router's call and the upstream's answer."""
 
-    __slots__ = ("begun_at", "call", "end", "exchange", "meter", "order")
+    __slots__ = (
+        "begun_at",
+        "call",
+        "end",
+        "exchange",
+        "meter",
+        "order",
+        "streamed",
+        "track",
+    )
 
     def __init__(
         self,
         call: transport.IncomingCall,
         order: messages.AttemptOrder,
         meter: metering.Meter,
+        track: observation.Track,
     ):
+        self.streamed = False
+        self.track = track
         self.call = call
         self.order = order
         self.meter = meter
         self.begun_at = transport.read_clock()
-        self.end: Callable[[bool], None] = lambda ran: None
+        self.end: Callable[[str], None] = lambda result: None
         self.exchange: transport.Exchange | None = None
 
 
 @dataclasses.dataclass(slots=True)
 class _Desk:
-    """The decisions and the runs in progress, by attempt."""
+    """The decisions, the records, and the runs in progress by attempt."""
 
     state: state_module.SidecarState
+    recorder: observation.Recorder
     relays: dict[str, _Relay] = dataclasses.field(default_factory=dict)
 
 
@@ -63,7 +92,8 @@
         node_module.choose_incarnation(),
         config.upstream.service,
     )
-    desk = _Desk(state)
+    recorder = observation.Recorder()
+    desk = _Desk(state, recorder)
     decisions = node_module.Core(
         vm=state.vm,
         incarnation=state.incarnation,
@@ -80,8 +110,12 @@
         begin_stop=lambda: core.begin_stop(state),
     )
     node = node_module.create_node(
-        config, decisions, lambda call: _take_call(node, config, desk, call)
+        config,
+        decisions,
+        lambda call: _take_call(node, config, desk, shown, call),
+        lambda call: _take_operator_call(shown, call),
     )
+    shown = status.create_pages(node, state, recorder, config.listen)
     node_module.run_node(node)
 
 
@@ -98,32 +132,20 @@
     node: node_module.Node,
     config: settings.SidecarSettings,
     desk: _Desk,
+    shown: pages.Pages,
     call: transport.IncomingCall,
 ) -> None:
-    if call.path == "/status":
-        call.respond(
-            200,
-            msgspec.json.encode(_describe_status(desk.state)),
-            (("Content-Type", "application/json"),),
-        )
-    elif call.path == messages.ATTEMPT_PATH:
+    if call.path == messages.ATTEMPT_PATH:
         _take_attempt(node, config, desk, call)
-    else:
+    elif not pages.answer_page(shown, call, for_operators=False):
         call.fail(errors.ErrorKind.UNKNOWN_SERVICE)
 
 
-def _describe_status(state: state_module.SidecarState) -> dict[str, object]:
-    return {
-        "vm": state.vm,
-        "role": "sidecar",
-        "service": state.service,
-        "revision": state.versions.in_force,
-        "refusal": state.versions.refusal,
-        "running": len(state.runs),
-        "claimed": len(state.claims.open),
-        "limit": state.limit.cap,
-        "stopping": state.stopping,
-    }
+def _take_operator_call(
+    shown: pages.Pages, call: transport.IncomingCall
+) -> None:
+    if not pages.answer_page(shown, call, for_operators=True):
+        call.fail(errors.ErrorKind.UNKNOWN_SERVICE)
 
 
 def _take_attempt(
@@ -132,34 +154,65 @@
     desk: _Desk,
     call: transport.IncomingCall,
 ) -> None:
-    state = desk.state
-    try:
-        order = messages.decode_order(
-            call.headers.get(messages.ORDER_HEADER, "")
-        )
-    except errors.MessageRefused:
-        call.fail(errors.ErrorKind.MALFORMED_REQUEST)
+    state, recorder = desk.state, desk.recorder
+    order = _read_order(node, recorder, call)
+    if order is None:
+        observation.count_event(recorder, "attempt", "refused")
+        _answer_outcome(call, "", messages.Outcome.REFUSED)
         return
     now = transport.read_clock()
-    match running.accept_attempt(state, now, order):
-        case running.Acceptance.REFUSED:
-            _answer_outcome(call, order, messages.Outcome.REFUSED)
-        case running.Acceptance.REPEATED:
-            _answer_outcome(call, order, messages.Outcome.REPEATED)
-        case running.Acceptance.STARTED:
-            meter = _choose_meter(state, len(call.body))
-            relay = _Relay(call, order, meter)
-            running.charge_run(state, order.attempt_id, meter.begin())
-            _send_upstream(node, config, desk, relay)
+    accepted = running.accept_attempt(state, now, order)
+    if accepted is not running.Acceptance.STARTED:
+        observation.count_event(recorder, "attempt", accepted.value)
+        _answer_outcome(call, order.attempt_id, _OUTCOMES[accepted])
+        return
+    track = observation.begin_request(
+        recorder,
+        now,
+        order.service,
+        order.team,
+        attempt=order.attempt_id,
+        request_id=dict(order.headers).get(REQUEST_ID_HEADER, ""),
+    )
+    meter = _choose_meter(state, len(call.body))
+    relay = _Relay(call, order, meter, track)
+    running.charge_run(state, order.attempt_id, relay.meter.begin())
+    _send_upstream(node, config, desk, relay)
+
+
+_OUTCOMES = {
+    running.Acceptance.REFUSED: messages.Outcome.REFUSED,
+    running.Acceptance.REPEATED: messages.Outcome.REPEATED,
+}
+
+
+def _read_order(
+    node: node_module.Node,
+    recorder: observation.Recorder,
+    call: transport.IncomingCall,
+) -> messages.AttemptOrder | None:
+    """Reads a hand-out's head, if it is one and a router signed it."""
+    text = call.headers.get(messages.ORDER_HEADER, "")
+    signature = call.headers.get(messages.SIGNATURE_HEADER, "")
+    if not node.authenticator.check_order(text, call.body, signature):
+        observation.count_event(recorder, "order_unsigned")
+        observation.write_record(
+            observation.Level.WARNING, "order.unsigned", caller=call.remote
+        )
+        return None
+    try:
+        return messages.decode_order(text)
+    except errors.MessageRefused:
+        return None
 
 
 def _answer_outcome(
     call: transport.IncomingCall,
-    order: messages.AttemptOrder,
+    attempt_id: str,
     outcome: messages.Outcome,
 ) -> None:
     named = (
-        (messages.ATTEMPT_HEADER, order.attempt_id),
+        (messages.ATTEMPT_HEADER, attempt_id),
         (messages.OUTCOME_HEADER, outcome.value),
     )
     call.respond(502, b"", named)
@@ -208,43 +261,48 @@
 
 def _make_ending(
     node: node_module.Node, desk: _Desk, relay: _Relay
-) -> Callable[[bool], None]:
-    """Makes the function that closes a run's books, once."""
+) -> Callable[[str], None]:
+    """Makes the function that closes a run's books, given its result."""
 
-    def end(ran: bool) -> None:
+    def end(result: str) -> None:
         now = transport.read_clock()
         attempt_id = relay.order.attempt_id
-        desk.relays.pop(attempt_id, None)
+        if desk.relays.pop(attempt_id, None) is None:
+            return
+        ran = result != messages.Outcome.NOT_RUN.value
         if ran:
             rest = relay.meter.finish(now - relay.begun_at)
             running.charge_run(desk.state, attempt_id, rest)
         running.finish_run(desk.state, now, attempt_id, ran)
+        observation.end_request(desk.recorder, relay.track, now, result)
         node_module.perform(node, claiming.make_claims(desk.state, now))
 
     return end
 
 
-MOST_UNSENT = 64
-"""Pieces that may wait for a slow taker before the upstream is paused."""
+MOST_UNSENT = 1 << 18
+"""Bytes that may wait for a slow taker before the upstream is paused."""
 
 
 def _relay_head(
     node: node_module.Node,
     relay: _Relay,
-    status: int,
+    status_code: int,
     headers: list[tuple[str, str]],
 ) -> None:
-    if not _shows_its_end(relay.order.method, status, headers):
+    if not _shows_its_end(relay.order.method, status_code, headers):
         node.client.abort(relay.exchange)
         _end_broken(relay, transport.Stage.SENT)
         return
-    passed_on = [pair for pair in headers if pair[0] in _PASSED_ON]
+    passed_on = tuple(pair for pair in headers if pair[0] in _PASSED_ON)
+    content_type = dict(passed_on).get("content-type", "")
+    relay.streamed = content_type.startswith(transport.EVENT_STREAM)
     named = (messages.ATTEMPT_HEADER, relay.order.attempt_id)
-    relay.call.begin(status, (named, *passed_on))
+    relay.call.begin(status_code, (named, *passed_on))
 
 
 def _shows_its_end(
-    method: str, status: int, headers: list[tuple[str, str]]
+    method: str, status_code: int, headers: list[tuple[str, str]]
 ) -> bool:
     """Tells whether an answer can be known to be whole.
 
@@ -252,7 +310,7 @@
     ends only by closing the connection: the part would pass for the whole.
     """
     named = {name for name, _ in headers}
-    without_body = method == "HEAD" or status in _WITHOUT_BODY
+    without_body = method == "HEAD" or status_code in _WITHOUT_BODY
     return without_body or bool(named & _DELIMITERS)
 
 
@@ -260,6 +318,9 @@
     node: node_module.Node, desk: _Desk, relay: _Relay, data: bytes
 ) -> None:
     attempt_id = relay.order.attempt_id
+    if relay.streamed:
+        now = transport.read_clock()
+        observation.note_piece(desk.recorder, relay.track, now)
     running.charge_run(desk.state, attempt_id, relay.meter.feed(data))
     running.note_sent(desk.state, attempt_id, len(data))
     relay.call.write(data)
@@ -269,7 +330,7 @@
 
 def _end_whole(relay: _Relay) -> None:
     relay.call.end()
-    relay.end(True)
+    relay.end("answered")
 
 
 def _end_broken(relay: _Relay, stage: transport.Stage) -> None:
@@ -278,13 +339,15 @@
     An answer that has begun is broken off too: ended in the usual way it
     would pass for a whole one.
     """
-    ran = stage is transport.Stage.SENT
+    outcome = messages.Outcome.FAILED
     if relay.call.begun:
         relay.call.abort()
     else:
-        outcome = messages.Outcome.FAILED if ran else messages.Outcome.NOT_RUN
-        _answer_outcome(relay.call, relay.order, outcome)
-    relay.end(ran)
+        not_run = stage is transport.Stage.NOT_SENT
+        if not_run:
+            outcome = messages.Outcome.NOT_RUN
+        _answer_outcome(relay.call, relay.order.attempt_id, outcome)
+    relay.end(outcome.value)
 
 
 def _end_unwanted(node: node_module.Node, relay: _Relay) -> None:
@@ -296,6 +359,6 @@
     """
     if relay.order.idempotent:
         node.client.abort(relay.exchange)
-        relay.end(True)
+        relay.end("cancelled")
     else:
         node.client.pause(relay.exchange, False)
