--- a/standins/load.py
+++ b/standins/load.py
@@ -25,6 +25,8 @@
         streamed: Whether the answer is streamed.
         idempotent: Whether it may be run again.
         timeout: Seconds until its deadline.
+        dies_after: Tokens after which an engine breaks off the first run; 0
+            if it doesn't.
     """
 
     request: str
@@ -37,6 +39,7 @@
     streamed: bool = False
     idempotent: bool = True
     timeout: float = 30.0
+    dies_after: int = 0
 
 
 @dataclasses.dataclass(slots=True)
@@ -87,6 +90,8 @@
             "team": plan.team,
             "tokens": plan.tokens,
         }
+        if plan.dies_after:
+            content["dies_after"] = plan.dies_after
         body = {
             "model": plan.service,
             "stream": plan.streamed,
--- a/sycamorefall/sidecar/hinting.py
+++ b/sycamorefall/sidecar/hinting.py
@@ -14,7 +14,7 @@
 from sycamorefall.sidecar import offers
 from sycamorefall.sidecar import state as state_module
 
-HEARTBEAT_BYTES = 40
+HEARTBEAT_BYTES = 50
 """Size of a heartbeat, framing included."""
 
 SEARCH_WIDTH = 2
@@ -31,10 +31,20 @@
     state: state_module.SidecarState, now: float
 ) -> messages.Heartbeat:
     """Builds a heartbeat with the slots that are free for offers."""
+    stopping = state.stopping or _is_leaving(state)
     if not offers.is_idle(state):
-        return messages.Heartbeat(state.stopping)
+        return messages.Heartbeat(stopping)
     room = offers.count_free(state)
-    return messages.Heartbeat(state.stopping, room, int(now))
+    return messages.Heartbeat(stopping, room, second=int(now))
+
+
+def _is_leaving(state: state_module.SidecarState) -> bool:
+    """Tells whether operators marked this VM as leaving.
+
+    Said in heartbeats, it reaches routers whose own list is still stale.
+    """
+    own = state.directory.vms.get(state.vm)
+    return own is not None and own.state is membership.VmState.LEAVING
 
 
 def send_heartbeats(
