Give no caller a stray answer of a kept connection

Cause: an upstream that sent more than its Content-Length left bytes in the parser of a kept connection; the next request on it got them as its answer, so another caller got someone else's. Ruled out: fresh connections for all (idempotent requests to engines would each pay a connect). Change: a connection with bytes left over, parsed or still unread, is not used again. Tests play a bad upstream: garbage, half answers, answers that end by closing, stray bytes, its own 503, a stranger at a sidecar's address.

--- a/sycamorefall/transport/client.py
+++ b/sycamorefall/transport/client.py
@@ -139,9 +139,8 @@
         Returns:
             A handle with which the request can be paused or aborted.
         """
-        kept = self._idle.get(request.address)
-        if kept and not request.fresh:
-            exchange = kept.pop()
+        exchange = None if request.fresh else self._reuse(request.address)
+        if exchange is not None:
             exchange.connection.start_next_cycle()
             exchange.listener = listener
             exchange.sent_any = False
@@ -154,6 +153,24 @@
             self._poller.addWriter(self, exchange.socket)
         return exchange
 
+    def _reuse(self, address: settings.Address) -> Exchange | None:
+        """Takes a kept connection on which nothing has come meanwhile.
+
+        Guards against bytes beyond the last answer that the loop has not
+        read yet: they would be taken for the answer to the next request. A
+        connection closed meanwhile shows here too.
+        """
+        while kept := self._idle.get(address):
+            exchange = kept.pop()
+            try:
+                exchange.socket.recv(1, socket.MSG_PEEK)
+            except BlockingIOError:
+                return exchange
+            except OSError:
+                pass
+            self._discard(exchange)
+        return None
+
     def _open(self, address: settings.Address, listener: Listener) -> Exchange:
         exchange = Exchange(address, listener)
         exchange.socket = socket.socket(socket.AF_INET, socket.SOCK_STREAM)
@@ -296,6 +313,10 @@
             connection.our_state is h11.DONE
             and connection.their_state is h11.DONE
             and not exchange.unsent
+            # Guards against an upstream that sends more than it announced:
+            # what is left would be taken for the answer to the next request
+            # on this connection, and another caller would get it.
+            and not connection.trailing_data[0]
         )
         kept = self._idle.setdefault(exchange.address, [])
         if reusable and len(kept) < IDLE_PER_ADDRESS:
