--- a/sycamorefall/admission/__init__.py
+++ b/sycamorefall/admission/__init__.py
@@ -4,6 +4,8 @@
     "ConcurrencyLimit",
     "DrainRate",
     "LoadReport",
+    "PARENT_HEADER",
+    "Parent",
     "RATE_LIFETIME",
     "RunTime",
     "begin_low",
@@ -14,6 +16,7 @@
     "exceeds_deadline",
     "find_interval",
     "is_stale",
+    "issue_token",
     "note_departure",
     "note_end",
     "note_foreign",
@@ -21,21 +24,30 @@
     "note_load",
     "note_run",
     "note_start",
+    "read_token",
     "suggest_retry_after",
 ]
 
+from sycamorefall.admission.latency import note_latency
 from sycamorefall.admission.limit import (
     ConcurrencyLimit,
-    LoadReport,
     begin_low,
     count_own,
     count_room,
     count_startable,
     note_end,
+    note_start,
+)
+from sycamorefall.admission.parents import (
+    PARENT_HEADER,
+    Parent,
+    issue_token,
+    read_token,
+)
+from sycamorefall.admission.reports import (
+    LoadReport,
     note_foreign,
-    note_latency,
     note_load,
-    note_start,
 )
 from sycamorefall.admission.waits import (
     RATE_LIFETIME,
--- a/sycamorefall/router/core.py
+++ b/sycamorefall/router/core.py
@@ -14,6 +14,7 @@
 from sycamorefall.router import (
     announcement,
     checks,
+    estimates,
     handout,
     hints,
     intake,
@@ -203,7 +204,7 @@
     new = request.new
     outcome = intake.cancel_request(state, now, request.number)
     ran = handout.judge_ran(request)
-    retry_after = intake.suggest_return(state, now, new.service, new.team)
+    retry_after = estimates.suggest_return(state, now, new.service, new.team)
     answer = router_effects.AnswerError(
         request.number, errors.ErrorKind.DEADLINE_EXCEEDED, ran, retry_after
     )
--- a/sycamorefall/router/handout.py
+++ b/sycamorefall/router/handout.py
@@ -29,7 +29,7 @@
     sharing,
 )
 from sycamorefall.dispatch import outcomes
-from sycamorefall.router import announcement, checks, hints, intake
+from sycamorefall.router import announcement, checks, estimates, hints, intake
 from sycamorefall.router import effects as router_effects
 from sycamorefall.router import state as state_module
 
@@ -206,7 +206,7 @@
         return []
     hints.note_end(state, request, free=end is AttemptEnd.COMPLETE)
     if end is AttemptEnd.COMPLETE:
-        intake.note_run(state, now, request)
+        estimates.note_run(state, now, request)
         intake.forget_request(state, request.number)
         return []
     if end in (AttemptEnd.REFUSED, AttemptEnd.NOT_RUN):
--- a/sycamorefall/sharing/__init__.py
+++ b/sycamorefall/sharing/__init__.py
@@ -11,7 +11,9 @@
     "charge_team",
     "choose_router",
     "choose_team",
+    "compute_horizon",
     "compute_key",
+    "drop_idle_accounts",
     "estimate_cost",
     "find_opening",
     "is_open",
@@ -42,10 +44,16 @@
     is_open,
     spend_bytes,
 )
-from sycamorefall.sharing.choice import Fairness, choose_team, lift_team
+from sycamorefall.sharing.choice import (
+    Fairness,
+    choose_team,
+    drop_idle_accounts,
+    lift_team,
+)
 from sycamorefall.sharing.demand import Demand, choose_router, note_waiting
 from sycamorefall.sharing.estimates import (
     CostEstimates,
+    compute_horizon,
     estimate_cost,
     note_cost,
 )
--- a/sycamorefall/sidecar/core.py
+++ b/sycamorefall/sidecar/core.py
@@ -10,7 +10,7 @@
 
 from sycamorefall import effects, membership, messages, sharing
 from sycamorefall.dispatch import outcomes
-from sycamorefall.sidecar import claiming, hinting, running
+from sycamorefall.sidecar import claiming, hinting, running, sweeping
 from sycamorefall.sidecar import effects as sidecar_effects
 from sycamorefall.sidecar import state as state_module
 
@@ -131,6 +131,7 @@
     if now >= state.next_heartbeat:
         state.next_heartbeat = now + HEARTBEAT_INTERVAL
         outcomes.expire_records(state.outcomes, now)
+        sweeping.sweep_accounts(state)
         due += hinting.send_heartbeats(state, now)
     if now >= state.next_exchange and state.accounts.unsent:
         state.next_exchange = now + EXCHANGE_INTERVAL
--- a/sycamorefall/sidecar/running.py
+++ b/sycamorefall/sidecar/running.py
@@ -7,6 +7,7 @@
     "charge_run",
     "find_next_overdue",
     "finish_run",
+    "list_parent_headers",
     "note_sent",
     "report_attempt",
     "serves_engine",
@@ -14,7 +15,13 @@
 
 import enum
 
-from sycamorefall import configuration, dispatch, messages, sharing
+from sycamorefall import (
+    admission,
+    configuration,
+    dispatch,
+    messages,
+    sharing,
+)
 from sycamorefall.dispatch import outcomes
 from sycamorefall.sidecar import effects, offers
 from sycamorefall.sidecar import state as state_module
@@ -165,6 +172,7 @@
     sharing.reserve_units(state.accounts, run.team, -run.reserved)
     if ran:
         sharing.note_cost(state.estimates, run.team, run.charged)
+        state.fairness.horizon = sharing.compute_horizon(state.estimates)
     settled = messages.AttemptState.FINISHED
     if not ran:
         settled = messages.AttemptState.REFUSED
@@ -226,3 +234,30 @@
     service = state.versions.configuration.services.get(state.service)
     engine = configuration.ServiceKind.ENGINE
     return service is not None and service.kind is engine
+
+
+def list_parent_headers(
+    state: state_module.SidecarState,
+    order: messages.AttemptOrder,
+    held: float,
+) -> tuple[tuple[str, str], ...]:
+    """Lists what an upstream has to pass on with the calls that it makes.
+
+    Args:
+        state: The sidecar.
+        order: Head of the attempt that is passed to the upstream.
+        held: Seconds for which this process held it.
+
+    Returns:
+        Headers for the upstream; none if its service depends on no other.
+    """
+    in_force = state.versions.configuration
+    service = in_force.services.get(state.service)
+    if service is None or not service.depends_on:
+        return ()
+    remaining = max(0.0, order.remaining - held)
+    parent = admission.Parent(
+        order.team, state.service, order.attempt_id, remaining
+    )
+    token = admission.issue_token(in_force, parent)
+    return ((admission.PARENT_HEADER, token),) if token else ()
--- a/tests/test_outcomes.py
+++ b/tests/test_outcomes.py
@@ -82,7 +82,10 @@
 
     async def send():
         sending = asyncio.ensure_future(load.send_all([plan]))
-        await asyncio.to_thread(fault)
+        try:
+            await asyncio.to_thread(fault)
+        except TimeoutError as late:
+            raise AssertionError(f"{await sending}") from late
         return (await sending)[0]
 
     return asyncio.run(send())
