--- a/sycamorefall/messages.py
+++ b/sycamorefall/messages.py
@@ -299,6 +299,8 @@
     try:
         return _envelope_decoder.decode(data)
     except (msgspec.DecodeError, UnicodeDecodeError, RecursionError) as fault:
+        # The decoder gives nesting without end up with a RecursionError; it
+        # would escape to the loop, and the link's reader would lose its turn.
         raise errors.MessageRefused(str(fault)) from fault
 
 
@@ -321,5 +323,10 @@
     """
     try:
         return _order_decoder.decode(base64.b64decode(text, validate=True))
-    except (msgspec.DecodeError, binascii.Error, ValueError) as fault:
+    except (
+        msgspec.DecodeError,
+        binascii.Error,
+        ValueError,
+        RecursionError,
+    ) as fault:
         raise errors.MessageRefused(str(fault)) from fault
--- a/sycamorefall/router/interface.py
+++ b/sycamorefall/router/interface.py
@@ -135,7 +135,9 @@
         raise _Refused(kind, "completions are asked for with POST")
     try:
         completion = _completion_decoder.decode(call.body)
-    except (msgspec.DecodeError, UnicodeDecodeError) as fault:
+    except (msgspec.DecodeError, UnicodeDecodeError, RecursionError) as fault:
+        # The decoder gives nesting without end up with a RecursionError; let
+        # through, the caller would be told that its request may have run.
         kind = errors.ErrorKind.MALFORMED_REQUEST
         raise _Refused(kind, f"body: {fault}") from fault
     service = _find_service(
