--- a/sycamorefall/checking.py
+++ b/sycamorefall/checking.py
@@ -13,6 +13,7 @@
     "vm",
     "listen",
     "platform",
+    "peers",
     "upstream",
     "security",
     "log",
