Reserve the ports of a test run, so that two at once don't meet

Cause: with three runs of tests/test_outcomes.py side by side one failed after 20 s of waiting for a sidecar's status; the sidecar's log said 'control 127.0.0.1:11424: Address in use'. Two runs had found the same port free before either listened at it. Ruled out: a frozen or spinning sidecar (the log ends at the start). Change: a process binds the first port of a block for as long as it lives and gives out each other port of the block once.

--- a/standins/fleet.py
+++ b/standins/fleet.py
@@ -21,6 +21,9 @@
 _PORTS = range(10_000, 32_000)
 """Ports that fleets listen at."""
 
+_BLOCK = 200
+"""Ports that a process reserves at once."""
+
 START_TIMEOUT = 20.0
 """Seconds that a process may take until it answers."""
 
@@ -112,6 +115,49 @@
     extra_settings: str = ""
 
 
+class _Ports:
+    """Ports of this process: each is given out once, and to nobody else.
+
+    Guards against two fleets that are started at once, by test runs side by
+    side: each found the same port free before the other listened at it, and
+    a process ended with "address in use". A port that is bound for as long
+    as this process lives reserves the block that it begins.
+    """
+
+    __slots__ = ("_left", "_locks")
+
+    def __init__(self):
+        self._left: list[int] = []
+        self._locks: list[socket.socket] = []
+
+    def take(self) -> int:
+        """Takes the next free port."""
+        while True:
+            if not self._left:
+                self._reserve()
+            port = self._left.pop()
+            with socket.socket() as probe, contextlib.suppress(OSError):
+                probe.bind(("127.0.0.1", port))
+                return port
+
+    def _reserve(self) -> None:
+        blocks = _PORTS[::_BLOCK]
+        for first in random.SystemRandom().sample(blocks, len(blocks)):
+            lock = socket.socket()
+            try:
+                lock.bind(("127.0.0.1", first))
+            except OSError:
+                lock.close()
+                continue
+            self._locks.append(lock)
+            self._left = list(range(first + 1, first + _BLOCK))
+            return
+        raise OSError(f"no free ports in {_PORTS}")
+
+
+_ports = _Ports()
+
+
 def find_ports(count: int) -> list[int]:
     """Finds free ports on loopback.
 
@@ -119,16 +165,7 @@
     a connection could take a port between its being found and its being
     listened at, and the process would end with "address in use".
     """
-    with contextlib.ExitStack() as stack:
-        found: list[int] = []
-        for port in random.SystemRandom().sample(_PORTS, len(_PORTS)):
-            free = stack.enter_context(socket.socket())
-            with contextlib.suppress(OSError):
-                free.bind(("127.0.0.1", port))
-                found.append(port)
-            if len(found) == count:
-                return found
-    raise OSError(f"no {count} free ports in {_PORTS}")
+    return [_ports.take() for _ in range(count)]
 
 
 def call(port: int, path: str, body: object = None) -> object:
--- a/tests/test_outcomes.py
+++ b/tests/test_outcomes.py
@@ -125,7 +125,8 @@
         killed.append(wait_for_run(fleet, draft.request))
         kill(killed[0])
 
-    assert send_during(draft, fault).right
+    answer = send_during(draft, fault)
+    assert answer.right, answer
     assert len(list_runs(fleet, draft.request)) == 2
     kill(fleet.nodes["ledger-0"])
     orders = [plan_order(fleet, f"before-{i}", 5.0) for i in range(4)]
