--- a/benchmarks/fleet.py
+++ b/benchmarks/fleet.py
@@ -48,7 +48,7 @@
     routers: int = 4
     upstreams: int = 10
     slots: int = 8
-    seconds: float = 20.0
+    seconds: float = 160.0
     seed: int = 1
     delay: float = 0.001
     account_delay: float = 0.0
@@ -94,7 +94,10 @@
     nodes: dict[str, _Node]
     outcome: Outcome
     waiting: dict[tuple[str, int], loads.Arrival]
-    running: dict[int, tuple[str, float, float]]
+    running: dict[str, tuple[str, float, float]]
+    arrivals: dict[tuple[str, int], loads.Arrival] = dataclasses.field(
+        default_factory=dict
+    )
 
 
 def run_fleet(
@@ -194,6 +197,7 @@
     )
     number, wanted = intake.admit_request(node.state, fleet.events.now, new)
     fleet.waiting[name, number] = arrival
+    fleet.arrivals[name, number] = arrival
     _perform(fleet, node, wanted)
 
 
@@ -258,7 +262,8 @@
     fleet.outcome.sent["AttemptOrder"] += 1
     fleet.outcome.sent_bytes += len(messages.encode_order(order))
     sidecar = fleet.nodes[hand_out.sidecar]
-    arrival = fleet.waiting[order.router, hand_out.request]
+    # Not `waiting`: an idempotent request whose sidecar went silent runs again.
+    arrival = fleet.arrivals[order.router, hand_out.request]
 
     def end(how: handout.AttemptEnd) -> None:
         now = fleet.events.now
@@ -299,7 +304,7 @@
     def start() -> None:
         _end_wait(fleet, order.router, hand_out.request)
         begun = (arrival.team, fleet.events.now, arrival.cost)
-        fleet.running[arrival.number] = begun
+        fleet.running[order.attempt_id] = begun
 
     def charge(units: float) -> None:
         running.charge_run(state, order.attempt_id, units)
@@ -307,7 +312,7 @@
 
     def end() -> None:
         now = fleet.events.now
-        team, started, cost = fleet.running.pop(arrival.number)
+        team, started, cost = fleet.running.pop(order.attempt_id)
         service = measures.Service(team, started, now, cost)
         fleet.outcome.services.append(service)
         running.finish_run(state, now, order.attempt_id)
--- a/sycamorefall/sidecar/daemon.py
+++ b/sycamorefall/sidecar/daemon.py
@@ -109,7 +109,7 @@
         find_next_due=lambda: core.find_next_due(state),
         apply_configuration=lambda: core.apply_configuration(state),
         perform=lambda effect: _perform_effect(node, desk, effect),
-        is_idle=lambda: not state.runs and not state.claims.open,
+        is_idle=lambda: core.is_idle(state),
         begin_stop=lambda: core.begin_stop(state),
     )
     node = node_module.create_node(
--- a/sycamorefall/sidecar/running.py
+++ b/sycamorefall/sidecar/running.py
@@ -23,7 +23,7 @@
     sharing,
 )
 from sycamorefall.dispatch import outcomes
-from sycamorefall.sidecar import effects, offers
+from sycamorefall.sidecar import effects, offers, silence
 from sycamorefall.sidecar import state as state_module
 
 
@@ -66,6 +66,8 @@
         return Acceptance.REPEATED
     claim = None
     if _is_meant_here(state, order) and not _is_outdated(state, order):
+        if order.claim_id != messages.UNCLAIMED:
+            silence.note_answer(state, order.router)
         claim = offers.redeem_order(state, now, order)
     if claim is None:
         _refuse(state, now, order.attempt_id)
