--- a/benchmarks/admission.py
+++ b/benchmarks/admission.py
@@ -15,7 +15,7 @@
 import json
 import random
 
-from sycamorefall import configuration, membership, messages
+from sycamorefall import configuration, effects, membership, messages
 from sycamorefall.router import core, handout, intake
 from sycamorefall.router import effects as router_effects
 from sycamorefall.router import state as state_module
@@ -112,6 +112,8 @@
                     self.fail(now, effect, effect.request == admitting)
                 case router_effects.AbortAttempt():
                     self.running.pop(effect.attempt_id, None)
+                case effects.Send(message=messages.AttemptQuery() as query):
+                    self.report(now, query.attempt_id)
 
     def start(self, now: float, effect: router_effects.HandOut) -> None:
         """Starts a request at a slot."""
@@ -121,6 +123,13 @@
         self.running[attempt] = (effect.request, length)
         self.at(now + length, lambda t: self.end(attempt, t))
 
+    def report(self, now: float, attempt: str) -> None:
+        """Says that a run goes on, as its sidecar would."""
+        started = messages.AttemptState.STARTED
+        message = messages.AttemptReport(attempt, started)
+        envelope = messages.Envelope(SIDECAR, 1, 1, message)
+        core.receive_message(self.state, now, envelope)
+
     def end(self, attempt: str, now: float) -> None:
         """Ends a request and frees its slot."""
         if self.running.pop(attempt, None):
--- a/benchmarks/fleet.py
+++ b/benchmarks/fleet.py
@@ -94,7 +94,10 @@
     nodes: dict[str, _Node]
     outcome: Outcome
     waiting: dict[tuple[str, int], loads.Arrival]
-    running: dict[int, tuple[str, float, float]]
+    running: dict[str, tuple[str, float, float]]
+    arrivals: dict[tuple[str, int], loads.Arrival] = dataclasses.field(
+        default_factory=dict
+    )
 
 
 def run_fleet(
@@ -194,6 +197,7 @@
     )
     number, wanted = intake.admit_request(node.state, fleet.events.now, new)
     fleet.waiting[name, number] = arrival
+    fleet.arrivals[name, number] = arrival
     _perform(fleet, node, wanted)
 
 
@@ -258,7 +262,8 @@
     fleet.outcome.sent["AttemptOrder"] += 1
     fleet.outcome.sent_bytes += len(messages.encode_order(order))
     sidecar = fleet.nodes[hand_out.sidecar]
-    arrival = fleet.waiting[order.router, hand_out.request]
+    # Not `waiting`: an idempotent request whose sidecar went silent runs again.
+    arrival = fleet.arrivals[order.router, hand_out.request]
 
     def end(how: handout.AttemptEnd) -> None:
         now = fleet.events.now
@@ -272,7 +277,10 @@
         events_module.schedule(fleet.events, at, lambda: end(how))
 
     def arrive() -> None:
-        if running.accept_attempt(sidecar.state, fleet.events.now, order):
+        accepted = running.accept_attempt(
+            sidecar.state, fleet.events.now, order
+        )
+        if accepted is running.Acceptance.STARTED:
             _run_upstream(fleet, sidecar, hand_out, arrival, answer)
         else:
             answer(handout.AttemptEnd.REFUSED)
@@ -296,7 +304,7 @@
     def start() -> None:
         _end_wait(fleet, order.router, hand_out.request)
         begun = (arrival.team, fleet.events.now, arrival.cost)
-        fleet.running[arrival.number] = begun
+        fleet.running[order.attempt_id] = begun
 
     def charge(units: float) -> None:
         running.charge_run(state, order.attempt_id, units)
@@ -304,7 +312,7 @@
 
     def end() -> None:
         now = fleet.events.now
-        team, started, cost = fleet.running.pop(arrival.number)
+        team, started, cost = fleet.running.pop(order.attempt_id)
         service = measures.Service(team, started, now, cost)
         fleet.outcome.services.append(service)
         running.finish_run(state, now, order.attempt_id)
--- a/benchmarks/world.py
+++ b/benchmarks/world.py
@@ -261,7 +261,7 @@
         name, order = effect.sidecar, effect.order
         node = self.nodes[name]
         accepted = running.accept_attempt(node, self.now, order)
-        if not accepted:
+        if accepted is not running.Acceptance.STARTED:
             end = handout.AttemptEnd.REFUSED
             self.at(
                 self.now + TRIP,
--- a/standins/fleet.py
+++ b/standins/fleet.py
@@ -21,6 +21,9 @@
 _PORTS = range(10_000, 32_000)
 """Ports that fleets listen at."""
 
+_BLOCK = 200
+"""Ports that a process reserves at once."""
+
 START_TIMEOUT = 20.0
 """Seconds that a process may take until it answers."""
 
@@ -58,6 +61,8 @@
         data: Port of its HTTP server.
         control: Port of its control messages.
         relayed_control: Port at which the relay passes them on.
+        relayed_data: Port at which the relay passes on hand-outs to a
+            sidecar; 0 if they don't pass it.
         upstream: Port of the upstream beside a sidecar; 0 for a router.
         process: The router or sidecar process.
         upstream_process: The upstream's process.
@@ -73,6 +78,7 @@
     control: int
     relayed_control: int
     upstream: int = 0
+    relayed_data: int = 0
     process: subprocess.Popen | None = None
     upstream_process: subprocess.Popen | None = None
     state: str = "live"
@@ -109,6 +115,49 @@
     extra_settings: str = ""
 
 
+class _Ports:
+    """Ports of this process: each is given out once, and to nobody else.
+
+    Guards against two fleets that are started at once, by test runs side by
+    side: each found the same port free before the other listened at it, and
+    a process ended with "address in use". A port that is bound for as long
+    as this process lives reserves the block that it begins.
+    """
+
+    __slots__ = ("_left", "_locks")
+
+    def __init__(self):
+        self._left: list[int] = []
+        self._locks: list[socket.socket] = []
+
+    def take(self) -> int:
+        """Takes the next free port."""
+        while True:
+            if not self._left:
+                self._reserve()
+            port = self._left.pop()
+            with socket.socket() as probe, contextlib.suppress(OSError):
+                probe.bind(("127.0.0.1", port))
+                return port
+
+    def _reserve(self) -> None:
+        blocks = _PORTS[::_BLOCK]
+        for first in random.SystemRandom().sample(blocks, len(blocks)):
+            lock = socket.socket()
+            try:
+                lock.bind(("127.0.0.1", first))
+            except OSError:
+                lock.close()
+                continue
+            self._locks.append(lock)
+            self._left = list(range(first + 1, first + _BLOCK))
+            return
+        raise OSError(f"no free ports in {_PORTS}")
+
+
+_ports = _Ports()
+
+
 def find_ports(count: int) -> list[int]:
     """Finds free ports on loopback.
 
@@ -116,16 +165,7 @@
     a connection could take a port between its being found and its being
     listened at, and the process would end with "address in use".
     """
-    with contextlib.ExitStack() as stack:
-        found: list[int] = []
-        for port in random.SystemRandom().sample(_PORTS, len(_PORTS)):
-            free = stack.enter_context(socket.socket())
-            with contextlib.suppress(OSError):
-                free.bind(("127.0.0.1", port))
-                found.append(port)
-            if len(found) == count:
-                return found
-    raise OSError(f"no {count} free ports in {_PORTS}")
+    return [_ports.take() for _ in range(count)]
 
 
 def call(port: int, path: str, body: object = None) -> object:
@@ -178,6 +218,7 @@
     upstreams: list[Upstreams],
     extra_settings: str = "",
     platform_settings: str = "",
+    relays_data: bool = False,
 ) -> Fleet:
     """Starts a fleet and waits until its routers are ready to serve.
 
@@ -188,11 +229,13 @@
         upstreams: Upstreams by service.
         extra_settings: Further INI sections for all routers and sidecars.
         platform_settings: Further lines of section `[platform]`.
+        relays_data: Whether hand-outs pass the relay, so that it can hold
+            them back.
 
     Returns:
         The running fleet.
     """
-    fleet = _plan_fleet(folder, routers, upstreams)
+    fleet = _plan_fleet(folder, routers, upstreams, relays_data)
     fleet.extra_settings = extra_settings
     fleet.platform_settings = platform_settings
     try:
@@ -209,7 +252,10 @@
 
 
 def _plan_fleet(
-    folder: pathlib.Path, routers: int, upstreams: list[Upstreams]
+    folder: pathlib.Path,
+    routers: int,
+    upstreams: list[Upstreams],
+    relays_data: bool,
 ) -> Fleet:
     named = [(f"router-{index}", "router", "") for index in range(routers)]
     named += [
@@ -217,12 +263,14 @@
         for group in upstreams
         for index in range(group.count)
     ]
-    ports = iter(find_ports(2 + 4 * len(named)))
+    ports = iter(find_ports(2 + 5 * len(named)))
     fleet = Fleet(folder, next(ports), next(ports), {})
     for name, role, service in named:
         node = Node(name, role, service, next(ports), next(ports), next(ports))
-        spare = next(ports)
-        node.upstream = spare if role == "upstream" else 0
+        spare, relayed_data = next(ports), next(ports)
+        if role == "upstream":
+            node.upstream = spare
+            node.relayed_data = relayed_data if relays_data else 0
         fleet.nodes[name] = node
     return fleet
 
@@ -232,6 +280,11 @@
         f"{node.relayed_control}:{node.control}"
         for node in fleet.nodes.values()
     ]
+    routes += [
+        f"{node.relayed_data}:{node.data}"
+        for node in fleet.nodes.values()
+        if node.relayed_data
+    ]
     fleet.helpers.append(
         _spawn(fleet, "platform", "standins.platform", str(fleet.platform))
     )
@@ -331,7 +384,7 @@
             "role": node.role,
             "failure_domain": _choose_domain(node),
             "control": f"127.0.0.1:{node.relayed_control}",
-            "data": f"127.0.0.1:{node.data}",
+            "data": f"127.0.0.1:{node.relayed_data or node.data}",
             "service": node.service,
             "state": node.state,
         }
@@ -378,6 +431,14 @@
     return statuses
 
 
+def set_gates(
+    fleet: Fleet, port: int, forward: bool = True, backward: bool = True
+) -> None:
+    """Holds back or lets pass the bytes of a relayed port, by direction."""
+    body = {"port": port, "forward": forward, "backward": backward}
+    call(fleet.relay, "/test/gate", body)
+
+
 def kill_fleet(fleet: Fleet) -> None:
     """Ends whatever still runs."""
     processes = list(fleet.helpers)
--- a/standins/relay.py
+++ b/standins/relay.py
@@ -26,6 +26,7 @@
         backward: Set while bytes from the target pass.
         bytes_forward: Bytes passed towards the target.
         bytes_backward: Bytes passed from the target.
+        held: Connections that came while bytes towards the target don't pass.
     """
 
     port: int
@@ -34,6 +35,7 @@
     backward: asyncio.Event = dataclasses.field(default_factory=asyncio.Event)
     bytes_forward: int = 0
     bytes_backward: int = 0
+    held: int = 0
 
 
 async def _pump(reader, writer, gate: asyncio.Event, count) -> None:
@@ -52,6 +54,7 @@
 
 
 async def _relay(route: Route, reader, writer) -> None:
+    route.held += not route.forward.is_set()
     await route.forward.wait()
     try:
         target = await asyncio.open_connection("127.0.0.1", route.target)
@@ -110,12 +113,20 @@
             }
         )
 
+    async def get_held(_: web.Request) -> web.Response:
+        held = {str(route.port): route.held for route in routes.values()}
+        return web.json_response(held)
+
     for route in routes.values():
         route.forward.set()
         route.backward.set()
     application = web.Application()
     application.add_routes(
-        [web.put("/test/gate", put_gate), web.get("/test/bytes", get_bytes)]
+        [
+            web.put("/test/gate", put_gate),
+            web.get("/test/bytes", get_bytes),
+            web.get("/test/held", get_held),
+        ]
     )
     application.cleanup_ctx.append(run_routes)
     return application
--- a/sycamorefall/messages.py
+++ b/sycamorefall/messages.py
@@ -5,6 +5,7 @@
 """
 
 __all__ = [
+    "ATTEMPT_HEADER",
     "ATTEMPT_PATH",
     "ORDER_HEADER",
     "OUTCOME_HEADER",
@@ -44,6 +45,9 @@
 ATTEMPT_PATH = "/v1/attempts"
 """Where a sidecar takes attempts over HTTP."""
 
+ATTEMPT_HEADER = "Sycamorefall-Attempt"
+"""Header of a sidecar's answer that names the attempt it answers."""
+
 ORDER_HEADER = "Sycamorefall-Order"
 """Header of a hand-out that carries its `AttemptOrder`."""
 
@@ -65,12 +69,14 @@
 class Outcome(enum.Enum):
     """Why a sidecar answers a hand-out without the upstream's answer.
 
-    REFUSED: it did not start the attempt.
+    REFUSED: it did not start the attempt and never will.
+    REPEATED: it started this attempt before; this was a copy of it.
     NOT_RUN: it could not reach the upstream.
     FAILED: the upstream broke off after it had the request.
     """
 
     REFUSED = "refused"
+    REPEATED = "repeated"
     NOT_RUN = "not-run"
     FAILED = "failed"
 
@@ -94,12 +100,15 @@
         vms_revision: Revision of the VM list in use.
         fingerprint: Differs between processes whose documents differ; 0 of
             a process that is starting.
+        second: Of a sidecar with room: its clock, in whole seconds. An offer
+            on this hint brings it back.
     """
 
     stopping: bool = False
     room: int = 0
     vms_revision: int = 0
     fingerprint: int = 0
+    second: int = 0
 
 
 class TeamWaiting(msgspec.Struct, frozen=True, array_like=True):
@@ -187,10 +196,17 @@
 
 
 class AttemptReport(msgspec.Struct, frozen=True, array_like=True, tag="r"):
-    """A sidecar's answer to a query."""
+    """A sidecar's answer to a query.
+
+    Attributes:
+        attempt_id: The attempt.
+        state: What the sidecar knows of it.
+        sent: Bytes of its answer that the sidecar has passed on so far.
+    """
 
     attempt_id: str
     state: AttemptState
+    sent: int = 0
 
 
 class UnknownNames(msgspec.Struct, frozen=True, array_like=True, tag="u"):
@@ -254,6 +270,9 @@
         remaining: Seconds left until the caller's deadline.
         idempotent: Whether the request may be run again.
         cost_hint: The caller's estimate in cost units, 0 if none.
+        sidecar: VM name of the sidecar it is meant for.
+        sidecar_incarnation: The process there that it is meant for.
+        hinted: Of an offer: `second` of the hint that it answers.
     """
 
     attempt_id: str
@@ -268,6 +287,9 @@
     remaining: float
     idempotent: bool
     cost_hint: float = 0.0
+    sidecar: str = ""
+    sidecar_incarnation: int = 0
+    hinted: int = 0
 
 
 _encoder = msgspec.msgpack.Encoder()
@@ -299,7 +321,9 @@
     """
     try:
         return _envelope_decoder.decode(data)
-    except (msgspec.DecodeError, UnicodeDecodeError) as fault:
+    except (msgspec.DecodeError, UnicodeDecodeError, RecursionError) as fault:
+        # The decoder gives nesting without end up with a RecursionError; it
+        # would escape to the loop, and the link's reader would lose its turn.
         raise errors.MessageRefused(str(fault)) from fault
 
 
@@ -322,5 +346,10 @@
     """
     try:
         return _order_decoder.decode(base64.b64decode(text, validate=True))
-    except (msgspec.DecodeError, binascii.Error, ValueError) as fault:
+    except (
+        msgspec.DecodeError,
+        binascii.Error,
+        ValueError,
+        RecursionError,
+    ) as fault:
         raise errors.MessageRefused(str(fault)) from fault
--- a/sycamorefall/names.py
+++ b/sycamorefall/names.py
@@ -195,6 +195,8 @@
     unknown: dict[int, None] = {}
 
     def find_name(index: str | int) -> str:
+        if isinstance(index, str):
+            return index  # A sender may also write a name out.
         known = table.by_digest if index >= DIGESTS else peer.names
         name = known.get(index)
         if name is None:
--- a/sycamorefall/router/core.py
+++ b/sycamorefall/router/core.py
@@ -13,6 +13,7 @@
 from sycamorefall import effects, errors, membership, messages, sharing
 from sycamorefall.router import (
     announcement,
+    checks,
     estimates,
     handout,
     hints,
@@ -98,7 +99,9 @@
     sidecar = envelope.sender
     service = state.directory.vms[sidecar].service
     room = 0 if beat.stopping else beat.room
-    hints.note_hint(state, service, sidecar, envelope.incarnation, room)
+    hints.note_hint(
+        state, service, sidecar, envelope.incarnation, room, beat.second
+    )
     if not room:
         return []
     offers = offering.offer_to_room(state, now, service, sidecar)
@@ -123,6 +126,8 @@
     for request in _list_asking(state):
         if request.attempt.ask_next <= now:
             due += handout.ask_again(state, now, request)
+    for request in checks.pop_silent(state, now):
+        due += _check_attempt(state, now, request)
     if now >= state.next_heartbeat:
         state.next_heartbeat = now + HEARTBEAT_INTERVAL
         due += _send_heartbeats(state, now)
@@ -134,10 +139,23 @@
     return due
 
 
+def _check_attempt(
+    state: state_module.RouterState,
+    now: float,
+    request: state_module.Request,
+) -> list[router_effects.Effect]:
+    if not checks.is_abandoned(state, now, request):
+        return [checks.ask_sidecar(state, now, request)]
+    hints.note_end(state, request, free=False)
+    abort = router_effects.AbortAttempt(request.attempt.attempt_id)
+    return [abort, *handout.retry_or_give_up(state, now, request)]
+
+
 def find_next_due(state: state_module.RouterState) -> float:
     """Tells when `run_timers` has something to do next."""
     asking = (request.attempt.ask_next for request in _list_asking(state))
     deadlines = (entry[0] for entry in state.deadlines[:1])
+    silent = (entry[0] for entry in state.checks[:1])
     offers = [0.0] if state.fresh else []
     return min(
         state.next_heartbeat,
@@ -146,6 +164,7 @@
         sweep.find_next_due(state),
         *asking,
         *deadlines,
+        *silent,
         *offers,
     )
 
@@ -193,9 +212,7 @@
 ) -> list[router_effects.Effect]:
     new = request.new
     outcome = intake.cancel_request(state, now, request.number)
-    ran = errors.Ran.NO
-    if request.attempt is not None or request.failures:
-        ran = errors.Ran.UNKNOWN
+    ran = handout.judge_ran(request)
     retry_after = estimates.suggest_return(state, now, new.service, new.team)
     answer = router_effects.AnswerError(
         request.number, errors.ErrorKind.DEADLINE_EXCEEDED, ran, retry_after
--- a/sycamorefall/router/hints.py
+++ b/sycamorefall/router/hints.py
@@ -12,6 +12,7 @@
     sidecar: str,
     incarnation: int,
     slots: int,
+    second: int = 0,
 ) -> None:
     """Takes over a sidecar's word on its free slots.
 
@@ -25,11 +26,12 @@
         sidecar: VM name of the sidecar.
         incarnation: Its process.
         slots: Slots that are free and that it knows no work for.
+        second: Its clock, in whole seconds.
     """
     hints = state.hints.setdefault(service, {})
     hints.pop(sidecar, None)
     if slots > 0:
-        hints[sidecar] = state_module.Hint(incarnation, slots)
+        hints[sidecar] = state_module.Hint(incarnation, slots, second)
 
 
 def note_end(
--- a/sycamorefall/router/offering.py
+++ b/sycamorefall/router/offering.py
@@ -44,12 +44,12 @@
 ) -> router_effects.Effect:
     request = state.requests[number]
     new = request.new
-    incarnation = state.hints[new.service][sidecar].incarnation
+    hint = state.hints[new.service][sidecar]
     queues.leave_queue(
         state.waiting, new.service, new.team, number, request.deadline
     )
     announcement.announce_team(state, now, new.service, new.team)
-    offer = handout.offer_request(state, now, request, sidecar, incarnation)
+    offer = handout.offer_request(state, now, request, sidecar, hint)
     request.attempt.offered = True
     return offer
 
--- a/sycamorefall/sidecar/core.py
+++ b/sycamorefall/sidecar/core.py
@@ -9,9 +9,16 @@
     "run_timers",
 ]
 
-from sycamorefall import dispatch, effects, membership, messages, sharing
+from sycamorefall import effects, membership, messages, sharing
 from sycamorefall.dispatch import outcomes
-from sycamorefall.sidecar import claiming, hinting, silence, sweeping
+from sycamorefall.sidecar import (
+    claiming,
+    hinting,
+    running,
+    silence,
+    sweeping,
+)
+from sycamorefall.sidecar import effects as sidecar_effects
 from sycamorefall.sidecar import state as state_module
 
 HEARTBEAT_INTERVAL = 1.0
@@ -93,10 +100,7 @@
                 state.exchange, state.accounts, sender, everything=False
             )
         case messages.AttemptQuery():
-            known = dispatch.answer_query(
-                state.outcomes, now, message.attempt_id
-            )
-            report = messages.AttemptReport(message.attempt_id, known)
+            report = running.report_attempt(state, now, message.attempt_id)
             replies.append(effects.Send(sender, report))
     return replies + claiming.make_claims(state, now)
 
@@ -138,7 +142,7 @@
     silence = float("inf") if restarted else now - known.heard_at
     if vm.role is membership.VmRole.ROUTER:
         met = silence > membership.SUSPECT_AFTER
-        beat = hinting.build_heartbeat(state)
+        beat = hinting.build_heartbeat(state, now)
         return [effects.Send(sender, beat)] if met else []
     if vm.service == state.service and silence > SIBLING_SILENCE:
         siblings = _list_siblings(state, now)
@@ -151,7 +155,7 @@
 
 def run_timers(
     state: state_module.SidecarState, now: float
-) -> list[effects.Send]:
+) -> list[effects.Send | sidecar_effects.CancelRun]:
     """Does what has come due.
 
     Args:
@@ -159,10 +163,12 @@
         now: This process's time.
 
     Returns:
-        Messages to send.
+        Messages to send and runs to cancel.
     """
     claiming.release_expired(state, now)
-    due = hinting.hint_room(state, now)
+    due: list[effects.Send | sidecar_effects.CancelRun] = []
+    due += running.cancel_overdue(state, now)
+    due += hinting.hint_room(state, now)
     if now >= state.next_heartbeat:
         state.next_heartbeat = now + HEARTBEAT_INTERVAL
         outcomes.expire_records(state.outcomes, now)
@@ -184,6 +190,7 @@
         state.next_heartbeat,
         state.next_sibling_beat,
         hinting.find_next_hint(state),
+        running.find_next_overdue(state),
         sharing.find_next_exchange(state.exchange, state.accounts),
         *leases,
     )
--- a/sycamorefall/sidecar/hinting.py
+++ b/sycamorefall/sidecar/hinting.py
@@ -30,10 +30,13 @@
 """Longest pause between two searches, in seconds."""
 
 
-def build_heartbeat(state: state_module.SidecarState) -> messages.Heartbeat:
+def build_heartbeat(
+    state: state_module.SidecarState, now: float
+) -> messages.Heartbeat:
     """Builds a heartbeat with the slots that are free for offers."""
     room = claiming.count_free(state) if offers.is_idle(state) else 0
-    return messages.Heartbeat(state.stopping or _is_leaving(state), room)
+    stopping = state.stopping or _is_leaving(state)
+    return messages.Heartbeat(stopping, room, second=int(now))
 
 
 def _is_leaving(state: state_module.SidecarState) -> bool:
@@ -52,9 +55,9 @@
     routers = membership.list_routers(
         state.links, state.directory, now, state.vm
     )
-    state.hinted = build_heartbeat(state).room
+    state.hinted = build_heartbeat(state, now).room
     state.hinting.rate = _share_hints(state, len(routers))
-    return _send_to(state, routers)
+    return _send_to(state, now, routers)
 
 
 def _share_hints(state: state_module.SidecarState, routers: int) -> float:
@@ -79,9 +82,9 @@
     routers = membership.list_routers(
         state.links, state.directory, now, state.vm
     )
-    state.hinted = build_heartbeat(state).room
+    state.hinted = build_heartbeat(state, now).room
     count = min(HINT_WIDTH, len(routers))
-    return _send_to(state, state.chance.sample(routers, count))
+    return _send_to(state, now, state.chance.sample(routers, count))
 
 
 def _has_news(state: state_module.SidecarState) -> bool:
@@ -90,9 +93,9 @@
 
 
 def _send_to(
-    state: state_module.SidecarState, routers: Sequence[str]
+    state: state_module.SidecarState, now: float, routers: Sequence[str]
 ) -> list[effects.Send]:
-    beat = build_heartbeat(state)
+    beat = build_heartbeat(state, now)
     return [effects.Send(name, beat) for name in routers]
 
 
@@ -141,7 +144,7 @@
     state.search_pause = min(LONGEST_SEARCH, 2 * state.search_pause)
     jitter = state.chance.uniform(0.75, 1.25)
     state.next_search = now + state.search_pause * jitter
-    return _send_to(state, asked)
+    return _send_to(state, now, asked)
 
 
 def find_next_hint(state: state_module.SidecarState) -> float:
--- a/sycamorefall/sidecar/offers.py
+++ b/sycamorefall/sidecar/offers.py
@@ -6,6 +6,9 @@
 from sycamorefall.sidecar import claiming
 from sycamorefall.sidecar import state as state_module
 
+OFFER_LEASE = 15.0
+"""Seconds after a sidecar's hint at room in which offers on it may start."""
+
 
 def redeem_order(
     state: state_module.SidecarState, now: float, order: messages.AttemptOrder
@@ -27,7 +30,14 @@
         return dispatch.redeem_claim(
             state.claims, now, order.claim_id, order.router, order.team
         )
-    if not _may_take_offer(state, order.team):
+    if now - order.hinted > OFFER_LEASE or not _may_take_offer(
+        state, order.team
+    ):
+        # Guards against an offer that was held back, on a link or in a
+        # frozen process, until this sidecar no longer remembers that its
+        # router was told "never seen": its request would run after its
+        # caller was told "not run", or a second time. The hint's time is of
+        # this process's own clock, and only this process accepts the offer.
         return None
     reserved = sharing.estimate_cost(state.estimates, order.team)
     sharing.reserve_units(state.accounts, order.team, reserved)
--- a/sycamorefall/sidecar/tests/test_offers.py
+++ b/sycamorefall/sidecar/tests/test_offers.py
@@ -38,8 +38,11 @@
         headers=(),
         remaining=9.0,
         idempotent=True,
+        sidecar="engine-0",
+        sidecar_incarnation=1,
     )
-    return running.accept_attempt(state, now, order)
+    accepted = running.accept_attempt(state, now, order)
+    return accepted is running.Acceptance.STARTED
 
 
 def announce(state, sequence, *teams, now=0.1):
