--- a/benchmarks/world.py
+++ b/benchmarks/world.py
@@ -13,7 +13,7 @@
 import itertools
 import random
 
-from sycamorefall import configuration, effects, membership, messages
+from sycamorefall import configuration, effects, membership, messages, names
 from sycamorefall.router import core as router_core
 from sycamorefall.router import effects as router_effects
 from sycamorefall.router import handout, intake
@@ -25,6 +25,9 @@
 FRAME_BYTES = 8
 """What the transport adds to each message: its length."""
 
+INCARNATION = 1_790_000_000_000_000
+"""Incarnation of all nodes, as long as a real one."""
+
 TRIP = 0.0005
 """Seconds one way between two nodes."""
 
@@ -68,6 +71,7 @@
         kinds: Bytes sent by kind of message.
         messages: Messages sent by kind.
         waits: Seconds from arrival to start, by request.
+        lost: Slot seconds that were free while requests waited.
     """
 
     sent: collections.Counter = dataclasses.field(
@@ -83,6 +87,24 @@
         default_factory=collections.Counter
     )
     waits: list[float] = dataclasses.field(default_factory=list)
+    lost: float = 0.0
+
+
+@dataclasses.dataclass(slots=True)
+class Load:
+    """Requests of one service that wait and run, over all nodes.
+
+    Attributes:
+        slots: Slots of all upstreams.
+        waiting: Requests that came and did not start.
+        running: Requests in progress.
+        changed: When one of these changed last.
+    """
+
+    slots: int
+    waiting: int = 0
+    running: int = 0
+    changed: float = 0.0
 
 
 class World:
@@ -98,6 +120,23 @@
         self._numbers = itertools.count()
         self._timers: dict[str, float] = {}
         self.nodes = _create_nodes(case)
+        self.slots = {
+            f"upstream-{index}": [0.0] * case.slots
+            for index in range(case.sidecars)
+        }
+        self.loads = {
+            f"service-{index}": Load(
+                case.slots * len(range(index, case.sidecars, case.services))
+            )
+            for index in range(case.services)
+        }
+        self.names = {name: names.NameTable() for name in self.nodes}
+        digests = names.NameTable()
+        known = [f"member-{index:05d}" for index in range(case.teams)]
+        names.learn_names(digests, known)
+        for table in self.names.values():
+            table.digests = digests.digests
+            table.by_digest = digests.by_digest
 
     def run(self) -> Counts:
         """Runs the case to its end."""
@@ -117,6 +156,17 @@
         """Tells whether the run's second half has begun."""
         return self.now >= self.case.seconds / 2
 
+    def note_load(self, service: str, waiting: int, running: int) -> None:
+        """Counts requests that wait or run, and capacity lost until now."""
+        load = self.loads[service]
+        if self.is_counted():
+            begun = max(load.changed, self.case.seconds / 2)
+            idle = max(0, min(load.slots - load.running, load.waiting))
+            self.counts.lost += (self.now - begun) * idle
+        load.changed = self.now
+        load.waiting += waiting
+        load.running += running
+
     def tick(self, name: str) -> None:
         """Runs a node's timers."""
         core = _find_core(self.nodes[name])
@@ -149,7 +199,10 @@
         """Sends a control message and counts it."""
         node = self.nodes[name]
         envelope = messages.Envelope(name, node.incarnation, 1, effect.message)
-        data = messages.encode_envelope(envelope)
+        names_sent = names.compact_envelope(
+            self.names[name], effect.to, envelope
+        )
+        data = messages.encode_envelope(names_sent)
         size = len(data) + FRAME_BYTES
         if self.is_counted():
             kind = type(effect.message).__name__
@@ -165,8 +218,18 @@
         """Takes a control message."""
         if self.is_counted():
             self.counts.received[name] += size
-        envelope = messages.decode_envelope(data)
+        decoded = messages.decode_envelope(data)
+        envelope, unknown = names.expand_envelope(self.names[name], decoded)
         node = self.nodes[name]
+        if unknown:
+            question = messages.UnknownNames(unknown)
+            self.send(name, effects.Send(decoded.sender, question))
+        if envelope is None:
+            return
+        if isinstance(envelope.message, messages.UnknownNames):
+            names.forget_told(
+                self.names[name], envelope.sender, envelope.message.indexes
+            )
         core = _find_core(node)
         self.perform(name, core.receive_message(node, self.now, envelope))
 
@@ -188,7 +251,8 @@
         number, outcome = intake.admit_request(
             self.nodes[router], self.now, new
         )
-        self.arrivals[f"{router}/1/{number}"] = self.now
+        self.arrivals[f"{router}/{INCARNATION}/{number}"] = self.now
+        self.note_load(new.service, 1, 0)
         self.perform(router, outcome)
         self.at(self.now + self.chance.expovariate(case.rate), self.arrive)
 
@@ -204,21 +268,36 @@
                 lambda: self.finish(router, order.attempt_id, end),
             )
             return
+        # A request claimed ahead of a slot waits for it at the upstream.
+        begins = max(self.now, heapq.heappop(self.slots[name]))
+        seconds = self.chance.expovariate(1 / self.case.work)
+        heapq.heappush(self.slots[name], begins + seconds)
+        self.at(begins, lambda: self.begin(router, name, order, seconds))
+        self.plan_tick(name)
+
+    def begin(
+        self,
+        router: str,
+        name: str,
+        order: messages.AttemptOrder,
+        seconds: float,
+    ) -> None:
+        """Lets a run begin at its upstream."""
+        self.note_load(order.service, -1, 1)
         arrived = self.arrivals.pop(order.attempt_id.rpartition("/")[0], None)
         if arrived is not None and self.is_counted():
             self.counts.waits.append(self.now - arrived)
-        seconds = self.chance.expovariate(1 / self.case.work)
         self.at(
             self.now + seconds,
             lambda: self.end(router, name, order.attempt_id, seconds),
         )
-        self.plan_tick(name)
 
     def end(
         self, router: str, name: str, attempt_id: str, seconds: float
     ) -> None:
         """Lets a run end at its upstream."""
         node = self.nodes[name]
+        self.note_load(node.service, 0, -1)
         running.charge_run(node, attempt_id, seconds * 1000.0)
         running.finish_run(node, self.now, attempt_id)
         self.perform(name, claiming.make_claims(node, self.now))
@@ -251,9 +330,9 @@
     nodes: dict = {}
     for vm in vms.vms:
         if vm.role is membership.VmRole.ROUTER:
-            node = router_state.RouterState(vm.name, 1, versions)
+            node = router_state.RouterState(vm.name, INCARNATION, versions)
         else:
-            node = sidecar_state.create_state(vm.name, 1, vm.service)
+            node = sidecar_state.create_state(vm.name, INCARNATION, vm.service)
             node.versions = versions
             sidecar_core.apply_configuration(node)
         membership.replace_list(node.directory, vms)
--- a/sycamorefall/membership/__init__.py
+++ b/sycamorefall/membership/__init__.py
@@ -10,6 +10,7 @@
     "VmList",
     "VmRole",
     "VmState",
+    "choose_tellers",
     "create_list_document",
     "forget_departed",
     "is_outdated",
@@ -48,6 +49,7 @@
 )
 from sycamorefall.membership.links import (
     Links,
+    choose_tellers,
     list_routers,
     list_siblings,
     list_sidecars,
--- a/sycamorefall/router/core.py
+++ b/sycamorefall/router/core.py
@@ -10,7 +10,7 @@
 
 import heapq
 
-from sycamorefall import effects, errors, membership, messages
+from sycamorefall import effects, errors, membership, messages, sharing
 from sycamorefall.router import (
     announcement,
     estimates,
@@ -66,6 +66,8 @@
     match message:
         case messages.Heartbeat():
             news += _take_hint(state, now, envelope, message)
+        case messages.UnknownNames():
+            news += announcement.announce_to(state, now, sender)
         case messages.Claim():
             news += handout.answer_claim(
                 state, now, sender, incarnation, message
@@ -97,7 +99,10 @@
     service = state.directory.vms[sidecar].service
     room = 0 if beat.stopping else beat.room
     hints.note_hint(state, service, sidecar, envelope.incarnation, room)
-    return announcement.announce_to(state, now, sidecar) if room else []
+    if not room:
+        return []
+    offers = offering.offer_to_room(state, now, service, sidecar)
+    return offers or announcement.announce_to(state, now, sidecar)
 
 
 def run_timers(
@@ -156,13 +161,17 @@
 ) -> list[router_effects.Effect]:
     beat = messages.Heartbeat(state.stopping)
     services = {vm.service for vm in state.directory.vms.values()}
-    return [
-        effects.Send(name, beat)
+    linked = [
+        name
         for service in sorted(services)
         for name in membership.list_sidecars(
             state.links, state.directory, now, state.vm, service
         )
     ]
+    state.announcing.rate = sharing.share_rate(
+        state_module.ANNOUNCE_RATE, state_module.HEARTBEAT_RATE, len(linked)
+    )
+    return [effects.Send(name, beat) for name in linked]
 
 
 def _expire_requests(
--- a/sycamorefall/sharing/__init__.py
+++ b/sycamorefall/sharing/__init__.py
@@ -5,6 +5,7 @@
     "ByteBudget",
     "CostEstimates",
     "Demand",
+    "Exchange",
     "Fairness",
     "ServiceAccounts",
     "WaitingQueues",
@@ -15,17 +16,21 @@
     "compute_key",
     "drop_idle_accounts",
     "estimate_cost",
+    "find_next_exchange",
     "find_opening",
     "is_open",
     "join_queue",
     "lift_team",
     "list_entries",
+    "list_news",
     "merge_entries",
     "note_cost",
+    "note_sibling",
     "note_waiting",
     "peek_oldest",
     "pop_earliest",
     "reserve_units",
+    "share_rate",
     "spend_bytes",
 ]
 
@@ -42,6 +47,7 @@
     ByteBudget,
     find_opening,
     is_open,
+    share_rate,
     spend_bytes,
 )
 from sycamorefall.sharing.choice import (
@@ -57,6 +63,12 @@
     estimate_cost,
     note_cost,
 )
+from sycamorefall.sharing.exchange import (
+    Exchange,
+    find_next_exchange,
+    list_news,
+    note_sibling,
+)
 from sycamorefall.sharing.queues import (
     WaitingQueues,
     join_queue,
--- a/sycamorefall/sidecar/state.py
+++ b/sycamorefall/sidecar/state.py
@@ -8,10 +8,16 @@
 from sycamorefall import admission, configuration, dispatch, membership, sharing
 from sycamorefall.sidecar import gate as gate_module
 
-HINT_RATE = 500.0
-"""Bytes per second that a sidecar may send for hints between heartbeats."""
+HINT_RATE = 1500.0
+"""Bytes per second that a sidecar without links may send for hints."""
 
-HINT_BURST = 2000.0
+ROUTER_HINT_RATE = 4000.0
+"""Bytes per second of hints that a router is to hear from a service."""
+
+HEARTBEAT_RATE = 50.0
+"""Bytes per second that the heartbeats of a link take, both ways."""
+
+HINT_BURST = 1000.0
 """Bytes of hints that a sidecar may save up."""
 
 
@@ -69,13 +75,13 @@
         outcomes: What became of each attempt.
         silences: Routers that let a claim expire, by VM name.
         next_heartbeat: When the next heartbeat is due.
-        was_idle: Whether there was room and nothing to claim, when last
-            looked at.
-        next_search: When an idle sidecar asks further routers next.
+        hinted: Free slots that routers were last told of; 0 since there was
+            none or work to claim.
+        next_sibling_beat: When the next heartbeat to siblings is due.
         search_pause: Seconds until the search after that.
         chance: Source of random choices.
         hinting: What may be sent for hints outside of heartbeats.
-        next_exchange: When changed accounts are sent next.
+        exchange: What siblings were told of the accounts.
         stopping: Whether no new work is taken.
     """
 
@@ -112,7 +118,8 @@
     )
     silences: dict[str, Silence] = dataclasses.field(default_factory=dict)
     next_heartbeat: float = 0.0
-    was_idle: bool = False
+    hinted: int = 0
+    next_sibling_beat: float = 0.0
     next_search: float = 0.0
     search_pause: float = 0.0
     chance: random.Random = dataclasses.field(default_factory=random.Random)
@@ -121,7 +128,9 @@
             HINT_RATE, HINT_BURST, HINT_BURST
         )
     )
-    next_exchange: float = 0.0
+    exchange: sharing.Exchange = dataclasses.field(
+        default_factory=sharing.Exchange
+    )
     stopping: bool = False
 
     def __post_init__(self):
