--- a/sycamorefall/configuration/__init__.py
+++ b/sycamorefall/configuration/__init__.py
@@ -43,13 +43,15 @@
     choose_watchers,
     create_schedule,
 )
-from sycamorefall.configuration.text import (
+from sycamorefall.configuration.schema import (
     Configuration,
     FleetLimits,
     Service,
     ServiceKind,
     Team,
     hash_key,
+)
+from sycamorefall.configuration.text import (
     parse_configuration,
 )
 from sycamorefall.configuration.versions import (
--- a/sycamorefall/configuration/tests/test_blocks.py
+++ b/sycamorefall/configuration/tests/test_blocks.py
@@ -6,7 +6,7 @@
 from hypothesis import strategies as st
 import pytest
 
-from sycamorefall.configuration import documents, text
+from sycamorefall.configuration import documents, schema, text
 
 LINES = st.sampled_from(
     [
@@ -48,7 +48,7 @@
 def write_teams(count, weight=1):
     return "".join(
         f"[team t{index}]\nweight = {weight if index == 700 else 1}\n"
-        f"keys_sha256 = {text.hash_key(str(index))}\n"
+        f"keys_sha256 = {schema.hash_key(str(index))}\n"
         for index in range(count)
     )
 
--- a/sycamorefall/configuration/versions.py
+++ b/sycamorefall/configuration/versions.py
@@ -13,7 +13,7 @@
 
 from returns import result
 
-from sycamorefall.configuration import documents
+from sycamorefall.configuration import documents, schema
 from sycamorefall.configuration import text as text_module
 
 
@@ -50,7 +50,7 @@
     """
 
     document: documents.Document | None = None
-    configuration: text_module.Configuration | None = None
+    configuration: schema.Configuration | None = None
     refused: documents.Document | None = None
     refusal: str = ""
     rival: str = ""
