Deliver old account entries last in the test of merging

Story: the property test of merging passed with the sequence check switched off, so it could not fail for the reordering that it names. Cause: it ended with two exchanges of everything, in which the newest entries come last. Change: all entries ever sent arrive once more after that, newest first. With the check off (scratch copy) it now fails: keys 1.0, 0.5, 0.5 of one team.

--- a/sycamorefall/sharing/tests/test_accounts.py
+++ b/sycamorefall/sharing/tests/test_accounts.py
@@ -74,6 +74,9 @@
     # the news takes a second round.
     exchange_all(views)
     exchange_all(views)
+    # Whatever was under way all the time arrives last, and again.
+    for view in views:
+        sharing.merge_entries(view, reversed(past))
     for team in TEAMS:
         keys = [sharing.compute_key(view, team, 2.0) for view in views]
         assert keys == pytest.approx([keys[0]] * OWNERS)
