Count lines of INI texts in one place

Settings and the operators' text each found the line of a fault by a scan of their own. One is left; what reads the operators' text is named for that.

--- a/sycamorefall/configuration/text.py
+++ b/sycamorefall/configuration/text.py
@@ -18,8 +18,8 @@
 import msgspec
 from returns import result
 
-from sycamorefall import errors
-from sycamorefall.configuration import documents, ini, schema
+from sycamorefall import errors, ini
+from sycamorefall.configuration import documents, reading, schema
 
 Named = TypeVar("Named", schema.Team, schema.Service)
 
@@ -111,9 +111,9 @@
 
 
 def _parse(text: str) -> _Part:
-    ini.check_unicode(text)
+    reading.check_unicode(text)
     lines = ini.Lines(text)
-    parser = ini.read_ini(text)
+    parser = reading.read_ini(text)
     teams = {
         name: _parse_team(name, dict(parser[section]), lines)
         for section, name in _select_sections(parser, "team", lines)
--- a/sycamorefall/ini.py
+++ b/sycamorefall/ini.py
@@ -1,14 +1,57 @@
-"""Tells where in an INI text a fault lies."""
+"""Line numbers of INI texts, and where in one a fault lies."""
 
-__all__ = ["locate_fault"]
+__all__ = ["Lines", "locate_fault"]
 
 import re
 
 _PATH = re.compile(r" - at `\$\.(?P<section>\w+)(\.(?P<key>\w+))?`$")
 _UNKNOWN = re.compile(r"unknown field `(?P<key>[^`]*)`")
+_SECTION = re.compile(r"^\s*\[(?P<section>[^]]*)\]")
+_OPTION = re.compile(r"^(?P<option>[^\s=:#;][^=:]*?)\s*[=:]")
 _MISSING = re.compile(r"missing required field `(?P<key>[^`]*)`")
 
 
+class Lines:
+    """Line numbers of sections and options of an INI text.
+
+    They are wanted only where a text is refused, so they are counted then;
+    kept for all blocks they would take more memory than what these say.
+    """
+
+    __slots__ = ("_numbers", "_parts", "_text")
+
+    def __init__(self, text: str):
+        self._text = text
+        self._numbers: dict[tuple[str, str], int] | None = None
+        self._parts: list[tuple[int, Lines]] = []
+
+    def add(self, other: "Lines", before: int) -> None:
+        """Adds those of a block that has this many lines before it."""
+        self._parts.append((before, other))
+
+    def find(self, section: str, option: str = "") -> int:
+        """Returns the line of an option, else of its section, else 0."""
+        for before, lines in self._parts:
+            if line := lines.find(section, option):
+                return before + line
+        if self._numbers is None:
+            self._numbers = _number_lines(self._text)
+        whole = self._numbers.get((section, ""), 0)
+        return self._numbers.get((section, option), whole)
+
+
+def _number_lines(text: str) -> dict[tuple[str, str], int]:
+    numbers: dict[tuple[str, str], int] = {}
+    section = ""
+    for number, line in enumerate(text.split("\n"), start=1):
+        if header := _SECTION.match(line):
+            section = header["section"]
+            numbers.setdefault((section, ""), number)
+        elif option := _OPTION.match(line):
+            numbers.setdefault((section, option["option"].lower()), number)
+    return numbers
+
+
 def locate_fault(text: str, fault: str) -> str:
     r"""Says in terms of an INI text what msgspec says in terms of structs.
 
@@ -36,24 +79,9 @@
     if not section:
         section, key = key, ""
     where = " ".join(filter(None, [_bracket(section), key]))
-    line = _find_line(text, section, key)
+    line = Lines(text).find(section, key)
     return f"line {line}: {where}: {reason}"
 
 
 def _bracket(section: str) -> str:
     return f"[{section}]" if section else ""
-
-
-def _find_line(text: str, section: str, key: str) -> int:
-    """Finds the line of a key in a section, or of the section's head."""
-    current = ""
-    found = 0
-    for number, line in enumerate(text.splitlines(), start=1):
-        stripped = line.strip()
-        if stripped.startswith("[") and "]" in stripped:
-            current = stripped[1 : stripped.index("]")]
-            found = number if current == section and not key else found
-        name = re.split("[=:]", stripped, maxsplit=1)[0].strip().lower()
-        if current == section and key and name == key:
-            found = number
-    return found
