Let both plain stand-ins share start and load report; drop a dead property

The desk and the ledger had the same command line and the same load route, each written out; both call standins.runs now. HttpServer.open_calls had no caller left. No change of behaviour: the tests of dependencies, whole path, outcomes, transport and stand-ins pass (52 in 41 s).

--- a/standins/desk.py
+++ b/standins/desk.py
@@ -5,7 +5,6 @@
 the parent's token as it got it, unless the body says not to.
 """
 
-import argparse
 import asyncio
 
 import aiohttp
@@ -62,32 +61,21 @@
 
 def create_application(desk: Desk) -> web.Application:
     """Creates the desk's application."""
-
-    async def get_load(_: web.Request) -> web.Response:
-        return web.json_response({"running": desk.running, "queued": 0})
-
     application = web.Application()
     application.add_routes(
         [
             web.post("/orders", lambda request: _book(request, desk)),
-            web.get("/v1/load", get_load),
         ]
     )
-    runs_module.add_run_routes(application, desk.runs)
+    runs_module.add_plain_routes(application, desk)
     return application
 
 
 def main() -> None:
     """Runs the stand-in."""
-    parser = argparse.ArgumentParser(description=__doc__)
-    parser.add_argument("port", type=int)
-    parser.add_argument("--slots", type=int, default=8)
-    options = parser.parse_args()
-
-    async def create() -> web.Application:
-        return create_application(Desk(options.slots))
-
-    web.run_app(create(), host="127.0.0.1", port=options.port, print=None)
+    runs_module.run_plain(
+        __doc__, lambda slots: create_application(Desk(slots))
+    )
 
 
 if __name__ == "__main__":
--- a/standins/ledger.py
+++ b/standins/ledger.py
@@ -5,7 +5,6 @@
 it takes. Booking the same order twice is counted, never hidden.
 """
 
-import argparse
 import asyncio
 
 from aiohttp import web
@@ -56,33 +55,22 @@
 
 def create_application(ledger: Ledger) -> web.Application:
     """Creates the ledger's application."""
-
-    async def get_load(_: web.Request) -> web.Response:
-        return web.json_response({"running": ledger.running, "queued": 0})
-
     application = web.Application()
     application.add_routes(
         [
             web.post("/orders", lambda r: _book(r, ledger)),
             web.get("/orders/{id}", lambda r: _look_up(r, ledger)),
-            web.get("/v1/load", get_load),
         ]
     )
-    runs_module.add_run_routes(application, ledger.runs)
+    runs_module.add_plain_routes(application, ledger)
     return application
 
 
 def main() -> None:
     """Runs the stand-in."""
-    parser = argparse.ArgumentParser(description=__doc__)
-    parser.add_argument("port", type=int)
-    parser.add_argument("--slots", type=int, default=8)
-    options = parser.parse_args()
-
-    async def create() -> web.Application:
-        return create_application(Ledger(options.slots))
-
-    web.run_app(create(), host="127.0.0.1", port=options.port, print=None)
+    runs_module.run_plain(
+        __doc__, lambda slots: create_application(Ledger(slots))
+    )
 
 
 if __name__ == "__main__":
--- a/sycamorefall/transport/server.py
+++ b/sycamorefall/transport/server.py
@@ -108,14 +108,6 @@
         """Port listened at."""
         return self.server.port
 
-    @property
-    def open_calls(self) -> int:
-        """Requests whose answer is not complete."""
-        return sum(
-            connection.call is not None
-            for connection in self._connections.values()
-        )
-
     def find_next_due(self) -> float:
         """Tells when a time limit ends next."""
         limits = (self._reading, self._idle, self._closing)
