--- /dev/null
+++ b/sycamorefall/direct/core.py
@@ -0,0 +1,238 @@
+"""Decisions of a router that sends directly to upstreams; no I/O."""
+
+__all__ = [
+    "apply_catalog",
+    "apply_listing",
+    "begin_stop",
+    "cancel_request",
+    "find_next_due",
+    "find_unready",
+    "run_timers",
+    "take_request",
+]
+
+import heapq
+import itertools
+
+from returns import result
+
+from sycamorefall import errors
+from sycamorefall.direct import (
+    budget,
+    catalog,
+    dispatching,
+    effects,
+    freshness,
+    outcomes,
+    upstreams,
+)
+from sycamorefall.direct import (
+    state as state_module,
+)
+
+SILENCE_CHECK = 0.1
+"""Seconds between two looks for upstreams that say nothing."""
+
+SERVE_INTERVAL = 0.01
+"""Seconds between two looks whether a waiting request can go: load that other
+routers report, and upstreams whose pause ended, call for no look."""
+
+
+def apply_catalog(
+    state: state_module.DirectState, now: float, new: catalog.Catalog
+) -> list[effects.Effect]:
+    """Brings a configuration into force, unless a later one is.
+
+    Waiting requests are judged anew: their key may be gone, or their route.
+
+    Args:
+        state: The router; changed.
+        now: This process's time.
+        new: The configuration.
+
+    Returns:
+        What is to be done.
+    """
+    if state.catalog is not None and new.version <= state.catalog.version:
+        return []
+    state.catalog = new
+    state.serve = True
+    waiting_ones = [one for one in state.requests.values() if not one.attempt]
+    done: list[effects.Effect] = []
+    for request in waiting_ones:
+        judged = _admit(state, now, request.new)
+        if isinstance(judged, result.Failure):
+            done.append(effects.Fail(request.number, judged.failure()))
+            outcomes.forget_request(state, request)
+            continue
+        route, team = judged.unwrap()
+        dispatching.leave_room(state, request)
+        request.route, request.team = route, team
+        request.service = catalog.choose_service(route, state.random.random())
+        dispatching.enter_room(state, request)
+    return done
+
+
+def apply_listing(
+    state: state_module.DirectState,
+    now: float,
+    listing: list[upstreams.Listed],
+) -> list[str]:
+    """Takes over a listing of upstreams; returns names no longer used."""
+    state.serve = True
+    return upstreams.replace_listing(state.table, now, listing)
+
+
+def begin_stop(state: state_module.DirectState) -> None:
+    """Makes the router report that it is not ready; it goes on serving."""
+    state.stopping = True
+
+
+def find_unready(state: state_module.DirectState, now: float) -> list[str]:
+    """Lists why callers had better be sent to another router."""
+    reasons = {
+        "stopping": state.stopping,
+        "no configuration": state.catalog is None,
+        "no upstreams": not state.table.by_name,
+        "configuration may be out of date": not freshness.is_fresh(
+            state.freshness, now
+        ),
+    }
+    return [reason for reason, holds in reasons.items() if holds]
+
+
+def _admit(
+    state: state_module.DirectState,
+    now: float,
+    new: state_module.NewRequest,
+) -> result.Result[tuple[catalog.Route, str], errors.ErrorKind]:
+    """Judges whether a request has a route and may use it."""
+    known = state.catalog
+    if known is None:
+        return result.Failure(errors.ErrorKind.NOT_READY)
+    route = catalog.find_route(known, new.host, new.path)
+    if route is None:
+        return result.Failure(errors.ErrorKind.UNKNOWN_SERVICE)
+    if route.public or not known.keyed:
+        return result.Success((route, ""))
+    if not freshness.is_fresh(state.freshness, now):
+        return result.Failure(errors.ErrorKind.NOT_READY)
+    team = known.teams.get(new.key)
+    if team is None:
+        return result.Failure(errors.ErrorKind.UNKNOWN_TEAM)
+    return result.Success((route, team.name))
+
+
+def take_request(
+    state: state_module.DirectState,
+    now: float,
+    new: state_module.NewRequest,
+) -> tuple[int, list[effects.Effect]]:
+    """Takes a caller's request: it is sent, waits or is refused.
+
+    Args:
+        state: The router; changed.
+        now: This process's time.
+        new: The request.
+
+    Returns:
+        The request's number and what is to be done.
+    """
+    state.last_number += 1
+    number = state.last_number
+    judged = _admit(state, now, new)
+    if isinstance(judged, result.Failure):
+        kind = judged.failure()
+        pause = (
+            outcomes.draw_pause(state) if errors.ANSWERS[kind].retry else None
+        )
+        return number, [effects.Fail(number, kind, pause)]
+    route, team = judged.unwrap()
+    left = route.timeout
+    if new.time_left is not None:
+        left = min(left, new.time_left)
+    request = state_module.Request(
+        number,
+        new,
+        route,
+        catalog.choose_service(route, state.random.random()),
+        team,
+        now,
+        answer_by=now + left,
+        give_up_at=now + min(left, dispatching.PATIENCE * route.target_latency),
+    )
+    state.requests[number] = request
+    budget.count_request(dispatching.find_budget(state, request.service), now)
+    heapq.heappush(state.deadlines, (request.answer_by, number))
+    heapq.heappush(state.deadlines, (request.give_up_at, number))
+    room = state.rooms.get(request.service)
+    if room is None or not room.by_team:
+        sent = dispatching.try_send(state, now, request)
+        if sent:
+            return number, sent
+    dispatching.enter_room(state, request)
+    return number, []
+
+
+def cancel_request(
+    state: state_module.DirectState, number: int, now: float
+) -> list[effects.Effect]:
+    """Ends a request whose caller has gone."""
+    request = state.requests.get(number)
+    if request is None:
+        return []
+    return outcomes.drop_attempt(state, request, now) + outcomes.forget_request(
+        state, request
+    )
+
+
+def run_timers(
+    state: state_module.DirectState, now: float
+) -> list[effects.Effect]:
+    """Does what has come due.
+
+    Args:
+        state: The router; changed.
+        now: This process's time.
+
+    Returns:
+        What is to be done.
+    """
+    due = _expire_requests(state, now)
+    if now - state.checked_at >= SILENCE_CHECK:
+        state.checked_at = now
+        due += outcomes.check_silence(state, now)
+    if any(room.by_team for room in state.rooms.values()):
+        due += dispatching.serve_waiting(state, now)
+    state.serve = False
+    return due
+
+
+def find_next_due(state: state_module.DirectState) -> float:
+    """Tells when `run_timers` has something to do next."""
+    is_waiting = any(room.by_team for room in state.rooms.values())
+    if is_waiting and state.serve:
+        return 0.0
+    running = any(request.attempt for request in state.requests.values())
+    times = itertools.chain(
+        [state.checked_at + SILENCE_CHECK] if running else [],
+        [state.checked_at + SERVE_INTERVAL] if is_waiting else [],
+        [state.deadlines[0][0]] if state.deadlines else [],
+    )
+    return min(times, default=float("inf"))
+
+
+def _expire_requests(
+    state: state_module.DirectState, now: float
+) -> list[effects.Effect]:
+    done: list[effects.Effect] = []
+    while state.deadlines and state.deadlines[0][0] <= now:
+        _, number = heapq.heappop(state.deadlines)
+        request = state.requests.get(number)
+        if request is None:
+            continue
+        if now >= request.answer_by:
+            done += outcomes.end_late(state, request, now)
+        elif now >= request.give_up_at and request.attempt is None:
+            done += outcomes.refuse_request(state, request)
+    return done
--- /dev/null
+++ b/sycamorefall/direct/daemon.py
@@ -0,0 +1,253 @@
+"""The program of a router that sends directly to upstreams."""
+
+__all__ = ["Daemon", "Source", "run_direct_router"]
+
+from collections.abc import Callable
+import dataclasses
+import signal
+import time
+from typing import Protocol
+
+from circuits.core import pollers
+
+from sycamorefall import errors, observation, settings, transport
+from sycamorefall.direct import catalog as catalog_module
+from sycamorefall.direct import (
+    core,
+    freshness,
+    relay,
+)
+from sycamorefall.direct import (
+    state as state_module,
+)
+from sycamorefall.direct import upstreams as upstreams_module
+
+CONNECT_TIMEOUT = 0.4
+"""Seconds until a connection to an upstream or the platform is given up: a
+hundred times the way there and back, and half of the usual target latency."""
+
+READY_PATH = "/ready"
+"""Where the balancer asks whether the process takes connections."""
+
+LISTEN_ON = 2.6
+"""Seconds that a stopping process still takes connections: the balancer asks
+each second and needs two bad answers to send callers elsewhere."""
+
+STOP_CHECK = 0.05
+"""Seconds between two looks of a stopping process at whether it is idle."""
+
+STOP_LINGER = 0.3
+"""Seconds that a stopping process stays after its last answer was sent."""
+
+
+class Source(Protocol):
+    """Reads what the platform publishes and passes it to a `Daemon`."""
+
+    def run(self, now: float) -> None:
+        """Sends the reads that are due."""
+
+    def find_next_due(self) -> float:
+        """Tells when a read is due next."""
+
+
+@dataclasses.dataclass(slots=True)
+class Daemon:
+    """A process: its decisions and its I/O.
+
+    Attributes:
+        config: Its settings.
+        state: The decisions' state.
+        loop: The root component.
+        client: Sends requests.
+        desk: Requests in progress.
+        log: Writes the log.
+        servers: For callers, and for the balancer.
+        source: Reads the platform.
+        stopping_since: When SIGTERM came; None before.
+        quiet_since: Since when a stopping process has nothing to do.
+    """
+
+    config: settings.DirectSettings
+    state: state_module.DirectState
+    loop: transport.Loop
+    client: transport.HttpClient
+    desk: relay.Desk
+    log: observation.LogWriter
+    servers: list[transport.HttpServer]
+    source: Source | None = None
+    stopping_since: float | None = None
+    stop_check: float = float("inf")
+    quiet_since: float | None = None
+
+    def take_catalog(self, new: catalog_module.Catalog) -> None:
+        """Takes a configuration that was read."""
+        now = transport.read_clock()
+        known = self.state.catalog
+        done = core.apply_catalog(self.state, now, new)
+        if self.state.catalog is not known:
+            observation.write_record(
+                observation.Level.INFO,
+                "configuration.in_force",
+                version=new.version,
+                before=known.version if known else None,
+            )
+        relay.perform(self.desk, done)
+
+    def take_listing(self, listing: list[upstreams_module.Listed]) -> None:
+        """Takes a listing of upstreams that was read."""
+        now = transport.read_clock()
+        before = set(self.state.table.by_name)
+        gone = core.apply_listing(self.state, now, listing)
+        new = self.state.table.by_name.keys() - before
+        if gone or new:
+            observation.write_record(
+                observation.Level.INFO,
+                "upstreams.changed",
+                gone=gone,
+                new=sorted(new),
+            )
+
+    def take_proof(self, sent_at: float) -> None:
+        """Takes proof that the configuration was the newest at a time."""
+        freshness.note_proof(self.state.freshness, sent_at)
+
+
+def run_direct_router(
+    config: settings.DirectSettings,
+    dialect: relay.Dialect,
+    create_source: Callable[[Daemon], Source],
+    reload: Callable[[], None],
+) -> None:
+    """Runs a router until it is told to stop.
+
+    Args:
+        config: Its settings.
+        dialect: How callers and upstreams put things in HTTP.
+        create_source: Creates what reads the platform.
+        reload: Called on SIGHUP.
+
+    Raises:
+        errors.AddressInUse: A listening address can't be bound.
+    """
+    daemon = _create_daemon(config, dialect)
+    daemon.source = create_source(daemon)
+    signal.signal(signal.SIGHUP, lambda *_: reload())
+    observation.write_record(
+        observation.Level.INFO,
+        "process.started",
+        vm=config.vm.name,
+        failure_domain=config.vm.failure_domain,
+    )
+    daemon.loop.run()
+    observation.write_record(
+        observation.Level.INFO, "process.stopped", vm=config.vm.name
+    )
+
+
+def _create_daemon(
+    config: settings.DirectSettings, dialect: relay.Dialect
+) -> Daemon:
+    log = observation.open_log(config.log)
+    loop = transport.create_loop(lambda: _begin_stop(daemon), _report_fault)
+    poller = next(
+        part for part in loop.components if isinstance(part, pollers.BasePoller)
+    )
+    client = transport.HttpClient(
+        poller, transport.read_clock, CONNECT_TIMEOUT
+    ).register(loop)
+    state = state_module.create_state(
+        config.vm.failure_domain, config.bounds, seed=time.time_ns()
+    )
+    desk = relay.Desk(state, client, dialect)
+    servers = [
+        transport.HttpServer(
+            config.listen.data,
+            config.limits,
+            lambda call: relay.take_call(desk, call),
+        ).register(loop)
+    ]
+    if config.listen.operators is not None:
+        servers.append(
+            transport.HttpServer(
+                config.listen.operators,
+                config.limits,
+                lambda call: _answer_operators(daemon, call),
+                channel="operators",
+            ).register(loop)
+        )
+    daemon = Daemon(config, state, loop, client, desk, log, servers)
+    transport.Ticker(
+        lambda: _find_next_due(daemon), lambda now: _run_timers(daemon, now)
+    ).register(loop)
+    return daemon
+
+
+def _report_fault(trace: str) -> None:
+    observation.write_record(
+        observation.Level.ERROR, "process.fault", traceback=trace
+    )
+
+
+def _answer_operators(daemon: Daemon, call: transport.IncomingCall) -> None:
+    if call.path != READY_PATH:
+        call.fail(errors.ErrorKind.UNKNOWN_SERVICE)
+        return
+    reasons = core.find_unready(daemon.state, transport.read_clock())
+    body = ", ".join(reasons).encode() or b"ready"
+    headers = (("Content-Type", "text/plain"),)
+    call.respond(503 if reasons else 200, body, headers)
+
+
+def _find_next_due(daemon: Daemon) -> float:
+    return min(
+        core.find_next_due(daemon.state),
+        daemon.client.find_next_due(),
+        daemon.source.find_next_due(),
+        daemon.stop_check,
+        *(server.find_next_due() for server in daemon.servers),
+    )
+
+
+def _run_timers(daemon: Daemon, now: float) -> None:
+    daemon.client.expire(now)
+    for server in daemon.servers:
+        server.expire(now)
+    daemon.source.run(now)
+    daemon.log.flush()
+    relay.perform(daemon.desk, core.run_timers(daemon.state, now))
+    if now >= daemon.stop_check:
+        _continue_stop(daemon, now)
+
+
+def _begin_stop(daemon: Daemon) -> None:
+    """Begins a graceful stop: what runs is finished, callers are sent away."""
+    if daemon.stopping_since is not None:
+        return
+    observation.write_record(
+        observation.Level.INFO,
+        "process.stopping",
+        in_progress=len(daemon.state.requests),
+    )
+    core.begin_stop(daemon.state)
+    daemon.servers[0].announce_stop()
+    daemon.stopping_since = daemon.stop_check = transport.read_clock()
+
+
+def _continue_stop(daemon: Daemon, now: float) -> None:
+    """Ends the process once callers are elsewhere and all is answered.
+
+    Guards against connections that the balancer still sends here until it
+    has seen that the process is not ready: refused, their requests are lost.
+    """
+    daemon.stop_check = now + STOP_CHECK
+    if now - daemon.stopping_since < LISTEN_ON:
+        return
+    for server in daemon.servers:
+        server.begin_stop()
+        server.end_listening()
+    if not all(server.is_quiet() for server in daemon.servers):
+        daemon.quiet_since = None
+    elif daemon.quiet_since is None:
+        daemon.quiet_since = now
+    elif now - daemon.quiet_since >= STOP_LINGER:
+        daemon.loop.stop()
--- /dev/null
+++ b/sycamorefall/direct/dispatching.py
@@ -0,0 +1,191 @@
+"""Sends requests to upstreams, at once or from the waiting rooms."""
+
+__all__ = [
+    "PATIENCE",
+    "enter_room",
+    "find_budget",
+    "leave_room",
+    "serve_waiting",
+    "try_send",
+]
+
+from sycamorefall.direct import (
+    budget,
+    catalog,
+    effects,
+    freshness,
+    placing,
+    upstreams,
+    waiting,
+)
+from sycamorefall.direct import (
+    state as state_module,
+)
+
+PATIENCE = 0.8
+"""Part of its target latency that a request waits at most for its first send;
+after that it would be late, and is refused with a time to come back."""
+
+OUTPUT_WEIGHT = 2
+"""What a token that is made costs, in tokens that are read."""
+
+SHORTEST_LEFT = 0.01
+"""Seconds that must be left of a request's time for a send to make sense."""
+
+
+def find_budget(
+    state: state_module.DirectState, service: str
+) -> budget.RetryBudget:
+    """Finds the budget of second sends of a service."""
+    known = state.budgets.get(service)
+    if known is None:
+        bounds = state.bounds
+        known = state.budgets[service] = budget.RetryBudget(
+            bounds.retry_ratio, bounds.retry_extra, bounds.retry_window
+        )
+    budget.set_routers(known, state.routers)
+    return known
+
+
+def _find_accounts(
+    state: state_module.DirectState, service: str
+) -> waiting.TeamAccounts:
+    return state.accounts.setdefault(service, waiting.TeamAccounts())
+
+
+def enter_room(
+    state: state_module.DirectState, request: state_module.Request
+) -> None:
+    """Has a request wait."""
+    room = state.rooms.setdefault(request.service, waiting.WaitingRoom())
+    waiting.add_request(room, request.team, request.number)
+
+
+def leave_room(
+    state: state_module.DirectState, request: state_module.Request
+) -> None:
+    """Ends a request's wait, if it waits."""
+    room = state.rooms.get(request.service)
+    if room is not None:
+        waiting.remove_request(room, request.team, request.number)
+
+
+def try_send(
+    state: state_module.DirectState,
+    now: float,
+    request: state_module.Request,
+) -> list[effects.Effect]:
+    """Sends a request if an upstream has room for it.
+
+    Args:
+        state: The router; changed.
+        now: This process's time.
+        request: A request that is nowhere.
+
+    Returns:
+        The send, or nothing if it has to wait.
+    """
+    service = state.catalog.services.get(request.service)
+    if service is None or request.answer_by - now < SHORTEST_LEFT:
+        return []
+    if request.team and not freshness.is_fresh(state.freshness, now):
+        return []
+    chosen = placing.choose_upstream(
+        state.table,
+        now,
+        service,
+        request.new.prompt,
+        request.route.target_latency,
+        request.tried,
+        state.failure_domain,
+    )
+    if chosen is None:
+        return []
+    if request.sends and not budget.take_retry(
+        find_budget(state, request.service), now
+    ):
+        return []
+    return [_send(state, now, request, chosen, service)]
+
+
+def _send(
+    state: state_module.DirectState,
+    now: float,
+    request: state_module.Request,
+    chosen: upstreams.Upstream,
+    service: catalog.Service,
+) -> effects.SendTo:
+    request.sends += 1
+    request.tried.add(chosen.listed.name)
+    attempt = state_module.Attempt(request.sends, chosen.listed.name, now)
+    request.attempt = attempt
+    if not chosen.own.running:
+        # Its silence so far meant nothing.
+        chosen.heard_at = now
+    chosen.own.running += 1
+    upstreams.note_sent(chosen)
+    prompt = request.new.prompt
+    if prompt is not None and service.engine is not None:
+        attempt.unread = placing.count_missing(chosen, prompt, home=False)
+        chosen.own.unread += attempt.unread
+        attempt.queued = chosen.unread
+        attempt.memory = prompt.tokens + prompt.output
+        chosen.own.memory += attempt.memory
+        placing.note_prompt(chosen, prompt, service.engine)
+        cost = prompt.tokens + OUTPUT_WEIGHT * prompt.output
+        accounts = _find_accounts(state, request.service)
+        waiting.charge_team(accounts, now, request.team, cost)
+    return effects.SendTo(
+        request.number,
+        attempt.number,
+        chosen.listed.name,
+        chosen.listed.address,
+        request.answer_by - now,
+        request.team,
+        # A kept connection may be closed as the request is on its way, which
+        # leaves open whether it ran; one that may not be repeated is then
+        # lost. The new connection costs a millisecond.
+        fresh=request.route.kind is catalog.RouteKind.AT_MOST_ONCE,
+    )
+
+
+def serve_waiting(
+    state: state_module.DirectState, now: float
+) -> list[effects.Effect]:
+    """Sends waiting requests while there is room, least served team first.
+
+    Args:
+        state: The router; changed.
+        now: This process's time.
+
+    Returns:
+        What is to be done.
+    """
+    return [
+        effect
+        for service in list(state.rooms)
+        for effect in _serve_room(state, now, service)
+    ]
+
+
+def _serve_room(
+    state: state_module.DirectState, now: float, service: str
+) -> list[effects.Effect]:
+    room = state.rooms[service]
+    accounts = _find_accounts(state, service)
+    sent: list[effects.Effect] = []
+    progress = True
+    while progress and room.by_team:
+        progress = False
+        for team in waiting.order_teams(room, accounts, now):
+            for number in waiting.list_candidates(room, team):
+                request = state.requests[number]
+                done = try_send(state, now, request)
+                if done:
+                    waiting.remove_request(room, team, number)
+                    sent += done
+                    progress = True
+                    break
+            if progress:
+                break
+    return sent
--- /dev/null
+++ b/sycamorefall/direct/outcomes.py
@@ -0,0 +1,349 @@
+"""What became of a request at an upstream, and what follows from it."""
+
+__all__ = [
+    "AttemptEnd",
+    "check_silence",
+    "draw_pause",
+    "drop_attempt",
+    "end_attempt",
+    "end_late",
+    "forget_request",
+    "note_answer",
+    "refuse_request",
+]
+
+import enum
+
+from sycamorefall import errors
+from sycamorefall.direct import (
+    catalog,
+    dispatching,
+    effects,
+    upstreams,
+)
+from sycamorefall.direct import (
+    state as state_module,
+)
+
+PAUSE = (0.6, 1.4)
+"""Seconds after which a refused caller is told to come back: about as long as
+a full engine takes to end a tenth of what it runs; spread, so that callers
+refused together don't come back together."""
+
+SILENT_ENGINE = 1.0
+"""Seconds without a byte after which an engine that was making tokens is taken
+to hang: a step takes a hundredth of that, the longest prompt two thirds."""
+
+SILENT_BEFORE_FIRST = 2.0
+"""The same for an engine that only reads prompts for this router."""
+
+SILENT_PLAIN = 0.5
+"""Seconds after which an answer of a plain service is given up if the request
+may be repeated: ten times what one takes."""
+
+RATE_SAMPLE = 3_000
+"""Prompt tokens from which on the time to the first event tells how fast an
+engine reads; below, the first step weighs too much."""
+
+RATE_WEIGHT = 0.1
+"""Weight of one sample in an engine's reading rate."""
+
+FIRST_STEP = 0.045
+"""Seconds to the first event besides reading: queueing and one step."""
+
+
+class AttemptEnd(enum.Enum):
+    """How a send ended.
+
+    COMPLETE: the upstream's whole answer, a success.
+    FAILED: the upstream's whole answer, a failure; it ran.
+    NOT_RUN: the upstream said that it did not run the request.
+    OTHER_INCARNATION: the same, as another process has its address.
+    NOT_SENT: no byte of the request left.
+    BROKEN: anything else; it may have run.
+    """
+
+    COMPLETE = "complete"
+    FAILED = "failed"
+    NOT_RUN = "not_run"
+    OTHER_INCARNATION = "other_incarnation"
+    NOT_SENT = "not_sent"
+    BROKEN = "broken"
+
+
+_RAN = frozenset({AttemptEnd.COMPLETE, AttemptEnd.FAILED, AttemptEnd.BROKEN})
+
+
+def draw_pause(state: state_module.DirectState) -> float:
+    """Draws after how many seconds a refused caller is to come back."""
+    return round(state.random.uniform(*PAUSE), 2)
+
+
+def _release(
+    state: state_module.DirectState, request: state_module.Request
+) -> upstreams.Upstream | None:
+    """Takes a request's load off its upstream; returns the upstream."""
+    attempt, request.attempt = request.attempt, None
+    upstream = state.table.by_name.get(attempt.upstream)
+    state.serve = True
+    if upstream is None:
+        return None
+    upstream.own.running -= 1
+    upstream.own.unread -= attempt.unread
+    upstream.own.memory -= attempt.memory
+    return upstream
+
+
+def forget_request(
+    state: state_module.DirectState, request: state_module.Request
+) -> list[effects.Effect]:
+    """Forgets a request that is answered or whose caller has gone."""
+    dispatching.leave_room(state, request)
+    state.requests.pop(request.number, None)
+    return []
+
+
+def drop_attempt(
+    state: state_module.DirectState,
+    request: state_module.Request,
+    now: float,
+) -> list[effects.Effect]:
+    """Takes a request away from its upstream, if it is at one."""
+    if request.attempt is None:
+        return []
+    request.runs += 1
+    upstream = _release(state, request)
+    if upstream is not None:
+        upstreams.end_probe(upstream)
+    return [effects.Abort(request.number)]
+
+
+def note_answer(
+    state: state_module.DirectState,
+    now: float,
+    number: int,
+    first: bool,
+) -> None:
+    """Takes note of bytes from an upstream.
+
+    Args:
+        state: The router; changed.
+        now: This process's time.
+        number: The request that is answered.
+        first: Whether the caller gets the first part of the answer.
+    """
+    request = state.requests.get(number)
+    if request is None or request.attempt is None:
+        return
+    attempt = request.attempt
+    upstream = state.table.by_name.get(attempt.upstream)
+    if upstream is not None:
+        upstream.heard_at = now
+    if first and not attempt.answered:
+        attempt.answered = True
+        request.begun = True
+        state.serve = True
+        if upstream is not None:
+            _note_read(upstream, now, attempt)
+
+
+def _note_read(
+    upstream: upstreams.Upstream, now: float, attempt: state_module.Attempt
+) -> None:
+    """Takes note that an engine has read a prompt, and how fast."""
+    upstreams.note_success(upstream, now)
+    upstream.own.unread -= attempt.unread
+    attempt.unread = 0
+    took = now - attempt.sent_at - FIRST_STEP
+    if attempt.queued >= RATE_SAMPLE and took > 0:
+        rate = attempt.queued / took
+        change = RATE_WEIGHT * (rate - upstream.reading_rate)
+        upstream.reading_rate += change
+
+
+def end_attempt(
+    state: state_module.DirectState,
+    now: float,
+    number: int,
+    end: AttemptEnd,
+) -> list[effects.Effect]:
+    """Decides what follows from the end of a send.
+
+    A request that an upstream may have run is sent again only if its route
+    allows that; otherwise its caller is told that nobody can tell.
+
+    Args:
+        state: The router; changed.
+        now: This process's time.
+        number: The request.
+        end: How the send ended.
+
+    Returns:
+        What is to be done.
+    """
+    request = state.requests.get(number)
+    if request is None or request.attempt is None:
+        return []
+    name = request.attempt.upstream
+    upstream = _release(state, request)
+    _judge_upstream(state, now, name, upstream, end)
+    if end in _RAN:
+        request.runs += 1
+    if end is AttemptEnd.COMPLETE:
+        return forget_request(state, request)
+    if _may_go_again(request, end):
+        again = dispatching.try_send(state, now, request)
+        if again:
+            return again
+        if end not in _RAN and not request.runs and now < request.give_up_at:
+            dispatching.enter_room(state, request)
+            return []
+    return _give_up(state, request, end)
+
+
+def _judge_upstream(
+    state: state_module.DirectState,
+    now: float,
+    name: str,
+    upstream: upstreams.Upstream | None,
+    end: AttemptEnd,
+) -> None:
+    if upstream is None:
+        return
+    match end:
+        case AttemptEnd.COMPLETE:
+            upstreams.note_success(upstream, now)
+        case AttemptEnd.OTHER_INCARNATION:
+            upstreams.note_other_incarnation(state.table, name)
+        case AttemptEnd.NOT_SENT:
+            upstreams.bar_upstream(upstream, now)
+        case AttemptEnd.BROKEN | AttemptEnd.FAILED | AttemptEnd.NOT_RUN:
+            upstreams.note_failure(upstream, now)
+
+
+def _may_go_again(request: state_module.Request, end: AttemptEnd) -> bool:
+    if end not in _RAN and not request.runs:
+        return True
+    kind = request.route.kind
+    if end is AttemptEnd.FAILED and request.begun:
+        return False
+    return kind.repeatable and request.runs < request.route.most_upstreams
+
+
+def _give_up(
+    state: state_module.DirectState,
+    request: state_module.Request,
+    end: AttemptEnd,
+) -> list[effects.Effect]:
+    if request.begun:
+        forget_request(state, request)
+        return [effects.BreakOff(request.number)]
+    if end is AttemptEnd.FAILED:
+        forget_request(state, request)
+        return [effects.PassOn(request.number)]
+    return refuse_request(state, request)
+
+
+def refuse_request(
+    state: state_module.DirectState, request: state_module.Request
+) -> list[effects.Effect]:
+    """Answers a request that gets no further, truthfully."""
+    forget_request(state, request)
+    if request.begun:
+        return [effects.BreakOff(request.number)]
+    if not request.runs:
+        kind, pause = errors.ErrorKind.NO_UPSTREAM, draw_pause(state)
+        return [effects.Fail(request.number, kind, pause)]
+    if request.route.kind is catalog.RouteKind.IDEMPOTENT:
+        kind = errors.ErrorKind.RETRIES_EXHAUSTED
+    else:
+        kind = errors.ErrorKind.OUTCOME_UNKNOWN
+    return [effects.Fail(request.number, kind)]
+
+
+def end_late(
+    state: state_module.DirectState,
+    request: state_module.Request,
+    now: float,
+) -> list[effects.Effect]:
+    """Ends a request whose time is over."""
+    aborted = drop_attempt(state, request, now)
+    forget_request(state, request)
+    if request.begun:
+        return [*aborted, effects.BreakOff(request.number)]
+    kind = errors.ErrorKind.DEADLINE_EXCEEDED
+    return [*aborted, effects.Fail(request.number, kind)]
+
+
+def check_silence(
+    state: state_module.DirectState, now: float
+) -> list[effects.Effect]:
+    """Looks for upstreams that say nothing, and moves what may be moved.
+
+    Guards against an upstream that goes dark without closing connections:
+    all its callers would wait until their deadlines. An engine that makes
+    tokens sends something every few milliseconds.
+    """
+    hanging = {
+        request.attempt.upstream
+        for request in state.requests.values()
+        if request.attempt and _is_hanging(state, now, request)
+    }
+    stuck = [
+        request
+        for request in state.requests.values()
+        if request.attempt and _is_stuck(state, now, request, hanging)
+    ]
+    done: list[effects.Effect] = []
+    for name in hanging:
+        upstreams.bar_upstream(state.table.by_name[name], now)
+    for request in stuck:
+        done += _move(state, now, request)
+    return done
+
+
+def _is_hanging(
+    state: state_module.DirectState,
+    now: float,
+    request: state_module.Request,
+) -> bool:
+    """Tells whether a streamed request's upstream says nothing to anyone."""
+    attempt = request.attempt
+    upstream = state.table.by_name.get(attempt.upstream)
+    if upstream is None or not request.route.kind.streamed:
+        return False
+    limit = SILENT_ENGINE if attempt.answered else SILENT_BEFORE_FIRST
+    return now - max(upstream.heard_at, attempt.sent_at) > limit
+
+
+def _is_stuck(
+    state: state_module.DirectState,
+    now: float,
+    request: state_module.Request,
+    hanging: set[str],
+) -> bool:
+    """Tells whether a request is better sent to another upstream."""
+    if not request.route.kind.repeatable:
+        return False
+    if request.runs + 1 >= request.route.most_upstreams:
+        return False
+    attempt = request.attempt
+    if request.route.kind.streamed:
+        return attempt.upstream in hanging
+    return now - attempt.sent_at > SILENT_PLAIN
+
+
+def _move(
+    state: state_module.DirectState,
+    now: float,
+    request: state_module.Request,
+) -> list[effects.Effect]:
+    name = request.attempt.upstream
+    aborted = drop_attempt(state, request, now)
+    upstream = state.table.by_name.get(name)
+    if upstream is not None:
+        upstreams.note_failure(upstream, now)
+    again = dispatching.try_send(state, now, request)
+    if again:
+        return [*aborted, *again]
+    return [*aborted, *refuse_request(state, request)]
--- /dev/null
+++ b/sycamorefall/direct/placing.py
@@ -0,0 +1,221 @@
+"""Which upstream gets a request.
+
+An engine that has read the shared part of a prompt before need not read it
+again, which is most of a long prompt's work. So requests with the same last
+shared part go to the same engine, found by rendezvous hashing that all routers
+compute alike, unless waiting there costs more than reading anew elsewhere.
+"""
+
+__all__ = ["Prompt", "choose_upstream", "count_missing", "note_prompt"]
+
+from collections.abc import Collection
+import dataclasses
+import hashlib
+
+from sycamorefall.direct import catalog as catalog_module
+from sycamorefall.direct import upstreams as upstreams_module
+from sycamorefall.direct.upstreams import Upstream
+
+READ_AGAIN = 2.0
+"""Weight of reading a shared part again, against waiting as long: it delays
+all that runs at the engine too, and pushes another part out of its cache."""
+
+HOME_TRUST = 0.6
+"""Part of a shared prompt that its home is taken to hold if this router did
+not send it there: others may have, or it may have been pushed out."""
+
+AIM_SHARE = 0.6
+"""Part of the target latency that reading may take at an engine, what is
+queued there included; the rest is the first step and the way back."""
+
+MEMORY_SHARE = 0.9
+"""Part of an engine's cache that running requests may fill. Beyond it the
+engine throws running requests out and reads them again."""
+
+FAILURE_COST = 0.6
+"""Seconds that a certain failure counts like."""
+
+CROWD_COST = 0.04
+"""Seconds that a full batch counts like: tokens come slower in it."""
+
+PLAIN_WORK = 0.045
+"""Seconds that a plain service's request takes, about."""
+
+PLAIN_QUEUE = 2
+"""Requests at a plain upstream at a time, as a multiple of its slots."""
+
+AWAY_COST = 0.004
+"""Seconds that another failure domain counts like, for plain services."""
+
+
+@dataclasses.dataclass(slots=True, frozen=True)
+class Prompt:
+    """What a request asks of an engine.
+
+    Attributes:
+        tokens: Tokens of the whole prompt.
+        output: Tokens it is expected to make.
+        parts: Parts of the prompt in order, with their tokens; the last one
+            is the request's own.
+    """
+
+    tokens: int
+    output: int
+    parts: tuple[tuple[str, int], ...] = ()
+
+    @property
+    def home_key(self) -> str:
+        """The last part that other requests share; empty if there is none."""
+        return self.parts[-2][0] if len(self.parts) > 1 else ""
+
+    @property
+    def shared(self) -> int:
+        """Tokens of the parts that other requests share."""
+        return sum(tokens for _, tokens in self.parts[:-1])
+
+
+def note_prompt(
+    upstream: Upstream, prompt: Prompt, engine: catalog_module.Engine
+) -> None:
+    """Takes note that an engine reads a prompt.
+
+    Args:
+        upstream: The engine; changed.
+        prompt: The prompt.
+        engine: What is known of such engines.
+    """
+    parts = upstream.parts
+    for key, tokens in prompt.parts:
+        parts[key] = tokens
+        parts.move_to_end(key)
+    held = sum(parts.values())
+    while parts and held > engine.memory_tokens:
+        held -= parts.popitem(last=False)[1]
+
+
+def count_missing(upstream: Upstream, prompt: Prompt, home: bool) -> int:
+    """Counts the tokens that an engine will have to read.
+
+    Args:
+        upstream: The engine.
+        prompt: The prompt.
+        home: Whether all routers send this prompt's shared part to it.
+
+    Returns:
+        Tokens, as far as this router can tell.
+    """
+    held = 0
+    for key, tokens in prompt.parts:
+        if key not in upstream.parts:
+            break
+        held += tokens
+    if home:
+        held = max(held, int(HOME_TRUST * prompt.shared))
+    return prompt.tokens - held
+
+
+def _find_home(key: str, group: list[Upstream]) -> Upstream | None:
+    if not key:
+        return None
+    ready = [one for one in group if not one.listed.leaving]
+    return max(ready, key=lambda one: _draw(key, one), default=None)
+
+
+def _draw(key: str, upstream: Upstream) -> bytes:
+    text = f"{key} {upstream.listed.address}".encode()
+    return hashlib.blake2b(text, digest_size=8).digest()
+
+
+def choose_upstream(
+    table: upstreams_module.UpstreamTable,
+    now: float,
+    service: catalog_module.Service,
+    prompt: Prompt | None,
+    target_latency: float,
+    tried: Collection[str],
+    failure_domain: str,
+) -> Upstream | None:
+    """Chooses the upstream that is to get a request now.
+
+    Args:
+        table: All upstreams.
+        now: This process's time.
+        service: The request's service.
+        prompt: Its prompt, if it is for engines.
+        target_latency: Seconds within which it is to be answered.
+        tried: Upstreams that had it before.
+        failure_domain: Where this router stands.
+
+    Returns:
+        The upstream, or None if the request has to wait.
+    """
+    group = upstreams_module.list_upstreams(table, service.name)
+    usable = [
+        one
+        for one in group
+        if one.listed.name not in tried and upstreams_module.is_usable(one, now)
+    ]
+    if prompt is None or service.engine is None:
+        return _choose_plain(usable, now, failure_domain)
+    home = _find_home(prompt.home_key, group)
+    engine = service.engine
+    most = AIM_SHARE * target_latency
+    costs = [
+        (_weigh(one, now, prompt, engine, one is home), one)
+        for one in usable
+        if _has_room(one, prompt, engine, one is home, most)
+    ]
+    return min(costs, key=lambda pair: pair[0], default=(0.0, None))[1]
+
+
+def _choose_plain(
+    usable: list[Upstream], now: float, failure_domain: str
+) -> Upstream | None:
+    def weigh(one: Upstream) -> float:
+        queued = PLAIN_WORK * one.running / max(1, one.listed.slots)
+        away = AWAY_COST * (one.listed.failure_domain != failure_domain)
+        failing = upstreams_module.read_failure_rate(one, now)
+        return queued + away + FAILURE_COST * failing
+
+    room = [
+        one for one in usable if one.running < PLAIN_QUEUE * one.listed.slots
+    ]
+    return min(room, key=weigh, default=None)
+
+
+def _has_room(
+    one: Upstream,
+    prompt: Prompt,
+    engine: catalog_module.Engine,
+    home: bool,
+    most: float,
+) -> bool:
+    """Tells whether an engine would begin a request soon.
+
+    Engines take whatever they are sent and know no order but that of
+    arrival, so what waits must wait here, where teams are told apart.
+    """
+    if one.running >= engine.slots:
+        return False
+    memory = one.memory + prompt.tokens + prompt.output
+    if one.running and memory > MEMORY_SHARE * engine.memory_tokens:
+        return False
+    if not one.unread:
+        return True
+    missing = count_missing(one, prompt, home)
+    return (one.unread + missing) / one.reading_rate <= most
+
+
+def _weigh(
+    one: Upstream,
+    now: float,
+    prompt: Prompt,
+    engine: catalog_module.Engine,
+    home: bool,
+) -> float:
+    own = prompt.tokens - prompt.shared
+    again = max(0, count_missing(one, prompt, home) - own)
+    reading = (one.unread + own + READ_AGAIN * again) / one.reading_rate
+    crowd = CROWD_COST * one.running / engine.slots
+    failing = upstreams_module.read_failure_rate(one, now)
+    return reading + crowd + FAILURE_COST * failing
--- /dev/null
+++ b/sycamorefall/direct/relay.py
@@ -0,0 +1,364 @@
+"""Carries requests to upstreams and answers back to callers."""
+
+__all__ = ["AnswerHead", "Desk", "Dialect", "Verdict", "perform", "take_call"]
+
+from collections.abc import Callable, Iterable
+import dataclasses
+import enum
+
+from returns import result
+
+from sycamorefall import errors, observation, transport
+from sycamorefall.direct import (
+    core,
+    effects,
+    outcomes,
+    streams,
+)
+from sycamorefall.direct import (
+    state as state_module,
+)
+
+MOST_UNSENT = 1 << 18
+"""Bytes that may wait for a slow caller before its upstream is paused."""
+
+
+class Verdict(enum.Enum):
+    """What the head of an upstream's answer says.
+
+    SUCCESS: the answer to the request follows.
+    FAILURE: it ran and failed; the answer that says so follows.
+    NOT_RUN: the upstream did not run it.
+    OTHER_INCARNATION: the same, as it is not the process that was meant.
+    INVALID: it can't be the upstream's answer; it may have run.
+    """
+
+    SUCCESS = "success"
+    FAILURE = "failure"
+    NOT_RUN = "not_run"
+    OTHER_INCARNATION = "other_incarnation"
+    INVALID = "invalid"
+
+
+@dataclasses.dataclass(slots=True, frozen=True)
+class AnswerHead:
+    """The head of an upstream's answer.
+
+    Attributes:
+        verdict: What it says.
+        status: Its status.
+        headers: Headers that go on to the caller.
+    """
+
+    verdict: Verdict
+    status: int
+    headers: tuple[tuple[str, str], ...]
+
+
+@dataclasses.dataclass(slots=True, frozen=True)
+class Dialect:
+    """How callers and upstreams put things in HTTP.
+
+    Attributes:
+        read_request: Reads a call; the text of a failure says what is wrong.
+        read_id: Reads the id of a call, for logs.
+        write_headers: Writes the headers of a send; the last argument is the
+            id of the last event that the caller has, or empty.
+        is_ours: Tells whether an answer with these headers is to this call.
+        read_answer: Reads the head of an answer.
+    """
+
+    read_request: Callable[
+        [transport.IncomingCall], result.Result[state_module.NewRequest, str]
+    ]
+    read_id: Callable[[transport.IncomingCall], str]
+    write_headers: Callable[
+        [transport.IncomingCall, effects.SendTo, str],
+        tuple[tuple[str, str], ...],
+    ]
+    is_ours: Callable[[transport.IncomingCall, dict[str, str]], bool]
+    read_answer: Callable[[int, list[tuple[str, str]]], AnswerHead]
+
+
+_ENDS = {
+    Verdict.SUCCESS: outcomes.AttemptEnd.COMPLETE,
+    Verdict.FAILURE: outcomes.AttemptEnd.FAILED,
+    Verdict.NOT_RUN: outcomes.AttemptEnd.NOT_RUN,
+    Verdict.OTHER_INCARNATION: outcomes.AttemptEnd.OTHER_INCARNATION,
+    Verdict.INVALID: outcomes.AttemptEnd.BROKEN,
+}
+
+
+class _Delivery:
+    """A caller's request and the answer to it on its way.
+
+    Attributes:
+        call: The caller's side.
+        streamed: Whether events go on as they come.
+        splitter: The events that went on.
+        exchange: The present send; None between two.
+        head: The head of its answer, once read.
+        first_head: The head that the caller has, or is to get.
+        held: Parts of an answer that goes on whole.
+        track: What is recorded of the request.
+    """
+
+    __slots__ = (
+        "call",
+        "exchange",
+        "first_head",
+        "head",
+        "held",
+        "splitter",
+        "streamed",
+        "track",
+    )
+
+    def __init__(
+        self,
+        call: transport.IncomingCall,
+        streamed: bool,
+        track: observation.Track,
+    ):
+        self.call = call
+        self.exchange: transport.Exchange | None = None
+        self.first_head: AnswerHead | None = None
+        self.head: AnswerHead | None = None
+        self.held: list[bytes] = []
+        self.splitter = streams.EventSplitter()
+        self.streamed = streamed
+        self.track = track
+
+
+@dataclasses.dataclass(slots=True)
+class Desk:
+    """The I/O that the decisions drive.
+
+    Attributes:
+        state: The decisions' state.
+        client: Sends requests to upstreams.
+        dialect: How things are put in HTTP.
+        recorder: The process's records.
+        deliveries: Requests in progress by number.
+    """
+
+    state: state_module.DirectState
+    client: transport.HttpClient
+    dialect: Dialect
+    recorder: observation.Recorder = dataclasses.field(
+        default_factory=observation.Recorder
+    )
+    deliveries: dict[int, _Delivery] = dataclasses.field(default_factory=dict)
+
+
+def take_call(desk: Desk, call: transport.IncomingCall) -> None:
+    """Takes a caller's call."""
+    match desk.dialect.read_request(call):
+        case result.Failure(reason):
+            observation.count_event(desk.recorder, "call_refused", "malformed")
+            call.fail(errors.ErrorKind.MALFORMED_REQUEST, reason)
+        case result.Success(new):
+            _take_request(desk, call, new)
+
+
+def _take_request(
+    desk: Desk, call: transport.IncomingCall, new: state_module.NewRequest
+) -> None:
+    now = transport.read_clock()
+    number, done = core.take_request(desk.state, now, new)
+    request = desk.state.requests.get(number)
+    track = observation.begin_request(
+        desk.recorder,
+        now,
+        request.service if request else "",
+        request.team if request else "",
+        request_id=desk.dialect.read_id(call),
+        route=request.route.name if request else "",
+    )
+    streamed = request is not None and request.route.kind.streamed
+    desk.deliveries[number] = _Delivery(call, streamed, track)
+    call.on_hangup = lambda: _cancel(desk, number)
+    perform(desk, done)
+
+
+def _cancel(desk: Desk, number: int) -> None:
+    now = transport.read_clock()
+    done = core.cancel_request(desk.state, number, now)
+    perform(desk, done)
+    _forget(desk, number, "cancelled")
+
+
+def _forget(desk: Desk, number: int, end: str, **fields: object) -> None:
+    delivery = desk.deliveries.pop(number, None)
+    if delivery is not None:
+        now = transport.read_clock()
+        observation.end_request(
+            desk.recorder, delivery.track, now, end, **fields
+        )
+
+
+def perform(desk: Desk, done: Iterable[effects.Effect]) -> None:
+    """Carries out effects of the decisions."""
+    for effect in done:
+        delivery = desk.deliveries.get(effect.request)
+        if delivery is None:
+            continue
+        match effect:
+            case effects.SendTo():
+                _send(desk, delivery, effect)
+            case effects.Abort():
+                _abort(desk, delivery)
+            case effects.Fail():
+                _fail(desk, delivery, effect)
+            case effects.BreakOff():
+                _forget(desk, effect.request, "broken_off")
+                delivery.call.abort()
+            case effects.PassOn():
+                _pass_on(desk, delivery, effect.request)
+
+
+def _abort(desk: Desk, delivery: _Delivery) -> None:
+    if delivery.exchange is not None:
+        desk.client.abort(delivery.exchange)
+        delivery.exchange = None
+
+
+def _fail(desk: Desk, delivery: _Delivery, effect: effects.Fail) -> None:
+    _forget(
+        desk,
+        effect.request,
+        effect.kind.value,
+        retry_after=effect.retry_after,
+        ran=errors.ANSWERS[effect.kind].ran.value,
+    )
+    delivery.call.fail(effect.kind, retry_after=effect.retry_after)
+
+
+def _pass_on(desk: Desk, delivery: _Delivery, number: int) -> None:
+    head = delivery.head
+    _forget(desk, number, "answered", status=head.status)
+    body = b"".join(delivery.held)
+    delivery.call.respond(head.status, body, head.headers)
+
+
+def _send(desk: Desk, delivery: _Delivery, send: effects.SendTo) -> None:
+    call, number = delivery.call, send.request
+    observation.note_hand_out(
+        desk.recorder,
+        delivery.track,
+        transport.read_clock(),
+        str(send.attempt),
+        send.upstream,
+    )
+    streams.start_over(delivery.splitter)
+    delivery.head, delivery.held = None, []
+    last = delivery.splitter.last_id if call.begun else ""
+    request = transport.OutgoingRequest(
+        send.address,
+        call.method,
+        call.target,
+        desk.dialect.write_headers(call, send, last),
+        call.body,
+        fresh=send.fresh,
+        host=call.headers.get("host", ""),
+    )
+    delivery.exchange = desk.client.send(
+        request,
+        transport.Listener(
+            on_head=lambda status, headers: _take_head(
+                desk, delivery, number, status, headers
+            ),
+            on_data=lambda data: _take_data(desk, delivery, number, data),
+            on_end=lambda: _take_end(desk, delivery, number),
+            on_failure=lambda stage: _take_failure(
+                desk, delivery, number, stage
+            ),
+            is_ours=lambda headers: desk.dialect.is_ours(call, headers),
+        ),
+    )
+
+
+def _take_head(
+    desk: Desk,
+    delivery: _Delivery,
+    number: int,
+    status: int,
+    headers: list[tuple[str, str]],
+) -> None:
+    delivery.head = desk.dialect.read_answer(status, headers)
+    verdict = delivery.head.verdict
+    if verdict is Verdict.INVALID:
+        _abort(desk, delivery)
+        _end(desk, delivery, number, outcomes.AttemptEnd.BROKEN)
+        return
+    if verdict is Verdict.SUCCESS and delivery.first_head is None:
+        delivery.first_head = delivery.head
+    now = transport.read_clock()
+    outcomes.note_answer(desk.state, now, number, first=False)
+
+
+def _take_data(
+    desk: Desk, delivery: _Delivery, number: int, data: bytes
+) -> None:
+    if not delivery.streamed or delivery.head.verdict is not Verdict.SUCCESS:
+        delivery.held.append(data)
+        return
+    events = streams.split_events(delivery.splitter, data)
+    now = transport.read_clock()
+    outcomes.note_answer(desk.state, now, number, first=bool(events))
+    if events:
+        observation.note_piece(desk.recorder, delivery.track, now)
+        _write(desk, delivery, events)
+
+
+def _write(desk: Desk, delivery: _Delivery, data: bytes) -> None:
+    call = delivery.call
+    if not call.begun:
+        call.begin(delivery.first_head.status, delivery.first_head.headers)
+        call.on_drained = lambda: _resume(desk, delivery)
+    call.write(data)
+    if call.backlog > MOST_UNSENT and delivery.exchange is not None:
+        desk.client.pause(delivery.exchange, True)
+
+
+def _resume(desk: Desk, delivery: _Delivery) -> None:
+    if delivery.exchange is not None:
+        desk.client.pause(delivery.exchange, False)
+
+
+def _take_end(desk: Desk, delivery: _Delivery, number: int) -> None:
+    delivery.exchange = None
+    end = _ENDS[delivery.head.verdict]
+    if end is outcomes.AttemptEnd.COMPLETE:
+        _complete(desk, delivery, number)
+    _end(desk, delivery, number, end)
+
+
+def _complete(desk: Desk, delivery: _Delivery, number: int) -> None:
+    if not delivery.streamed:
+        _pass_on(desk, delivery, number)
+        return
+    rest = streams.flush_rest(delivery.splitter)
+    _write(desk, delivery, rest)
+    delivery.call.end()
+    _forget(desk, number, "answered", status=delivery.first_head.status)
+
+
+def _take_failure(
+    desk: Desk, delivery: _Delivery, number: int, stage: transport.Stage
+) -> None:
+    delivery.exchange = None
+    unsent = stage is transport.Stage.NOT_SENT
+    end = outcomes.AttemptEnd.NOT_SENT if unsent else outcomes.AttemptEnd.BROKEN
+    _end(desk, delivery, number, end)
+
+
+def _end(
+    desk: Desk,
+    delivery: _Delivery,
+    number: int,
+    end: outcomes.AttemptEnd,
+) -> None:
+    observation.count_event(desk.recorder, "attempt", end.value)
+    now = transport.read_clock()
+    perform(desk, outcomes.end_attempt(desk.state, now, number, end))
--- /dev/null
+++ b/sycamorefall/direct/state.py
@@ -0,0 +1,165 @@
+"""State of a router that sends directly to upstreams."""
+
+__all__ = [
+    "Attempt",
+    "DirectState",
+    "NewRequest",
+    "Request",
+    "create_state",
+]
+
+import dataclasses
+import random
+
+from sycamorefall import settings
+from sycamorefall.direct import (
+    budget,
+    placing,
+    upstreams,
+    waiting,
+)
+from sycamorefall.direct import catalog as catalog_module
+from sycamorefall.direct import freshness as freshness_module
+
+
+@dataclasses.dataclass(slots=True, frozen=True)
+class NewRequest:
+    """A request as a caller sent it.
+
+    Attributes:
+        host: Host header.
+        path: Path without query.
+        key: The caller's key; empty if none was sent.
+        time_left: Seconds that the caller will wait; None if it didn't say.
+        prompt: What it asks of an engine, if it is for one.
+    """
+
+    host: str
+    path: str
+    key: str = ""
+    time_left: float | None = None
+    prompt: placing.Prompt | None = None
+
+
+@dataclasses.dataclass(slots=True)
+class Attempt:
+    """A request on its way at an upstream.
+
+    Attributes:
+        number: Counts the sends of the request, from 1.
+        upstream: The incarnation.
+        sent_at: When it was sent.
+        unread: Prompt tokens it adds until it begins to answer.
+        queued: Prompt tokens that were ahead of it, its own included.
+        memory: Tokens it takes of the engine's cache.
+        answered: Whether its answer has begun.
+    """
+
+    number: int
+    upstream: str
+    sent_at: float
+    unread: int = 0
+    queued: int = 0
+    memory: int = 0
+    answered: bool = False
+
+
+@dataclasses.dataclass(slots=True)
+class Request:
+    """A request in progress.
+
+    Attributes:
+        number: Counts the requests of this process.
+        new: What the caller sent.
+        route: Its route.
+        service: The service chosen for it.
+        team: Its team's name; empty on public routes.
+        arrived_at: When it was whole.
+        answer_by: When its caller or its route's timeout ends.
+        give_up_at: When it is refused if it still waits.
+        sends: Times it was sent.
+        runs: Upstreams that may have run it.
+        tried: Upstreams that had it.
+        attempt: Where it is now; None while it waits.
+        begun: Whether the caller has a part of the answer.
+    """
+
+    number: int
+    new: NewRequest
+    route: catalog_module.Route
+    service: str
+    team: str
+    arrived_at: float
+    answer_by: float
+    give_up_at: float
+    sends: int = 0
+    runs: int = 0
+    tried: set[str] = dataclasses.field(default_factory=set)
+    attempt: Attempt | None = None
+    begun: bool = False
+
+
+@dataclasses.dataclass(slots=True)
+class DirectState:
+    """Everything a router that sends directly knows.
+
+    Attributes:
+        failure_domain: Where it stands.
+        bounds: Bounds of its settings.
+        freshness: Lease on the configuration.
+        random: Source of draws and jitter.
+        catalog: Configuration in force; None until the first is known.
+        table: The upstreams.
+        requests: Requests in progress by number.
+        rooms: Waiting requests by service.
+        accounts: What teams received, by service.
+        budgets: Second sends, by service.
+        deadlines: Heap of (time, request).
+        routers: Routers that were heard lately, this one included.
+        stopping: Whether the process is to end.
+        serve: Whether a place may have come free for a waiting request.
+        checked_at: When upstreams were last looked at for silence.
+        last_number: Number of the last request.
+    """
+
+    failure_domain: str
+    bounds: settings.BoundSettings
+    freshness: freshness_module.Freshness
+    random: random.Random
+    catalog: catalog_module.Catalog | None = None
+    table: upstreams.UpstreamTable = dataclasses.field(
+        default_factory=upstreams.UpstreamTable
+    )
+    requests: dict[int, Request] = dataclasses.field(default_factory=dict)
+    rooms: dict[str, waiting.WaitingRoom] = dataclasses.field(
+        default_factory=dict
+    )
+    accounts: dict[str, waiting.TeamAccounts] = dataclasses.field(
+        default_factory=dict
+    )
+    budgets: dict[str, budget.RetryBudget] = dataclasses.field(
+        default_factory=dict
+    )
+    deadlines: list[tuple[float, int]] = dataclasses.field(default_factory=list)
+    routers: int = 1
+    stopping: bool = False
+    serve: bool = False
+    checked_at: float = 0.0
+    last_number: int = 0
+
+
+def create_state(
+    failure_domain: str, bounds: settings.BoundSettings, seed: int
+) -> DirectState:
+    """Creates the state of a process that knows nothing yet.
+
+    Args:
+        failure_domain: Where the process stands.
+        bounds: Bounds of its settings.
+        seed: Seed of its draws.
+
+    Returns:
+        The state.
+    """
+    lease = freshness_module.Freshness(bounds.revocation)
+    return DirectState(failure_domain, bounds, lease, random.Random(seed))
--- /dev/null
+++ b/sycamorefall/direct/upstreams.py
@@ -0,0 +1,298 @@
+"""Upstreams as one router knows them: listing, load and health."""
+
+__all__ = [
+    "Listed",
+    "Load",
+    "Upstream",
+    "UpstreamTable",
+    "bar_upstream",
+    "end_probe",
+    "is_usable",
+    "iterate_busy",
+    "list_upstreams",
+    "note_failure",
+    "note_other_incarnation",
+    "note_sent",
+    "note_success",
+    "read_failure_rate",
+    "replace_listing",
+]
+
+import collections
+from collections.abc import Iterable, Iterator
+import dataclasses
+import enum
+
+from sycamorefall import settings
+
+LAPSE_GRACE = 2.3
+"""Seconds after the platform's return during which a missing entry may be one
+that lapsed while it was away. Upstreams renew theirs within two seconds; the
+rest covers one read."""
+
+AWAY_GAP = 1.6
+"""Seconds between two good reads from which on the platform was away. Reads
+are made each second; entries lapse after more than three."""
+
+FIRST_BAR = 0.3
+"""Seconds that an upstream is left alone after its first failure: about what
+a process takes to start."""
+
+LONGEST_BAR = 4.0
+"""Seconds that it is left alone at most, after failures in a row: one lost
+send every four seconds is well within the budget of second sends."""
+
+FAILURE_WEIGHT = 0.25
+"""Weight of the last outcome in an upstream's rate of failures."""
+
+FAILURE_MEMORY = 4.0
+"""Seconds after which the rate of failures has halved if nothing is sent, so
+that an upstream that recovered is tried again."""
+
+READING_RATE = 80_000.0
+"""Prompt tokens an engine reads in a second until it was seen reading: the
+slowest that was met."""
+
+Parts = collections.OrderedDict[str, int]
+
+
+class _Health(enum.Enum):
+    USABLE = "usable"
+    BARRED = "barred"
+    PROBING = "probing"
+
+
+@dataclasses.dataclass(slots=True, frozen=True)
+class Listed:
+    """An upstream as the platform lists it.
+
+    Attributes:
+        name: Its incarnation, new at each start.
+        service: Service it belongs to.
+        address: Where it answers.
+        failure_domain: Where it stands.
+        slots: Requests it runs at once.
+        leaving: Whether it is to get no new work.
+        listed_at: Revision at which the entry was made.
+    """
+
+    name: str
+    service: str
+    address: settings.Address
+    failure_domain: str
+    slots: int
+    leaving: bool
+    listed_at: int = 0
+
+
+@dataclasses.dataclass(slots=True)
+class Load:
+    """Work at an upstream.
+
+    Attributes:
+        running: Requests sent and not ended.
+        unread: Prompt tokens of those that have not begun to answer.
+        memory: Tokens of all of them, output included.
+    """
+
+    running: int = 0
+    unread: int = 0
+    memory: int = 0
+
+
+@dataclasses.dataclass(slots=True)
+class Upstream:
+    """One upstream.
+
+    Attributes:
+        listed: What the platform says of it.
+        own: Work sent by this router.
+        others: Work sent by the other routers, as they last told.
+        heard_at: When it last sent anything to this router.
+        reading_rate: Prompt tokens it reads in a second.
+        parts: Prompt parts it was sent, with their tokens, oldest first.
+        barred_until: When it may be tried again after a failure.
+    """
+
+    listed: Listed
+    own: Load = dataclasses.field(default_factory=Load)
+    others: Load = dataclasses.field(default_factory=Load)
+    heard_at: float = 0.0
+    reading_rate: float = READING_RATE
+    parts: Parts = dataclasses.field(default_factory=collections.OrderedDict)
+    barred_until: float = 0.0
+    _health: _Health = _Health.USABLE
+    _failures: int = 0
+    _failure_rate: float = 0.0
+    _rated_at: float = 0.0
+
+    @property
+    def running(self) -> int:
+        """Requests at it, of all routers."""
+        return self.own.running + self.others.running
+
+    @property
+    def unread(self) -> int:
+        """Prompt tokens it has not read yet, of all routers."""
+        return self.own.unread + self.others.unread
+
+    @property
+    def memory(self) -> int:
+        """Tokens of running requests, of all routers."""
+        return self.own.memory + self.others.memory
+
+
+@dataclasses.dataclass(slots=True)
+class UpstreamTable:
+    """All upstreams.
+
+    Attributes:
+        by_name: By incarnation.
+        by_service: The same by service.
+        read_at: When the last good listing was read.
+        settled_at: From when on a missing entry means that it is gone.
+        replaced: Incarnations known to be replaced at their address.
+    """
+
+    by_name: dict[str, Upstream] = dataclasses.field(default_factory=dict)
+    by_service: dict[str, list[Upstream]] = dataclasses.field(
+        default_factory=dict
+    )
+    read_at: float | None = None
+    settled_at: float = 0.0
+    replaced: set[str] = dataclasses.field(default_factory=set)
+
+
+def replace_listing(
+    table: UpstreamTable, now: float, listing: Iterable[Listed]
+) -> list[str]:
+    """Takes over a listing.
+
+    Guards against entries that lapsed while the platform was away: it lists
+    fewer upstreams than live for a while after its return, and taking all
+    of them for gone would stop the service.
+
+    Args:
+        table: The upstreams; changed.
+        now: When the listing was read.
+        listing: All upstreams that the platform lists.
+
+    Returns:
+        Names of those that are no longer used.
+    """
+    if table.read_at is not None and now - table.read_at > AWAY_GAP:
+        table.settled_at = now + LAPSE_GRACE
+    table.read_at = now
+    listed = {entry.name: entry for entry in listing}
+    missing = [name for name in table.by_name if name not in listed]
+    gone = missing if now >= table.settled_at else []
+    for name in gone:
+        del table.by_name[name]
+    for name, entry in listed.items():
+        known = table.by_name.get(name)
+        if known is None:
+            table.by_name[name] = Upstream(entry, heard_at=now)
+        else:
+            known.listed = entry
+    table.replaced &= table.by_name.keys()
+    _index(table)
+    return gone
+
+
+def _index(table: UpstreamTable) -> None:
+    """Groups upstreams by service, the newest one of each address only.
+
+    Guards against the entry of a process that crashed: it stays listed for a
+    while beside that of its successor at the same address, which refuses
+    whatever is meant for the older one.
+    """
+    newest: dict[settings.Address, Upstream] = {}
+    for upstream in table.by_name.values():
+        other = newest.get(upstream.listed.address)
+        if other is None or other.listed.listed_at < upstream.listed.listed_at:
+            newest[upstream.listed.address] = upstream
+    table.by_service = {}
+    for upstream in newest.values():
+        if upstream.listed.name not in table.replaced:
+            group = table.by_service.setdefault(upstream.listed.service, [])
+            group.append(upstream)
+
+
+def list_upstreams(table: UpstreamTable, service: str) -> list[Upstream]:
+    """Lists a service's upstreams, also those that can't be used now."""
+    return table.by_service.get(service, [])
+
+
+def is_usable(upstream: Upstream, now: float) -> bool:
+    """Tells whether a request may be sent to an upstream.
+
+    After a failure it gets nothing for a while, then one request; the rest
+    follows once that one is answered.
+    """
+    if upstream.listed.leaving or upstream._health is _Health.PROBING:
+        return False
+    return upstream._health is _Health.USABLE or now >= upstream.barred_until
+
+
+def note_sent(upstream: Upstream) -> None:
+    """Takes note of a request sent; to a barred upstream it is a probe."""
+    if upstream._health is _Health.BARRED:
+        upstream._health = _Health.PROBING
+
+
+def bar_upstream(upstream: Upstream, now: float) -> None:
+    """Leaves an upstream alone that can't be reached or says nothing.
+
+    Guards against many requests lost one after the other at a process that
+    is gone: each would be a second send elsewhere, and their budget is small.
+    """
+    if upstream._health is _Health.BARRED and now < upstream.barred_until:
+        return
+    pause = min(LONGEST_BAR, FIRST_BAR * 2**upstream._failures)
+    upstream._failures += 1
+    upstream.barred_until = now + pause
+    upstream._health = _Health.BARRED
+
+
+def end_probe(upstream: Upstream) -> None:
+    """Allows another probe after one whose caller went away."""
+    if upstream._health is _Health.PROBING:
+        upstream._health = _Health.BARRED
+
+
+def note_other_incarnation(table: UpstreamTable, name: str) -> None:
+    """Takes note that another process answers at an upstream's address."""
+    if name in table.by_name:
+        table.replaced.add(name)
+        _index(table)
+
+
+def read_failure_rate(upstream: Upstream, now: float) -> float:
+    """Reads an upstream's rate of failures, from 0 to 1."""
+    age = max(0.0, now - upstream._rated_at)
+    return upstream._failure_rate * 0.5 ** (age / FAILURE_MEMORY)
+
+
+def _rate(upstream: Upstream, now: float, failed: float) -> None:
+    rate = read_failure_rate(upstream, now)
+    upstream._failure_rate = rate + FAILURE_WEIGHT * (failed - rate)
+    upstream._rated_at = now
+
+
+def note_success(upstream: Upstream, now: float) -> None:
+    """Takes note of a good answer, or of the beginning of one."""
+    upstream._health = _Health.USABLE
+    upstream._failures = 0
+    _rate(upstream, now, 0.0)
+
+
+def note_failure(upstream: Upstream, now: float) -> None:
+    """Takes note of an answer that says that the upstream failed."""
+    if upstream._health is _Health.PROBING:
+        bar_upstream(upstream, now)
+    _rate(upstream, now, 1.0)
+
+
+def iterate_busy(table: UpstreamTable) -> Iterator[Upstream]:
+    """Iterates over the upstreams that run requests of this router."""
+    return (one for one in table.by_name.values() if one.own.running)
--- /dev/null
+++ b/sycamorefall/direct/waiting.py
@@ -0,0 +1,103 @@
+"""Requests that wait at a router, by team, and which team is next."""
+
+__all__ = [
+    "TeamAccounts",
+    "WaitingRoom",
+    "add_request",
+    "charge_team",
+    "list_candidates",
+    "order_teams",
+    "read_service",
+    "remove_request",
+]
+
+from collections.abc import Iterator
+import dataclasses
+import itertools
+
+ACCOUNT_MEMORY = 3.0
+"""Seconds after which a team's past service counts half: about as long as a
+burst lasts, so that a team pays for a burst and not for its whole day."""
+
+TRIES_PER_TEAM = 3
+"""Requests of one team that are looked at in one pass: the first may be too
+long for the room there is while a shorter one behind it fits."""
+
+
+@dataclasses.dataclass(slots=True)
+class TeamAccounts:
+    """What teams received lately, in tokens read plus twice those made.
+
+    Attributes:
+        own: Sent by this router, and when it was last brought up to date.
+        others: Sent by the other routers, as they last told.
+    """
+
+    own: dict[str, tuple[float, float]] = dataclasses.field(
+        default_factory=dict
+    )
+    others: dict[str, float] = dataclasses.field(default_factory=dict)
+
+
+@dataclasses.dataclass(slots=True)
+class WaitingRoom:
+    """Numbers of the requests that wait for one service, oldest first."""
+
+    by_team: dict[str, dict[int, None]] = dataclasses.field(
+        default_factory=dict
+    )
+
+
+def charge_team(
+    accounts: TeamAccounts, now: float, team: str, cost: float
+) -> None:
+    """Charges a team for what it received."""
+    accounts.own[team] = (_read_own(accounts, now, team) + cost, now)
+
+
+def _read_own(accounts: TeamAccounts, now: float, team: str) -> float:
+    amount, since = accounts.own.get(team, (0.0, now))
+    return amount * 0.5 ** (max(0.0, now - since) / ACCOUNT_MEMORY)
+
+
+def read_service(accounts: TeamAccounts, now: float, team: str) -> float:
+    """Reads what a team received lately from all routers."""
+    return _read_own(accounts, now, team) + accounts.others.get(team, 0.0)
+
+
+def add_request(room: WaitingRoom, team: str, number: int) -> None:
+    """Adds a request behind its team's others."""
+    room.by_team.setdefault(team, {})[number] = None
+
+
+def remove_request(room: WaitingRoom, team: str, number: int) -> None:
+    """Removes a request; one that does not wait is none."""
+    numbers = room.by_team.get(team)
+    if numbers is not None:
+        numbers.pop(number, None)
+        if not numbers:
+            del room.by_team[team]
+
+
+def order_teams(
+    room: WaitingRoom, accounts: TeamAccounts, now: float
+) -> list[str]:
+    """Orders the teams that wait, the least served first.
+
+    Example:
+        >>> room, accounts = WaitingRoom(), TeamAccounts()
+        >>> for number, team in enumerate(["mill", "trader"]):
+        ...     add_request(room, team, number)
+        >>> charge_team(accounts, 0.0, "mill", 100.0)
+        >>> order_teams(room, accounts, 0.0)
+        ['trader', 'mill']
+    """
+    return sorted(
+        room.by_team, key=lambda team: read_service(accounts, now, team)
+    )
+
+
+def list_candidates(room: WaitingRoom, team: str) -> Iterator[int]:
+    """Lists the requests of a team that one pass looks at."""
+    numbers = list(room.by_team.get(team, ()))
+    return itertools.islice(numbers, TRIES_PER_TEAM)
--- a/sycamorefall/node.py
+++ b/sycamorefall/node.py
@@ -15,7 +15,7 @@
     membership,
     messages,
     observation,
-    platform,
+    publication,
     replication,
     settings,
     transport,
@@ -88,7 +88,7 @@
     control: transport.ControlLinks
     client: transport.HttpClient
     server: transport.HttpServer
-    reader: platform.PlatformReader
+    reader: publication.PlatformReader
     authenticator: authentication.Authenticator
     log: observation.LogWriter
     replica: replication.ReplicaState
@@ -155,7 +155,7 @@
         config.peers.list_addresses(),
         seed=core.incarnation,
     )
-    reader = platform.PlatformReader(
+    reader = publication.PlatformReader(
         config.platform,
         client,
         _make_takers(replica, lambda events: _handle_events(node, events)),
@@ -361,8 +361,8 @@
 def _make_takers(
     replica: replication.ReplicaState,
     handle: Callable[[list[replication.Event]], None],
-) -> platform.Takers:
-    return platform.Takers(
+) -> publication.Takers:
+    return publication.Takers(
         text=lambda published: handle(
             replication.take_published_text(
                 replica, published.revision, published.text
--- /dev/null
+++ b/sycamorefall/platform/headers.py
@@ -0,0 +1,174 @@
+"""Headers of callers and upstreams, to and from the product's types."""
+
+__all__ = ["create_dialect"]
+
+from returns import result
+
+from sycamorefall import transport
+from sycamorefall.direct import effects, placing, relay
+from sycamorefall.direct import state as state_module
+
+_ID = "Attempt-Id"
+_STAMP = "Server-Stamp"
+"""Signature of the upstream; an answer without it isn't an upstream's."""
+
+_NOT_RUN = "Not-Executed"
+_TIME_LEFT = "Request-Deadline-Ms"
+_KEY = "Credential"
+_TEAM = "Tenant"
+_INCARNATION = "Expect-Instance"
+_LAST_EVENT = "Last-Event-Id"
+
+_CONNECTION_HEADERS = frozenset(
+    {
+        "connection",
+        "content-length",
+        "host",
+        "keep-alive",
+        "proxy-authenticate",
+        "proxy-authorization",
+        "proxy-connection",
+        "te",
+        "trailer",
+        "transfer-encoding",
+        "upgrade",
+        "expect",
+    }
+)
+"""Headers that concern one connection, or are written anew."""
+
+_OWN_HEADERS = frozenset(
+    name.lower()
+    for name in (
+        _KEY,
+        _TEAM,
+        _INCARNATION,
+        _TIME_LEFT,
+        "Hold",
+        "Pin-Ms",
+        "Kv-Backup",
+        "Kv-From",
+        "Kv-Fetch",
+    )
+)
+"""Headers that only the system sets, or that are not for upstreams."""
+
+_MISDIRECTED = 421
+"""Status of an upstream that is another incarnation than was meant."""
+
+_PROMISES = frozenset({408, 429, 503})
+"""Statuses that tell a caller that its request did not run. From an upstream
+that doesn't say so in the header for it they can't be passed on."""
+
+
+def create_dialect() -> relay.Dialect:
+    """Creates the platform's way to put requests and answers in HTTP."""
+    return relay.Dialect(
+        read_request=_read_request,
+        read_id=lambda call: call.headers.get(_ID, ""),
+        write_headers=_write_headers,
+        is_ours=_is_ours,
+        read_answer=_read_answer,
+    )
+
+
+def _read_request(
+    call: transport.IncomingCall,
+) -> result.Result[state_module.NewRequest, str]:
+    headers = call.headers
+    try:
+        left = headers.get(_TIME_LEFT)
+        return result.Success(
+            state_module.NewRequest(
+                host=headers.get("Host", ""),
+                path=call.path,
+                key=headers.get(_KEY, "").strip(),
+                time_left=None if left is None else float(left) / 1000,
+                prompt=_read_prompt(headers),
+            )
+        )
+    except ValueError as fault:
+        return result.Failure(f"header: {fault}")
+
+
+def _read_prompt(headers: transport.RequestHeaders) -> placing.Prompt | None:
+    usage = headers.get("Token-Usage")
+    if usage is None:
+        return None
+    tokens, _, most = usage.partition(",")
+    hint = headers.get("Length-Hint")
+    output = min(int(most), int(float(hint))) if hint else int(most)
+    parts = [
+        entry.strip().rpartition(":")
+        for entry in headers.get("Prompt-Prefix", "").split(",")
+        if entry.strip()
+    ]
+    return placing.Prompt(
+        int(tokens),
+        output,
+        tuple((key, int(size)) for key, _, size in parts),
+    )
+
+
+def _write_headers(
+    call: transport.IncomingCall, send: effects.SendTo, last_event: str
+) -> tuple[tuple[str, str], ...]:
+    dropped = _CONNECTION_HEADERS | _OWN_HEADERS | _list_hop_headers(call)
+    if last_event:
+        dropped = dropped | {_LAST_EVENT.lower()}
+    passed = [
+        (name, value)
+        for name, value in call.headers.pairs
+        if name not in dropped
+    ]
+    own = [
+        (_INCARNATION, send.upstream),
+        (_TIME_LEFT, str(max(1, int(send.time_left * 1000)))),
+    ]
+    if send.team:
+        own.append((_TEAM, send.team))
+    if last_event:
+        own.append((_LAST_EVENT, last_event))
+    return (*passed, *own)
+
+
+def _list_hop_headers(call: transport.IncomingCall) -> frozenset[str]:
+    """Lists the headers that the caller's connection header names."""
+    named = call.headers.get("Connection", "").split(",")
+    return frozenset(name.strip().lower() for name in named)
+
+
+def _is_ours(call: transport.IncomingCall, headers: dict[str, str]) -> bool:
+    """Tells whether an answer is to this call.
+
+    An upstream may send a second answer to an earlier request. One that bears
+    no id is taken: some failures are answered before the id is read.
+    """
+    answered = headers.get(_ID.lower())
+    return answered is None or answered == call.headers.get(_ID)
+
+
+def _read_answer(
+    status: int, headers: list[tuple[str, str]]
+) -> relay.AnswerHead:
+    named = dict(headers)
+    verdict = _judge(status, named)
+    passed = tuple(
+        (name.title(), value)
+        for name, value in headers
+        if name not in _CONNECTION_HEADERS
+    )
+    return relay.AnswerHead(verdict, status, passed)
+
+
+def _judge(status: int, named: dict[str, str]) -> relay.Verdict:
+    if status == _MISDIRECTED:
+        return relay.Verdict.OTHER_INCARNATION
+    if _NOT_RUN.lower() in named:
+        return relay.Verdict.NOT_RUN
+    signed = _STAMP.lower() in named and "content-encoding" not in named
+    if 200 <= status < 300 and signed:
+        return relay.Verdict.SUCCESS
+    if status < 300 or status in _PROMISES:
+        return relay.Verdict.INVALID
+    return relay.Verdict.FAILURE
--- a/sycamorefall/settings.py
+++ b/sycamorefall/settings.py
@@ -6,6 +6,8 @@
 
 __all__ = [
     "Address",
+    "BoundSettings",
+    "DirectSettings",
     "LimitSettings",
     "ListenSettings",
     "LogSettings",
@@ -187,6 +189,38 @@
     level: Literal["debug", "info", "warning", "error", "off"] = "info"
 
 
+class BoundSettings(msgspec.Struct, frozen=True, forbid_unknown_fields=True):
+    """Section `[bounds]`: what the operators demand of direct sending.
+
+    Attributes:
+        revocation: Seconds after which a key that was taken away must not
+            work any more, wherever the process is.
+        retry_ratio: Second sends to a service allowed for each request.
+        retry_extra: Second sends allowed besides, of all routers together.
+        retry_window: Seconds over which both are counted.
+        grace: Seconds from SIGTERM until the process is killed.
+    """
+
+    revocation: Positive = 5.0
+    retry_ratio: NotNegative = 0.2
+    retry_extra: NotNegative = 50.0
+    retry_window: Positive = 10.0
+    grace: Positive = 8.0
+
+
+class DirectSettings(msgspec.Struct, frozen=True, forbid_unknown_fields=True):
+    """Settings of a router that sends directly to upstreams."""
+
+    vm: VmSettings
+    listen: ListenSettings
+    platform: PlatformSettings
+    bounds: BoundSettings = BoundSettings()
+    peers: PeerSettings = PeerSettings()
+    limits: LimitSettings = LimitSettings()
+    security: SecuritySettings = SecuritySettings()
+    log: LogSettings = LogSettings()
+
+
 class RouterSettings(msgspec.Struct, frozen=True, forbid_unknown_fields=True):
     """Settings of `sycamorefall router`."""
 
@@ -212,7 +246,7 @@
     log: LogSettings = LogSettings()
 
 
-Settings = TypeVar("Settings", RouterSettings, SidecarSettings)
+Settings = TypeVar("Settings", RouterSettings, SidecarSettings, DirectSettings)
 
 
 def parse_address(text: str) -> Address:
@@ -279,7 +313,9 @@
     return checked
 
 
-def _check_addresses(checked: RouterSettings | SidecarSettings) -> None:
+def _check_addresses(
+    checked: RouterSettings | SidecarSettings | DirectSettings,
+) -> None:
     """Refuses settings by which a process would meet itself."""
     listen = checked.listen
     named = {
--- a/sycamorefall/transport/__init__.py
+++ b/sycamorefall/transport/__init__.py
@@ -10,6 +10,7 @@
     "Listener",
     "Loop",
     "OutgoingRequest",
+    "RequestHeaders",
     "Stage",
     "Ticker",
     "create_loop",
@@ -25,5 +26,6 @@
     Stage,
 )
 from sycamorefall.transport.control import ControlLinks
+from sycamorefall.transport.inbound import RequestHeaders
 from sycamorefall.transport.loop import Loop, Ticker, create_loop, read_clock
 from sycamorefall.transport.server import HttpServer
--- a/sycamorefall/transport/call.py
+++ b/sycamorefall/transport/call.py
@@ -40,6 +40,7 @@
         path: Path without query.
         query: Query string, possibly empty.
         headers: Headers; `get` ignores case.
+        target: Path and query to the letter.
         body: The whole body.
         remote: The caller's IP number.
         status: Status of the answer; 0 before it begins.
@@ -63,6 +64,7 @@
         "remote",
         "sock",
         "status",
+        "target",
     )
 
     def __init__(
@@ -77,6 +79,7 @@
         self.path = request.path
         self.query = request.query
         self.headers = request.headers
+        self.target = request.target
         self.body = request.body
         # circuits.web needs a request of its own to shape the answer; it
         # gets none of the caller's headers, whose cookies it would parse.
@@ -114,12 +117,12 @@
         kind: errors.ErrorKind,
         message: str = "",
         ran: errors.Ran | None = None,
-        retry_after: int | None = None,
+        retry_after: float | None = None,
     ) -> None:
         """Answers with an error body."""
         headers = [("Content-Type", "application/json")]
         if retry_after is not None:
-            headers.append(("Retry-After", str(retry_after)))
+            headers.append(("Retry-After", f"{retry_after:g}"))
         body = msgspec.json.encode(errors.describe_error(kind, message, ran))
         self.respond(errors.ANSWERS[kind].status, body, tuple(headers))
 
--- a/sycamorefall/transport/client.py
+++ b/sycamorefall/transport/client.py
@@ -11,6 +11,7 @@
 import dataclasses
 import enum
 import errno
+import itertools
 import socket
 
 import circuits
@@ -29,6 +30,18 @@
 """Idle connections that are kept to one address."""
 
 
+BODILESS_METHODS = frozenset({"GET", "HEAD", "DELETE"})
+"""Methods whose requests carry no length if they have no body."""
+
+IDLE_TIME = 4.0
+"""Seconds that a connection is kept without a request; a typical server
+closes one after 5, and a request sent as it does is lost without a trace."""
+
+IDLE_SHARE = 0.6
+"""Part of the idle time that a server announces after which its connection
+isn't used any more: the rest covers the way there and late timers."""
+
+
 class Stage(enum.Enum):
     """How far a request had come when its connection failed.
 
@@ -53,6 +66,7 @@
         fresh: Whether to use a new connection. A kept one may be closed by
             the other side while the request is on its way, which leaves
             open whether it arrived.
+        host: Host header; the address if empty.
     """
 
     address: settings.Address
@@ -61,6 +75,7 @@
     headers: tuple[tuple[str, str], ...] = ()
     body: bytes = b""
     fresh: bool = False
+    host: str = ""
 
 
 @dataclasses.dataclass(slots=True, frozen=True)
@@ -72,12 +87,17 @@
         on_data: With each piece of the body.
         on_end: Once the answer is known to be whole.
         on_failure: Instead of `on_end`, if the connection failed.
+        is_ours: Tells from an answer's headers whether it answers this
+            request. One that doesn't is skipped whole, and the next answer
+            on the connection is read: an upstream may send a second answer
+            to an earlier request late, where the next one is expected.
     """
 
     on_head: Callable[[int, list[tuple[str, str]]], None]
     on_data: Callable[[bytes], None]
     on_end: Callable[[], None]
     on_failure: Callable[[Stage], None]
+    is_ours: Callable[[dict[str, str]], bool] | None = None
 
 
 class Exchange:
@@ -87,10 +107,14 @@
         "address",
         "connected",
         "connection",
+        "idle_since",
+        "keep_for",
         "listener",
         "opened",
         "paused",
+        "request",
         "sent_any",
+        "skipping",
         "socket",
         "unsent",
     )
@@ -100,7 +124,11 @@
         self.listener: Listener | None = listener
         self.connection = h11.Connection(h11.CLIENT)
         self.connected = False
+        self.idle_since = 0.0
+        self.keep_for = IDLE_TIME
         self.opened = 0.0
+        self.request: OutgoingRequest | None = None
+        self.skipping = False
         self.paused = False
         self.sent_any = False
         self.socket: socket.socket | None = None
@@ -113,15 +141,21 @@
     channel = "http-client"
 
     def __init__(
-        self, poller: pollers.BasePoller, read_clock: Callable[[], float]
+        self,
+        poller: pollers.BasePoller,
+        read_clock: Callable[[], float],
+        connect_timeout: float = CONNECT_TIMEOUT,
     ):
         """Creates a client.
 
         Args:
             poller: The loop's poller.
             read_clock: Gives the time, in seconds.
+            connect_timeout: Seconds until a connection that is not made is
+                given up.
         """
         super().__init__()
+        self._connect_timeout = connect_timeout
         self._poller = poller
         self._read_clock = read_clock
         self._by_socket: dict[socket.socket, Exchange] = {}
@@ -141,11 +175,13 @@
         """
         exchange = None if request.fresh else self._reuse(request.address)
         if exchange is not None:
-            exchange.connection.start_next_cycle()
+            exchange.connection = h11.Connection(h11.CLIENT)
             exchange.listener = listener
             exchange.sent_any = False
         else:
             exchange = self._open(request.address, listener)
+        exchange.request = request
+        exchange.skipping = False
         exchange.unsent += _serialize(exchange.connection, request)
         # A kept connection takes a request at once, as a rule; what it does
         # not take, and its failure, are seen as it becomes writable.
@@ -160,14 +196,16 @@
         read yet: they would be taken for the answer to the next request. A
         connection closed meanwhile shows here too.
         """
+        now = self._read_clock()
         while kept := self._idle.get(address):
             exchange = kept.pop()
-            try:
-                exchange.socket.recv(1, socket.MSG_PEEK)
-            except BlockingIOError:
-                return exchange
-            except OSError:
-                pass
+            if now - exchange.idle_since < exchange.keep_for:
+                try:
+                    exchange.socket.recv(1, socket.MSG_PEEK)
+                except BlockingIOError:
+                    return exchange
+                except OSError:
+                    pass
             self._discard(exchange)
         return None
 
@@ -205,7 +243,9 @@
     def find_next_due(self) -> float:
         """Tells when the oldest pending connection is to be given up."""
         pending = next(iter(self._connecting.values()), None)
-        return pending.opened + CONNECT_TIMEOUT if pending else float("inf")
+        return (
+            pending.opened + self._connect_timeout if pending else float("inf")
+        )
 
     def expire(self, now: float) -> None:
         """Gives up connections that are not made in time.
@@ -216,7 +256,7 @@
         late = [
             exchange
             for exchange in self._connecting.values()
-            if now - exchange.opened >= CONNECT_TIMEOUT
+            if now - exchange.opened >= self._connect_timeout
         ]
         for exchange in late:
             self._fail(exchange)
@@ -280,12 +320,14 @@
             while exchange.listener is not None:
                 event = connection.next_event()
                 if type(event) is h11.Data:
-                    pieces.append(event.data)
+                    if not exchange.skipping:
+                        pieces.append(event.data)
                     continue
                 _deliver_data(exchange, pieces)
                 if event is h11.NEED_DATA or event is h11.PAUSED:
                     return
                 self._deliver(exchange, event)
+                connection = exchange.connection
         except h11.RemoteProtocolError:
             _deliver_data(exchange, pieces)
             self._fail(exchange)
@@ -299,7 +341,13 @@
                 (name.decode("latin-1"), value.decode("latin-1"))
                 for name, value in event.headers
             ]
-            listener.on_head(event.status_code, headers)
+            exchange.keep_for = _read_keep_time(headers)
+            if listener.is_ours is None or listener.is_ours(dict(headers)):
+                listener.on_head(event.status_code, headers)
+            else:
+                exchange.skipping = True
+        elif isinstance(event, h11.EndOfMessage) and exchange.skipping:
+            _expect_next_answer(exchange)
         elif isinstance(event, h11.EndOfMessage):
             exchange.listener = None
             self._keep_or_close(exchange)
@@ -320,6 +368,7 @@
         )
         kept = self._idle.setdefault(exchange.address, [])
         if reusable and len(kept) < IDLE_PER_ADDRESS:
+            exchange.idle_since = self._read_clock()
             kept.append(exchange)
         else:
             self._discard(exchange)
@@ -373,13 +422,39 @@
     pieces.clear()
 
 
+def _expect_next_answer(exchange: Exchange) -> None:
+    """Reads on after an answer that was skipped, as if it had not come."""
+    rest, closed = exchange.connection.trailing_data
+    exchange.connection = h11.Connection(h11.CLIENT)
+    exchange.skipping = False
+    _serialize(exchange.connection, exchange.request)
+    if rest:
+        exchange.connection.receive_data(rest)
+    if closed:
+        exchange.connection.receive_data(b"")
+
+
+def _read_keep_time(headers: list[tuple[str, str]]) -> float:
+    """Reads for how long a connection may stay idle, in seconds."""
+    values = [value for name, value in headers if name == "keep-alive"]
+    parts = itertools.chain.from_iterable(value.split(",") for value in values)
+    times = [
+        float(value)
+        for name, _, value in (part.strip().partition("=") for part in parts)
+        if name.lower() == "timeout" and value.isdecimal()
+    ]
+    return min([IDLE_TIME, *(IDLE_SHARE * seconds for seconds in times)])
+
+
 def _serialize(connection: h11.Connection, request: OutgoingRequest) -> bytes:
+    sized = request.body or request.method not in BODILESS_METHODS
+    length = [("Content-Length", str(len(request.body)))] if sized else []
     head = h11.Request(
         method=request.method,
         target=request.path,
         headers=[
-            ("Host", str(request.address)),
-            ("Content-Length", str(len(request.body))),
+            ("Host", request.host or str(request.address)),
+            *length,
             *request.headers,
         ],
     )
--- a/sycamorefall/transport/inbound.py
+++ b/sycamorefall/transport/inbound.py
@@ -17,14 +17,21 @@
 
 
 class RequestHeaders:
-    """Headers by name, whose case does not matter."""
+    """Headers by name, whose case does not matter.
 
-    __slots__ = ("_values",)
+    Attributes:
+        pairs: Each header as it was sent, its name in lower case.
+    """
+
+    __slots__ = ("_values", "pairs")
 
     def __init__(self, pairs: list[tuple[bytes, bytes]]):
         self._values: dict[str, str] = {}
-        for name, value in pairs:
-            key, text = name.decode("ascii").lower(), value.decode("latin-1")
+        self.pairs = [
+            (name.decode("ascii").lower(), value.decode("latin-1"))
+            for name, value in pairs
+        ]
+        for key, text in self.pairs:
             known = self._values.get(key)
             self._values[key] = text if known is None else f"{known}, {text}"
 
@@ -45,6 +52,7 @@
         body: Its body.
         protocol: HTTP version, such as (1, 1).
         keep_alive: Whether the connection may carry another request.
+        target: Path and query to the letter, for one that is passed on.
     """
 
     method: str
@@ -54,6 +62,7 @@
     body: bytes
     protocol: tuple[int, int] = (1, 1)
     keep_alive: bool = True
+    target: str = ""
 
 
 class RequestReader:
@@ -177,4 +186,5 @@
             body=b"".join(self._body),
             protocol=(int(major), int(minor)),
             keep_alive=self._parser.their_state is not h11.MUST_CLOSE,
+            target=head.target.decode("ascii"),
         )
--- a/sycamorefall/transport/server.py
+++ b/sycamorefall/transport/server.py
@@ -127,6 +127,14 @@
         """Sends bytes on a connection."""
         outflow.push_bytes(self.server, sock, data)
 
+    def announce_stop(self) -> None:
+        """Closes each connection after its next answer.
+
+        Callers that hold idle ones may still send a request on them, until
+        `begin_stop`.
+        """
+        self.stopping = True
+
     def begin_stop(self) -> None:
         """Closes idle connections, and all others after their answer.
 
