Routers tell each other loads and team accounts; what can be on time goes first

Change: RouterLoad messages over the control links; a team ahead of one that waits elsewhere leaves room to it; a request is sent only where it will begin in time, late ones only to engines that are nearly idle.

--- a/sycamorefall/direct/core.py
+++ b/sycamorefall/direct/core.py
@@ -151,6 +151,7 @@
     left = route.timeout
     if new.time_left is not None:
         left = min(left, new.time_left)
+    wait = min(left, dispatching.PATIENCE * route.target_latency)
     request = state_module.Request(
         number,
         new,
@@ -159,7 +160,8 @@
         team,
         now,
         answer_by=now + left,
-        give_up_at=now + min(left, dispatching.PATIENCE * route.target_latency),
+        target_at=now + route.target_latency - _read_elapsed(state, route, new),
+        give_up_at=now + wait,
     )
     state.requests[number] = request
     budget.count_request(dispatching.find_budget(state, request.service), now)
@@ -174,6 +176,24 @@
     return number, []
 
 
+def _read_elapsed(
+    state: state_module.DirectState,
+    route: catalog.Route,
+    new: state_module.NewRequest,
+) -> float:
+    """Tells how long a caller has been asking already, in seconds.
+
+    A caller that was refused and comes back has less time left than the
+    others of its route. Its answer will be late wherever it comes from, so
+    those that can still be on time go first.
+    """
+    if new.time_left is None:
+        return 0.0
+    longest = max(state.patience.get(route.name, 0.0), new.time_left)
+    state.patience[route.name] = longest
+    return longest - new.time_left
+
+
 def cancel_request(
     state: state_module.DirectState, number: int, now: float
 ) -> list[effects.Effect]:
--- a/sycamorefall/direct/daemon.py
+++ b/sycamorefall/direct/daemon.py
@@ -10,16 +10,18 @@
 
 from circuits.core import pollers
 
-from sycamorefall import errors, observation, settings, transport
-from sycamorefall.direct import catalog as catalog_module
-from sycamorefall.direct import (
-    core,
-    freshness,
-    relay,
-)
-from sycamorefall.direct import (
-    state as state_module,
+from sycamorefall import (
+    authentication,
+    errors,
+    messages,
+    observation,
+    settings,
+    transport,
 )
+from sycamorefall.direct import catalog as catalog_module
+from sycamorefall.direct import core, freshness, relay
+from sycamorefall.direct import exchange as exchange_module
+from sycamorefall.direct import state as state_module
 from sycamorefall.direct import upstreams as upstreams_module
 
 CONNECT_TIMEOUT = 0.4
@@ -62,6 +64,9 @@
         desk: Requests in progress.
         log: Writes the log.
         servers: For callers, and for the balancer.
+        control: Links to the other routers.
+        exchange: What the routers tell each other.
+        incarnation: Number of this process.
         source: Reads the platform.
         stopping_since: When SIGTERM came; None before.
         quiet_since: Since when a stopping process has nothing to do.
@@ -74,6 +79,9 @@
     desk: relay.Desk
     log: observation.LogWriter
     servers: list[transport.HttpServer]
+    control: transport.ControlLinks
+    exchange: exchange_module.Exchange
+    incarnation: int
     source: Source | None = None
     stopping_since: float | None = None
     stop_check: float = float("inf")
@@ -139,6 +147,7 @@
         failure_domain=config.vm.failure_domain,
     )
     daemon.loop.run()
+    daemon.control.close()
     observation.write_record(
         observation.Level.INFO, "process.stopped", vm=config.vm.name
     )
@@ -155,9 +164,22 @@
     client = transport.HttpClient(
         poller, transport.read_clock, CONNECT_TIMEOUT
     ).register(loop)
+    incarnation = time.time_ns() // 1000
     state = state_module.create_state(
-        config.vm.failure_domain, config.bounds, seed=time.time_ns()
+        config.vm.failure_domain, config.bounds, seed=incarnation
     )
+    told = exchange_module.Exchange(
+        config.vm.name,
+        str(config.listen.control),
+        config.peers.list_addresses(),
+    )
+    control = transport.ControlLinks(
+        str(config.listen.control),
+        lambda name: exchange_module.list_peers(told).get(name),
+        lambda envelope: _receive(daemon, envelope),
+        authentication.create_authenticator(config.vm.name, config.security),
+    ).register(loop)
+    control.attach(poller)
     desk = relay.Desk(state, client, dialect)
     servers = [
         transport.HttpServer(
@@ -175,13 +197,45 @@
                 channel="operators",
             ).register(loop)
         )
-    daemon = Daemon(config, state, loop, client, desk, log, servers)
+    daemon = Daemon(
+        config,
+        state,
+        loop,
+        client,
+        desk,
+        log,
+        servers,
+        control,
+        told,
+        incarnation,
+    )
     transport.Ticker(
         lambda: _find_next_due(daemon), lambda now: _run_timers(daemon, now)
     ).register(loop)
     return daemon
 
 
+def _receive(daemon: Daemon, envelope: messages.Envelope) -> None:
+    if isinstance(envelope.message, messages.RouterLoad):
+        now = transport.read_clock()
+        exchange_module.take_load(daemon.exchange, daemon.state, now, envelope)
+
+
+def _tell_peers(daemon: Daemon, now: float) -> None:
+    load = exchange_module.write_load(daemon.exchange, daemon.state, now)
+    known = daemon.state.catalog
+    envelope = messages.Envelope(
+        daemon.config.vm.name,
+        daemon.incarnation,
+        known.version if known else 0,
+        load,
+    )
+    peers = exchange_module.list_peers(daemon.exchange)
+    daemon.control.keep_only(set(peers))
+    for name in peers:
+        daemon.control.send(name, envelope)
+
+
 def _report_fault(trace: str) -> None:
     observation.write_record(
         observation.Level.ERROR, "process.fault", traceback=trace
@@ -203,6 +257,7 @@
         core.find_next_due(daemon.state),
         daemon.client.find_next_due(),
         daemon.source.find_next_due(),
+        exchange_module.find_next_due(daemon.exchange),
         daemon.stop_check,
         *(server.find_next_due() for server in daemon.servers),
     )
@@ -213,6 +268,8 @@
     for server in daemon.servers:
         server.expire(now)
     daemon.source.run(now)
+    if now >= exchange_module.find_next_due(daemon.exchange):
+        _tell_peers(daemon, now)
     daemon.log.flush()
     relay.perform(daemon.desk, core.run_timers(daemon.state, now))
     if now >= daemon.stop_check:
--- a/sycamorefall/direct/dispatching.py
+++ b/sycamorefall/direct/dispatching.py
@@ -29,6 +29,11 @@
 OUTPUT_WEIGHT = 2
 """What a token that is made costs, in tokens that are read."""
 
+FAIRNESS_SLACK = 0.1
+"""Lead in service that a team may have over one that waits elsewhere, in
+seconds of what all engines serve: less than one exchange of accounts can
+tell apart would make teams wait for each other in turn."""
+
 SHORTEST_LEFT = 0.01
 """Seconds that must be left of a request's time for a send to make sense."""
 
@@ -47,12 +52,6 @@
     return known
 
 
-def _find_accounts(
-    state: state_module.DirectState, service: str
-) -> waiting.TeamAccounts:
-    return state.accounts.setdefault(service, waiting.TeamAccounts())
-
-
 def enter_room(
     state: state_module.DirectState, request: state_module.Request
 ) -> None:
@@ -95,9 +94,10 @@
         now,
         service,
         request.new.prompt,
-        request.route.target_latency,
+        request.target_at - now,
         request.tried,
         state.failure_domain,
+        _choose_readiness(state, now, request),
     )
     if chosen is None:
         return []
@@ -108,6 +108,25 @@
     return [_send(state, now, request, chosen, service)]
 
 
+def _choose_readiness(
+    state: state_module.DirectState,
+    now: float,
+    request: state_module.Request,
+) -> placing.Readiness:
+    """Tells how free an engine has to be to take a request now.
+
+    A team that received more than one that waits at another router leaves
+    the room to that one, but for engines that have next to nothing to do:
+    the other router would have used those.
+    """
+    accounts = state_module.find_accounts(state, request.service)
+    received = waiting.read_service(accounts, now, request.team)
+    rate = state.catalog.tokens_per_second
+    if received > accounts.floor + FAIRNESS_SLACK * rate:
+        return placing.Readiness.IDLE
+    return placing.Readiness.ON_TIME
+
+
 def _send(
     state: state_module.DirectState,
     now: float,
@@ -133,7 +152,7 @@
         chosen.own.memory += attempt.memory
         placing.note_prompt(chosen, prompt, service.engine)
         cost = prompt.tokens + OUTPUT_WEIGHT * prompt.output
-        accounts = _find_accounts(state, request.service)
+        accounts = state_module.find_accounts(state, request.service)
         waiting.charge_team(accounts, now, request.team, cost)
     return effects.SendTo(
         request.number,
@@ -172,7 +191,7 @@
     state: state_module.DirectState, now: float, service: str
 ) -> list[effects.Effect]:
     room = state.rooms[service]
-    accounts = _find_accounts(state, service)
+    accounts = state_module.find_accounts(state, service)
     sent: list[effects.Effect] = []
     progress = True
     while progress and room.by_team:
--- a/sycamorefall/direct/placing.py
+++ b/sycamorefall/direct/placing.py
@@ -6,10 +6,17 @@
 compute alike, unless waiting there costs more than reading anew elsewhere.
 """
 
-__all__ = ["Prompt", "choose_upstream", "count_missing", "note_prompt"]
+__all__ = [
+    "Prompt",
+    "Readiness",
+    "choose_upstream",
+    "count_missing",
+    "note_prompt",
+]
 
 from collections.abc import Collection
 import dataclasses
+import enum
 import hashlib
 
 from sycamorefall.direct import catalog as catalog_module
@@ -24,9 +31,15 @@
 """Part of a shared prompt that its home is taken to hold if this router did
 not send it there: others may have, or it may have been pushed out."""
 
-AIM_SHARE = 0.6
-"""Part of the target latency that reading may take at an engine, what is
-queued there included; the rest is the first step and the way back."""
+FIRST_STEP = 0.06
+"""Seconds to the first event besides reading: the way there and back, and the
+engine's first steps with a full batch."""
+
+IDLE_QUEUE = 0.02
+"""Seconds of reading up to which an engine has next to nothing to do."""
+
+IDLE_BATCH = 0.7
+"""Part of the slots up to which the same holds."""
 
 MEMORY_SHARE = 0.9
 """Part of an engine's cache that running requests may fill. Beyond it the
@@ -48,6 +61,17 @@
 """Seconds that another failure domain counts like, for plain services."""
 
 
+class Readiness(enum.Enum):
+    """How free an engine has to be to take a request.
+
+    ON_TIME: free enough to begin the answer before it is due.
+    IDLE: with next to nothing to do.
+    """
+
+    ON_TIME = "on_time"
+    IDLE = "idle"
+
+
 @dataclasses.dataclass(slots=True, frozen=True)
 class Prompt:
     """What a request asks of an engine.
@@ -131,9 +155,10 @@
     now: float,
     service: catalog_module.Service,
     prompt: Prompt | None,
-    target_latency: float,
+    time_left: float,
     tried: Collection[str],
     failure_domain: str,
+    readiness: Readiness = Readiness.ON_TIME,
 ) -> Upstream | None:
     """Chooses the upstream that is to get a request now.
 
@@ -142,9 +167,11 @@
         now: This process's time.
         service: The request's service.
         prompt: Its prompt, if it is for engines.
-        target_latency: Seconds within which it is to be answered.
+        time_left: Seconds until its answer is to begin. One that can't be on
+            time anywhere goes to an engine that has little to do.
         tried: Upstreams that had it before.
         failure_domain: Where this router stands.
+        readiness: How free an engine has to be.
 
     Returns:
         The upstream, or None if the request has to wait.
@@ -159,11 +186,16 @@
         return _choose_plain(usable, now, failure_domain)
     home = _find_home(prompt.home_key, group)
     engine = service.engine
-    most = AIM_SHARE * target_latency
+    limit = time_left - FIRST_STEP
+    on_time = readiness is Readiness.ON_TIME
     costs = [
         (_weigh(one, now, prompt, engine, one is home), one)
         for one in usable
-        if _has_room(one, prompt, engine, one is home, most)
+        if _fits(one, prompt, engine)
+        and (
+            _is_idle(one, engine)
+            or (on_time and _read_wait(one, prompt, one is home) <= limit)
+        )
     ]
     return min(costs, key=lambda pair: pair[0], default=(0.0, None))[1]
 
@@ -183,14 +215,8 @@
     return min(room, key=weigh, default=None)
 
 
-def _has_room(
-    one: Upstream,
-    prompt: Prompt,
-    engine: catalog_module.Engine,
-    home: bool,
-    most: float,
-) -> bool:
-    """Tells whether an engine would begin a request soon.
+def _fits(one: Upstream, prompt: Prompt, engine: catalog_module.Engine) -> bool:
+    """Tells whether an engine would run a request at once.
 
     Engines take whatever they are sent and know no order but that of
     arrival, so what waits must wait here, where teams are told apart.
@@ -198,12 +224,19 @@
     if one.running >= engine.slots:
         return False
     memory = one.memory + prompt.tokens + prompt.output
-    if one.running and memory > MEMORY_SHARE * engine.memory_tokens:
-        return False
-    if not one.unread:
-        return True
-    missing = count_missing(one, prompt, home)
-    return (one.unread + missing) / one.reading_rate <= most
+    return not one.running or memory <= MEMORY_SHARE * engine.memory_tokens
+
+
+def _is_idle(one: Upstream, engine: catalog_module.Engine) -> bool:
+    return (
+        one.unread <= IDLE_QUEUE * one.reading_rate
+        and one.running <= IDLE_BATCH * engine.slots
+    )
+
+
+def _read_wait(one: Upstream, prompt: Prompt, home: bool) -> float:
+    """Estimates the seconds until an engine has read a prompt."""
+    return (one.unread + count_missing(one, prompt, home)) / one.reading_rate
 
 
 def _weigh(
--- a/sycamorefall/direct/state.py
+++ b/sycamorefall/direct/state.py
@@ -6,6 +6,7 @@
     "NewRequest",
     "Request",
     "create_state",
+    "find_accounts",
 ]
 
 import dataclasses
@@ -76,6 +77,7 @@
         team: Its team's name; empty on public routes.
         arrived_at: When it was whole.
         answer_by: When its caller or its route's timeout ends.
+        target_at: When the first part of its answer is due.
         give_up_at: When it is refused if it still waits.
         sends: Times it was sent.
         runs: Upstreams that may have run it.
@@ -91,6 +93,7 @@
     team: str
     arrived_at: float
     answer_by: float
+    target_at: float
     give_up_at: float
     sends: int = 0
     runs: int = 0
@@ -115,6 +118,7 @@
         accounts: What teams received, by service.
         budgets: Second sends, by service.
         deadlines: Heap of (time, request).
+        patience: Longest time that a caller of a route would wait, by route.
         routers: Routers that were heard lately, this one included.
         stopping: Whether the process is to end.
         serve: Whether a place may have come free for a waiting request.
@@ -141,6 +145,7 @@
         default_factory=dict
     )
     deadlines: list[tuple[float, int]] = dataclasses.field(default_factory=list)
+    patience: dict[str, float] = dataclasses.field(default_factory=dict)
     routers: int = 1
     stopping: bool = False
     serve: bool = False
@@ -163,3 +168,8 @@
     """
     lease = freshness_module.Freshness(bounds.revocation)
     return DirectState(failure_domain, bounds, lease, random.Random(seed))
+
+
+def find_accounts(state: DirectState, service: str) -> waiting.TeamAccounts:
+    """Finds what teams received of a service."""
+    return state.accounts.setdefault(service, waiting.TeamAccounts())
--- a/sycamorefall/direct/waiting.py
+++ b/sycamorefall/direct/waiting.py
@@ -5,7 +5,9 @@
     "WaitingRoom",
     "add_request",
     "charge_team",
+    "find_floor",
     "list_candidates",
+    "list_own",
     "order_teams",
     "read_service",
     "remove_request",
@@ -14,6 +16,7 @@
 from collections.abc import Iterator
 import dataclasses
 import itertools
+import math
 
 ACCOUNT_MEMORY = 3.0
 """Seconds after which a team's past service counts half: about as long as a
@@ -31,12 +34,15 @@
     Attributes:
         own: Sent by this router, and when it was last brought up to date.
         others: Sent by the other routers, as they last told.
+        floor: Least that a team received that waits at another router;
+            infinity if nothing waits there.
     """
 
     own: dict[str, tuple[float, float]] = dataclasses.field(
         default_factory=dict
     )
     others: dict[str, float] = dataclasses.field(default_factory=dict)
+    floor: float = math.inf
 
 
 @dataclasses.dataclass(slots=True)
@@ -65,6 +71,22 @@
     return _read_own(accounts, now, team) + accounts.others.get(team, 0.0)
 
 
+def list_own(accounts: TeamAccounts, now: float) -> dict[str, float]:
+    """Lists what this router gave each team lately; forgets the idle ones."""
+    amounts = {team: _read_own(accounts, now, team) for team in accounts.own}
+    for team in [team for team, amount in amounts.items() if amount < 1.0]:
+        del accounts.own[team]
+    return amounts
+
+
+def find_floor(room: WaitingRoom, accounts: TeamAccounts, now: float) -> float:
+    """Finds the least that a team received that waits at this router."""
+    return min(
+        (read_service(accounts, now, team) for team in room.by_team),
+        default=math.inf,
+    )
+
+
 def add_request(room: WaitingRoom, team: str, number: int) -> None:
     """Adds a request behind its team's others."""
     room.by_team.setdefault(team, {})[number] = None
--- a/sycamorefall/messages.py
+++ b/sycamorefall/messages.py
@@ -25,8 +25,13 @@
     "NameEntry",
     "NoWork",
     "Outcome",
+    "RouterAddress",
+    "RouterLoad",
+    "ServiceDemand",
+    "TeamService",
     "TeamWaiting",
     "UnknownNames",
+    "UpstreamLoad",
     "Waiting",
     "decode_envelope",
     "decode_order",
@@ -209,6 +214,72 @@
     sent: int = 0
 
 
+class UpstreamLoad(msgspec.Struct, frozen=True, array_like=True):
+    """What one router has at an upstream.
+
+    Attributes:
+        upstream: The upstream's incarnation.
+        running: Requests sent and not ended.
+        unread: Prompt tokens of those that have not begun to answer.
+        memory: Tokens of all of them, output included.
+    """
+
+    upstream: Name
+    running: int
+    unread: int
+    memory: int
+
+
+class TeamService(msgspec.Struct, frozen=True, array_like=True):
+    """What a router gave a team lately, in cost units."""
+
+    team: Name
+    amount: int
+
+
+class ServiceDemand(msgspec.Struct, frozen=True, array_like=True):
+    """A service as one router sees it.
+
+    Attributes:
+        service: The service.
+        teams: What the router gave its teams lately.
+        floor: Least that a team with work waiting there received lately of
+            all routers; -1 if nothing waits.
+    """
+
+    service: Name
+    teams: tuple[TeamService, ...]
+    floor: int = -1
+
+
+class RouterAddress(msgspec.Struct, frozen=True, array_like=True):
+    """A router and the address that its control messages go to."""
+
+    vm: str
+    control: str
+
+
+class RouterLoad(msgspec.Struct, frozen=True, array_like=True, tag="l"):
+    """What a router that sends directly has at the upstreams.
+
+    A later one replaces an earlier one, so loss and repetition do no harm;
+    `sequence` tells which is later.
+
+    Attributes:
+        sequence: Grows with each message of the sender's incarnation.
+        control: Where the sender takes control messages.
+        routers: Other routers that it heard of.
+        upstreams: Its load; what is left out is none.
+        services: What it gave, and what waits.
+    """
+
+    sequence: int
+    control: str
+    routers: tuple[RouterAddress, ...] = ()
+    upstreams: tuple[UpstreamLoad, ...] = ()
+    services: tuple[ServiceDemand, ...] = ()
+
+
 class UnknownNames(msgspec.Struct, frozen=True, array_like=True, tag="u"):
     """A receiver lacks names, and dropped a message because of it."""
 
@@ -231,6 +302,7 @@
     | AttemptQuery
     | AttemptReport
     | UnknownNames
+    | RouterLoad
 )
 
 
--- a/sycamorefall/names.py
+++ b/sycamorefall/names.py
@@ -254,6 +254,8 @@
                 for entry in message.entries
             )
             return messages.AccountUpdate(rename(message.service), entries)
+        case messages.RouterLoad():
+            return _rename_load(message, rename)
         case messages.Claim() | messages.NoWork():
             return msgspec.structs.replace(
                 message,
@@ -261,3 +263,28 @@
                 team=rename(message.team),
             )
     return message
+
+
+def _rename_load(
+    message: messages.RouterLoad, rename: Rename
+) -> messages.RouterLoad:
+    upstreams = tuple(
+        messages.UpstreamLoad(
+            rename(load.upstream), load.running, load.unread, load.memory
+        )
+        for load in message.upstreams
+    )
+    services = tuple(
+        messages.ServiceDemand(
+            rename(demand.service),
+            tuple(
+                messages.TeamService(rename(entry.team), entry.amount)
+                for entry in demand.teams
+            ),
+            demand.floor,
+        )
+        for demand in message.services
+    )
+    return msgspec.structs.replace(
+        message, upstreams=upstreams, services=services
+    )
