Keep shared prompt parts with their homes

Ruled out: caches too small (280 parts of 4,900 tokens fit into two engines). Change: an engine that does not hold a request's shared part gets it only if little has to be read again; a part that is asked for often has more homes.

--- a/sycamorefall/direct/core.py
+++ b/sycamorefall/direct/core.py
@@ -24,6 +24,7 @@
     effects,
     freshness,
     outcomes,
+    placing,
     upstreams,
 )
 from sycamorefall.direct import (
@@ -164,6 +165,9 @@
         give_up_at=now + wait,
     )
     state.requests[number] = request
+    if new.prompt is not None:
+        key = new.prompt.home_key
+        request.part_uses = placing.note_use(state.uses, now, key)
     budget.count_request(dispatching.find_budget(state, request.service), now)
     heapq.heappush(state.deadlines, (request.answer_by, number))
     heapq.heappush(state.deadlines, (request.give_up_at, number))
--- a/sycamorefall/direct/dispatching.py
+++ b/sycamorefall/direct/dispatching.py
@@ -26,9 +26,6 @@
 """Part of its target latency that a request waits at most for its first send;
 after that it would be late, and is refused with a time to come back."""
 
-OUTPUT_WEIGHT = 2
-"""What a token that is made costs, in tokens that are read."""
-
 FAIRNESS_SLACK = 0.1
 """Lead in service that a team may have over one that waits elsewhere, in
 seconds of what all engines serve: less than one exchange of accounts can
@@ -98,6 +95,7 @@
         request.tried,
         state.failure_domain,
         _choose_readiness(state, now, request),
+        request.part_uses * state.routers,
     )
     if chosen is None:
         return []
@@ -151,7 +149,7 @@
         attempt.memory = prompt.tokens + prompt.output
         chosen.own.memory += attempt.memory
         placing.note_prompt(chosen, prompt, service.engine)
-        cost = prompt.tokens + OUTPUT_WEIGHT * prompt.output
+        cost = prompt.tokens + placing.OUTPUT_WEIGHT * prompt.output
         accounts = state_module.find_accounts(state, request.service)
         waiting.charge_team(accounts, now, request.team, cost)
     return effects.SendTo(
--- a/sycamorefall/direct/placing.py
+++ b/sycamorefall/direct/placing.py
@@ -7,26 +7,49 @@
 """
 
 __all__ = [
+    "PartUses",
     "Prompt",
     "Readiness",
     "choose_upstream",
     "count_missing",
     "note_prompt",
+    "note_use",
 ]
 
+import collections
 from collections.abc import Collection
 import dataclasses
 import enum
 import hashlib
+import math
 
 from sycamorefall.direct import catalog as catalog_module
 from sycamorefall.direct import upstreams as upstreams_module
 from sycamorefall.direct.upstreams import Upstream
 
-READ_AGAIN = 2.0
+READ_AGAIN = 3.0
 """Weight of reading a shared part again, against waiting as long: it delays
 all that runs at the engine too, and pushes another part out of its cache."""
 
+AGAIN_SHARE = 0.2
+"""Reading again that a request may cause away from the engines that have its
+shared part, as a part of its own work (tokens read and twice those made). A
+request that would cause more is better told to come back: the work could
+serve another one."""
+
+USES_PER_HOME = 30
+"""Uses of a shared part in the last seconds from which on another engine is
+to hold it too: about a sixth of what one engine can serve of long prompts."""
+
+MOST_PARTS = 20_000
+"""Parts whose uses are counted: 4 MB."""
+
+OUTPUT_WEIGHT = 2
+"""What a token that is made costs, in tokens that are read."""
+
+USE_MEMORY = 10.0
+"""Seconds over which the uses of a part are counted."""
+
 HOME_TRUST = 0.6
 """Part of a shared prompt that its home is taken to hold if this router did
 not send it there: others may have, or it may have been pushed out."""
@@ -97,6 +120,47 @@
         """Tokens of the parts that other requests share."""
         return sum(tokens for _, tokens in self.parts[:-1])
 
+    @property
+    def own_work(self) -> int:
+        """Cost units of what no other request shares."""
+        return self.tokens - self.shared + OUTPUT_WEIGHT * self.output
+
+
+@dataclasses.dataclass(slots=True)
+class PartUses:
+    """How often shared parts were asked for lately at this router.
+
+    Attributes:
+        uses: By part: a count that decays, and when it was last brought up
+            to date. The least recently used come first.
+    """
+
+    uses: collections.OrderedDict[str, tuple[float, float]] = dataclasses.field(
+        default_factory=collections.OrderedDict
+    )
+
+
+def note_use(uses: PartUses, now: float, key: str) -> float:
+    """Counts a use of a part.
+
+    Args:
+        uses: The counts; changed.
+        now: This process's time.
+        key: The part; an empty one is not counted.
+
+    Returns:
+        Uses of the part over about `USE_MEMORY` seconds, this one included.
+    """
+    if not key:
+        return 0.0
+    count, since = uses.uses.get(key, (0.0, now))
+    count = count * math.exp((since - now) / USE_MEMORY) + 1.0
+    uses.uses[key] = (count, now)
+    uses.uses.move_to_end(key)
+    while len(uses.uses) > MOST_PARTS:
+        uses.uses.popitem(last=False)
+    return count
+
 
 def note_prompt(
     upstream: Upstream, prompt: Prompt, engine: catalog_module.Engine
@@ -138,11 +202,18 @@
     return prompt.tokens - held
 
 
-def _find_home(key: str, group: list[Upstream]) -> Upstream | None:
+def _list_homes(
+    key: str, usable: list[Upstream], uses: float
+) -> list[Upstream]:
+    """Lists the engines that are to hold a part, the first choice first.
+
+    All routers find the same ones, without a word between them. A part that
+    is asked for often has several.
+    """
     if not key:
-        return None
-    ready = [one for one in group if not one.listed.leaving]
-    return max(ready, key=lambda one: _draw(key, one), default=None)
+        return []
+    ranked = sorted(usable, key=lambda one: _draw(key, one), reverse=True)
+    return ranked[: 1 + int(uses / USES_PER_HOME)]
 
 
 def _draw(key: str, upstream: Upstream) -> bytes:
@@ -159,6 +230,7 @@
     tried: Collection[str],
     failure_domain: str,
     readiness: Readiness = Readiness.ON_TIME,
+    uses: float = 0.0,
 ) -> Upstream | None:
     """Chooses the upstream that is to get a request now.
 
@@ -172,6 +244,8 @@
         tried: Upstreams that had it before.
         failure_domain: Where this router stands.
         readiness: How free an engine has to be.
+        uses: How often the last shared part was asked for lately, at all
+            routers.
 
     Returns:
         The upstream, or None if the request has to wait.
@@ -184,17 +258,18 @@
     ]
     if prompt is None or service.engine is None:
         return _choose_plain(usable, now, failure_domain)
-    home = _find_home(prompt.home_key, group)
+    homes = _list_homes(prompt.home_key, usable, uses)
     engine = service.engine
     limit = time_left - FIRST_STEP
     on_time = readiness is Readiness.ON_TIME
     costs = [
-        (_weigh(one, now, prompt, engine, one is home), one)
+        (_weigh(one, now, prompt, engine, one in homes), one)
         for one in usable
         if _fits(one, prompt, engine)
+        and (one in homes or _is_cheap(one, prompt))
         and (
             _is_idle(one, engine)
-            or (on_time and _read_wait(one, prompt, one is home) <= limit)
+            or (on_time and _read_wait(one, prompt, one in homes) <= limit)
         )
     ]
     return min(costs, key=lambda pair: pair[0], default=(0.0, None))[1]
@@ -227,6 +302,16 @@
     return not one.running or memory <= MEMORY_SHARE * engine.memory_tokens
 
 
+def _is_cheap(one: Upstream, prompt: Prompt) -> bool:
+    """Tells whether little of a prompt would be read again at an engine."""
+    return _count_again(one, prompt, False) <= AGAIN_SHARE * prompt.own_work
+
+
+def _count_again(one: Upstream, prompt: Prompt, home: bool) -> int:
+    own = prompt.tokens - prompt.shared
+    return max(0, count_missing(one, prompt, home) - own)
+
+
 def _is_idle(one: Upstream, engine: catalog_module.Engine) -> bool:
     return (
         one.unread <= IDLE_QUEUE * one.reading_rate
@@ -247,7 +332,7 @@
     home: bool,
 ) -> float:
     own = prompt.tokens - prompt.shared
-    again = max(0, count_missing(one, prompt, home) - own)
+    again = _count_again(one, prompt, home)
     reading = (one.unread + own + READ_AGAIN * again) / one.reading_rate
     crowd = CROWD_COST * one.running / engine.slots
     failing = upstreams_module.read_failure_rate(one, now)
--- a/sycamorefall/direct/state.py
+++ b/sycamorefall/direct/state.py
@@ -84,6 +84,7 @@
         tried: Upstreams that had it.
         attempt: Where it is now; None while it waits.
         begun: Whether the caller has a part of the answer.
+        part_uses: How often its last shared part was asked for lately.
     """
 
     number: int
@@ -100,6 +101,7 @@
     tried: set[str] = dataclasses.field(default_factory=set)
     attempt: Attempt | None = None
     begun: bool = False
+    part_uses: float = 0.0
 
 
 @dataclasses.dataclass(slots=True)
@@ -118,6 +120,7 @@
         accounts: What teams received, by service.
         budgets: Second sends, by service.
         deadlines: Heap of (time, request).
+        uses: How often prompt parts were asked for lately.
         patience: Longest time that a caller of a route would wait, by route.
         routers: Routers that were heard lately, this one included.
         stopping: Whether the process is to end.
@@ -145,6 +148,7 @@
         default_factory=dict
     )
     deadlines: list[tuple[float, int]] = dataclasses.field(default_factory=list)
+    uses: placing.PartUses = dataclasses.field(default_factory=placing.PartUses)
     patience: dict[str, float] = dataclasses.field(default_factory=dict)
     routers: int = 1
     stopping: bool = False
