--- a/standins/site.py
+++ b/standins/site.py
@@ -10,6 +10,7 @@
 import collections
 import contextlib
 import dataclasses
+import http.client
 import json
 import os
 import pathlib
@@ -18,7 +19,6 @@
 import sys
 import threading
 import time
-import urllib.error
 import urllib.request
 
 from aiohttp import web
@@ -245,6 +245,7 @@
         self.store_port = find_port()
         self.upstreams: dict[str, Upstream] = {}
         self.routers: list[Router] = []
+        self._runner: web.AppRunner | None = None
         self._loop = asyncio.new_event_loop()
         self._thread = threading.Thread(
             target=self._loop.run_forever, daemon=True
@@ -260,8 +261,10 @@
             if router.process.poll() is None:
                 router.process.kill()
             router.process.wait()
+        self._await(self._end())
         self._loop.call_soon_threadsafe(self._loop.stop)
         self._thread.join()
+        self._loop.close()
 
     def _await(self, task):
         return asyncio.run_coroutine_threadsafe(task, self._loop).result(10)
@@ -269,9 +272,17 @@
     async def _serve_store(self) -> None:
         application = web.Application()
         application.router.add_get("/{path:.*}", self.store.answer)
-        runner = web.AppRunner(application)
+        runner = web.AppRunner(application, shutdown_timeout=0.1)
         await runner.setup()
         await web.TCPSite(runner, "127.0.0.1", self.store_port).start()
+        self._runner = runner
+
+    async def _end(self) -> None:
+        await self._runner.cleanup()
+        tasks = asyncio.all_tasks() - {asyncio.current_task()}
+        for task in tasks:
+            task.cancel()
+        await asyncio.gather(*tasks, return_exceptions=True)
 
     def add_upstream(
         self, name: str, service: str, slots: int = 8, port: int = 0
@@ -351,19 +362,17 @@
     router: Router, path: str, headers: dict[str, str], body: bytes = b""
 ) -> tuple[int, dict[str, str], bytes]:
     """Sends a request; gives status, headers (lower case) and body."""
-    request = urllib.request.Request(
-        f"http://127.0.0.1:{router.data}{path}",
-        data=body or None,
-        headers={"Host": "site.example"} | headers,
-    )
-    try:
-        with urllib.request.urlopen(request, timeout=20) as answer:
-            read = answer.read()
-            found = {k.lower(): v for k, v in answer.headers.items()}
-            return answer.status, found, read
-    except urllib.error.HTTPError as fault:
-        found = {k.lower(): v for k, v in fault.headers.items()}
-        return fault.code, found, fault.read()
+    line = http.client.HTTPConnection("127.0.0.1", router.data, timeout=20)
+    with contextlib.closing(line):
+        line.request(
+            "POST" if body else "GET",
+            path,
+            body or None,
+            {"Host": "site.example"} | headers,
+        )
+        answer = line.getresponse()
+        found = {name.lower(): value for name, value in answer.getheaders()}
+        return answer.status, found, answer.read()
 
 
 def describe_route(name: str, kind: str, service: str, **more: object) -> dict:
--- /dev/null
+++ b/sycamorefall/direct/tests/fakes.py
@@ -0,0 +1,97 @@
+"""A router's decisions with a small catalog, for the tests of this package."""
+
+from sycamorefall import settings
+from sycamorefall.direct import catalog, core, effects, placing, upstreams
+from sycamorefall.direct import freshness as freshness_module
+from sycamorefall.direct import state as state_module
+
+HOST = "site.example"
+
+_KINDS = {
+    "draft": catalog.RouteKind.STREAM,
+    "answer": catalog.RouteKind.RESUMABLE_STREAM,
+    "book": catalog.RouteKind.AT_MOST_ONCE,
+    "look": catalog.RouteKind.IDEMPOTENT,
+}
+
+
+def create_catalog(version=1, keys=("mill", "trader"), without=()):
+    routes = [
+        catalog.Route(
+            name=name,
+            host=HOST,
+            prefix=f"/{name}/",
+            kind=kind,
+            shares=(
+                catalog.Share("engine" if kind.streamed else "ledger", 1.0),
+            ),
+            timeout=3.0,
+            target_latency=0.5,
+            most_upstreams=2 if kind.repeatable else 1,
+            public=not kind.streamed,
+        )
+        for name, kind in _KINDS.items()
+        if name not in without
+    ]
+    engine = catalog.Engine(slots=4, memory_tokens=100_000)
+    services = [
+        catalog.Service("engine", 100, engine),
+        catalog.Service("ledger", 100),
+    ]
+    teams = {f"key-{team}": catalog.Team(team) for team in keys}
+    return catalog.create_catalog(
+        version, routes, services, teams, True, 50_000.0
+    )
+
+
+def list_one(name, service="engine", port=1, leaving=False, listed_at=1):
+    return upstreams.Listed(
+        name,
+        service,
+        settings.Address("127.0.0.1", port),
+        "a",
+        4,
+        leaving,
+        listed_at,
+    )
+
+
+STANDARD_LISTING = [
+    list_one("e1", port=1),
+    list_one("e2", port=2),
+    list_one("l1", "ledger", port=3),
+    list_one("l2", "ledger", port=4),
+]
+
+
+def create_state(now=0.0, listing=STANDARD_LISTING, **bounds):
+    state = state_module.create_state("a", settings.BoundSettings(**bounds), 1)
+    core.apply_catalog(state, now, create_catalog())
+    core.apply_listing(state, now, list(listing))
+    freshness_module.note_proof(state.freshness, now)
+    return state
+
+
+def ask(route, team="mill", time_left=3.0, tokens=1000, parts=()):
+    prompt = None
+    if _KINDS[route].streamed:
+        own = tokens - sum(size for _, size in parts)
+        prompt = placing.Prompt(tokens, 50, (*parts, ("own", own)))
+    return state_module.NewRequest(
+        HOST, f"/{route}/x", f"key-{team}" if team else "", time_left, prompt
+    )
+
+
+def take(state, now, route, **more):
+    """Takes a request; gives its number and its one effect, if any."""
+    number, done = core.take_request(state, now, ask(route, **more))
+    assert len(done) <= 1
+    return number, done[0] if done else None
+
+
+def find_kinds(done):
+    return [effect.kind for effect in done if isinstance(effect, effects.Fail)]
+
+
+def find_sends(done):
+    return [effect for effect in done if isinstance(effect, effects.SendTo)]
--- /dev/null
+++ b/sycamorefall/direct/tests/test_upstreams.py
@@ -0,0 +1,69 @@
+"""Listings of upstreams: lapsed entries, leaving, replaced, reused."""
+
+from sycamorefall.direct import upstreams
+from sycamorefall.direct.tests import fakes
+
+
+def list_names(table, service="engine"):
+    return {one.listed.name for one in upstreams.list_upstreams(table, service)}
+
+
+def test_lapsed_entries_do_not_stop_the_service():
+    # The platform was down; on its return it lists no upstream, as their
+    # entries lapsed meanwhile. Callers must go on being served: the entries
+    # are back within two seconds. One that isn't by then is gone.
+    table = upstreams.UpstreamTable()
+    both = [fakes.list_one("e1"), fakes.list_one("e2", port=2)]
+    upstreams.replace_listing(table, 10.0, both)
+    assert upstreams.replace_listing(table, 20.0, []) == []
+    assert list_names(table) == {"e1", "e2"}
+    upstreams.replace_listing(table, 21.0, both[:1])
+    gone = upstreams.replace_listing(table, 22.4, both[:1])
+    assert gone == ["e2"]
+
+
+def test_missing_entry_means_gone_while_the_platform_is_steady():
+    # An upstream leaves without notice: its entry is removed. It must get
+    # no new request within two seconds.
+    table = upstreams.UpstreamTable()
+    upstreams.replace_listing(table, 10.0, [fakes.list_one("e1")])
+    assert upstreams.replace_listing(table, 10.8, []) == ["e1"]
+
+
+def test_leaving_upstream_gets_nothing_new():
+    # An upstream is taken away in an orderly way; a request sent to it later
+    # would be cut off as it exits.
+    state = fakes.create_state(
+        listing=[
+            fakes.list_one("e1", leaving=True),
+            fakes.list_one("e2", port=2),
+        ]
+    )
+    for _ in range(3):
+        _, sent = fakes.take(state, 0.0, "draft", tokens=100)
+        assert sent.upstream == "e2"
+
+
+def test_successor_at_an_address_replaces_the_entry_that_lingers():
+    # An upstream crashed and started again; both entries are listed. The
+    # older one refuses whatever it is sent, at the cost of second sends.
+    table = upstreams.UpstreamTable()
+    listing = [
+        fakes.list_one("old", listed_at=3),
+        fakes.list_one("new", listed_at=9),
+    ]
+    for order in (listing, listing[::-1]):
+        upstreams.replace_listing(table, 1.0, order)
+        assert list_names(table) == {"new"}
+
+
+def test_failures_fade():
+    # An upstream failed for a while and is well again: it must get work
+    # again without anybody asking it about its health.
+    one = upstreams.Upstream(fakes.list_one("e1"))
+    for _ in range(10):
+        upstreams.note_failure(one, 1.0)
+    before = upstreams.read_failure_rate(one, 1.0)
+    after = upstreams.read_failure_rate(one, 1.0 + upstreams.FAILURE_MEMORY)
+    assert before > 0.9
+    assert abs(after - before / 2) < 1e-9
