--- a/sycamorefall/direct/waiting.py
+++ b/sycamorefall/direct/waiting.py
@@ -18,7 +18,7 @@
 import itertools
 import math
 
-ACCOUNT_MEMORY = 3.0
+ACCOUNT_MEMORY = 1.5
 """Seconds after which a team's past service counts half: about as long as a
 burst lasts, so that a team pays for a burst and not for its whole day."""
 
