Serve a deprived team at any engine with room

Change: after half of its patience, a request of a team that received less than half of the best served one may have its shared part read anywhere.

--- a/sycamorefall/direct/dispatching.py
+++ b/sycamorefall/direct/dispatching.py
@@ -31,6 +31,10 @@
 seconds of what all engines serve: less than one exchange of accounts can
 tell apart would make teams wait for each other in turn."""
 
+DEPRIVED_AFTER = 0.5
+"""Part of its patience after which a request of a team that is behind goes to
+any engine; the other half is left for that engine to be on time."""
+
 SHORTEST_LEFT = 0.01
 """Seconds that must be left of a request's time for a send to make sense."""
 
@@ -96,6 +100,7 @@
         state.failure_domain,
         _choose_readiness(state, now, request),
         request.part_uses * state.routers,
+        _is_deprived(state, now, request),
     )
     if chosen is None:
         return []
@@ -106,6 +111,25 @@
     return [_send(state, now, request, chosen, service)]
 
 
+def _is_deprived(
+    state: state_module.DirectState,
+    now: float,
+    request: state_module.Request,
+) -> bool:
+    """Tells whether a request may have its shared part read anywhere.
+
+    Guards against a team whose parts all lie with full engines: it would get
+    nothing while others are served next door. A small team that received
+    little because it asks for little has its request served at home before
+    half of its patience is over.
+    """
+    patience = request.give_up_at - request.arrived_at
+    if now - request.arrived_at < DEPRIVED_AFTER * patience:
+        return False
+    accounts = state_module.find_accounts(state, request.service)
+    return waiting.is_behind(accounts, now, request.team)
+
+
 def _choose_readiness(
     state: state_module.DirectState,
     now: float,
--- a/sycamorefall/direct/exchange.py
+++ b/sycamorefall/direct/exchange.py
@@ -248,6 +248,7 @@
         for team, amount in amounts.items()
         if amount >= LEAST_AMOUNT
     )
+    accounts.most = waiting.find_most(accounts, now)
     room = state.rooms.get(service)
     floor = waiting.find_floor(room, accounts, now) if room else math.inf
     return messages.ServiceDemand(
--- a/sycamorefall/direct/placing.py
+++ b/sycamorefall/direct/placing.py
@@ -243,6 +243,7 @@
     failure_domain: str,
     readiness: Readiness = Readiness.ON_TIME,
     uses: float = 0.0,
+    anywhere: bool = False,
 ) -> Upstream | None:
     """Chooses the upstream that is to get a request now.
 
@@ -258,6 +259,7 @@
         readiness: How free an engine has to be.
         uses: How often the last shared part was asked for lately, at all
             routers.
+        anywhere: Whether its shared part may be read again at any engine.
 
     Returns:
         The upstream, or None if the request has to wait.
@@ -278,7 +280,7 @@
         (_weigh(one, now, prompt, engine, one in homes), one)
         for one in usable
         if _fits(one, prompt, engine)
-        and (one in homes or _is_cheap(one, prompt))
+        and (anywhere or one in homes or _is_cheap(one, prompt))
         and (
             _is_idle(one, engine)
             or (on_time and _read_wait(one, prompt, one in homes) <= limit)
--- a/sycamorefall/direct/tests/test_sharing.py
+++ b/sycamorefall/direct/tests/test_sharing.py
@@ -216,3 +216,30 @@
     )
     assert passed + streams.flush_rest(splitter) == text
     assert splitter.last_id == "8"
+
+
+def test_deprived_team_is_served_away_from_its_home():
+    # All parts of a small team lie with one engine that other teams keep
+    # full; the other engine has room. Refused again and again, the team gets
+    # nothing for seconds while others are served next door. A team that
+    # lacks nothing keeps to its homes, or every part is read everywhere.
+    parts = (("dossier", 5000),)
+    for most, expected in ((0.0, []), (90_000.0, ["trader"])):
+        state = fakes.create_state()
+        number, sent = fakes.take(
+            state, 0.0, "draft", team="trader", tokens=6000, parts=parts
+        )
+        core.cancel_request(state, number, 0.0)
+        home = state.table.by_name[sent.upstream]
+        home.own.running = 4
+        (other,) = [
+            one for one in state.table.by_service["engine"] if one is not home
+        ]
+        other.own.running, other.own.unread = 3, 3000
+        demand = messages.ServiceDemand("engine", (), floor=-1)
+        tell(create_exchange(), state, 0.0, sequence=1, services=(demand,))
+        state.accounts["engine"].most = most
+        fakes.take(state, 0.0, "draft", team="trader", tokens=6000, parts=parts)
+        early = core.run_timers(state, 0.1)
+        sent = fakes.find_sends(early + core.run_timers(state, 0.25))
+        assert [one.team for one in sent] == expected
--- a/sycamorefall/direct/waiting.py
+++ b/sycamorefall/direct/waiting.py
@@ -6,6 +6,8 @@
     "add_request",
     "charge_team",
     "find_floor",
+    "find_most",
+    "is_behind",
     "list_candidates",
     "list_own",
     "order_teams",
@@ -22,6 +24,10 @@
 """Seconds after which a team's past service counts half: about as long as a
 burst lasts, so that a team pays for a burst and not for its whole day."""
 
+BEHIND = 0.5
+"""Part of what the best served team received below which a team is behind:
+operators take less than half of it, over seconds, for unfair."""
+
 TRIES_PER_TEAM = 3
 """Requests of one team that are looked at in one pass: the first may be too
 long for the room there is while a shorter one behind it fits."""
@@ -36,6 +42,7 @@
         others: Sent by the other routers, as they last told.
         floor: Least that a team received that waits at another router;
             infinity if nothing waits there.
+        most: Most that any team received of all routers, as last added up.
     """
 
     own: dict[str, tuple[float, float]] = dataclasses.field(
@@ -43,6 +50,7 @@
     )
     others: dict[str, float] = dataclasses.field(default_factory=dict)
     floor: float = math.inf
+    most: float = 0.0
 
 
 @dataclasses.dataclass(slots=True)
@@ -79,6 +87,30 @@
     return amounts
 
 
+def find_most(accounts: TeamAccounts, now: float) -> float:
+    """Finds the most that any team received lately of all routers."""
+    own = list_own(accounts, now)
+    return max(
+        (
+            own.get(team, 0.0) + accounts.others.get(team, 0.0)
+            for team in own.keys() | accounts.others.keys()
+        ),
+        default=0.0,
+    )
+
+
+def is_behind(accounts: TeamAccounts, now: float, team: str) -> bool:
+    """Tells whether a team received less than half of what another did.
+
+    Example:
+        >>> accounts = TeamAccounts(most=100.0)
+        >>> charge_team(accounts, 0.0, "mill", 60.0)
+        >>> is_behind(accounts, 0.0, "mill"), is_behind(accounts, 0.0, "oil")
+        (False, True)
+    """
+    return read_service(accounts, now, team) < BEHIND * accounts.most
+
+
 def find_floor(room: WaitingRoom, accounts: TeamAccounts, now: float) -> float:
     """Finds the least that a team received that waits at this router."""
     return min(
