--- a/Makefile
+++ b/Makefile
@@ -4,7 +4,7 @@
 STAMP := $(VENV)/.installed
 
 .PHONY: setup test demo capacity lint format reference
-.PHONY: bench bench-control bench-decisions bench-admission
+.PHONY: days bench bench-control bench-decisions bench-admission
 
 $(STAMP): pyproject.toml
 	$(PYTHON) -m venv $(VENV)
@@ -45,3 +45,8 @@
 bench-admission: $(STAMP)
 	$(BIN)/python -m benchmarks.upstreams
 	$(BIN)/python -m benchmarks.admission --json admission.json
+
+# Plays days of trouble; needs the users' bench, whose path BENCH gives.
+days:
+	@test -n "$(BENCH)" -a -n "$(SITE)" || (echo "make days BENCH=.. SITE=.."; exit 2)
+	for day in deploy/days/*.toml; do "$(BENCH)" run "$(SITE)" $$day; done
