Metrics of direct sending; time to the first token in the log; come back at once

Callers that only this router can't serve (its proof of the configuration is too old) are told to come back after 0.1 s: the balancer gives their next connection to another router.

--- a/sycamorefall/direct/core.py
+++ b/sycamorefall/direct/core.py
@@ -34,6 +34,10 @@
 SILENCE_CHECK = 0.1
 """Seconds between two looks for upstreams that say nothing."""
 
+ELSEWHERE = 0.1
+"""Seconds after which a caller that only this router can't serve is to come
+back; enough for its next connection to reach another one."""
+
 SERVE_INTERVAL = 0.01
 """Seconds between two looks whether a waiting request can go: load that other
 routers report, and upstreams whose pause ended, call for no look."""
@@ -144,9 +148,7 @@
     judged = _admit(state, now, new)
     if isinstance(judged, result.Failure):
         kind = judged.failure()
-        pause = (
-            outcomes.draw_pause(state) if errors.ANSWERS[kind].retry else None
-        )
+        pause = _choose_pause(state, kind)
         return number, [effects.Fail(number, kind, pause)]
     route, team = judged.unwrap()
     left = route.timeout
@@ -180,6 +182,19 @@
     return number, []
 
 
+def _choose_pause(
+    state: state_module.DirectState, kind: errors.ErrorKind
+) -> float | None:
+    """Chooses when a refused caller is to come back, in seconds.
+
+    One that this router alone can't serve is to come back at once: it opens
+    a new connection, and the balancer gives that to another router.
+    """
+    if kind is errors.ErrorKind.NOT_READY:
+        return ELSEWHERE
+    return outcomes.draw_pause(state) if errors.ANSWERS[kind].retry else None
+
+
 def _read_elapsed(
     state: state_module.DirectState,
     route: catalog.Route,
--- a/sycamorefall/direct/daemon.py
+++ b/sycamorefall/direct/daemon.py
@@ -15,22 +15,21 @@
     errors,
     messages,
     observation,
+    pages,
     settings,
     transport,
 )
 from sycamorefall.direct import catalog as catalog_module
-from sycamorefall.direct import core, freshness, relay
+from sycamorefall.direct import core, freshness, metrics, relay
 from sycamorefall.direct import exchange as exchange_module
 from sycamorefall.direct import state as state_module
 from sycamorefall.direct import upstreams as upstreams_module
+from sycamorefall.observation import metrics as metrics_module
 
 CONNECT_TIMEOUT = 0.4
 """Seconds until a connection to an upstream or the platform is given up: a
 hundred times the way there and back, and half of the usual target latency."""
 
-READY_PATH = "/ready"
-"""Where the balancer asks whether the process takes connections."""
-
 LISTEN_ON = 2.6
 """Seconds that a stopping process still takes connections: the balancer asks
 each second and needs two bad answers to send callers elsewhere."""
@@ -243,13 +242,20 @@
 
 
 def _answer_operators(daemon: Daemon, call: transport.IncomingCall) -> None:
-    if call.path != READY_PATH:
-        call.fail(errors.ErrorKind.UNKNOWN_SERVICE)
-        return
-    reasons = core.find_unready(daemon.state, transport.read_clock())
-    body = ", ".join(reasons).encode() or b"ready"
-    headers = (("Content-Type", "text/plain"),)
-    call.respond(503 if reasons else 200, body, headers)
+    now = transport.read_clock()
+    match call.path:
+        case pages.READY_PATH:
+            reasons = core.find_unready(daemon.state, now)
+            body = ", ".join(reasons).encode() or b"ready"
+            status = 503 if reasons else 200
+            call.respond(status, body, (("Content-Type", "text/plain"),))
+        case pages.METRICS_PATH:
+            listed = metrics.list_metrics(daemon, now)
+            text = metrics_module.format_metrics(listed)
+            kind = (("Content-Type", metrics_module.CONTENT_TYPE),)
+            call.respond(200, text, kind)
+        case _:
+            call.fail(errors.ErrorKind.UNKNOWN_SERVICE)
 
 
 def _find_next_due(daemon: Daemon) -> float:
--- /dev/null
+++ b/sycamorefall/direct/metrics.py
@@ -0,0 +1,82 @@
+"""Metrics of a router that sends directly."""
+
+__all__ = ["list_metrics"]
+
+from collections.abc import Iterator
+from typing import TYPE_CHECKING
+
+from prometheus_client import metrics_core
+
+from sycamorefall.direct import upstreams as upstreams_module
+from sycamorefall.observation import metrics
+
+if TYPE_CHECKING:
+    from sycamorefall.direct import daemon as daemon_module
+
+
+def list_metrics(
+    daemon: "daemon_module.Daemon", now: float
+) -> Iterator[metrics_core.Metric]:
+    """Lists the metrics of a process.
+
+    Args:
+        daemon: The process.
+        now: This process's time.
+
+    Yields:
+        The metrics.
+    """
+    state, control = daemon.state, daemon.control
+    gauge, count = metrics.gauge_metric, metrics.count_metric
+    yield from metrics.describe_recorder(daemon.desk.recorder)
+    yield gauge("open", "In progress.", (), {(): len(state.requests)})
+    yield gauge(
+        "revision",
+        "Configuration in force.",
+        (),
+        {(): state.catalog.version if state.catalog else 0},
+    )
+    yield gauge(
+        "configuration_age_seconds",
+        "Since the last proof that the configuration was the newest.",
+        (),
+        {(): now - state.freshness.proven_at},
+    )
+    yield gauge(
+        "routers", "Routers heard, this one included.", (), {(): state.routers}
+    )
+    yield gauge(
+        "upstreams",
+        "Upstreams by service, and whether they get work.",
+        ("service", "usable"),
+        _count_upstreams(state.table, now),
+    )
+    yield count(
+        "control_bytes",
+        "Messages between routers.",
+        ("direction",),
+        {
+            ("sent",): control.bytes_sent,
+            ("received",): control.bytes_received,
+        },
+    )
+    yield count(
+        "control_lost",
+        "Control messages dropped or refused.",
+        ("cause",),
+        {("dropped",): control.dropped, ("refused",): control.refused},
+    )
+    yield count(
+        "log_dropped", "Log records lost.", (), {(): daemon.log.dropped}
+    )
+
+
+def _count_upstreams(
+    table: upstreams_module.UpstreamTable, now: float
+) -> dict[tuple[str, str], int]:
+    counts: dict[tuple[str, str], int] = {}
+    for service, group in table.by_service.items():
+        usable = sum(upstreams_module.is_usable(one, now) for one in group)
+        counts[service, "yes"] = usable
+        counts[service, "no"] = len(group) - usable
+    return counts
--- a/sycamorefall/direct/relay.py
+++ b/sycamorefall/direct/relay.py
@@ -174,6 +174,7 @@
         request.team if request else "",
         request_id=desk.dialect.read_id(call),
         route=request.route.name if request else "",
+        target=round(request.target_at - now, 3) if request else None,
     )
     streamed = request is not None and request.route.kind.streamed
     desk.deliveries[number] = _Delivery(call, streamed, track)
--- a/sycamorefall/observation/recorder.py
+++ b/sycamorefall/observation/recorder.py
@@ -57,7 +57,8 @@
         action: Its log action; None if the log's level leaves it out.
         attempt_id: Its last attempt.
         handed_at: When that was handed out.
-        piece_at: When the last piece of its answer came.
+        first_at: When the first piece of its answer came.
+        piece_at: When the last one came.
         pieces: Pieces of its answer so far.
         ended: Whether its end is recorded.
     """
@@ -68,6 +69,7 @@
     action: eliot.Action | None = None
     attempt_id: str = ""
     handed_at: float | None = None
+    first_at: float | None = None
     piece_at: float | None = None
     pieces: int = 0
     ended: bool = False
@@ -149,6 +151,7 @@
     """
     track.pieces += 1
     if track.piece_at is None:
+        track.first_at = now
         kind, since = histograms_module.TimeKind.FIRST_TOKEN, track.begun_at
     else:
         kind, since = histograms_module.TimeKind.BETWEEN_TOKENS, track.piece_at
@@ -187,10 +190,17 @@
             attempt=track.attempt_id,
             seconds=round(now - track.begun_at, 6),
             pieces=track.pieces,
+            first_seconds=_measure_first(track),
             **fields,
         )
 
 
+def _measure_first(track: Track) -> float | None:
+    if track.first_at is None:
+        return None
+    return round(track.first_at - track.begun_at, 6)
+
+
 def count_event(recorder: Recorder, event: str, detail: str = "") -> None:
     """Counts something that is no request's end.
 
--- a/sycamorefall/platform/tests/test_whole_path.py
+++ b/sycamorefall/platform/tests/test_whole_path.py
@@ -7,6 +7,7 @@
 import signal
 import socket
 import time
+import urllib.request
 
 import pytest
 
@@ -309,3 +310,23 @@
     again = site.add_router("front-a-1")
     assert time.monotonic() - began < 3.0
     assert ask(again, "/draft/x", prompt=True)[1] == 200
+
+
+def test_metrics_show_requests_by_team(site):
+    # An engineer on call asks how many requests of a team were answered, and
+    # how old the configuration is.
+    site.add_upstream("e1", "engine")
+    router = site.add_router()
+    ask(router, "/draft/x", prompt=True)
+    ask(router, "/draft/x", key="unknown", prompt=True)
+    url = f"http://127.0.0.1:{router.ready}/metrics"
+    with urllib.request.urlopen(url, timeout=2) as answer:
+        text = answer.read().decode()
+    assert re.search(
+        r'requests_total\{result="answered",service="engine"\} 1', text
+    ) or re.search(
+        r'requests_total\{service="engine",result="answered"\} 1', text
+    )
+    assert 'first_token_seconds_count{service="engine",team="mill"}' in text
+    age = re.search(r"\nsycamorefall_configuration_age_seconds (\S+)", text)
+    assert 0 <= float(age[1]) < 3
