Strengthen three tests that passed with their guard off

Seen by switching 31 guards off one at a time: an incarnation that is not learned, a watch trusted alone, and a late second answer went unnoticed.

--- a/standins/site.py
+++ b/standins/site.py
@@ -130,7 +130,9 @@
         fail: Answers 500 after running the request.
         cut_after: Breaks a stream off, inside an event, after so many.
         hang: Runs requests and never answers.
-        extra: Sends the answer to a request a second time, late.
+        extra: Sends the answer to a request twice.
+        repeat: Sends it again before the next answer on its connection.
+        repeated: How often it did.
         pause: Seconds between two events.
     """
 
@@ -145,12 +147,18 @@
     cut_after: int | None = None
     hang: bool = False
     extra: bool = False
+    repeat: bool = False
+    repeated: int = 0
     pause: float = 0.01
+    _last: dict[asyncio.StreamWriter, bytes] = dataclasses.field(
+        default_factory=dict
+    )
 
     async def serve(
         self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter
     ) -> None:
         """Serves one connection."""
+        self._last[writer] = b""
         with contextlib.suppress(ConnectionError, asyncio.IncompleteReadError):
             while True:
                 head = await reader.readuntil(b"\r\n\r\n")
@@ -195,6 +203,12 @@
         answer = (
             f"HTTP/1.1 {status}\r\n{stamp}Content-Length: {len(text)}\r\n\r\n"
         ).encode() + text
+        if self.repeat and self._last[writer]:
+            self.repeated += 1
+            writer.write(self._last[writer])
+            await writer.drain()
+            await asyncio.sleep(0.01)
+        self._last[writer] = answer
         writer.write(answer)
         if self.extra:
             writer.write(answer)
--- a/sycamorefall/direct/tests/test_outcomes.py
+++ b/sycamorefall/direct/tests/test_outcomes.py
@@ -82,6 +82,10 @@
     outcomes.end_attempt(state, 0.01, number, AttemptEnd.OTHER_INCARNATION)
     _, sent = fakes.take(state, 0.02, "book")
     assert sent is None
+    core.run_timers(state, 0.9)
+    assert not state.requests
+    _, sent = fakes.take(state, 1.0, "book")
+    assert sent is None
 
 
 def test_refused_connection_teaches_all_requests():
--- a/sycamorefall/platform/tests/test_whole_path.py
+++ b/sycamorefall/platform/tests/test_whole_path.py
@@ -135,6 +135,18 @@
     )
 
 
+def test_change_is_seen_though_watches_say_nothing(site):
+    # The platform's watches wait on as if nothing had changed, though a key
+    # was taken away. Its holder must not go on for as long as a watch waits.
+    site.add_upstream("e1", "engine")
+    router = site.add_router()
+    site.store.deaf = True
+    put_configuration(site, 9, {"trader": ["k-trader"]})
+    site_module.wait_until(
+        lambda: ask(router, "/draft/x", prompt=True)[1] == 401, 2.0
+    )
+
+
 def test_bad_documents_are_told_and_the_last_good_ones_stay(site):
     # An operator's tool writes nonsense. Callers must notice nothing, and
     # the log must say which document and why.
@@ -230,6 +242,18 @@
         assert (status, answer) == (200, f"/look/x {request} 0".encode())
 
 
+def test_answer_that_comes_twice_and_late_is_skipped(site):
+    # A ledger sends an answer again where the answer to the next request is
+    # expected. The next caller must get its own, not the earlier one's.
+    ledger = site.add_upstream("l1", "ledger")
+    ledger.repeat = True
+    router = site.add_router()
+    for _ in range(5):
+        request, status, _, answer = ask(router, "/look/x", "")
+        assert (status, answer) == (200, f"/look/x {request} 0".encode())
+    assert ledger.repeated
+
+
 def test_caller_that_leaves_ends_its_run(site):
     # A caller closes its connection before its answer. The upstream must
     # see that within half a second, or it works for nobody.
