--- a/sycamorefall/direct/core.py
+++ b/sycamorefall/direct/core.py
@@ -24,7 +24,7 @@
     effects,
     freshness,
     outcomes,
-    placing,
+    prompts,
     upstreams,
 )
 from sycamorefall.direct import (
@@ -169,7 +169,7 @@
     state.requests[number] = request
     if new.prompt is not None:
         key = new.prompt.home_key
-        request.part_uses = placing.note_use(state.uses, now, key)
+        request.part_uses = prompts.note_use(state.uses, now, key)
     budget.count_request(dispatching.find_budget(state, request.service), now)
     heapq.heappush(state.deadlines, (request.answer_by, number))
     heapq.heappush(state.deadlines, (request.give_up_at, number))
@@ -220,9 +220,9 @@
     request = state.requests.get(number)
     if request is None:
         return []
-    return outcomes.drop_attempt(state, request, now) + outcomes.forget_request(
-        state, request
-    )
+    aborted = outcomes.drop_attempt(state, request, now)
+    outcomes.forget_request(state, request)
+    return aborted
 
 
 def run_timers(
--- a/sycamorefall/direct/dispatching.py
+++ b/sycamorefall/direct/dispatching.py
@@ -15,6 +15,7 @@
     effects,
     freshness,
     placing,
+    prompts,
     upstreams,
     waiting,
 )
@@ -90,18 +91,17 @@
         return []
     if request.team and not freshness.is_fresh(state.freshness, now):
         return []
-    chosen = placing.choose_upstream(
-        state.table,
-        now,
-        service,
+    need = placing.Need(
         request.new.prompt,
         request.target_at - now,
         request.tried,
-        state.failure_domain,
         _choose_readiness(state, now, request),
         request.part_uses * state.routers,
         _is_deprived(state, now, request),
     )
+    chosen = placing.choose_upstream(
+        state.table, now, service, need, state.failure_domain
+    )
     if chosen is None:
         return []
     if request.sends and not budget.take_retry(
@@ -173,7 +173,7 @@
         attempt.memory = prompt.tokens + prompt.output
         chosen.own.memory += attempt.memory
         placing.note_prompt(chosen, prompt, service.engine)
-        cost = prompt.tokens + placing.OUTPUT_WEIGHT * prompt.output
+        cost = prompt.tokens + prompts.OUTPUT_WEIGHT * prompt.output
         accounts = state_module.find_accounts(state, request.service)
         waiting.charge_team(accounts, now, request.team, cost)
     return effects.SendTo(
--- a/sycamorefall/direct/outcomes.py
+++ b/sycamorefall/direct/outcomes.py
@@ -96,11 +96,10 @@
 
 def forget_request(
     state: state_module.DirectState, request: state_module.Request
-) -> list[effects.Effect]:
+) -> None:
     """Forgets a request that is answered or whose caller has gone."""
     dispatching.leave_room(state, request)
     state.requests.pop(request.number, None)
-    return []
 
 
 def drop_attempt(
@@ -190,7 +189,8 @@
     if end in _RAN:
         request.runs += 1
     if end is AttemptEnd.COMPLETE:
-        return forget_request(state, request)
+        forget_request(state, request)
+        return []
     if _may_go_again(request, end):
         again = dispatching.try_send(state, now, request)
         if again:
--- a/sycamorefall/direct/placing.py
+++ b/sycamorefall/direct/placing.py
@@ -7,24 +7,21 @@
 """
 
 __all__ = [
-    "PartUses",
-    "Prompt",
+    "Need",
     "Readiness",
     "choose_upstream",
     "count_missing",
     "note_prompt",
-    "note_use",
 ]
 
-import collections
 from collections.abc import Collection
 import dataclasses
 import enum
 import hashlib
 import itertools
-import math
 
 from sycamorefall.direct import catalog as catalog_module
+from sycamorefall.direct import prompts
 from sycamorefall.direct import upstreams as upstreams_module
 from sycamorefall.direct.upstreams import Upstream
 
@@ -42,15 +39,6 @@
 """Uses of a shared part in the last seconds from which on another engine is
 to hold it too: about a sixth of what one engine can serve of long prompts."""
 
-MOST_PARTS = 20_000
-"""Parts whose uses are counted: 4 MB."""
-
-OUTPUT_WEIGHT = 2
-"""What a token that is made costs, in tokens that are read."""
-
-USE_MEMORY = 10.0
-"""Seconds over which the uses of a part are counted."""
-
 HOME_TRUST = 0.6
 """Part of a shared prompt that its home is taken to hold if this router did
 not send it there: others may have, or it may have been pushed out."""
@@ -97,74 +85,30 @@
 
 
 @dataclasses.dataclass(slots=True, frozen=True)
-class Prompt:
-    """What a request asks of an engine.
-
-    Attributes:
-        tokens: Tokens of the whole prompt.
-        output: Tokens it is expected to make.
-        parts: Parts of the prompt in order, with their tokens; the last one
-            is the request's own.
-    """
-
-    tokens: int
-    output: int
-    parts: tuple[tuple[str, int], ...] = ()
-
-    @property
-    def home_key(self) -> str:
-        """The last part that other requests share; empty if there is none."""
-        return self.parts[-2][0] if len(self.parts) > 1 else ""
-
-    @property
-    def shared(self) -> int:
-        """Tokens of the parts that other requests share."""
-        return sum(tokens for _, tokens in self.parts[:-1])
-
-    @property
-    def own_work(self) -> int:
-        """Cost units of what no other request shares."""
-        return self.tokens - self.shared + OUTPUT_WEIGHT * self.output
-
-
-@dataclasses.dataclass(slots=True)
-class PartUses:
-    """How often shared parts were asked for lately at this router.
+class Need:
+    """What a request needs of an upstream now.
 
     Attributes:
-        uses: By part: a count that decays, and when it was last brought up
-            to date. The least recently used come first.
+        prompt: What it asks of an engine, if it is for one.
+        time_left: Seconds until its answer is to begin. One that can't be on
+            time anywhere goes to an engine that has little to do.
+        tried: Upstreams that had it before.
+        readiness: How free an engine has to be.
+        uses: How often its last shared part was asked for lately, at all
+            routers.
+        anywhere: Whether that part may be read again at any engine.
     """
 
-    uses: collections.OrderedDict[str, tuple[float, float]] = dataclasses.field(
-        default_factory=collections.OrderedDict
-    )
-
-
-def note_use(uses: PartUses, now: float, key: str) -> float:
-    """Counts a use of a part.
-
-    Args:
-        uses: The counts; changed.
-        now: This process's time.
-        key: The part; an empty one is not counted.
-
-    Returns:
-        Uses of the part over about `USE_MEMORY` seconds, this one included.
-    """
-    if not key:
-        return 0.0
-    count, since = uses.uses.get(key, (0.0, now))
-    count = count * math.exp((since - now) / USE_MEMORY) + 1.0
-    uses.uses[key] = (count, now)
-    uses.uses.move_to_end(key)
-    while len(uses.uses) > MOST_PARTS:
-        uses.uses.popitem(last=False)
-    return count
+    prompt: prompts.Prompt | None
+    time_left: float
+    tried: Collection[str] = ()
+    readiness: Readiness = Readiness.ON_TIME
+    uses: float = 0.0
+    anywhere: bool = False
 
 
 def note_prompt(
-    upstream: Upstream, prompt: Prompt, engine: catalog_module.Engine
+    upstream: Upstream, prompt: prompts.Prompt, engine: catalog_module.Engine
 ) -> None:
     """Takes note that an engine reads a prompt.
 
@@ -182,7 +126,9 @@
         held -= parts.popitem(last=False)[1]
 
 
-def count_missing(upstream: Upstream, prompt: Prompt, home: bool) -> int:
+def count_missing(
+    upstream: Upstream, prompt: prompts.Prompt, home: bool
+) -> int:
     """Counts the tokens that an engine will have to read.
 
     Args:
@@ -219,7 +165,7 @@
         return []
     ranked = table.rankings.get((service, key))
     if ranked is None:
-        if len(table.rankings) >= MOST_PARTS:
+        if len(table.rankings) >= prompts.MOST_PARTS:
             table.rankings.clear()
         group = upstreams_module.list_upstreams(table, service)
         ranked = sorted(group, key=lambda one: _draw(key, one), reverse=True)
@@ -237,13 +183,8 @@
     table: upstreams_module.UpstreamTable,
     now: float,
     service: catalog_module.Service,
-    prompt: Prompt | None,
-    time_left: float,
-    tried: Collection[str],
+    need: Need,
     failure_domain: str,
-    readiness: Readiness = Readiness.ON_TIME,
-    uses: float = 0.0,
-    anywhere: bool = False,
 ) -> Upstream | None:
     """Chooses the upstream that is to get a request now.
 
@@ -251,15 +192,8 @@
         table: All upstreams.
         now: This process's time.
         service: The request's service.
-        prompt: Its prompt, if it is for engines.
-        time_left: Seconds until its answer is to begin. One that can't be on
-            time anywhere goes to an engine that has little to do.
-        tried: Upstreams that had it before.
+        need: What the request needs.
         failure_domain: Where this router stands.
-        readiness: How free an engine has to be.
-        uses: How often the last shared part was asked for lately, at all
-            routers.
-        anywhere: Whether its shared part may be read again at any engine.
 
     Returns:
         The upstream, or None if the request has to wait.
@@ -268,19 +202,30 @@
     usable = [
         one
         for one in group
-        if one.listed.name not in tried and upstreams_module.is_usable(one, now)
+        if one.listed.name not in need.tried
+        and upstreams_module.is_usable(one, now)
     ]
-    if prompt is None or service.engine is None:
+    if need.prompt is None or service.engine is None:
         return _choose_plain(usable, now, failure_domain)
-    homes = _list_homes(table, service.name, prompt.home_key, usable, uses)
-    engine = service.engine
-    limit = time_left - FIRST_STEP
-    on_time = readiness is Readiness.ON_TIME
+    return _choose_engine(table, now, service, need, usable)
+
+
+def _choose_engine(
+    table: upstreams_module.UpstreamTable,
+    now: float,
+    service: catalog_module.Service,
+    need: Need,
+    usable: list[Upstream],
+) -> Upstream | None:
+    prompt, engine = need.prompt, service.engine
+    homes = _list_homes(table, service.name, prompt.home_key, usable, need.uses)
+    limit = need.time_left - FIRST_STEP
+    on_time = need.readiness is Readiness.ON_TIME
     costs = [
         (_weigh(one, now, prompt, engine, one in homes), one)
         for one in usable
         if _fits(one, prompt, engine)
-        and (anywhere or one in homes or _is_cheap(one, prompt))
+        and (need.anywhere or one in homes or _is_cheap(one, prompt))
         and (
             _is_idle(one, engine)
             or (on_time and _read_wait(one, prompt, one in homes) <= limit)
@@ -304,7 +249,9 @@
     return min(room, key=weigh, default=None)
 
 
-def _fits(one: Upstream, prompt: Prompt, engine: catalog_module.Engine) -> bool:
+def _fits(
+    one: Upstream, prompt: prompts.Prompt, engine: catalog_module.Engine
+) -> bool:
     """Tells whether an engine would run a request at once.
 
     Engines take whatever they are sent and know no order but that of
@@ -316,12 +263,12 @@
     return not one.running or memory <= MEMORY_SHARE * engine.memory_tokens
 
 
-def _is_cheap(one: Upstream, prompt: Prompt) -> bool:
+def _is_cheap(one: Upstream, prompt: prompts.Prompt) -> bool:
     """Tells whether little of a prompt would be read again at an engine."""
     return _count_again(one, prompt, False) <= AGAIN_SHARE * prompt.own_work
 
 
-def _count_again(one: Upstream, prompt: Prompt, home: bool) -> int:
+def _count_again(one: Upstream, prompt: prompts.Prompt, home: bool) -> int:
     own = prompt.tokens - prompt.shared
     return max(0, count_missing(one, prompt, home) - own)
 
@@ -333,7 +280,7 @@
     )
 
 
-def _read_wait(one: Upstream, prompt: Prompt, home: bool) -> float:
+def _read_wait(one: Upstream, prompt: prompts.Prompt, home: bool) -> float:
     """Estimates the seconds until an engine has read a prompt."""
     return (one.unread + count_missing(one, prompt, home)) / one.reading_rate
 
@@ -341,7 +288,7 @@
 def _weigh(
     one: Upstream,
     now: float,
-    prompt: Prompt,
+    prompt: prompts.Prompt,
     engine: catalog_module.Engine,
     home: bool,
 ) -> float:
--- /dev/null
+++ b/sycamorefall/direct/prompts.py
@@ -0,0 +1,83 @@
+"""What requests ask of engines, and how often their shared parts are used."""
+
+__all__ = ["MOST_PARTS", "OUTPUT_WEIGHT", "PartUses", "Prompt", "note_use"]
+
+import collections
+import dataclasses
+import math
+
+MOST_PARTS = 20_000
+"""Parts whose uses are counted: 4 MB."""
+
+OUTPUT_WEIGHT = 2
+"""What a token that is made costs, in tokens that are read."""
+
+USE_MEMORY = 10.0
+"""Seconds over which the uses of a part are counted."""
+
+
+@dataclasses.dataclass(slots=True, frozen=True)
+class Prompt:
+    """What a request asks of an engine.
+
+    Attributes:
+        tokens: Tokens of the whole prompt.
+        output: Tokens it is expected to make.
+        parts: Parts of the prompt in order, with their tokens; the last one
+            is the request's own.
+    """
+
+    tokens: int
+    output: int
+    parts: tuple[tuple[str, int], ...] = ()
+
+    @property
+    def home_key(self) -> str:
+        """The last part that other requests share; empty if there is none."""
+        return self.parts[-2][0] if len(self.parts) > 1 else ""
+
+    @property
+    def shared(self) -> int:
+        """Tokens of the parts that other requests share."""
+        return sum(tokens for _, tokens in self.parts[:-1])
+
+    @property
+    def own_work(self) -> int:
+        """Cost units of what no other request shares."""
+        return self.tokens - self.shared + OUTPUT_WEIGHT * self.output
+
+
+@dataclasses.dataclass(slots=True)
+class PartUses:
+    """How often shared parts were asked for lately at this router.
+
+    Attributes:
+        uses: By part: a count that decays, and when it was last brought up
+            to date. The least recently used come first.
+    """
+
+    uses: collections.OrderedDict[str, tuple[float, float]] = dataclasses.field(
+        default_factory=collections.OrderedDict
+    )
+
+
+def note_use(uses: PartUses, now: float, key: str) -> float:
+    """Counts a use of a part.
+
+    Args:
+        uses: The counts; changed.
+        now: This process's time.
+        key: The part; an empty one is not counted.
+
+    Returns:
+        Uses of the part over about `USE_MEMORY` seconds, this one included.
+    """
+    if not key:
+        return 0.0
+    count, since = uses.uses.get(key, (0.0, now))
+    count = count * math.exp((since - now) / USE_MEMORY) + 1.0
+    uses.uses[key] = (count, now)
+    uses.uses.move_to_end(key)
+    while len(uses.uses) > MOST_PARTS:
+        uses.uses.popitem(last=False)
+    return count
--- a/sycamorefall/direct/state.py
+++ b/sycamorefall/direct/state.py
@@ -15,7 +15,7 @@
 from sycamorefall import settings
 from sycamorefall.direct import (
     budget,
-    placing,
+    prompts,
     upstreams,
     waiting,
 )
@@ -39,7 +39,7 @@
     path: str
     key: str = ""
     time_left: float | None = None
-    prompt: placing.Prompt | None = None
+    prompt: prompts.Prompt | None = None
 
 
 @dataclasses.dataclass(slots=True)
@@ -149,7 +149,7 @@
         default_factory=dict
     )
     deadlines: list[tuple[float, int]] = dataclasses.field(default_factory=list)
-    uses: placing.PartUses = dataclasses.field(default_factory=placing.PartUses)
+    uses: prompts.PartUses = dataclasses.field(default_factory=prompts.PartUses)
     patience: dict[str, float] = dataclasses.field(default_factory=dict)
     routers: int = 1
     stopping: bool = False
--- a/sycamorefall/direct/tests/fakes.py
+++ b/sycamorefall/direct/tests/fakes.py
@@ -1,7 +1,7 @@
 """A router's decisions with a small catalog, for the tests of this package."""
 
 from sycamorefall import settings
-from sycamorefall.direct import catalog, core, effects, placing, upstreams
+from sycamorefall.direct import catalog, core, effects, prompts, upstreams
 from sycamorefall.direct import freshness as freshness_module
 from sycamorefall.direct import state as state_module
 
@@ -76,7 +76,7 @@
     prompt = None
     if _KINDS[route].streamed:
         own = tokens - sum(size for _, size in parts)
-        prompt = placing.Prompt(tokens, 50, (*parts, ("own", own)))
+        prompt = prompts.Prompt(tokens, 50, (*parts, ("own", own)))
     return state_module.NewRequest(
         HOST, f"/{route}/x", f"key-{team}" if team else "", time_left, prompt
     )
--- a/sycamorefall/direct/upstreams.py
+++ b/sycamorefall/direct/upstreams.py
@@ -8,7 +8,6 @@
     "bar_upstream",
     "end_probe",
     "is_usable",
-    "iterate_busy",
     "list_upstreams",
     "note_failure",
     "note_other_incarnation",
@@ -19,7 +18,7 @@
 ]
 
 import collections
-from collections.abc import Iterable, Iterator
+from collections.abc import Iterable
 import dataclasses
 import enum
 
@@ -297,8 +296,3 @@
     if upstream._health is _Health.PROBING:
         bar_upstream(upstream, now)
     _rate(upstream, now, 1.0)
-
-
-def iterate_busy(table: UpstreamTable) -> Iterator[Upstream]:
-    """Iterates over the upstreams that run requests of this router."""
-    return (one for one in table.by_name.values() if one.own.running)
--- a/sycamorefall/platform/headers.py
+++ b/sycamorefall/platform/headers.py
@@ -5,7 +5,7 @@
 from returns import result
 
 from sycamorefall import transport
-from sycamorefall.direct import effects, placing, relay
+from sycamorefall.direct import effects, prompts, relay
 from sycamorefall.direct import state as state_module
 
 _ID = "Attempt-Id"
@@ -91,7 +91,7 @@
         return result.Failure(f"header: {fault}")
 
 
-def _read_prompt(headers: transport.RequestHeaders) -> placing.Prompt | None:
+def _read_prompt(headers: transport.RequestHeaders) -> prompts.Prompt | None:
     usage = headers.get("Token-Usage")
     if usage is None:
         return None
@@ -103,7 +103,7 @@
         for entry in headers.get("Prompt-Prefix", "").split(",")
         if entry.strip()
     ]
-    return placing.Prompt(
+    return prompts.Prompt(
         int(tokens),
         output,
         tuple((key, int(size)) for key, _, size in parts),
--- a/sycamorefall/settings.py
+++ b/sycamorefall/settings.py
@@ -198,14 +198,12 @@
         retry_ratio: Second sends to a service allowed for each request.
         retry_extra: Second sends allowed besides, of all routers together.
         retry_window: Seconds over which both are counted.
-        grace: Seconds from SIGTERM until the process is killed.
     """
 
     revocation: Positive = 5.0
     retry_ratio: NotNegative = 0.2
     retry_extra: NotNegative = 50.0
     retry_window: Positive = 10.0
-    grace: Positive = 8.0
 
 
 class DirectSettings(msgspec.Struct, frozen=True, forbid_unknown_fields=True):
