Keep to the fleet's budget when no other router is heard; forget replaced ones

Cause, found in reading: the fixed part of the second sends was divided by the routers heard at the moment, so one that is cut off took the whole of it, and links to replaced VMs were kept for ever. Tests failed first on both.

--- /dev/null
+++ b/standins/wire_upstream.py
@@ -0,0 +1,122 @@
+"""Engines and plain services, as stand-ins that speak the platform's wire."""
+
+__all__ = ["Upstream"]
+
+import asyncio
+import contextlib
+import dataclasses
+
+
+@dataclasses.dataclass
+class Upstream:
+    """A model engine or a plain service.
+
+    Attributes:
+        name: Its incarnation.
+        port: Where it listens on loopback.
+        runs: What it ran: request id and the headers that came with it.
+        refuse: Answers 503 and says that it did not run the request.
+        fail: Answers 500 after running the request.
+        cut_after: Breaks a stream off, inside an event, after so many.
+        hang: Runs requests and never answers.
+        extra: Sends the answer to a request twice.
+        repeat: Sends it again before the next answer on its connection.
+        repeated: How often it did.
+        pause: Seconds between two events.
+    """
+
+    name: str
+    port: int = 0
+    runs: list[tuple[str, dict[str, str]]] = dataclasses.field(
+        default_factory=list
+    )
+    gone: list[str] = dataclasses.field(default_factory=list)
+    refuse: bool = False
+    fail: bool = False
+    cut_after: int | None = None
+    hang: bool = False
+    extra: bool = False
+    repeat: bool = False
+    repeated: int = 0
+    pause: float = 0.01
+    _last: dict[asyncio.StreamWriter, bytes] = dataclasses.field(
+        default_factory=dict
+    )
+
+    async def serve(
+        self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter
+    ) -> None:
+        """Serves one connection."""
+        self._last[writer] = b""
+        with contextlib.suppress(ConnectionError, asyncio.IncompleteReadError):
+            while True:
+                head = await reader.readuntil(b"\r\n\r\n")
+                lines = head.decode("latin-1").split("\r\n")
+                headers = {
+                    name.strip().lower(): value.strip()
+                    for name, _, value in (
+                        line.partition(":") for line in lines[1:] if line
+                    )
+                }
+                size = int(headers.get("content-length", "0"))
+                body = await reader.readexactly(size)
+                await self._answer(lines[0], headers, body, reader, writer)
+        writer.close()
+
+    async def _answer(self, line, headers, body, reader, writer) -> None:
+        request = headers.get("attempt-id", "")
+        if headers.get("expect-instance") != self.name:
+            writer.write(
+                b"HTTP/1.1 421 Misdirected Request\r\nInstance-Id: "
+                + self.name.encode()
+                + b"\r\nContent-Length: 0\r\n\r\n"
+            )
+            return
+        if self.refuse:
+            writer.write(
+                b"HTTP/1.1 503 Busy\r\nNot-Executed: 1\r\n"
+                b"Content-Length: 0\r\n\r\n"
+            )
+            return
+        self.runs.append((request, headers))
+        if self.hang:
+            if not await reader.read(1):
+                self.gone.append(request)
+            return
+        stamp = f"Attempt-Id: {request}\r\nServer-Stamp: s.{self.name}\r\n"
+        if "prompt-prefix" in headers:
+            await self._stream(stamp, headers, reader, writer)
+            return
+        text = f"{line.split()[1]} {request} {len(body)}".encode()
+        status = "500 Failed" if self.fail else "200 OK"
+        answer = (
+            f"HTTP/1.1 {status}\r\n{stamp}Content-Length: {len(text)}\r\n\r\n"
+        ).encode() + text
+        if self.repeat and self._last[writer]:
+            self.repeated += 1
+            writer.write(self._last[writer])
+            await writer.drain()
+            await asyncio.sleep(0.01)
+        self._last[writer] = answer
+        writer.write(answer)
+        if self.extra:
+            writer.write(answer)
+
+    async def _stream(self, stamp, headers, reader, writer) -> None:
+        count = int(headers["token-usage"].split(",")[1])
+        first = int(headers.get("last-event-id", "0")) + 1
+        writer.write(
+            f"HTTP/1.1 200 OK\r\n{stamp}Content-Type: text/event-stream\r\n"
+            "Transfer-Encoding: chunked\r\n\r\n".encode()
+        )
+        request = headers["attempt-id"]
+        for number in range(first, count + 1):
+            event = f"id: {number}\ndata: {request}/{number}\n\n".encode()
+            if self.cut_after is not None and number > self.cut_after:
+                writer.write(b"%x\r\n%b" % (len(event), event[:7]))
+                await writer.drain()
+                raise ConnectionResetError
+            writer.write(b"%x\r\n%b\r\n" % (len(event), event))
+            await writer.drain()
+            await asyncio.sleep(self.pause)
+        writer.write(b"0\r\n\r\n")
--- a/sycamorefall/direct/budget.py
+++ b/sycamorefall/direct/budget.py
@@ -4,7 +4,7 @@
 and within an even part of the fixed one, so no message has to be exchanged.
 """
 
-__all__ = ["RetryBudget", "count_request", "set_routers", "take_retry"]
+__all__ = ["RetryBudget", "count_request", "note_routers", "take_retry"]
 
 import collections
 import dataclasses
@@ -12,6 +12,10 @@
 STEP = 0.5
 """Seconds of one count; the window slides by this."""
 
+FEWEST_ROUTERS = 4
+"""Routers that share the fixed part until more are heard: after a start, or
+cut off from all others, a router would otherwise take the whole of it."""
+
 SAFETY = 0.8
 """Part of the allowance that is used: requests that are counted here as they
 arrive are counted elsewhere as they are sent, and windows there begin at any
@@ -26,13 +30,15 @@
         ratio: Second sends allowed for each request.
         extra: Second sends of all routers that are always allowed.
         window: Its length in seconds.
-        routers: Routers that share `extra`.
+        routers: Most routers that were known to share `extra`. A router that
+            is cut off from the others hears none of them, but they still
+            send; so a number once seen is kept.
     """
 
     ratio: float
     extra: float
     window: float
-    routers: int = 1
+    routers: int = FEWEST_ROUTERS
     _requests: collections.deque = dataclasses.field(
         default_factory=collections.deque
     )
@@ -41,9 +47,9 @@
     )
 
 
-def set_routers(budget: RetryBudget, routers: int) -> None:
-    """Sets how many routers share the fixed part."""
-    budget.routers = max(1, routers)
+def note_routers(budget: RetryBudget, routers: int) -> None:
+    """Takes note of how many routers are heard."""
+    budget.routers = max(budget.routers, routers)
 
 
 def _count(counts: collections.deque, now: float) -> None:
@@ -77,7 +83,7 @@
         Whether it may be made.
 
     Example:
-        >>> budget = RetryBudget(ratio=0.2, extra=5, window=10)
+        >>> budget = RetryBudget(ratio=0.2, extra=20, window=10)
         >>> [take_retry(budget, 1.0) for _ in range(5)]
         [True, True, True, True, False]
     """
--- a/sycamorefall/direct/dispatching.py
+++ b/sycamorefall/direct/dispatching.py
@@ -50,7 +50,7 @@
         known = state.budgets[service] = budget.RetryBudget(
             bounds.retry_ratio, bounds.retry_extra, bounds.retry_window
         )
-    budget.set_routers(known, state.routers)
+    budget.note_routers(known, state.routers)
     return known
 
 
--- a/sycamorefall/direct/exchange.py
+++ b/sycamorefall/direct/exchange.py
@@ -35,6 +35,10 @@
 """Seconds after which a router that says nothing counts as gone, and its load
 with it: two idle messages and a half."""
 
+FORGET_AFTER = 60.0
+"""Seconds after which a router that is not heard is forgotten, its link too:
+VMs are replaced every day, and a process would keep a link to each."""
+
 LEAST_AMOUNT = 50
 """Cost units below which a team's past service is not worth its bytes."""
 
@@ -45,13 +49,13 @@
 
     Attributes:
         control: Where its control messages go.
-        heard_at: When it was last heard; minus infinity if never.
+        heard_at: When it was last heard, or heard of if it never was.
         incarnation: The process that was heard.
         load: What it told last.
     """
 
     control: str
-    heard_at: float = -math.inf
+    heard_at: float
     incarnation: int = 0
     load: messages.RouterLoad | None = None
 
@@ -110,7 +114,7 @@
     load = envelope.message
     if envelope.sender == exchange.vm:
         return
-    peer = exchange.peers.setdefault(envelope.sender, Peer(load.control))
+    peer = exchange.peers.setdefault(envelope.sender, Peer(load.control, now))
     if envelope.incarnation < peer.incarnation:
         return
     same = envelope.incarnation == peer.incarnation and peer.load is not None
@@ -120,7 +124,7 @@
     peer.incarnation, peer.load = envelope.incarnation, load
     for other in load.routers:
         if other.vm != exchange.vm:
-            exchange.peers.setdefault(other.vm, Peer(other.control))
+            exchange.peers.setdefault(other.vm, Peer(other.control, now))
     _add_up(exchange, state, now)
 
 
@@ -219,7 +223,7 @@
     return tuple(
         messages.RouterAddress(name, peer.control)
         for name, peer in exchange.peers.items()
-        if now - peer.heard_at < PEER_TIMEOUT
+        if peer.load is not None
     )
 
 
@@ -234,6 +238,13 @@
     ]
     for peer in silent:
         peer.load = None
+    gone = [
+        name
+        for name, peer in exchange.peers.items()
+        if now - peer.heard_at >= FORGET_AFTER
+    ]
+    for name in gone:
+        del exchange.peers[name]
     if silent:
         _add_up(exchange, state, now)
 
--- a/sycamorefall/direct/tests/test_sharing.py
+++ b/sycamorefall/direct/tests/test_sharing.py
@@ -162,14 +162,14 @@
         strategies.tuples(strategies.floats(0, 0.4), strategies.booleans()),
         max_size=200,
     ),
-    routers=strategies.integers(1, 8),
+    routers=strategies.integers(1, 12),
 )
 def test_second_sends_stay_within_the_budget_of_all_routers(times, routers):
     # An upstream fails, every router tries its requests again, and the
     # service gets a multiple of its traffic just when it is weak. In every
     # window the second sends of all routers stay within one allowance.
     kept = budget.RetryBudget(ratio=0.2, extra=16, window=10)
-    budget.set_routers(kept, routers)
+    budget.note_routers(kept, routers)
     now, requests, retries = 0.0, [], []
     for pause, again in times:
         now += pause
@@ -182,7 +182,9 @@
     for end in retries:
         span = [at for at in retries if end - 10 < at <= end]
         asked = [at for at in requests if end - 10 - budget.STEP < at <= end]
-        assert len(span) <= 0.2 * len(asked) + 16 / routers
+        assert len(span) <= 0.2 * len(asked) + 16 / max(
+            routers, budget.FEWEST_ROUTERS
+        )
 
 
 def test_broken_stream_ends_with_a_whole_event_and_goes_on_after_it():
@@ -243,3 +245,27 @@
         early = core.run_timers(state, 0.1)
         sent = fakes.find_sends(early + core.run_timers(state, 0.25))
         assert [one.team for one in sent] == expected
+
+
+def test_router_that_hears_nobody_does_not_take_the_whole_budget():
+    # A router is cut off from the others while a service fails. Each of them
+    # sends its part of the second sends; had this one taken the whole, the
+    # failing service would get a multiple of its allowance.
+    kept = budget.RetryBudget(ratio=0.2, extra=56, window=10)
+    budget.note_routers(kept, 7)
+    budget.note_routers(kept, 1)
+    taken = sum(budget.take_retry(kept, 1.0) for _ in range(100))
+    assert taken <= 56 / 7
+    alone = budget.RetryBudget(ratio=0.2, extra=56, window=10)
+    budget.note_routers(alone, 1)
+    taken = sum(budget.take_retry(alone, 1.0) for _ in range(100))
+    assert taken <= 56 / budget.FEWEST_ROUTERS
+
+
+def test_router_that_was_replaced_is_forgotten():
+    # VMs are replaced all day. A router that kept a link to each would run
+    # out of descriptors after some months.
+    state, told = fakes.create_state(), create_exchange()
+    tell(told, state, 0.0, sequence=1)
+    exchange.write_load(told, state, exchange.FORGET_AFTER)
+    assert "front-2" not in exchange.list_peers(told)
--- a/tests/reference.py
+++ b/tests/reference.py
@@ -25,6 +25,7 @@
     "listen": settings.ListenSettings,
     "platform": settings.PlatformSettings,
     "peers": settings.PeerSettings,
+    "bounds": settings.BoundSettings,
     "upstream": settings.UpstreamSettings,
     "limits": settings.LimitSettings,
     "security": settings.SecuritySettings,
