--- a/sycamorefall/direct/exchange.py
+++ b/sycamorefall/direct/exchange.py
@@ -193,16 +193,16 @@
     exchange.sequence += 1
     _forget_silent(exchange, state, now)
     loads = [
-        messages.UpstreamLoad(name, own.running, own.unread, own.memory)
-        for name, own in (
-            (name, one.own) for name, one in state.table.by_name.items()
+        messages.UpstreamLoad(
+            name, one.own.running, one.own.unread, one.own.memory
         )
-        if own.running
+        for name, one in state.table.by_name.items()
+        if one.own.running
     ]
     return messages.RouterLoad(
         exchange.sequence,
         exchange.control,
-        _list_routers(exchange, now),
+        _list_routers(exchange),
         tuple(loads),
         tuple(
             _describe_service(state, now, service) for service in state.accounts
@@ -210,12 +210,11 @@
     )
 
 
-def _list_routers(
-    exchange: Exchange, now: float
-) -> tuple[messages.RouterAddress, ...]:
-    """Lists the routers that were heard, in one message a second.
+def _list_routers(exchange: Exchange) -> tuple[messages.RouterAddress, ...]:
+    """Lists the routers that are heard, for newcomers.
 
-    They are told for newcomers only, which can wait for that long.
+    Only one message in seven has them: one a second while requests run, one
+    in seven seconds while nothing does.
     """
     every = round(IDLE_INTERVAL / INTERVAL)
     if exchange.sequence % every:
--- a/sycamorefall/direct/outcomes.py
+++ b/sycamorefall/direct/outcomes.py
@@ -48,8 +48,10 @@
 RATE_WEIGHT = 0.1
 """Weight of one sample in an engine's reading rate."""
 
-FIRST_STEP = 0.045
-"""Seconds to the first event besides reading: queueing and one step."""
+UNREAD_TIME = 0.045
+"""Seconds to the first event that are taken off before a reading rate is
+reckoned: the way there and one step. `placing.FIRST_STEP`, by which requests
+are promised, has a reserve on top."""
 
 
 class AttemptEnd(enum.Enum):
@@ -153,7 +155,7 @@
     upstreams.note_success(upstream, now)
     upstream.own.unread -= attempt.unread
     attempt.unread = 0
-    took = now - attempt.sent_at - FIRST_STEP
+    took = now - attempt.sent_at - UNREAD_TIME
     if attempt.queued >= RATE_SAMPLE and took > 0:
         rate = attempt.queued / took
         change = RATE_WEIGHT * (rate - upstream.reading_rate)
