Learn an engine's reading rate from whether answers begin as reckoned

The log of sends shows engines with 100,000 tokens to read that were reckoned to begin in 0.1 s: the rate was the believed queue divided by the time to the first event, and a queue that was nearly read gave ten times the true rate.

Tests: two, each seen failing with its guard off.

--- a/sycamorefall/direct/outcomes.py
+++ b/sycamorefall/direct/outcomes.py
@@ -19,6 +19,7 @@
     catalog,
     dispatching,
     effects,
+    fitting,
     upstreams,
 )
 from sycamorefall.direct import (
@@ -45,13 +46,13 @@
 """Prompt tokens from which on the time to the first event tells how fast an
 engine reads; below, the first step weighs too much."""
 
-RATE_WEIGHT = 0.1
-"""Weight of one sample in an engine's reading rate."""
+RATE_RISE = 0.02
+"""Part by which an engine's reading rate rises when a first event came no
+later than reckoned."""
 
-UNREAD_TIME = 0.045
-"""Seconds to the first event that are taken off before a reading rate is
-reckoned: the way there and one step. `fitting.FIRST_STEP`, by which requests
-are promised, has a reserve on top."""
+RATE_FALL = 0.1
+"""Part by which it falls when one came later. With the rise above, one answer
+in six begins later than reckoned, whatever slows the engine."""
 
 
 class AttemptEnd(enum.Enum):
@@ -155,11 +156,23 @@
     upstreams.note_success(upstream, now)
     upstream.own.unread -= attempt.unread
     attempt.unread = 0
-    took = now - attempt.sent_at - UNREAD_TIME
-    if attempt.queued >= RATE_SAMPLE and took > 0:
-        rate = attempt.queued / took
-        change = RATE_WEIGHT * (rate - upstream.reading_rate)
-        upstream.reading_rate += change
+    _learn_rate(upstream, attempt, now - attempt.sent_at)
+
+
+def _learn_rate(
+    upstream: upstreams.Upstream, attempt: state_module.Attempt, took: float
+) -> None:
+    """Learns how fast an engine reads from the time to a first event.
+
+    How much of the queue was read before the request came is not known, so
+    the time tells no rate by itself: dividing the queue by it made the rates
+    of some engines ten times too high, and a sixth of the answers of a full
+    day late. It tells only whether the reckoning held.
+    """
+    if attempt.queued < RATE_SAMPLE:
+        return
+    reckoned = fitting.FIRST_STEP + attempt.queued / upstream.reading_rate
+    upstream.reading_rate *= 1 - RATE_FALL if took > reckoned else 1 + RATE_RISE
 
 
 def end_attempt(
--- a/sycamorefall/direct/tests/test_loads.py
+++ b/sycamorefall/direct/tests/test_loads.py
@@ -7,6 +7,8 @@
     core,
     exchange,
     fitting,
+    freshness,
+    outcomes,
     peers,
 )
 from sycamorefall.direct.tests import fakes
@@ -178,6 +180,47 @@
     assert state.accounts["engine"].others == {"mill": 200}
 
 
+def test_reading_rate_is_not_fooled_by_a_prompt_that_was_nearly_read():
+    # A short prompt comes as a long one before it is nearly read, and is
+    # answered at once. The engine is taken to read ten times faster, gets
+    # ten times too much, and a sixth of the day's answers are late.
+    state = fakes.create_state(listing=[fakes.list_one("e1")])
+    engine = state.table.by_name["e1"]
+    before = engine.reading_rate
+    now = 0.0
+    for _ in range(20):
+        freshness.note_proof(state.freshness, now)
+        long, _ = fakes.take(state, now, "draft", tokens=39_000)
+        engine.parts.clear()
+        short, sent = fakes.take(state, now + 0.4, "draft", tokens=100)
+        if sent:
+            outcomes.note_answer(state, now + 0.45, short, first=True)
+        outcomes.note_answer(state, now + 0.47, long, first=True)
+        for number in (long, short):
+            core.cancel_request(state, number, now + 0.5)
+        engine.parts.clear()
+        now += 1.0
+    assert engine.reading_rate < 1.6 * before
+
+
+def test_engine_that_turned_slow_is_given_less():
+    # An engine reads at a third of its speed. Answers are late only until
+    # the routers have seen a few.
+    state = fakes.create_state(listing=[fakes.list_one("e1")])
+    engine = state.table.by_name["e1"]
+    true_rate, now = engine.reading_rate / 3, 0.0
+    for _ in range(20):
+        freshness.note_proof(state.freshness, now)
+        number, sent = fakes.take(state, now, "draft", tokens=10_000)
+        if sent:
+            end = now + 0.05 + 10_000 / true_rate
+            outcomes.note_answer(state, end, number, first=True)
+        core.cancel_request(state, number, now + 1.0)
+        engine.parts.clear()
+        now += 1.0
+    assert true_rate * 0.7 < engine.reading_rate < true_rate * 1.4
+
+
 def test_refusal_says_what_was_in_the_way():
     # A caller complains of a refusal. The log line must tell whether engines
     # were full or left to another team, and how old the listing was.
