Hear routers whose first message was lost; listen 3.2 s after SIGTERM

Names are defined once on each link. That message was lost, all others could not be read, their sender stood in no list, so nobody asked it. Ruled out: connections (bytes were received on all links), incarnations. Also: connections still came 2.76 s after SIGTERM; listening ended at 2.6 s.

--- a/sycamorefall/direct/daemon.py
+++ b/sycamorefall/direct/daemon.py
@@ -22,6 +22,7 @@
 from sycamorefall.direct import catalog as catalog_module
 from sycamorefall.direct import core, freshness, metrics, relay
 from sycamorefall.direct import exchange as exchange_module
+from sycamorefall.direct import overload as overload_module
 from sycamorefall.direct import state as state_module
 from sycamorefall.direct import upstreams as upstreams_module
 from sycamorefall.observation import metrics as metrics_module
@@ -30,7 +31,7 @@
 """Seconds until a connection to an upstream or the platform is given up: a
 hundred times the way there and back, and half of the usual target latency."""
 
-LISTEN_ON = 2.6
+LISTEN_ON = 3.2
 """Seconds that a stopping process still takes connections: the balancer asks
 each second and needs two bad answers to send callers elsewhere."""
 
@@ -66,6 +67,7 @@
         control: Links to the other routers.
         exchange: What the routers tell each other.
         incarnation: Number of this process.
+        ticker: Runs the timers.
         source: Reads the platform.
         stopping_since: When SIGTERM came; None before.
         quiet_since: Since when a stopping process has nothing to do.
@@ -81,6 +83,7 @@
     control: transport.ControlLinks
     exchange: exchange_module.Exchange
     incarnation: int
+    ticker: transport.Ticker | None = None
     source: Source | None = None
     stopping_since: float | None = None
     stop_check: float = float("inf")
@@ -177,6 +180,9 @@
         lambda name: exchange_module.list_peers(told).get(name),
         lambda envelope: _receive(daemon, envelope),
         authentication.create_authenticator(config.vm.name, config.security),
+        lambda envelope: exchange_module.note_unnamed(
+            told, transport.read_clock(), envelope
+        ),
     ).register(loop)
     control.attach(poller)
     desk = relay.Desk(state, client, dialect)
@@ -208,7 +214,7 @@
         told,
         incarnation,
     )
-    transport.Ticker(
+    daemon.ticker = transport.Ticker(
         lambda: _find_next_due(daemon), lambda now: _run_timers(daemon, now)
     ).register(loop)
     return daemon
@@ -270,6 +276,7 @@
 
 
 def _run_timers(daemon: Daemon, now: float) -> None:
+    _note_lateness(daemon, now)
     daemon.client.expire(now)
     for server in daemon.servers:
         server.expire(now)
@@ -282,6 +289,19 @@
         _continue_stop(daemon, now)
 
 
+def _note_lateness(daemon: Daemon, now: float) -> None:
+    overload = daemon.state.overload
+    before = overload_module.is_overloaded(overload, now)
+    overload_module.note_pass(overload, now, daemon.ticker.late)
+    if overload_module.is_overloaded(overload, now) and not before:
+        observation.write_record(
+            observation.Level.WARNING,
+            "process.overloaded",
+            late=round(overload.late, 3),
+            in_progress=len(daemon.state.requests),
+        )
+
+
 def _begin_stop(daemon: Daemon) -> None:
     """Begins a graceful stop: what runs is finished, callers are sent away."""
     if daemon.stopping_since is not None:
--- a/sycamorefall/direct/exchange.py
+++ b/sycamorefall/direct/exchange.py
@@ -11,6 +11,7 @@
     "Exchange",
     "find_next_due",
     "list_peers",
+    "note_unnamed",
     "take_load",
     "write_load",
 ]
@@ -130,6 +131,28 @@
         peers_module.add_up_teams(exchange.peers, state)
 
 
+def note_unnamed(
+    exchange: Exchange, now: float, envelope: messages.Envelope
+) -> None:
+    """Takes note of where a router is whose message could not be read.
+
+    Guards against a router that is never heard: names are defined once on
+    each link. If that message is lost, the others can't be read, their sender
+    stands in no list, and so nobody asks it for the names. After a power loss
+    of all VMs, half of the routers counted themselves alone to the end of the
+    day, and filled engines that were full.
+
+    Args:
+        exchange: What is known of the others; changed.
+        now: This process's time.
+        envelope: The message as it came.
+    """
+    load = envelope.message
+    if isinstance(load, messages.RouterLoad) and load.whole:
+        known = peers_module.Peer(load.control, now)
+        exchange.peers.setdefault(envelope.sender, known)
+
+
 def write_load(
     exchange: Exchange, state: state_module.DirectState, now: float
 ) -> messages.RouterLoad:
--- a/sycamorefall/transport/control.py
+++ b/sycamorefall/transport/control.py
@@ -70,6 +70,7 @@
         find_address: Callable[[str], str | None],
         on_envelope: Callable[[messages.Envelope], None],
         authenticator: authentication.Authenticator,
+        on_unnamed: Callable[[messages.Envelope], None] = lambda _: None,
     ):
         """Opens the listening socket.
 
@@ -78,6 +79,8 @@
             find_address: Gives the `IP:port` of a peer by VM name.
             on_envelope: Called with each received message.
             authenticator: Signs and checks messages.
+            on_unnamed: Called with each message that is dropped for names
+                not known, before its sender is asked for them.
 
         Raises:
             errors.AddressInUse: The address can't be bound.
@@ -85,6 +88,7 @@
         super().__init__()
         self._find_address = find_address
         self._on_envelope = on_envelope
+        self._on_unnamed = on_unnamed
         self._authenticator = authenticator
         self._links: dict[str, _Link] = {}
         self.bytes_sent = 0
@@ -169,6 +173,7 @@
         expanded, unknown = names.expand_envelope(self._names, envelope)
         if expanded is None:
             self.unnamed += 1
+            self._on_unnamed(envelope)
             self._ask_names(envelope.sender, unknown)
             return
         if isinstance(expanded.message, messages.UnknownNames):
