--- a/standins/site.py
+++ b/standins/site.py
@@ -11,7 +11,6 @@
 import http.client
 import os
 import pathlib
-import socket
 import subprocess
 import sys
 import threading
