--- a/sycamorefall/direct/tests/fakes.py
+++ b/sycamorefall/direct/tests/fakes.py
@@ -1,7 +1,14 @@
 """A router's decisions with a small catalog, for the tests of this package."""
 
 from sycamorefall import settings
-from sycamorefall.direct import catalog, core, effects, prompts, upstreams
+from sycamorefall.direct import (
+    catalog,
+    core,
+    effects,
+    exchange,
+    prompts,
+    upstreams,
+)
 from sycamorefall.direct import freshness as freshness_module
 from sycamorefall.direct import state as state_module
 
@@ -72,6 +79,11 @@
     return state
 
 
+def create_exchange(name="front-1", port=1):
+    seeds = ("127.0.0.1:1", "127.0.0.1:2")
+    return exchange.Exchange(name, f"127.0.0.1:{port}", seeds)
+
+
 def ask(route, team="mill", time_left=3.0, tokens=1000, parts=()):
     prompt = None
     if _KINDS[route].streamed:
--- a/sycamorefall/direct/tests/test_loads.py
+++ b/sycamorefall/direct/tests/test_loads.py
@@ -14,11 +14,6 @@
 from sycamorefall.direct.tests import fakes
 
 
-def create_exchange(name="front-1", port=1):
-    seeds = ("127.0.0.1:1", "127.0.0.1:2")
-    return exchange.Exchange(name, f"127.0.0.1:{port}", seeds)
-
-
 def pass_on(load, told, state, now, sender="front-2", incarnation=1):
     envelope = messages.Envelope(sender, incarnation, 1, load)
     exchange.take_load(told, state, now, envelope)
@@ -41,7 +36,7 @@
     # that has read its paper, and a large team's callers are refused at all
     # others, while the other engines run two thirds of what they could.
     # Cause: one floor was told for the whole service.
-    state, told = fakes.create_state(), create_exchange()
+    state, told = fakes.create_state(), fakes.create_exchange()
     for name in ("e1", "e2"):
         state.table.by_name[name].own.running = 3
     load = messages.RouterLoad(
@@ -64,7 +59,7 @@
 def test_request_claims_only_engines_whose_room_would_help_it():
     # The same day, the other side: the others keep room for a request that
     # can't use it, as another engine has its paper.
-    state, told = fakes.create_state(), create_exchange()
+    state, told = fakes.create_state(), fakes.create_exchange()
     parts = (("paper", 5000),)
     number, sent = fakes.take(state, 0.0, "draft", tokens=6000, parts=parts)
     core.cancel_request(state, number, 0.0)
@@ -79,7 +74,7 @@
 def test_request_that_is_late_already_claims_no_engine():
     # Callers that were refused come back, too late for a good answer. Room
     # that is kept for them is kept from those that can be on time.
-    state, told = fakes.create_state(), create_exchange()
+    state, told = fakes.create_state(), fakes.create_exchange()
     for name in ("e1", "e2"):
         state.table.by_name[name].own.running = 4
     number, _ = fakes.take(state, 0.0, "draft", time_left=3.0, tokens=100)
@@ -92,8 +87,8 @@
     # Two routers see the same engine free and send to it within a tenth of a
     # second; both callers get their answer late. Cause: loads were told at
     # fixed intervals only.
-    here, told = fakes.create_state(), create_exchange()
-    there, heard = fakes.create_state(), create_exchange("front-2", 2)
+    here, told = fakes.create_state(), fakes.create_exchange()
+    there, heard = fakes.create_state(), fakes.create_exchange("front-2", 2)
     first = exchange.write_load(told, here, 0.0)
     pass_on(first, heard, there, 0.0, sender="front-1")
     fakes.take(here, 0.01, "draft", tokens=100)
@@ -112,7 +107,7 @@
 def test_change_told_by_an_unknown_process_is_not_taken_for_all():
     # A router restarts and its first message is lost. A change that it tells
     # then must not stand beside the load of the process before it.
-    state, told = fakes.create_state(), create_exchange()
+    state, told = fakes.create_state(), fakes.create_exchange()
     load = messages.RouterLoad(
         9, "127.0.0.1:2", upstreams=(describe_wait("e1", -1, running=3),)
     )
@@ -141,8 +136,8 @@
 def test_whole_message_sets_right_whatever_was_lost(steps):
     # Messages get lost. What a router believes of another may be wrong for
     # an interval, and is right after the next whole message.
-    here, told = fakes.create_state(), create_exchange()
-    there, heard = fakes.create_state(), create_exchange("front-2", 2)
+    here, told = fakes.create_state(), fakes.create_exchange()
+    there, heard = fakes.create_state(), fakes.create_exchange("front-2", 2)
     now = 0.0
     for step, arrives in steps:
         now += 0.02
@@ -164,7 +159,7 @@
 def test_load_at_an_engine_is_the_sum_of_all_routers():
     # Three routers, one of them gone: its places are used again, those of
     # the others are not.
-    state, told = fakes.create_state(), create_exchange()
+    state, told = fakes.create_state(), fakes.create_exchange()
     for number, running in ((2, 1), (3, 2)):
         load = messages.RouterLoad(
             1,
@@ -224,7 +219,7 @@
 def test_refusal_says_what_was_in_the_way():
     # A caller complains of a refusal. The log line must tell whether engines
     # were full or left to another team, and how old the listing was.
-    state, told = fakes.create_state(), create_exchange()
+    state, told = fakes.create_state(), fakes.create_exchange()
     load = messages.RouterLoad(
         1,
         "127.0.0.1:2",
--- a/sycamorefall/direct/tests/test_sharing.py
+++ b/sycamorefall/direct/tests/test_sharing.py
@@ -17,11 +17,6 @@
 from sycamorefall.direct.tests import fakes
 
 
-def create_exchange(name="front-1", port=1):
-    seeds = ("127.0.0.1:1", "127.0.0.1:2")
-    return exchange.Exchange(name, f"127.0.0.1:{port}", seeds)
-
-
 def tell(told, state, now, sender="front-2", incarnation=1, **fields):
     load = messages.RouterLoad(control="127.0.0.1:2", **fields)
     envelope = messages.Envelope(sender, incarnation, 1, load)
@@ -62,7 +57,7 @@
     # Two routers each see a free engine and fill it twice over: its callers
     # wait inside the engine, where no team comes before another.
     state = fakes.create_state(listing=[fakes.list_one("e1")])
-    told = create_exchange()
+    told = fakes.create_exchange()
     load = (messages.UpstreamLoad("e1", 4, 9000, 40_000),)
     tell(told, state, 0.0, sequence=1, upstreams=load)
     assert fakes.take(state, 0.0, "draft")[1] is None
@@ -71,7 +66,7 @@
 def test_load_of_a_router_that_is_gone_counts_no_more():
     # A router is killed. The places that it held must be used again.
     state = fakes.create_state(listing=[fakes.list_one("e1")])
-    told = create_exchange()
+    told = fakes.create_exchange()
     load = (messages.UpstreamLoad("e1", 4, 9000, 40_000),)
     tell(told, state, 0.0, sequence=1, upstreams=load)
     exchange.write_load(told, state, peers.PEER_TIMEOUT)
@@ -83,7 +78,7 @@
     # Control messages come late and out of order; an old one would bring
     # back load that has ended, or that of a process that is gone.
     state = fakes.create_state(listing=[fakes.list_one("e1")])
-    told = create_exchange()
+    told = fakes.create_exchange()
     old = (messages.UpstreamLoad("e1", 3, 0, 0),)
     tell(told, state, 0.0, incarnation=5, sequence=9)
     tell(told, state, 0.0, incarnation=5, sequence=8, upstreams=old)
@@ -94,7 +89,7 @@
 def test_routers_find_each_other_by_seeds_and_by_hearsay():
     # A router that no seed names must be found too, or it overfills engines
     # that all others know to be full.
-    state, told = fakes.create_state(), create_exchange()
+    state, told = fakes.create_state(), fakes.create_exchange()
     assert exchange.list_peers(told) == {"127.0.0.1:2": "127.0.0.1:2"}
     third = (messages.RouterAddress("front-3", "127.0.0.1:3"),)
     tell(told, state, 0.0, sequence=1, routers=third)
@@ -107,7 +102,7 @@
 def test_team_ahead_leaves_room_to_one_that_waits_elsewhere():
     # A large team sits on one router and is served there at once, while a
     # small team's requests wait at another, fuller router.
-    state, told = fakes.create_state(), create_exchange()
+    state, told = fakes.create_state(), fakes.create_exchange()
     demand = messages.ServiceDemand(
         "engine", (messages.TeamService("mill", 30_000),)
     )
@@ -125,7 +120,7 @@
 
 def test_idle_engine_takes_also_a_team_that_is_ahead():
     # No engine may idle while any team's work waits.
-    state, told = fakes.create_state(), create_exchange()
+    state, told = fakes.create_state(), fakes.create_exchange()
     demand = messages.ServiceDemand(
         "engine", (messages.TeamService("mill", 30_000),)
     )
@@ -242,7 +237,9 @@
         ]
         other.own.running, other.own.unread = 3, 3000
         demand = messages.ServiceDemand("engine", ())
-        tell(create_exchange(), state, 0.0, sequence=1, services=(demand,))
+        tell(
+            fakes.create_exchange(), state, 0.0, sequence=1, services=(demand,)
+        )
         state.accounts["engine"].most = most
         fakes.take(state, 0.0, "draft", team="trader", tokens=6000, parts=parts)
         early = core.run_timers(state, 0.1)
@@ -268,7 +265,7 @@
 def test_router_that_was_replaced_is_forgotten():
     # VMs are replaced all day. A router that kept a link to each would run
     # out of descriptors after some months.
-    state, told = fakes.create_state(), create_exchange()
+    state, told = fakes.create_state(), fakes.create_exchange()
     tell(told, state, 0.0, sequence=1)
     exchange.write_load(told, state, peers.FORGET_AFTER)
     assert "front-2" not in exchange.list_peers(told)
--- a/sycamorefall/platform/tests/test_explaining.py
+++ b/sycamorefall/platform/tests/test_explaining.py
@@ -7,13 +7,10 @@
 
 from standins import site as site_module
 from sycamorefall import command
-from sycamorefall.platform.tests.test_whole_path import (  # noqa: F401
-    ask,
-    site,
-)
+from sycamorefall.platform.tests.asking import ask
 
 
-def explain(site, request, capsys):  # noqa: F811
+def explain(site, request, capsys):
     logs = sorted(site.folder.glob("*.log"))
     site_module.wait_until(lambda: has_end(logs, request))
     paths = [str(path) for path in logs]
@@ -35,7 +32,7 @@
         return None
 
 
-def test_three_failed_requests_are_explained_by_their_ids(site, capsys):  # noqa: F811
+def test_three_failed_requests_are_explained_by_their_ids(site, capsys):
     # Three callers complain: one was refused, one got no answer that says
     # whether it ran, one got half an answer. On call there are only logs.
     engine = site.add_upstream("e1", "engine")
@@ -65,7 +62,7 @@
     assert "last to e1" in text
 
 
-def test_refusal_is_explained_by_the_platform_that_was_away(site, capsys):  # noqa: F811
+def test_refusal_is_explained_by_the_platform_that_was_away(site, capsys):
     # The store is away for longer than keys may be believed. The caller's
     # refusal must be shown beside the loss of the store.
     site.add_upstream("e1", "engine")
@@ -80,7 +77,7 @@
     assert "could not prove that its configuration is the newest" in text
 
 
-def test_request_of_another_process_is_named_as_missing(site, capsys):  # noqa: F811
+def test_request_of_another_process_is_named_as_missing(site, capsys):
     # The log of the router that had the request is not among those given.
     site.add_upstream("e1", "engine")
     site.add_router()
--- a/sycamorefall/platform/tests/test_whole_path.py
+++ b/sycamorefall/platform/tests/test_whole_path.py
@@ -2,7 +2,6 @@
 
 import concurrent.futures
 import http.client
-import itertools
 import re
 import signal
 import socket
@@ -12,41 +11,11 @@
 import pytest
 
 from standins import site as site_module
-
-PROMPT = {"Token-Usage": "1100,5", "Prompt-Prefix": "aa:800,bb:300"}
-_numbers = itertools.count(1)
-
-
-@pytest.fixture
-def site(tmp_path):
-    with site_module.Site(tmp_path) as made:
-        put_configuration(made, 3)
-        yield made
-
-
-def put_configuration(site, version, keys=None, routes=None):
-    site.store.put(
-        "op/config",
-        site_module.describe_configuration(
-            version,
-            routes or list(site_module.STANDARD_ROUTES),
-            keys or {"mill": ["k-mill"], "trader": ["k-trader"]},
-        ),
-    )
-
-
-def ask(router, path, key="k-mill", prompt=False, left=3000, body=b"", **more):
-    """Sends a request; gives its id, status, headers and body."""
-    request = f"{next(_numbers):016x}"
-    headers = {"Attempt-Id": request, "Request-Deadline-Ms": str(left)}
-    headers |= {"Credential": key} if key else {}
-    headers |= (PROMPT if prompt else {}) | more
-    status, found, answer = site_module.call(router, path, headers, body)
-    return request, status, found, answer
-
-
-def list_events(answer):
-    return re.findall(rb"data: (\S+)", answer)
+from sycamorefall.platform.tests.asking import (
+    ask,
+    list_events,
+    put_configuration,
+)
 
 
 def test_each_caller_gets_its_own_whole_answer(site):
