Let the flow of orders outlast a slow start in the test of a leaving upstream

Failed once, beside a load of 14 on 8 cores: no order reached the other upstream after the limit. Traced by 12 runs beside the same load: the first order was run up to 0.9 s late in one, in another all 112 orders within 3.18 s of the first run (4.45 s otherwise), so the flow, which is counted from its first order, ended 0.12 s after the limit; in the failed run 0.75 s before it, as if the first order had been run 2.2 s late. The flow goes on 2.5 s longer. Both checks stay as they are; the first one gets more orders to hold for.

--- a/tests/test_stopping.py
+++ b/tests/test_stopping.py
@@ -15,6 +15,10 @@
 LEAVING_LIMIT = 3.0
 """Seconds after which a leaving upstream gets nothing new."""
 
+SLOW_START = 2.5
+"""Seconds that the first order may wait for its sidecar's first claim on a
+busy machine (2.2 were seen); the flow goes on as much longer."""
+
 
 def list_runs(fleet, service=""):
     return [
@@ -145,7 +149,7 @@
             marked.append(runs_module.read_clock())
 
     routers = whole_path.list_routers(own_fleet)
-    plans = plan_orders(routers, LEAVING_LIMIT + 1.5)
+    plans = plan_orders(routers, LEAVING_LIMIT + SLOW_START + 1.5)
     answers = asyncio.run(load.send_all(plans, on_answer=mark))
     leaving, other = (
         fleet_module.call(own_fleet.nodes[name].upstream, "/test/runs")
