Don't say that a late request has not run if it was sent

Found by reading: the table of answers says "not run" of a deadline that passed, which holds for requests that waited. A router that sends directly gave the same for one that was at an upstream: its caller, and the log, read `ran: no` of a booking that may have been made. The status, 504, promised nothing. The body and the log now say `unknown` there, as the other router does already. The test fails without the change.

--- a/sycamorefall/direct/effects.py
+++ b/sycamorefall/direct/effects.py
@@ -79,12 +79,15 @@
         kind: The kind of error.
         retry_after: Seconds after which asking again can help, if it can.
         refusal: What decided it, if the router had a choice.
+        ran: Overrides what the table of answers says, where it is known
+            that the request was sent.
     """
 
     request: int
     kind: errors.ErrorKind
     retry_after: float | None = None
     refusal: Refusal | None = None
+    ran: errors.Ran | None = None
 
 
 @dataclasses.dataclass(slots=True, frozen=True)
--- a/sycamorefall/direct/outcomes.py
+++ b/sycamorefall/direct/outcomes.py
@@ -291,7 +291,8 @@
     if request.begun:
         return [*aborted, effects.BreakOff(request.number)]
     kind = errors.ErrorKind.DEADLINE_EXCEEDED
-    return [*aborted, effects.Fail(request.number, kind)]
+    ran = errors.Ran.UNKNOWN if request.runs else None
+    return [*aborted, effects.Fail(request.number, kind, ran=ran)]
 
 
 def check_silence(
--- a/sycamorefall/direct/relay.py
+++ b/sycamorefall/direct/relay.py
@@ -226,15 +226,18 @@
 
 def _fail(desk: Desk, delivery: _Delivery, effect: effects.Fail) -> None:
     why = dataclasses.asdict(effect.refusal) if effect.refusal else {}
+    ran = effect.ran or errors.ANSWERS[effect.kind].ran
     _forget(
         desk,
         effect.request,
         effect.kind.value,
         retry_after=effect.retry_after,
-        ran=errors.ANSWERS[effect.kind].ran.value,
+        ran=ran.value,
         **why,
     )
-    delivery.call.fail(effect.kind, retry_after=effect.retry_after)
+    delivery.call.fail(
+        effect.kind, ran=effect.ran, retry_after=effect.retry_after
+    )
 
 
 def _pass_on(desk: Desk, delivery: _Delivery, number: int) -> None:
--- a/sycamorefall/direct/tests/test_outcomes.py
+++ b/sycamorefall/direct/tests/test_outcomes.py
@@ -227,3 +227,18 @@
             math.inf,
             *(due for due, _ in state.deadlines),
         )
+
+
+def test_late_request_that_was_sent_may_have_run():
+    # A booking's upstream does not answer in time. Its caller reads "not
+    # run" in the answer's body and books again. One that only waited has
+    # not run.
+    state = fakes.create_state()
+    sent, _ = fakes.take(state, 0.0, "book", team="", time_left=0.3)
+    (_, late) = core.run_timers(state, 0.31)
+    assert (late.request, late.ran) == (sent, errors.Ran.UNKNOWN)
+    for one in state.table.by_service["ledger"]:
+        one.own.running = 100
+    waits, _ = fakes.take(state, 1.0, "book", team="", time_left=0.1)
+    (late,) = core.run_timers(state, 1.11)
+    assert (late.request, late.ran) == (waits, None)
