Keep a busy router of a large fleet heard

Found by reading: whole messages go out at a pace that grows with the number of routers. From 200 on a busy router that sends nothing large paused for longer (4.6 s at 370) than the 2.5 s after which the others drop its load. It now speaks once a second at least, like an idle one; up to 80 routers nothing changes. The test fails without the change (5.0 s at 400).

--- a/sycamorefall/direct/exchange.py
+++ b/sycamorefall/direct/exchange.py
@@ -31,8 +31,9 @@
 """Seconds between two messages while nothing runs: enough to be known."""
 
 WHOLE_PACE = 0.0125
-"""Seconds between two whole messages for each router that is heard: all
-together then reach a router 80 times a second at most."""
+"""Seconds between two whole messages for each router that is heard, up to
+`IDLE_INTERVAL`: all together then reach a router 80 times a second, or once a
+second each where there are more of them."""
 
 LARGE_READ = 1500
 """Prompt tokens sent since the last message from which on the others are told
@@ -177,10 +178,8 @@
     state.unread_sent = 0
     if now < exchange.due:
         return _write_change(exchange, state)
-    busy = bool(state.requests)
-    pause = max(INTERVAL, WHOLE_PACE * state.routers)
     exchange.whole_sent += 1
-    exchange.due = now + (pause if busy else IDLE_INTERVAL)
+    exchange.due = now + _choose_pause(state)
     peers_module.drop_silent(exchange.peers, state, now)
     floors = dispatching.find_floors(state, now)
     exchange.told = {
@@ -199,6 +198,17 @@
     )
 
 
+def _choose_pause(state: state_module.DirectState) -> float:
+    """Chooses the seconds until the next whole message.
+
+    A busy router says something at least as often as an idle one: the others
+    would take it for gone.
+    """
+    if not state.requests:
+        return IDLE_INTERVAL
+    return min(max(INTERVAL, WHOLE_PACE * state.routers), IDLE_INTERVAL)
+
+
 def _write_change(
     exchange: Exchange, state: state_module.DirectState
 ) -> messages.RouterLoad:
--- a/sycamorefall/direct/tests/test_loads.py
+++ b/sycamorefall/direct/tests/test_loads.py
@@ -175,6 +175,16 @@
     assert state.accounts["engine"].others == {"mill": 200}
 
 
+def test_busy_router_of_a_large_fleet_is_not_taken_for_gone():
+    # In a fleet of hundreds a busy router that sends nothing large says
+    # nothing for longer than the others wait for it. They use its places.
+    state, told = fakes.create_state(), fakes.create_exchange()
+    fakes.take(state, 0.0, "draft", tokens=100)
+    state.routers = 400
+    exchange.write_load(told, state, 0.0)
+    assert exchange.find_next_due(told, state) < peers.PEER_TIMEOUT / 2
+
+
 def test_reading_rate_is_not_fooled_by_a_prompt_that_was_nearly_read():
     # A short prompt comes as a long one before it is nearly read, and is
     # answered at once. The engine is taken to read ten times faster, gets
