--- a/sycamorefall/direct/dispatching.py
+++ b/sycamorefall/direct/dispatching.py
@@ -205,32 +205,34 @@
         left out.
     """
     floors: dict[str, int] = {}
-    for service, room in state.rooms.items():
-        accounts = state_module.find_accounts(state, service)
+    for name, room in state.rooms.items():
+        service = state.catalog.services.get(name)
+        if service is None:
+            continue
+        accounts = state_module.find_accounts(state, name)
         for team in waiting.order_teams(room, accounts, now):
             received = int(waiting.read_service(accounts, now, team))
-            for name in _list_waited_for(state, now, room, team):
-                floors.setdefault(name, received)
+            for engine in _list_waited_for(state, now, service, room, team):
+                floors.setdefault(engine, received)
     return floors
 
 
 def _list_waited_for(
     state: state_module.DirectState,
     now: float,
+    service: catalog.Service,
     room: waiting.WaitingRoom,
     team: str,
 ) -> set[str]:
-    """Lists the engines that the first requests of a team wait for."""
-    requests = [
-        state.requests[number] for number in waiting.list_candidates(room, team)
+    """Lists the engines that the candidates of a team wait for."""
+    needs = [
+        _describe_need(state, now, state.requests[number])
+        for number in waiting.list_candidates(room, team)
     ]
     return {
         name
-        for request in requests
-        if (service := state.catalog.services.get(request.service))
-        for name in placing.list_waited_for(
-            state.table, now, service, _describe_need(state, now, request)
-        )
+        for need in needs
+        for name in placing.list_waited_for(state.table, now, service, need)
     }
 
 
--- a/sycamorefall/direct/exchange.py
+++ b/sycamorefall/direct/exchange.py
@@ -262,5 +262,5 @@
         for team, amount in amounts.items()
         if amount >= LEAST_AMOUNT
     )
-    accounts.most = waiting.find_most(accounts, now)
+    accounts.most = waiting.find_most(accounts, amounts)
     return messages.ServiceDemand(service, teams)
--- a/sycamorefall/direct/fitting.py
+++ b/sycamorefall/direct/fitting.py
@@ -5,8 +5,8 @@
     "Obstacle",
     "count_again",
     "count_missing",
+    "find_crowding",
     "find_obstacle",
-    "is_open",
     "is_waited_for",
 ]
 
@@ -136,21 +136,17 @@
     again = count_again(upstream, prompt, False)
     if not home and not need.anywhere and again > AGAIN_SHARE * prompt.own_work:
         return Obstacle.READS_AGAIN
-    if upstream.running >= engine.slots:
-        return Obstacle.SLOTS
-    memory = upstream.memory + prompt.tokens + prompt.output
-    if upstream.running and memory > MEMORY_SHARE * engine.memory_tokens:
-        return Obstacle.MEMORY
-    if _is_idle(upstream, engine):
-        return None
-    if upstream.floor < need.yields_to:
-        return Obstacle.YIELDS
+    obstacle = find_crowding(upstream, engine, need)
+    if obstacle is not None or _is_idle(upstream, engine):
+        return obstacle
     begins_in = _estimate_begin(upstream, prompt, home, upstream.unread)
     return Obstacle.LATE if begins_in > need.time_left else None
 
 
-def is_open(upstream: Upstream, engine: catalog.Engine, need: Need) -> bool:
-    """Tells whether an engine could take a request if it held its prompt.
+def find_crowding(
+    upstream: Upstream, engine: catalog.Engine, need: Need
+) -> Obstacle | None:
+    """Finds what keeps a request from an engine whatever that holds.
 
     A quick look that leaves out most engines of a full service before the
     prompt's parts are compared with what each holds.
@@ -158,19 +154,23 @@
     Args:
         upstream: An engine that may be used.
         engine: What is known of such engines.
-        need: What the request needs.
+        need: What the request needs; it has a prompt.
 
     Returns:
-        False if `find_obstacle` would find something in the way.
+        What is in the way; None if there is room for a request that has
+        nothing to read.
     """
     if upstream.running >= engine.slots:
-        return False
+        return Obstacle.SLOTS
+    memory = upstream.memory + need.prompt.tokens + need.prompt.output
+    if upstream.running and memory > MEMORY_SHARE * engine.memory_tokens:
+        return Obstacle.MEMORY
     if _is_idle(upstream, engine):
-        return True
+        return None
     if upstream.floor < need.yields_to:
-        return False
+        return Obstacle.YIELDS
     begins_in = FIRST_STEP + upstream.unread / upstream.reading_rate
-    return begins_in <= need.time_left
+    return Obstacle.LATE if begins_in > need.time_left else None
 
 
 def is_waited_for(
--- a/sycamorefall/direct/placing.py
+++ b/sycamorefall/direct/placing.py
@@ -67,26 +67,26 @@
 
 def _list_homes(
     table: upstreams_module.UpstreamTable,
-    service: str,
-    key: str,
+    service: catalog_module.Service,
+    need: fitting.Need,
     usable: list[Upstream],
-    uses: float,
 ) -> list[Upstream]:
     """Lists the engines that are to hold a part, the first choice first.
 
     All routers find the same ones, without a word between them. A part that
     is asked for often has several.
     """
+    key = need.prompt.home_key
     if not key:
         return []
-    ranked = table.rankings.get((service, key))
+    ranked = table.rankings.get((service.name, key))
     if ranked is None:
         if len(table.rankings) >= prompts.MOST_PARTS:
             table.rankings.clear()
-        group = upstreams_module.list_upstreams(table, service)
+        group = upstreams_module.list_upstreams(table, service.name)
         ranked = sorted(group, key=lambda one: _draw(key, one), reverse=True)
-        table.rankings[service, key] = ranked
-    count = 1 + int(uses / USES_PER_HOME)
+        table.rankings[service.name, key] = ranked
+    count = 1 + int(need.uses / USES_PER_HOME)
     return list(itertools.islice((o for o in ranked if o in usable), count))
 
 
@@ -118,11 +118,11 @@
     if need.prompt is None or service.engine is None:
         return _choose_plain(usable, now, failure_domain)
     prompt, engine = need.prompt, service.engine
-    homes = _list_homes(table, service.name, prompt.home_key, usable, need.uses)
+    homes = _list_homes(table, service, need, usable)
     costs = [
         (_weigh(one, now, prompt, engine, one in homes), one)
         for one in usable
-        if fitting.is_open(one, engine, need)
+        if fitting.find_crowding(one, engine, need) is None
         and fitting.find_obstacle(one, engine, need, one in homes) is None
     ]
     return min(costs, key=lambda pair: pair[0], default=(0.0, None))[1]
@@ -168,8 +168,7 @@
         full = [one for one in usable if not _has_room(one)]
         counts[fitting.Obstacle.SLOTS] = len(full)
     else:
-        key = need.prompt.home_key
-        homes = _list_homes(table, service.name, key, usable, need.uses)
+        homes = _list_homes(table, service, need, usable)
         counts.update(
             fitting.find_obstacle(one, service.engine, need, one in homes)
             for one in usable
@@ -198,8 +197,7 @@
     if need.prompt is None or service.engine is None:
         return []
     usable = _list_usable(table, now, service, need)
-    key = need.prompt.home_key
-    homes = _list_homes(table, service.name, key, usable, need.uses)
+    homes = _list_homes(table, service, need, usable)
     return [
         one.listed.name
         for one in usable
--- a/sycamorefall/direct/waiting.py
+++ b/sycamorefall/direct/waiting.py
@@ -83,9 +83,16 @@
     return amounts
 
 
-def find_most(accounts: TeamAccounts, now: float) -> float:
-    """Finds the most that any team received lately of all routers."""
-    own = list_own(accounts, now)
+def find_most(accounts: TeamAccounts, own: dict[str, float]) -> float:
+    """Finds the most that any team received lately of all routers.
+
+    Args:
+        accounts: What teams received.
+        own: What this router gave each, as `list_own` lists it.
+
+    Returns:
+        Cost units; 0 if no team received anything.
+    """
     return max(
         (
             own.get(team, 0.0) + accounts.others.get(team, 0.0)
--- a/sycamorefall/observation/explaining.py
+++ b/sycamorefall/observation/explaining.py
@@ -1,8 +1,8 @@
 """What several processes' logs tell of one request, in order."""
 
-__all__ = ["Explanation", "explain_request", "format_explanation"]
+__all__ = ["Explanation", "Line", "explain_request", "format_explanation"]
 
-from collections.abc import Iterable, Iterator, Sequence
+from collections.abc import Iterator, Sequence
 import dataclasses
 import itertools
 import pathlib
@@ -30,15 +30,13 @@
 
 
 class _Record(msgspec.Struct):
-    """The fields of a log record that order it."""
+    """The fields that all log records share."""
 
     timestamp: float
     task_uuid: str
-    task_level: list[int] = []
     message_type: str = ""
     action_type: str = ""
     action_status: str = ""
-    request_id: str = ""
 
 
 @dataclasses.dataclass(slots=True, frozen=True)
@@ -106,7 +104,7 @@
         if not tasks:
             continue
         found += _select_lines(lines, tasks)
-        missing += _find_gaps(path, lines, tasks)
+        missing += _find_gaps(lines, tasks)
         causes += [_explain_task(lines, task) for task in sorted(tasks)]
     if not found:
         raise errors.SettingsRefused(
@@ -128,8 +126,8 @@
         if start < 0:
             continue
         try:
-            record = msgspec.json.decode(text[start:], type=_Record)
             fields = msgspec.json.decode(text[start:])
+            record = msgspec.convert(fields, _Record)
         except (msgspec.DecodeError, UnicodeDecodeError):
             continue
         action = f"{record.action_type} {record.action_status}".strip()
@@ -168,10 +166,8 @@
     return [dataclasses.replace(line, of_request=True) for line in own] + around
 
 
-def _find_gaps(
-    path: str, lines: Sequence[Line], tasks: set[str]
-) -> Iterator[str]:
-    name = pathlib.Path(path).name
+def _find_gaps(lines: Sequence[Line], tasks: set[str]) -> Iterator[str]:
+    name = lines[0].log
     for task in sorted(tasks):
         kinds = [line.kind for line in lines if line.task == task]
         if f"{_REQUEST} started" not in kinds:
@@ -187,14 +183,14 @@
         yield f"{name}: {count} records that its reader was too slow for"
 
 
+_KINDS = {kind.value: kind for kind in errors.ErrorKind}
+
 _ENDS = {
     "no_upstream": "refused, it has not run",
     "not_ready": (
         "refused, it has not run: the router could not prove that its "
         "configuration is the newest"
     ),
-    "unknown_team": "refused: no team has this key",
-    "unknown_service": "refused: no route leads here",
     "outcome_unknown": (
         "its upstream broke off; whether it ran, only the upstream knows"
     ),
@@ -216,11 +212,19 @@
     where = f"{own[0].log}: "
     if result == "answered":
         return where + _explain_answer(merged, len(sends))
-    end = _ENDS.get(result, result or "no end is recorded")
+    end = _ENDS.get(result) or _describe_kind(result)
     sent = f"; sent {len(sends)} times, last to {at}" if sends else ""
     return where + end + _explain_refusal(merged) + sent
 
 
+def _describe_kind(result: str) -> str:
+    """Describes an end that callers read a sentence for, or none."""
+    kind = _KINDS.get(result)
+    if kind is None:
+        return result or "no end is recorded"
+    return f"{result}: {errors.MEANINGS[kind]}"
+
+
 def _explain_answer(merged: dict[str, str], sends: int) -> str:
     first = merged.get("first_seconds", "null")
     target = merged.get("target", "null")
@@ -253,8 +257,8 @@
     parts += [
         _format_line(line, first, line.of_request) for line in explanation.lines
     ]
-    parts += _format_list("cause", explanation.causes)
-    parts += _format_list("missing", explanation.missing)
+    parts += [f"cause: {cause}" for cause in explanation.causes]
+    parts += [f"missing: {gap}" for gap in explanation.missing]
     return "\n".join(parts)
 
 
@@ -262,7 +266,3 @@
     details = " ".join(f"{name}={text}" for name, text in line.fields.items())
     mark = "*" if of_request else " "
     return f"{mark} {line.at - first:8.3f} s {line.log} {line.kind} {details}"
-
-
-def _format_list(title: str, entries: Iterable[str]) -> Iterator[str]:
-    return (f"{title}: {entry}" for entry in entries)
