Don't take a caller's little patience for time that has passed

Cause: callers of one route differ in how long they are ready to wait. A router took whatever one had less than the most patient of its route for time it had been asking, so on a route with 8 s of patience a new caller counted as up to 1.2 s old, and its request, late by that reckoning, waited for an idle engine. Change: the spread of a route's callers is learned from the median of what they lack of the longest time; only what goes beyond it counts as time that passed. Where callers don't differ the spread is 0 and nothing changes, so those that come back still wait behind those that can be on time.

--- a/sycamorefall/direct/core.py
+++ b/sycamorefall/direct/core.py
@@ -25,6 +25,7 @@
     freshness,
     outcomes,
     overload,
+    patience,
     prompts,
     silence,
     upstreams,
@@ -203,17 +204,11 @@
     route: catalog.Route,
     new: state_module.NewRequest,
 ) -> float:
-    """Tells how long a caller has been asking already, in seconds.
-
-    A caller that was refused and comes back has less time left than the
-    others of its route. Its answer will be late wherever it comes from, so
-    those that can still be on time go first.
-    """
+    """Tells how long a caller has been asking already, in seconds."""
     if new.time_left is None:
         return 0.0
-    longest = max(state.patience.get(route.name, 0.0), new.time_left)
-    state.patience[route.name] = longest
-    return longest - new.time_left
+    known = state.patience.setdefault(route.name, patience.Patience())
+    return patience.read_elapsed(known, new.time_left)
 
 
 def cancel_request(
--- a/sycamorefall/direct/state.py
+++ b/sycamorefall/direct/state.py
@@ -22,6 +22,7 @@
 from sycamorefall.direct import catalog as catalog_module
 from sycamorefall.direct import freshness as freshness_module
 from sycamorefall.direct import overload as overload_module
+from sycamorefall.direct import patience as patience_module
 
 
 @dataclasses.dataclass(slots=True, frozen=True)
@@ -122,7 +123,7 @@
         budgets: Second sends, by service.
         deadlines: Heap of (time, request).
         uses: How often prompt parts were asked for lately.
-        patience: Longest time that a caller of a route would wait, by route.
+        patience: How long callers are ready to wait, by route.
         unread_sent: Prompt tokens sent to be read since the other routers
             were last told.
         overload: How late the process was lately.
@@ -155,7 +156,9 @@
     )
     deadlines: list[tuple[float, int]] = dataclasses.field(default_factory=list)
     uses: prompts.PartUses = dataclasses.field(default_factory=prompts.PartUses)
-    patience: dict[str, float] = dataclasses.field(default_factory=dict)
+    patience: dict[str, patience_module.Patience] = dataclasses.field(
+        default_factory=dict
+    )
     unread_sent: int = 0
     overload: overload_module.Overload = dataclasses.field(
         default_factory=overload_module.Overload
--- /dev/null
+++ b/sycamorefall/direct/tests/test_patience.py
@@ -0,0 +1,85 @@
+"""Callers of unequal patience: who counts as late, and who does not."""
+
+import random
+
+from hypothesis import given, strategies
+import pytest
+
+from sycamorefall.direct import core, fitting, patience
+from sycamorefall.direct.tests import fakes
+
+TARGET = 0.5
+"""Target latency of the fake catalog's routes, in seconds."""
+
+
+def draw_callers(seed, spread, returning, count=400, longest=8.0):
+    """Draws (seconds left, seconds asked already) of callers of one route."""
+    draws = random.Random(seed)
+    callers = []
+    for _ in range(count):
+        ready = longest * (1 - spread * draws.random())
+        asked = 1.5 if draws.random() < returning else 0.0
+        callers.append((ready - asked, asked))
+    return callers
+
+
+@given(
+    seed=strategies.integers(0, 1000),
+    spread=strategies.floats(0, 0.5),
+    returning=strategies.floats(0, 0.3),
+)
+def test_new_caller_is_not_taken_for_one_that_came_back(
+    seed, spread, returning
+):
+    # Callers of one route are ready to wait for 4 to 8 seconds. Those with
+    # little patience are treated as if they had been asking for long: their
+    # requests wait for an idle engine, and are late. Cause: all that a caller
+    # had less than the most patient one was taken for time that had passed.
+    known = patience.Patience()
+    read = [
+        (patience.read_elapsed(known, left), asked)
+        for left, asked in draw_callers(seed, spread, returning)
+    ]
+    wrong = [elapsed for elapsed, asked in read[100:] if not asked]
+    bound = 0.1 * spread * known.longest
+    assert all(elapsed <= bound for elapsed in wrong)
+
+
+@given(seed=strategies.integers(0, 1000), returning=strategies.floats(0, 0.4))
+def test_caller_that_came_back_is_told_apart_where_all_are_alike(
+    seed, returning
+):
+    # Refused callers come back in crowds, and those that could still be on
+    # time wait behind them. Where all are equally patient, the time that has
+    # passed is known exactly.
+    known = patience.Patience()
+    for left, asked in draw_callers(seed, 0.0, returning)[:300]:
+        elapsed = patience.read_elapsed(known, left)
+        if known.spread == 0.0 and known.longest == 8.0:
+            assert elapsed == pytest.approx(asked)
+    assert known.spread == 0.0
+
+
+def test_caller_is_never_taken_to_have_asked_longer_than_it_may_have():
+    # The time left of a caller that came back after 3 s proves no more than
+    # what the least patient new caller would not explain.
+    known = patience.Patience()
+    for left, _ in draw_callers(1, 0.15, 0.0):
+        patience.read_elapsed(known, left)
+    elapsed = patience.read_elapsed(known, 8.0 * 0.93 - 3.0)
+    assert 1.5 < elapsed < 3.0 + 0.07 * 8.0
+
+
+def test_long_prompt_of_an_impatient_caller_goes_to_an_engine_with_work():
+    # A quarter of the long prompts of a calm day wait a quarter of a second
+    # for an idle engine while others, whose callers are more patient, go to
+    # engines with a short queue at once, and are on time.
+    state = fakes.create_state(listing=[fakes.list_one("e1")])
+    for left, _ in draw_callers(2, 0.15, 0.0, count=100, longest=3.0):
+        number, _ = fakes.take(state, 0.0, "draft", time_left=left, tokens=9)
+        core.cancel_request(state, number, 0.0)
+    engine = state.table.by_name["e1"]
+    engine.others.unread = int(2 * fitting.IDLE_QUEUE * engine.reading_rate)
+    _, sent = fakes.take(state, 0.0, "draft", time_left=2.6, tokens=9000)
+    assert sent is not None
+    assert sent.begins_in < TARGET
