Learn the spread of callers' patience from 300 of them

Cause: hypothesis found a new caller taken for one that had asked for 0.56 s (seed 304, callers that differ by a half): the median of 100 has a standard error of a twentieth of the spread, and 2.5 times it doesn't cover that. Change: 300 callers, learned after 100 first, three times the median. The case stays as an example of the test, which fails on the former code.

--- a/sycamorefall/direct/patience.py
+++ b/sycamorefall/direct/patience.py
@@ -13,21 +13,21 @@
 import dataclasses
 import statistics
 
-SAMPLES = 100
-"""Callers from whose times left the spread of a route is learned: the error of
-their median is a twentieth of the spread."""
+SAMPLES = 300
+"""Callers from whose times left the spread of a route is learned: the standard
+error of their median is 0.03 of the spread."""
 
-RELEARN_AFTER = 20
-"""Callers after which it is learned anew; that takes 10 us."""
+LEARN_AFTER = 100
+"""Callers after which it is learned, and learned anew; that takes 10 us."""
 
-FIRST_SPREAD = 0.2
-"""Spread that is assumed until `RELEARN_AFTER` callers were seen, as a part of
+FIRST_SPREAD = 0.25
+"""Spread that is assumed until `LEARN_AFTER` callers were seen, as a part of
 the longest time: more than the 0.15 that was met."""
 
-
-SPREAD_OF_MEDIAN = 2.5
+SPREAD_OF_MEDIAN = 3.0
 """Spread as a multiple of what the middle caller lacks of the longest time: 2
-if callers lie evenly, and the rest for the error of the median."""
+if callers lie evenly, and the rest for the error of the median, four times the
+standard error after `LEARN_AFTER` callers."""
 
 
 @dataclasses.dataclass(slots=True)
@@ -65,13 +65,13 @@
     Example:
         >>> patience = Patience()
         >>> [round(read_elapsed(patience, left), 2) for left in (8, 7, 5)]
-        [0.0, 0.0, 1.4]
+        [0.0, 0.0, 1.0]
     """
     patience.longest = max(patience.longest, time_left)
     share = 1 - time_left / patience.longest if patience.longest else 0.0
     patience._shares.append(share)
     patience._unlearned += 1
-    if patience._unlearned >= RELEARN_AFTER:
+    if patience._unlearned >= LEARN_AFTER:
         patience._unlearned = 0
         patience.spread = SPREAD_OF_MEDIAN * statistics.median(patience._shares)
     return max(0.0, share - patience.spread) * patience.longest
--- a/sycamorefall/direct/tests/test_patience.py
+++ b/sycamorefall/direct/tests/test_patience.py
@@ -2,7 +2,7 @@
 
 import random
 
-from hypothesis import given, strategies
+from hypothesis import example, given, strategies
 import pytest
 
 from sycamorefall.direct import core, fitting, patience
@@ -28,6 +28,7 @@
     spread=strategies.floats(0, 0.5),
     returning=strategies.floats(0, 0.3),
 )
+@example(seed=304, spread=0.5, returning=0.0)
 def test_new_caller_is_not_taken_for_one_that_came_back(
     seed, spread, returning
 ):
