Have engines fetch shared parts from each other

Where a part has several homes, or its home is full, the request goes to an engine that lacks it. Change: a send names as source the engine that this router sent the prompt's parts to, or else the part's home. The rate of copies follows from the configuration; what is known to be copied counts with its time in the queue. Homes move to a module of their own; nothing changes there.

--- a/standins/site.py
+++ b/standins/site.py
@@ -194,7 +194,12 @@
     version: int, routes: list[dict], keys: dict[str, list[str]]
 ) -> dict:
     """Describes a configuration with an engine and a ledger service."""
-    engine = {"Slots": 8, "KvCapacityTokens": 500_000, "KvTokenBytes": 1}
+    engine = {
+        "Slots": 8,
+        "KvCapacityTokens": 500_000,
+        "KvTokenBytes": 1000,
+        "LinkMbps": 1000,
+    }
     return {
         "Version": version,
         "Routes": routes,
--- a/sycamorefall/direct/catalog.py
+++ b/sycamorefall/direct/catalog.py
@@ -86,10 +86,13 @@
     Attributes:
         slots: Requests that one runs at once.
         memory_tokens: Tokens that its cache holds.
+        fetch_rate: Tokens that one copies from another's cache in a second;
+            0 if it can't.
     """
 
     slots: int
     memory_tokens: int
+    fetch_rate: float = 0.0
 
 
 @dataclasses.dataclass(slots=True, frozen=True)
--- a/sycamorefall/direct/dispatching.py
+++ b/sycamorefall/direct/dispatching.py
@@ -18,6 +18,7 @@
     budget,
     catalog,
     effects,
+    fetching,
     fitting,
     freshness,
     placing,
@@ -252,9 +253,14 @@
         chosen.heard_at = now
     chosen.own.running += 1
     upstreams.note_sent(chosen)
-    prompt, begins_in = request.new.prompt, None
+    prompt, begins_in, fetch = request.new.prompt, None, None
     if prompt is not None and service.engine is not None:
+        fetch = fetching.choose_source(
+            state.table, now, service, prompt, chosen
+        )
         attempt.unread = fitting.count_missing(chosen, prompt, home=False)
+        if fetch is not None:
+            attempt.unread -= fetching.count_saved(fetch, chosen, service)
         chosen.own.unread += attempt.unread
         state.unread_sent += attempt.unread
         attempt.queued = chosen.unread
@@ -280,6 +286,8 @@
         reads=attempt.unread,
         unread=chosen.unread,
         begins_in=begins_in and round(begins_in, 3),
+        source=fetch and fetch.source.listed.address,
+        fetches=fetch.tokens if fetch else 0,
     )
 
 
--- a/sycamorefall/direct/effects.py
+++ b/sycamorefall/direct/effects.py
@@ -24,6 +24,9 @@
         unread: The same for all requests, this one included.
         begins_in: Seconds until the answer's first event as reckoned; None
             for plain services.
+        source: Where the upstream is to fetch what it lacks of the prompt's
+            shared parts; None if it reads all that it lacks.
+        fetches: Tokens that it is expected to find there.
     """
 
     request: int
@@ -37,6 +40,8 @@
     reads: int = 0
     unread: int = 0
     begins_in: float | None = None
+    source: settings.Address | None = None
+    fetches: int = 0
 
 
 @dataclasses.dataclass(slots=True, frozen=True)
--- /dev/null
+++ b/sycamorefall/direct/fetching.py
@@ -0,0 +1,89 @@
+"""Where an engine is to fetch what it lacks of a prompt's shared parts.
+
+Copying a part from another engine's cache takes a seventh of the time that
+reading it takes, where links are as fast as those that were met, and engines
+copy while they read other prompts.
+"""
+
+__all__ = ["Fetch", "choose_source", "count_saved"]
+
+import dataclasses
+
+from sycamorefall.direct import catalog as catalog_module
+from sycamorefall.direct import fitting, homes, prompts
+from sycamorefall.direct import upstreams as upstreams_module
+from sycamorefall.direct.upstreams import Upstream
+
+LEAST_FETCH = 500
+"""Tokens below which a part is read rather than fetched: 5 ms of reading, of
+which setting up a transfer takes half."""
+
+
+@dataclasses.dataclass(slots=True, frozen=True)
+class Fetch:
+    """A copy from one engine to another.
+
+    Attributes:
+        source: The engine that is asked.
+        tokens: What it is known to hold beyond what the other one holds.
+    """
+
+    source: Upstream
+    tokens: int
+
+
+def choose_source(
+    table: upstreams_module.UpstreamTable,
+    now: float,
+    service: catalog_module.Service,
+    prompt: prompts.Prompt,
+    target: Upstream,
+) -> Fetch | None:
+    """Chooses where an engine fetches what it lacks of shared parts.
+
+    One that was sent the prompt's parts is the best; where none is known, the
+    part's home is asked, to which all routers send it. An engine that turns
+    out to hold nothing costs a few milliseconds, and the target then reads.
+
+    Args:
+        table: All upstreams.
+        now: This process's time.
+        service: The request's service.
+        prompt: The request's prompt.
+        target: The engine that gets the request.
+
+    Returns:
+        The source; None if there is nothing worth fetching, or nowhere.
+    """
+    if not service.engine.fetch_rate:
+        return None
+    held = fitting.count_held(target, prompt)
+    if prompt.shared - held < LEAST_FETCH:
+        return None
+    others = [
+        one
+        for one in homes.rank_engines(table, service, prompt.home_key)
+        if one is not target and upstreams_module.is_usable(one, now)
+    ]
+    if not others:
+        return None
+    source = max(others, key=lambda one: fitting.count_held(one, prompt))
+    gain = fitting.count_held(source, prompt) - held
+    return Fetch(source, gain) if gain > 0 else Fetch(others[0], 0)
+
+
+def count_saved(
+    fetch: Fetch, target: Upstream, service: catalog_module.Service
+) -> int:
+    """Counts the tokens that a fetch spares an engine's time.
+
+    Args:
+        fetch: The fetch.
+        target: The engine that gets the request.
+        service: Its service.
+
+    Returns:
+        Prompt tokens that it could read in the time that fetching is faster.
+    """
+    as_read = target.reading_rate / service.engine.fetch_rate
+    return max(0, int(fetch.tokens * (1 - as_read)))
--- a/sycamorefall/direct/fitting.py
+++ b/sycamorefall/direct/fitting.py
@@ -4,6 +4,7 @@
     "Need",
     "Obstacle",
     "count_again",
+    "count_held",
     "count_missing",
     "find_crowding",
     "find_obstacle",
@@ -98,14 +99,20 @@
     Returns:
         Tokens, as far as this router can tell.
     """
+    held = count_held(upstream, prompt)
+    if home:
+        held = max(held, int(HOME_TRUST * prompt.shared))
+    return prompt.tokens - held
+
+
+def count_held(upstream: Upstream, prompt: prompts.Prompt) -> int:
+    """Counts the tokens of a prompt that an engine is known to hold."""
     held = 0
     for key, tokens in prompt.parts:
         if key not in upstream.parts:
             break
         held += tokens
-    if home:
-        held = max(held, int(HOME_TRUST * prompt.shared))
-    return prompt.tokens - held
+    return held
 
 
 def count_again(upstream: Upstream, prompt: prompts.Prompt, home: bool) -> int:
--- a/sycamorefall/direct/placing.py
+++ b/sycamorefall/direct/placing.py
@@ -14,11 +14,10 @@
 ]
 
 import collections
-import hashlib
-import itertools
 
 from sycamorefall.direct import catalog as catalog_module
 from sycamorefall.direct import fitting, prompts
+from sycamorefall.direct import homes as homes_module
 from sycamorefall.direct import upstreams as upstreams_module
 from sycamorefall.direct.upstreams import Upstream
 
@@ -26,10 +25,6 @@
 """Weight of reading a shared part again, against waiting as long: it delays
 all that runs at the engine too, and pushes another part out of its cache."""
 
-USES_PER_HOME = 30
-"""Uses of a shared part in the last seconds from which on another engine is
-to hold it too: about a sixth of what one engine can serve of long prompts."""
-
 FAILURE_COST = 0.6
 """Seconds that a certain failure counts like."""
 
@@ -65,36 +60,6 @@
         held -= parts.popitem(last=False)[1]
 
 
-def _list_homes(
-    table: upstreams_module.UpstreamTable,
-    service: catalog_module.Service,
-    need: fitting.Need,
-    usable: list[Upstream],
-) -> list[Upstream]:
-    """Lists the engines that are to hold a part, the first choice first.
-
-    All routers find the same ones, without a word between them. A part that
-    is asked for often has several.
-    """
-    key = need.prompt.home_key
-    if not key:
-        return []
-    ranked = table.rankings.get((service.name, key))
-    if ranked is None:
-        if len(table.rankings) >= prompts.MOST_PARTS:
-            table.rankings.clear()
-        group = upstreams_module.list_upstreams(table, service.name)
-        ranked = sorted(group, key=lambda one: _draw(key, one), reverse=True)
-        table.rankings[service.name, key] = ranked
-    count = 1 + int(need.uses / USES_PER_HOME)
-    return list(itertools.islice((o for o in ranked if o in usable), count))
-
-
-def _draw(key: str, upstream: Upstream) -> bytes:
-    text = f"{key} {upstream.listed.address}".encode()
-    return hashlib.blake2b(text, digest_size=8).digest()
-
-
 def choose_upstream(
     table: upstreams_module.UpstreamTable,
     now: float,
@@ -118,7 +83,7 @@
     if need.prompt is None or service.engine is None:
         return _choose_plain(usable, now, failure_domain)
     prompt, engine = need.prompt, service.engine
-    homes = _list_homes(table, service, need, usable)
+    homes = homes_module.list_homes(table, service, need, usable)
     costs = [
         (_weigh(one, now, prompt, engine, one in homes), one)
         for one in usable
@@ -168,7 +133,7 @@
         full = [one for one in usable if not _has_room(one)]
         counts[fitting.Obstacle.SLOTS] = len(full)
     else:
-        homes = _list_homes(table, service, need, usable)
+        homes = homes_module.list_homes(table, service, need, usable)
         counts.update(
             fitting.find_obstacle(one, service.engine, need, one in homes)
             for one in usable
@@ -197,7 +162,7 @@
     if need.prompt is None or service.engine is None:
         return []
     usable = _list_usable(table, now, service, need)
-    homes = _list_homes(table, service, need, usable)
+    homes = homes_module.list_homes(table, service, need, usable)
     return [
         one.listed.name
         for one in usable
--- a/sycamorefall/direct/relay.py
+++ b/sycamorefall/direct/relay.py
@@ -200,6 +200,8 @@
         reads=send.reads,
         unread=send.unread,
         begins_in=send.begins_in,
+        source=send.source and str(send.source),
+        fetches=send.fetches,
         time_left=round(send.time_left, 3),
     )
     streams.start_over(delivery.splitter)
--- a/sycamorefall/direct/tests/test_sharing.py
+++ b/sycamorefall/direct/tests/test_sharing.py
@@ -9,9 +9,9 @@
     budget,
     core,
     exchange,
+    homes,
     outcomes,
     peers,
-    placing,
     streams,
 )
 from sycamorefall.direct.tests import fakes
@@ -46,7 +46,7 @@
     state = fakes.create_state(listing=listing)
     used = set()
     for _ in range(12):
-        state.uses.uses["hot"] = (2.0 * placing.USES_PER_HOME, 0.0)
+        state.uses.uses["hot"] = (2.0 * homes.USES_PER_HOME, 0.0)
         parts = (("hot", 5000),)
         _, sent = fakes.take(state, 0.0, "draft", tokens=5200, parts=parts)
         used |= {sent.upstream} if sent else set()
--- a/sycamorefall/platform/documents.py
+++ b/sycamorefall/platform/documents.py
@@ -83,6 +83,8 @@
 class _Engine(msgspec.Struct, rename="pascal"):
     slots: int
     kv_capacity_tokens: int
+    kv_token_bytes: float = 0.0
+    link_mbps: float = 0.0
 
 
 class _Service(msgspec.Struct, rename="pascal"):
@@ -114,6 +116,8 @@
     "streaming": catalog.RouteKind.STREAM,
 }
 
+_BYTES_PER_MEGABIT = 125_000
+
 _LEAVING = "draining"
 """State of an upstream that is to get no new work."""
 
@@ -186,11 +190,19 @@
 
 def _translate_service(service: _Service) -> catalog.Service:
     engine = service.engine and catalog.Engine(
-        service.engine.slots, service.engine.kv_capacity_tokens
+        service.engine.slots,
+        service.engine.kv_capacity_tokens,
+        _read_fetch_rate(service.engine),
     )
     return catalog.Service(service.name, service.max_connections, engine)
 
 
+def _read_fetch_rate(engine: _Engine) -> float:
+    if engine.kv_token_bytes <= 0:
+        return 0.0
+    return engine.link_mbps * _BYTES_PER_MEGABIT / engine.kv_token_bytes
+
+
 def decode_listing(
     items: Iterable[Item], prefix: str
 ) -> tuple[list[upstreams.Listed], list[str]]:
--- a/sycamorefall/platform/headers.py
+++ b/sycamorefall/platform/headers.py
@@ -18,6 +18,7 @@
 _TEAM = "Tenant"
 _INCARNATION = "Expect-Instance"
 _LAST_EVENT = "Last-Event-Id"
+_FETCH_FROM = "Kv-Fetch"
 
 _CONNECTION_HEADERS = frozenset(
     {
@@ -48,7 +49,7 @@
         "Pin-Ms",
         "Kv-Backup",
         "Kv-From",
-        "Kv-Fetch",
+        _FETCH_FROM,
     )
 )
 """Headers that only the system sets, or that are not for upstreams."""
@@ -129,6 +130,8 @@
         own.append((_TEAM, send.team))
     if last_event:
         own.append((_LAST_EVENT, last_event))
+    if send.source is not None:
+        own.append((_FETCH_FROM, str(send.source)))
     return (*passed, *own)
 
 
--- a/sycamorefall/platform/tests/test_translation.py
+++ b/sycamorefall/platform/tests/test_translation.py
@@ -50,6 +50,27 @@
     assert read.keyed and read.tokens_per_second == 5
 
 
+def test_rate_of_fetches_follows_from_the_link():
+    # A token of 128 KiB over 740 Gbit/s; an engine that names no link can't.
+    linked = {
+        "Slots": 48,
+        "KvCapacityTokens": 444_000,
+        "KvTokenBytes": 131_072,
+        "LinkMbps": 740_000.0,
+    }
+    alone = {"Slots": 48, "KvCapacityTokens": 444_000}
+    services = [
+        {"Name": "linked", "Engine": linked},
+        {"Name": "alone", "Engine": alone},
+        {"Name": "odd", "Engine": linked | {"KvTokenBytes": 0}},
+    ]
+    read = documents.decode_catalog(
+        create_item({"Version": 1, "Routes": [], "Services": services})
+    )
+    rates = [read.services[s["Name"]].engine.fetch_rate for s in services]
+    assert rates == [pytest.approx(705_719, abs=1), 0.0, 0.0]
+
+
 @pytest.mark.parametrize(
     "value",
     [
--- a/sycamorefall/platform/tests/test_whole_path.py
+++ b/sycamorefall/platform/tests/test_whole_path.py
@@ -55,6 +55,7 @@
         "Pin-Ms": "9000",
         "Kv-From": "10.0.0.1:1/a",
         "Kv-Backup": "10.0.0.1:1",
+        "Kv-Fetch": "10.0.0.1:1",
         "Connection": "X-Secret",
         "X-Secret": "s",
         "X-Kept": "k",
@@ -69,7 +70,21 @@
     assert headers["host"] == "site.example"
     assert 2000 < int(headers["request-deadline-ms"]) <= 3000
     hidden = {"hold", "pin-ms", "kv-from", "kv-backup", "credential"}
-    assert not (hidden | {"x-secret"}) & headers.keys()
+    assert not (hidden | {"x-secret", "kv-fetch"}) & headers.keys()
+
+
+def test_engine_is_told_where_to_fetch_a_part(site):
+    # An engine reads a paper that its neighbour holds. Cause: the send does
+    # not name the neighbour.
+    engines = [site.add_upstream(name, "engine") for name in ("e1", "e2")]
+    router = site.add_router()
+    usage = {"Token-Usage": "1000,5", "Prompt-Prefix": "a:900,b:100"}
+    for _ in range(2):
+        assert ask(router, "/draft/x", prompt=True, **usage)[1] == 200
+    sends = [headers for engine in engines for _, headers in engine.runs]
+    addresses = {f"127.0.0.1:{engine.port}" for engine in engines}
+    assert sends[0]["kv-fetch"] in addresses
+    assert "kv-fetch" not in sends[1], "it was sent the part by then"
 
 
 def test_key_and_route_are_judged_by_the_newest_configuration(site):
