Tell other routers which long prompts engines were sent

Cause: each router knew of its own sends only, so it took engines that held a part for ones that lacked it, and named sources that had nothing. Change: load messages carry the digests of prompts with long shared parts that were sent since the last one, news first, within 5.5 KB/s however many routers there are (property test). What an engine holds has a module of its own.

--- a/sycamorefall/direct/dispatching.py
+++ b/sycamorefall/direct/dispatching.py
@@ -16,6 +16,7 @@
 
 from sycamorefall.direct import (
     budget,
+    caches,
     catalog,
     effects,
     fetching,
@@ -267,7 +268,7 @@
         begins_in = fitting.FIRST_STEP + attempt.queued / chosen.reading_rate
         attempt.memory = prompt.tokens + prompt.output
         chosen.own.memory += attempt.memory
-        placing.note_prompt(chosen, prompt, service.engine)
+        _note_placement(state, chosen, prompt, service.engine)
         cost = prompt.tokens + prompts.OUTPUT_WEIGHT * prompt.output
         accounts = state_module.find_accounts(state, request.service)
         waiting.charge_team(accounts, now, request.team, cost)
@@ -291,6 +292,21 @@
     )
 
 
+def _note_placement(
+    state: state_module.DirectState,
+    chosen: upstreams.Upstream,
+    prompt: prompts.Prompt,
+    engine: catalog.Engine,
+) -> None:
+    """Takes note of what an engine will hold, for the other routers too."""
+    if engine.fetch_rate and prompt.shared >= fetching.LEAST_FETCH:
+        held = caches.count_held(chosen.cache, prompt)
+        news = max(0, prompt.shared - held)
+        placement = state_module.Placement(chosen.listed.name, prompt, news)
+        state.placements.append(placement)
+    caches.note_parts(chosen.cache, prompt.digests, engine.memory_tokens)
+
+
 def serve_waiting(
     state: state_module.DirectState, now: float
 ) -> list[effects.Effect]:
--- a/sycamorefall/direct/exchange.py
+++ b/sycamorefall/direct/exchange.py
@@ -19,7 +19,7 @@
 import dataclasses
 
 from sycamorefall import messages
-from sycamorefall.direct import dispatching, waiting
+from sycamorefall.direct import caches, dispatching, waiting
 from sycamorefall.direct import peers as peers_module
 from sycamorefall.direct import state as state_module
 
@@ -46,6 +46,12 @@
 Taking one over takes 0.03 ms with three upstreams, so a hundredth of its
 time."""
 
+PROMPTS_TOLD = 110.0
+"""Messages in a second that tell of one prompt each, to all the others and
+from all of them: at 16 to 25 bytes each 2 to 3 KB/s in and out, of the 7 KB/s
+that control may take. Of five routers each may tell 27; the busiest of a full
+day sends 25 that are long enough."""
+
 LEAST_AMOUNT = 50
 """Cost units below which a team's past service is not worth its bytes."""
 
@@ -64,6 +70,8 @@
         due: When the next whole one is sent.
         whole_sent: Whole ones sent so far.
         told: What the others were told of each upstream.
+        prompts_left: Prompts that may be told at once.
+        prompts_at: When that was last brought up to date.
     """
 
     vm: str
@@ -79,6 +87,8 @@
     told: dict[str, messages.UpstreamLoad] = dataclasses.field(
         default_factory=dict
     )
+    prompts_left: float = 0.0
+    prompts_at: float = float("-inf")
 
 
 def find_next_due(exchange: Exchange, state: state_module.DirectState) -> float:
@@ -132,6 +142,21 @@
     peers_module.add_up_loads(exchange.peers, state, changed)
     if load.whole:
         peers_module.add_up_teams(exchange.peers, state)
+    _take_prompts(state, load)
+
+
+def _take_prompts(
+    state: state_module.DirectState, load: messages.RouterLoad
+) -> None:
+    """Takes over what engines hold by what another router sent them."""
+    for prompt in load.prompts:
+        upstream = state.table.by_name.get(prompt.upstream)
+        if upstream is None or state.catalog is None:
+            continue
+        service = state.catalog.services.get(upstream.listed.service)
+        if service is not None and service.engine is not None:
+            limit = service.engine.memory_tokens
+            caches.note_parts(upstream.cache, prompt.parts, limit, prompt.own)
 
 
 def note_unnamed(
@@ -178,8 +203,9 @@
     exchange.sequence += 1
     exchange.sent_at = now
     state.unread_sent = 0
+    prompts = _write_prompts(exchange, state, now)
     if now < exchange.due:
-        return _write_change(exchange, state)
+        return _write_change(exchange, state, prompts)
     exchange.whole_sent += 1
     exchange.due = now + _choose_pause(state)
     peers_module.drop_silent(exchange.peers, state, now)
@@ -197,6 +223,33 @@
         tuple(
             _describe_service(state, now, service) for service in state.accounts
         ),
+        prompts=prompts,
+    )
+
+
+def _write_prompts(
+    exchange: Exchange, state: state_module.DirectState, now: float
+) -> tuple[messages.SentPrompt, ...]:
+    """Writes which prompts engines were sent, as many as the budget allows.
+
+    What an engine wasn't known to hold goes first: of the rest the others
+    only learn that it was used again.
+    """
+    rate = PROMPTS_TOLD / max(1, state.routers - 1)
+    earned = rate * (now - exchange.prompts_at)
+    allowed = min(exchange.prompts_left + earned, max(1.0, rate))
+    exchange.prompts_at = now
+    placements, state.placements = state.placements, []
+    placements.sort(key=lambda one: one.news, reverse=True)
+    told = placements[: int(allowed)]
+    exchange.prompts_left = allowed - len(told)
+    return tuple(
+        messages.SentPrompt(
+            one.upstream,
+            one.prompt.digests[:-1],
+            one.prompt.tokens - one.prompt.shared,
+        )
+        for one in told
     )
 
 
@@ -212,7 +265,9 @@
 
 
 def _write_change(
-    exchange: Exchange, state: state_module.DirectState
+    exchange: Exchange,
+    state: state_module.DirectState,
+    prompts: tuple[messages.SentPrompt, ...],
 ) -> messages.RouterLoad:
     """Writes what changed since the last message, but for floors and teams."""
     changed = []
@@ -225,7 +280,11 @@
             exchange.told[name] = load
             changed.append(load)
     return messages.RouterLoad(
-        exchange.sequence, "", upstreams=tuple(changed), whole=False
+        exchange.sequence,
+        "",
+        upstreams=tuple(changed),
+        whole=False,
+        prompts=prompts,
     )
 
 
--- a/sycamorefall/direct/fetching.py
+++ b/sycamorefall/direct/fetching.py
@@ -9,8 +9,8 @@
 
 import dataclasses
 
+from sycamorefall.direct import caches, homes, prompts
 from sycamorefall.direct import catalog as catalog_module
-from sycamorefall.direct import fitting, homes, prompts
 from sycamorefall.direct import upstreams as upstreams_module
 from sycamorefall.direct.upstreams import Upstream
 
@@ -57,7 +57,7 @@
     """
     if not service.engine.fetch_rate:
         return None
-    held = fitting.count_held(target, prompt)
+    held = caches.count_held(target.cache, prompt)
     if prompt.shared - held < LEAST_FETCH:
         return None
     others = [
@@ -67,8 +67,8 @@
     ]
     if not others:
         return None
-    source = max(others, key=lambda one: fitting.count_held(one, prompt))
-    gain = fitting.count_held(source, prompt) - held
+    source = max(others, key=lambda one: caches.count_held(one.cache, prompt))
+    gain = caches.count_held(source.cache, prompt) - held
     return Fetch(source, gain) if gain > 0 else Fetch(others[0], 0)
 
 
--- a/sycamorefall/direct/fitting.py
+++ b/sycamorefall/direct/fitting.py
@@ -4,7 +4,6 @@
     "Need",
     "Obstacle",
     "count_again",
-    "count_held",
     "count_missing",
     "find_crowding",
     "find_obstacle",
@@ -15,7 +14,7 @@
 import dataclasses
 import enum
 
-from sycamorefall.direct import catalog, prompts
+from sycamorefall.direct import caches, catalog, prompts
 from sycamorefall.direct.upstreams import Upstream
 
 AGAIN_SHARE = 0.2
@@ -99,22 +98,12 @@
     Returns:
         Tokens, as far as this router can tell.
     """
-    held = count_held(upstream, prompt)
+    held = caches.count_held(upstream.cache, prompt)
     if home:
         held = max(held, int(HOME_TRUST * prompt.shared))
     return prompt.tokens - held
 
 
-def count_held(upstream: Upstream, prompt: prompts.Prompt) -> int:
-    """Counts the tokens of a prompt that an engine is known to hold."""
-    held = 0
-    for key, tokens in prompt.parts:
-        if key not in upstream.parts:
-            break
-        held += tokens
-    return held
-
-
 def count_again(upstream: Upstream, prompt: prompts.Prompt, home: bool) -> int:
     """Counts the tokens of shared parts that an engine would read again."""
     own = prompt.tokens - prompt.shared
--- a/sycamorefall/direct/placing.py
+++ b/sycamorefall/direct/placing.py
@@ -10,7 +10,6 @@
     "choose_upstream",
     "count_obstacles",
     "list_waited_for",
-    "note_prompt",
 ]
 
 import collections
@@ -41,25 +40,6 @@
 """Seconds that another failure domain counts like, for plain services."""
 
 
-def note_prompt(
-    upstream: Upstream, prompt: prompts.Prompt, engine: catalog_module.Engine
-) -> None:
-    """Takes note that an engine reads a prompt.
-
-    Args:
-        upstream: The engine; changed.
-        prompt: The prompt.
-        engine: What is known of such engines.
-    """
-    parts = upstream.parts
-    for key, tokens in prompt.parts:
-        parts[key] = tokens
-        parts.move_to_end(key)
-    held = sum(parts.values())
-    while parts and held > engine.memory_tokens:
-        held -= parts.popitem(last=False)[1]
-
-
 def choose_upstream(
     table: upstreams_module.UpstreamTable,
     now: float,
--- a/sycamorefall/direct/prompts.py
+++ b/sycamorefall/direct/prompts.py
@@ -1,10 +1,18 @@
 """What requests ask of engines, and how often their shared parts are used."""
 
-__all__ = ["MOST_PARTS", "OUTPUT_WEIGHT", "PartUses", "Prompt", "note_use"]
+__all__ = [
+    "MOST_PARTS",
+    "OUTPUT_WEIGHT",
+    "Digests",
+    "PartUses",
+    "Prompt",
+    "note_use",
+]
 
 import collections
 import dataclasses
 import math
+import zlib
 
 MOST_PARTS = 20_000
 """Parts whose uses are counted: 4 MB."""
@@ -16,6 +24,10 @@
 """Seconds over which the uses of a part are counted."""
 
 
+Digests = tuple[tuple[int, int], ...]
+"""Digests of a prompt's parts in order, with their tokens."""
+
+
 @dataclasses.dataclass(slots=True, frozen=True)
 class Prompt:
     """What a request asks of an engine.
@@ -25,6 +37,10 @@
         output: Tokens it is expected to make.
         parts: Parts of the prompt in order, with their tokens; the last one
             is the request's own.
+        digests: The same, by digest: four bytes in place of the key, half of
+            what that takes in a message. Two of 1,000 parts share one in one
+            of 10,000 fleets; an engine is then taken to hold what it has to
+            read.
         home_key: The last part that other requests share; empty if there is
             none.
         shared: Tokens of the parts that other requests share.
@@ -36,6 +52,7 @@
     parts: tuple[tuple[str, int], ...] = ()
     # Reckoned once: each look at a waiting request reads them for each
     # engine, which took a third of the look's time.
+    digests: Digests = dataclasses.field(init=False)
     home_key: str = dataclasses.field(init=False)
     shared: int = dataclasses.field(init=False)
     own_work: int = dataclasses.field(init=False)
@@ -45,6 +62,10 @@
         home_key = self.parts[-2][0] if len(self.parts) > 1 else ""
         shared = sum(tokens for _, tokens in self.parts[:-1])
         own_work = self.tokens - shared + OUTPUT_WEIGHT * self.output
+        digests = tuple(
+            (zlib.crc32(key.encode()), size) for key, size in self.parts
+        )
+        object.__setattr__(self, "digests", digests)
         object.__setattr__(self, "home_key", home_key)
         object.__setattr__(self, "shared", shared)
         object.__setattr__(self, "own_work", own_work)
--- a/sycamorefall/direct/state.py
+++ b/sycamorefall/direct/state.py
@@ -4,6 +4,7 @@
     "Attempt",
     "DirectState",
     "NewRequest",
+    "Placement",
     "Request",
     "create_state",
     "find_accounts",
@@ -106,6 +107,21 @@
     part_uses: float = 0.0
 
 
+@dataclasses.dataclass(slots=True, frozen=True)
+class Placement:
+    """A prompt that an engine was sent.
+
+    Attributes:
+        upstream: The incarnation.
+        prompt: The prompt.
+        news: Tokens of its shared parts that the engine wasn't known to hold.
+    """
+
+    upstream: str
+    prompt: prompts.Prompt
+    news: int
+
+
 @dataclasses.dataclass(slots=True)
 class DirectState:
     """Everything a router that sends directly knows.
@@ -126,6 +142,7 @@
         patience: How long callers are ready to wait, by route.
         unread_sent: Prompt tokens sent to be read since the other routers
             were last told.
+        placements: Prompts with long shared parts sent since then.
         overload: How late the process was lately.
         routers: Routers that were heard lately, this one included.
         stopping: Whether the process is to end.
@@ -160,6 +177,7 @@
         default_factory=dict
     )
     unread_sent: int = 0
+    placements: list[Placement] = dataclasses.field(default_factory=list)
     overload: overload_module.Overload = dataclasses.field(
         default_factory=overload_module.Overload
     )
--- a/sycamorefall/direct/tests/test_fetching.py
+++ b/sycamorefall/direct/tests/test_fetching.py
@@ -1,6 +1,19 @@
 """Shared parts that engines copy from each other in place of reading them."""
 
-from sycamorefall.direct import catalog, core, homes, upstreams
+from hypothesis import given, strategies
+import msgspec
+
+from sycamorefall import messages
+from sycamorefall.direct import (
+    caches,
+    catalog,
+    core,
+    exchange,
+    homes,
+    prompts,
+    upstreams,
+)
+from sycamorefall.direct import state as state_module
 from sycamorefall.direct.tests import fakes
 
 PAPER = (("paper", 9000),)
@@ -90,3 +103,109 @@
     first, second, *_ = rank(state)
     send_to(state, first)
     assert send_to(state, second).source is None
+
+
+def pass_on(load, told, state, now=0.0):
+    """Hands what `front-2` tells to a router."""
+    envelope = messages.Envelope("front-2", 1, 1, load)
+    exchange.take_load(told, state, now, envelope)
+
+
+def test_what_another_router_sent_is_known():
+    # Five routers send a paper's requests to two engines. Each knows only of
+    # its own, takes an engine for one that lacks the paper, and has it read
+    # or fetched from where it isn't.
+    here, there = create_state(), create_state()
+    told, heard = fakes.create_exchange(), fakes.create_exchange("front-2", 2)
+    _, second, third, _ = rank(there)
+    send_to(there, second)
+    pass_on(exchange.write_load(heard, there, 0.0), told, here)
+    source = here.table.by_name[second.listed.name]
+    target = here.table.by_name[third.listed.name]
+    assert send_to(here, source).source is None, "it has the part"
+    assert send_to(here, target).fetches == 9500
+
+
+def test_each_send_is_told_once_and_short_ones_are_not():
+    # Loads go out many times a second. Were each to repeat the prompts, the
+    # control traffic would grow with the square of the rate.
+    state, told = create_state(), fakes.create_exchange()
+    first, second, *_ = rank(state)
+    send_to(state, first)
+    send_to(state, second, parts=(("short", 100),), tokens=600)
+    load = exchange.write_load(told, state, 0.0)
+    assert [one.upstream for one in load.prompts] == [first.listed.name]
+    assert [size for _, size in load.prompts[0].parts] == [9000]
+    assert load.prompts[0].own == 500
+    assert exchange.write_load(told, state, 1.0).prompts == ()
+
+
+def test_prompts_told_of_upstreams_that_are_not_known_do_no_harm():
+    # A router hears of an engine that its own listing doesn't have yet, and
+    # of one that is no engine.
+    state, told = create_state(), fakes.create_exchange()
+    parts = ((1, 9000),)
+    sent = [messages.SentPrompt(name, parts, 0) for name in ("e9", "l1")]
+    load = messages.RouterLoad(1, "127.0.0.1:2", prompts=tuple(sent))
+    pass_on(load, told, state)
+    first, *_ = rank(state)
+    assert send_to(state, first).fetches == 0
+
+
+@given(
+    sends=strategies.lists(strategies.floats(0.0, 0.2), max_size=200),
+    routers=strategies.integers(1, 370),
+)
+def test_telling_prompts_fits_the_budget_of_control_traffic(sends, routers):
+    # Control may take 7 KB/s of a router, however many requests and routers
+    # there are. Were each router to tell all it sends to all others, a site
+    # of 30 would need 9 KB/s for this alone.
+    state, told = create_state(), fakes.create_exchange()
+    state.routers = routers
+    parts = (("5c1e07a2", 2520), ("91bd3f06", 3780), ("e4402b7d", 2890))
+    prompt = prompts.Prompt(9190, 50, parts)
+    now, size = 0.0, 0
+    for pause in sends:
+        now += pause
+        placement = state_module.Placement("e1", prompt, 6300)
+        state.placements += [placement] * 10
+        load = exchange.write_load(told, state, now)
+        size += sum(len(msgspec.msgpack.encode(one)) for one in load.prompts)
+    sent, heard = size * (routers - 1), size * (routers - 1)
+    assert sent + heard <= 5500 * (now + 1.0) + 2 * 25 * routers
+
+
+def test_news_are_told_before_what_is_known():
+    # An engine is sent a paper for the first time while others use theirs
+    # again. If the budget leaves the new one out, nobody fetches from there.
+    state, told = create_state(), fakes.create_exchange()
+    state.routers = int(exchange.PROMPTS_TOLD) + 1
+    first, second, *_ = rank(state)
+    send_to(state, first)
+    exchange.write_load(told, state, 0.0)
+    send_to(state, first)
+    send_to(state, second)
+    load = exchange.write_load(told, state, 1.0)
+    assert [one.upstream for one in load.prompts] == [second.listed.name]
+
+
+def test_cache_never_counts_more_than_it_holds():
+    # An engine is taken to hold all that it was ever sent; it is asked for
+    # parts that it dropped long ago, and the target reads them after all.
+    cache = caches.Cache()
+    for number in range(50):
+        caches.note_parts(cache, ((number % 7, 9000),), 40_000, 500)
+        assert cache.tokens == sum(cache.parts.values()) <= 40_000
+    caches.clear_cache(cache)
+    assert cache.tokens == 0 and not cache.parts
+
+
+def test_part_that_has_grown_counts_as_long_as_it_was():
+    # A session's own part grows with each turn. An engine that holds the
+    # first turn was taken to hold all of the tenth, and its queue was taken
+    # to be empty.
+    cache = caches.Cache()
+    first = prompts.Prompt(1000, 50, (("paper", 900), ("session", 100)))
+    caches.note_parts(cache, first.digests, 10_000)
+    grown = prompts.Prompt(4900, 50, (("paper", 900), ("session", 4000)))
+    assert caches.count_held(cache, grown) == 1000
--- a/sycamorefall/direct/upstreams.py
+++ b/sycamorefall/direct/upstreams.py
@@ -17,13 +17,13 @@
     "replace_listing",
 ]
 
-import collections
 from collections.abc import Iterable
 import dataclasses
 import enum
 import math
 
 from sycamorefall import settings
+from sycamorefall.direct import caches
 
 LAPSE_GRACE = 2.3
 """Seconds after the platform's return during which a missing entry may be one
@@ -53,8 +53,6 @@
 """Prompt tokens an engine reads in a second until it was seen reading: the
 slowest that was met."""
 
-Parts = collections.OrderedDict[str, int]
-
 
 class _Health(enum.Enum):
     USABLE = "usable"
@@ -112,7 +110,7 @@
             another router; infinity if none does.
         heard_at: When it last sent anything to this router.
         reading_rate: Prompt tokens it reads in a second.
-        parts: Prompt parts it was sent, with their tokens, oldest first.
+        cache: What it is taken to hold of prompts.
         barred_until: When it may be tried again after a failure.
     """
 
@@ -122,7 +120,7 @@
     floor: float = math.inf
     heard_at: float = 0.0
     reading_rate: float = READING_RATE
-    parts: Parts = dataclasses.field(default_factory=collections.OrderedDict)
+    cache: caches.Cache = dataclasses.field(default_factory=caches.Cache)
     barred_until: float = 0.0
     _health: _Health = _Health.USABLE
     _failures: int = 0
--- a/sycamorefall/messages.py
+++ b/sycamorefall/messages.py
@@ -259,6 +259,21 @@
     control: str
 
 
+class SentPrompt(msgspec.Struct, frozen=True, array_like=True):
+    """A prompt that a router sent to an engine.
+
+    Attributes:
+        upstream: The engine's incarnation.
+        parts: Digests of the prompt's shared parts in order, with their
+            tokens.
+        own: Tokens that no other request shares.
+    """
+
+    upstream: Name
+    parts: tuple[tuple[int, int], ...]
+    own: int
+
+
 class RouterLoad(msgspec.Struct, frozen=True, array_like=True, tag="l"):
     """What a router that sends directly has at the upstreams.
 
@@ -274,6 +289,10 @@
         services: What it gave.
         whole: Whether this is all; otherwise what is left out, but for the
             sequence, is as it was told before.
+        prompts: Prompts sent since the last message whose shared parts are
+            worth copying from engine to engine, as many as the budget of
+            control traffic allows. Where a message is lost, the others know
+            less of what engines hold.
     """
 
     sequence: int
@@ -282,6 +301,7 @@
     upstreams: tuple[UpstreamLoad, ...] = ()
     services: tuple[ServiceDemand, ...] = ()
     whole: bool = True
+    prompts: tuple[SentPrompt, ...] = ()
 
 
 class UnknownNames(msgspec.Struct, frozen=True, array_like=True, tag="u"):
--- a/sycamorefall/names.py
+++ b/sycamorefall/names.py
@@ -282,6 +282,10 @@
         )
         for demand in message.services
     )
+    prompts = tuple(
+        msgspec.structs.replace(prompt, upstream=rename(prompt.upstream))
+        for prompt in message.prompts
+    )
     return msgspec.structs.replace(
-        message, upstreams=upstreams, services=services
+        message, upstreams=upstreams, services=services, prompts=prompts
     )
