Look at a team's urgent requests whatever else of it waits

Cause: one pass looks at three requests of a team. Change: a team's requests wait in a queue for each target latency, the most urgent first; three of each are looked at.

--- a/sycamorefall/direct/dispatching.py
+++ b/sycamorefall/direct/dispatching.py
@@ -77,7 +77,8 @@
 ) -> None:
     """Has a request wait."""
     room = state.rooms.setdefault(request.service, waiting.WaitingRoom())
-    waiting.add_request(room, request.team, request.number)
+    target = request.route.target_latency
+    waiting.add_request(room, request.team, request.number, target)
 
 
 def leave_room(
--- a/sycamorefall/direct/tests/test_urgency.py
+++ b/sycamorefall/direct/tests/test_urgency.py
@@ -2,7 +2,7 @@
 
 import dataclasses
 
-from sycamorefall.direct import catalog, core, fitting, urgency
+from sycamorefall.direct import catalog, core, fitting, urgency, waiting
 from sycamorefall.direct import freshness as freshness_module
 from sycamorefall.direct.tests import fakes
 
@@ -65,3 +65,19 @@
     freshness_module.note_proof(state.freshness, later)
     fill(state, 0.6)
     assert fakes.take(state, later, PATIENT, tokens=100)[1] is not None
+
+
+def test_urgent_request_is_not_hidden_behind_patient_ones():
+    # A team has dozens of patient requests waiting. One pass looks at three
+    # of them, none of which can go, and its urgent ones are refused unseen.
+    room = waiting.WaitingRoom()
+    for number in range(40):
+        waiting.add_request(room, "mill", number, 1.2)
+        if number == 20:
+            waiting.add_request(room, "mill", 100, 0.6)
+    assert next(waiting.list_candidates(room, "mill")) == 100
+    waiting.remove_request(room, "mill", 100)
+    assert list(waiting.list_candidates(room, "mill")) == [0, 39, 38]
+    for number in range(40):
+        waiting.remove_request(room, "mill", number)
+    assert not room.by_team
--- a/sycamorefall/direct/waiting.py
+++ b/sycamorefall/direct/waiting.py
@@ -27,9 +27,9 @@
 operators take less than half of it, over seconds, for unfair."""
 
 NEWEST_TRIES = 2
-"""Requests of one team, the newest, that are looked at in one pass besides
-the oldest: that one may be too long for the room there is, or have too little
-time left, while a newer one can still be on time."""
+"""Requests of one team and target latency, the newest, that are looked at in
+one pass besides the oldest: that one may be too long for the room there is, or
+have too little time left, while a newer one can still be on time."""
 
 
 @dataclasses.dataclass(slots=True)
@@ -51,9 +51,13 @@
 
 @dataclasses.dataclass(slots=True)
 class WaitingRoom:
-    """Numbers of the requests that wait for one service, oldest first."""
+    """Numbers of the requests that wait for one service.
 
-    by_team: dict[str, dict[int, None]] = dataclasses.field(
+    Attributes:
+        by_team: By team, then by target latency in seconds, oldest first.
+    """
+
+    by_team: dict[str, dict[float, dict[int, None]]] = dataclasses.field(
         default_factory=dict
     )
 
@@ -114,18 +118,24 @@
     return read_service(accounts, now, team) < BEHIND * accounts.most
 
 
-def add_request(room: WaitingRoom, team: str, number: int) -> None:
-    """Adds a request behind its team's others."""
-    room.by_team.setdefault(team, {})[number] = None
+def add_request(
+    room: WaitingRoom, team: str, number: int, target: float = 0.0
+) -> None:
+    """Adds a request behind its team's others of the same target latency."""
+    queues = room.by_team.setdefault(team, {})
+    queues.setdefault(target, {})[number] = None
 
 
 def remove_request(room: WaitingRoom, team: str, number: int) -> None:
     """Removes a request; one that does not wait is none."""
-    numbers = room.by_team.get(team)
-    if numbers is not None:
-        numbers.pop(number, None)
-        if not numbers:
-            del room.by_team[team]
+    queues = room.by_team.get(team, {})
+    found = [target for target, queue in queues.items() if number in queue]
+    for target in found:
+        del queues[target][number]
+        if not queues[target]:
+            del queues[target]
+    if found and not queues:
+        del room.by_team[team]
 
 
 def order_teams(
@@ -154,14 +164,25 @@
     sent 200 requests a second to one router had them sent after half a second
     on average, and got a third of what the next one did.
 
+    Guards also against patient requests that hide urgent ones: those of each
+    target latency stand in a queue of their own, the most urgent first.
+
     Example:
         >>> room = WaitingRoom()
         >>> for number in range(9):
-        ...     add_request(room, "mill", number)
+        ...     add_request(room, "mill", number, 1.2)
+        >>> add_request(room, "mill", 9, 0.6)
+        >>> add_request(room, "mill", 10, 1.2)
         >>> list(list_candidates(room, "mill"))
-        [0, 8, 7]
+        [9, 0, 10, 8]
     """
-    numbers = room.by_team.get(team, {})
-    newest = itertools.islice(reversed(numbers), NEWEST_TRIES)
-    oldest = itertools.islice(numbers, 1)
-    return iter(dict.fromkeys([*oldest, *newest]))
+    queues = room.by_team.get(team, {})
+    picked = (_pick(queues[target]) for target in sorted(queues))
+    return itertools.chain.from_iterable(picked)
+
+
+def _pick(queue: dict[int, None]) -> list[int]:
+    """Picks the oldest request of a queue and the newest ones."""
+    newest = itertools.islice(reversed(queue), NEWEST_TRIES)
+    oldest = itertools.islice(queue, 1)
+    return list(dict.fromkeys([*oldest, *newest]))
