Begin anew with an upstream that starts again under its name

Found by reading: its cache, its load, its failures and its bar were taken over; load of the former life was taken off the new one's when its requests ended; and where the restart lay behind a partition, callers waited for answers that nobody would send. Change: another birth is another upstream. Attempts of the former life end as broken connections do: what may be repeated goes on elsewhere, of the rest nobody knows whether it ran. An entry without the birth that its process had told is another writer's. A fuzzed decoder found none that stops a router; text outside ASCII in a configuration would have (by reading).

--- a/standins/site.py
+++ b/standins/site.py
@@ -101,7 +101,12 @@
         return upstream
 
     def list_upstream(
-        self, name: str, service: str, slots: int = 8, state: str = "ready"
+        self,
+        name: str,
+        service: str,
+        slots: int = 8,
+        state: str = "ready",
+        born: int = 1,
     ) -> None:
         """Writes an upstream's entry to the store."""
         self.store.put(
@@ -110,9 +115,12 @@
                 "Service": service,
                 "Address": f"127.0.0.1:{self.upstreams[name].port}",
                 "Zone": "a",
+                "Version": "v1",
                 "Slots": slots,
                 "State": state,
+                "ColdRemainingMs": 0,
                 "Sequence": 1,
+                "born": born,
             },
         )
 
--- a/sycamorefall/direct/daemon.py
+++ b/sycamorefall/direct/daemon.py
@@ -108,15 +108,22 @@
     def take_listing(self, listing: list[upstreams_module.Listed]) -> None:
         """Takes a listing of upstreams that was read."""
         now = transport.read_clock()
-        before = set(self.state.table.by_name)
+        by_name = self.state.table.by_name
+        before = {name: one.listed.born for name, one in by_name.items()}
         gone = core.apply_listing(self.state, now, listing)
-        new = self.state.table.by_name.keys() - before
-        if gone or new:
+        new = by_name.keys() - before.keys()
+        restarted = [
+            name
+            for name, one in by_name.items()
+            if before.get(name, one.listed.born) != one.listed.born
+        ]
+        if gone or new or restarted:
             observation.write_record(
                 observation.Level.INFO,
                 "upstreams.changed",
                 gone=gone,
                 new=sorted(new),
+                restarted=restarted,
             )
 
     def take_proof(self, sent_at: float) -> None:
--- a/sycamorefall/direct/dispatching.py
+++ b/sycamorefall/direct/dispatching.py
@@ -268,7 +268,9 @@
 ) -> effects.SendTo:
     request.sends += 1
     request.tried.add(chosen.listed.name)
-    attempt = state_module.Attempt(request.sends, chosen.listed.name, now)
+    attempt = state_module.Attempt(
+        request.sends, chosen.listed.name, now, chosen.listed.born
+    )
     request.attempt = attempt
     if not chosen.own.running:
         # Its silence so far meant nothing.
--- a/sycamorefall/direct/outcomes.py
+++ b/sycamorefall/direct/outcomes.py
@@ -75,7 +75,7 @@
 ) -> upstreams.Upstream | None:
     """Takes a request's load off its upstream; returns the upstream."""
     attempt, request.attempt = request.attempt, None
-    upstream = state.table.by_name.get(attempt.upstream)
+    upstream = state_module.find_upstream(state, attempt)
     state.serve = True
     if upstream is None:
         return None
@@ -126,7 +126,7 @@
     if request is None or request.attempt is None:
         return
     attempt = request.attempt
-    upstream = state.table.by_name.get(attempt.upstream)
+    upstream = state_module.find_upstream(state, attempt)
     if upstream is not None:
         upstream.heard_at = now
     if first and not attempt.answered:
--- a/sycamorefall/direct/silence.py
+++ b/sycamorefall/direct/silence.py
@@ -26,6 +26,7 @@
     all its callers would wait until their deadlines. An engine that makes
     tokens sends something every few milliseconds.
     """
+    done = _end_former_lives(state, now)
     hanging = {
         request.attempt.upstream
         for request in state.requests.values()
@@ -36,7 +37,6 @@
         for request in state.requests.values()
         if request.attempt and _is_stuck(state, now, request, hanging)
     ]
-    done: list[effects.Effect] = []
     for name in hanging:
         upstreams.bar_upstream(state.table.by_name[name], now)
     for request in stuck:
@@ -44,6 +44,27 @@
     return done
 
 
+def _end_former_lives(
+    state: state_module.DirectState, now: float
+) -> list[effects.Effect]:
+    """Ends attempts at processes that have started again under their name.
+
+    Guards against a restart behind a partition: the connection is never
+    reset, and its caller would wait for an answer that nobody will send.
+    Whether the former life ran the request stays open.
+    """
+    ended: list[effects.Effect] = []
+    for request in list(state.requests.values()):
+        attempt = request.attempt
+        if attempt is None or attempt.upstream not in state.table.by_name:
+            continue
+        if state_module.find_upstream(state, attempt) is None:
+            end = outcomes.AttemptEnd.BROKEN
+            ended.append(effects.Abort(request.number))
+            ended += outcomes.end_attempt(state, now, request.number, end)
+    return ended
+
+
 def _is_hanging(
     state: state_module.DirectState,
     now: float,
@@ -51,7 +72,7 @@
 ) -> bool:
     """Tells whether a streamed request's upstream says nothing to anyone."""
     attempt = request.attempt
-    upstream = state.table.by_name.get(attempt.upstream)
+    upstream = state_module.find_upstream(state, attempt)
     if upstream is None or not request.route.kind.streamed:
         return False
     limit = SILENT_ENGINE if attempt.answered else SILENT_BEFORE_FIRST
--- a/sycamorefall/direct/state.py
+++ b/sycamorefall/direct/state.py
@@ -8,6 +8,7 @@
     "Request",
     "create_state",
     "find_accounts",
+    "find_upstream",
     "find_urgency",
 ]
 
@@ -54,6 +55,7 @@
     Attributes:
         number: Counts the sends of the request, from 1.
         upstream: The incarnation.
+        born: Its life under that name; see `upstreams.Listed`.
         sent_at: When it was sent.
         unread: Prompt tokens it adds until it begins to answer.
         queued: Prompt tokens that were ahead of it, its own included.
@@ -64,6 +66,7 @@
     number: int
     upstream: str
     sent_at: float
+    born: int = 0
     unread: int = 0
     queued: int = 0
     memory: int = 0
@@ -218,6 +221,16 @@
     return state.accounts.setdefault(service, waiting.TeamAccounts())
 
 
+def find_upstream(
+    state: DirectState, attempt: Attempt
+) -> upstreams.Upstream | None:
+    """Finds the upstream of an attempt; None if it is gone or lives anew."""
+    upstream = state.table.by_name.get(attempt.upstream)
+    if upstream is None or upstream.listed.born != attempt.born:
+        return None
+    return upstream
+
+
 def find_urgency(state: DirectState, service: str) -> urgency_module.Urgency:
     """Finds how soon answers of a service are due."""
     return state.urgency.setdefault(service, urgency_module.Urgency())
--- a/sycamorefall/direct/upstreams.py
+++ b/sycamorefall/direct/upstreams.py
@@ -65,13 +65,15 @@
     """An upstream as the platform lists it.
 
     Attributes:
-        name: Its incarnation, new at each start.
+        name: Its incarnation, usually new at each start.
         service: Service it belongs to.
         address: Where it answers.
         failure_domain: Where it stands.
         slots: Requests it runs at once.
         leaving: Whether it is to get no new work.
         listed_at: Revision at which the entry was made.
+        born: When its process started, by its own clock; 0 if it doesn't say.
+            One that starts again under its name is told apart by this.
     """
 
     name: str
@@ -81,6 +83,7 @@
     slots: int
     leaving: bool
     listed_at: int = 0
+    born: int = 0
 
 
 @dataclasses.dataclass(slots=True)
@@ -178,6 +181,11 @@
     fewer upstreams than live for a while after its return, and taking all
     of them for gone would stop the service.
 
+    Guards also against a process that starts again under its name: it holds
+    nothing of what its former life was sent. Its cache would be counted on,
+    and its load would stand beside that of requests that are long lost, so it
+    begins as one that nothing is known of.
+
     Args:
         table: The upstreams; changed.
         now: When the listing was read.
@@ -189,15 +197,20 @@
     if table.read_at is not None and now - table.read_at > AWAY_GAP:
         table.settled_at = now + LAPSE_GRACE
     table.read_at = now
-    listed = {entry.name: entry for entry in listing}
+    listed = {
+        entry.name: entry
+        for entry in listing
+        if not _lacks_birth(table.by_name.get(entry.name), entry)
+    }
     missing = [name for name in table.by_name if name not in listed]
     gone = missing if now >= table.settled_at else []
     for name in gone:
         del table.by_name[name]
     for name, entry in listed.items():
         known = table.by_name.get(name)
-        if known is None:
+        if known is None or known.listed.born != entry.born:
             table.by_name[name] = Upstream(entry, heard_at=now)
+            table.replaced.discard(name)
         else:
             known.listed = entry
     table.replaced &= table.by_name.keys()
@@ -205,6 +218,15 @@
     return gone
 
 
+def _lacks_birth(known: Upstream | None, entry: Listed) -> bool:
+    """Tells whether an entry can't be of the process that had told its birth.
+
+    Guards against an entry that somebody else wrote: taken for a restart, it
+    would have all requests at the process given up.
+    """
+    return known is not None and known.listed.born > 0 and not entry.born
+
+
 def _index(table: UpstreamTable) -> None:
     """Groups upstreams by service, the newest one of each address only.
 
--- a/sycamorefall/platform/documents.py
+++ b/sycamorefall/platform/documents.py
@@ -9,8 +9,8 @@
 ]
 
 import base64
-import binascii
 from collections.abc import Iterable
+from typing import Annotated, Literal
 
 import msgspec
 
@@ -54,11 +54,27 @@
 
 
 class _Upstream(msgspec.Struct, rename="pascal"):
+    """An entry of an upstream; all of its fields are always there.
+
+    Attributes:
+        slots: Requests that it runs at once.
+        cold_remaining_ms: How much longer it is slow after its start.
+        sequence: Counts what it wrote; starts anew with the process.
+        born: When the process started, by its own clock in milliseconds; 0
+            on platforms that don't tell.
+    """
+
     service: str
     address: str
     zone: str
-    slots: int
-    state: str
+    version: str
+    slots: Annotated[int, msgspec.Meta(ge=1)]
+    state: Literal["ready", "draining"]
+    cold_remaining_ms: float
+    sequence: int
+    born: Annotated[int, msgspec.Meta(ge=1)] | None = msgspec.field(
+        name="born", default=None
+    )
 
 
 class _Share(msgspec.Struct, rename="pascal"):
@@ -125,14 +141,14 @@
 def _unpack(item: Item) -> bytes:
     try:
         return base64.b64decode(item.value, validate=True)
-    except binascii.Error as fault:
+    except ValueError as fault:
         raise errors.ConfigurationRefused(0, f"{item.key}: {fault}") from fault
 
 
 def _decode(item: Item, kind: type) -> object:
     try:
         return msgspec.json.decode(_unpack(item), type=kind)
-    except (msgspec.DecodeError, UnicodeDecodeError) as fault:
+    except (msgspec.DecodeError, UnicodeDecodeError, RecursionError) as fault:
         raise errors.ConfigurationRefused(0, f"{item.key}: {fault}") from fault
 
 
@@ -227,12 +243,16 @@
 
 def _translate_entry(item: Item, prefix: str) -> upstreams.Listed:
     entry = _decode(item, _Upstream)
+    name = item.key.removeprefix(prefix)
+    if not name:
+        raise errors.ConfigurationRefused(0, f"{item.key}: no name")
     return upstreams.Listed(
-        item.key.removeprefix(prefix),
+        name,
         entry.service,
         settings.parse_address(entry.address),
         entry.zone,
         entry.slots,
         entry.state == _LEAVING,
         item.create_rev,
+        entry.born or 0,
     )
--- a/sycamorefall/platform/store.py
+++ b/sycamorefall/platform/store.py
@@ -62,7 +62,7 @@
         self._calls: dict[Read, _Call] = {}
         self._pages: list[documents.Item] = []
         self._reachable = True
-        self._refused: set[str] = set()
+        self._refused: dict[Read, set[str]] = {}
 
     def find_next_due(self) -> float:
         """Tells when a read is due next, or to be given up."""
@@ -152,7 +152,7 @@
         self._calls.pop(Read.LISTING)
         self._note_reachable()
         listing, refused = documents.decode_listing(items, UPSTREAM_PREFIX)
-        self._note_refused(refused)
+        self._note_refused(Read.LISTING, refused)
         self._daemon.take_listing(listing)
         now = transport.read_clock()
         proof = following.note_listing(self._following, now, page.current_rev)
@@ -164,18 +164,20 @@
         try:
             new = documents.decode_catalog(item)
         except errors.ConfigurationRefused as fault:
-            self._note_refused([str(fault)])
+            self._note_refused(Read.CATALOG, [str(fault)])
             return
+        self._note_refused(Read.CATALOG, [])
         self._daemon.take_catalog(new)
         self._daemon.take_proof(sent_at)
 
-    def _note_refused(self, reasons: list[str]) -> None:
-        """Logs each document that can't be used, once."""
-        for reason in set(reasons) - self._refused:
+    def _note_refused(self, kind: Read, reasons: list[str]) -> None:
+        """Logs each document that can't be used, once until that changes."""
+        known = self._refused.get(kind, set())
+        for reason in set(reasons) - known:
             observation.write_record(
                 observation.Level.WARNING, "platform.refused", reason=reason
             )
-        self._refused |= set(reasons)
+        self._refused[kind] = set(reasons)
 
     def _note_reachable(self) -> None:
         if not self._reachable:
--- a/sycamorefall/platform/tests/test_translation.py
+++ b/sycamorefall/platform/tests/test_translation.py
@@ -3,16 +3,34 @@
 import base64
 import json
 
+from hypothesis import given, strategies
 import pytest
 
 from sycamorefall import errors
 from sycamorefall.direct import catalog, dialects
 from sycamorefall.platform import documents, headers
 
+GOOD = {
+    "Service": "s",
+    "Address": "10.0.0.1:80",
+    "Zone": "z",
+    "Version": "v1",
+    "Slots": 4,
+    "State": "draining",
+    "ColdRemainingMs": 0,
+    "Stage": "both",
+    "Sequence": 4,
+    "born": 1_780_820_851_000,
+}
+"""An entry as an upstream writes it."""
+
+
+def encode(value):
+    return base64.b64encode(json.dumps(value).encode())
+
 
 def create_item(value, key="op/config"):
-    text = base64.b64encode(json.dumps(value).encode()).decode()
-    return documents.Item(key, text, 7)
+    return documents.Item(key, encode(value).decode(), 7)
 
 
 def test_configuration_is_read():
@@ -86,16 +104,9 @@
 
 def test_one_bad_entry_does_not_hide_the_others():
     # One upstream writes nonsense; all others must go on being used.
-    good = {
-        "Service": "s",
-        "Address": "10.0.0.1:80",
-        "Zone": "z",
-        "Slots": 4,
-        "State": "draining",
-    }
     items = [
-        create_item(good, "servers/a"),
-        create_item(good | {"Address": "here"}, "servers/b"),
+        create_item(GOOD, "servers/a"),
+        create_item(GOOD | {"Address": "here"}, "servers/b"),
         documents.Item("servers/c", "%%%"),
     ]
     listing, refused = documents.decode_listing(items, "servers/")
@@ -103,6 +114,106 @@
     assert len(refused) == 2
 
 
+@pytest.mark.parametrize(
+    "change",
+    [
+        {"State": "resting"},
+        {"State": None},
+        {"Slots": "4"},
+        {"Slots": 0},
+        {"Slots": True},
+        {"Sequence": "9"},
+        {"ColdRemainingMs": []},
+        {"born": "1780820851000"},
+        {"born": -5},
+        {"Service": 7},
+        {"Address": ["10.0.0.1:80"]},
+    ],
+)
+def test_entry_of_another_writer_names_no_upstream(change):
+    # Another program writes below the same prefix. Its entry looks like one
+    # but for a field, and requests go to an address where nobody serves them.
+    items = [
+        create_item(GOOD, "servers/a"),
+        create_item(GOOD | change, "servers/b"),
+    ]
+    listing, refused = documents.decode_listing(items, "servers/")
+    assert [one.name for one in listing] == ["a"]
+    assert len(refused) == 1 and "servers/b" in refused[0]
+
+
+@pytest.mark.parametrize(
+    "field", [field for field in GOOD if field not in ("born", "Stage")]
+)
+def test_entry_without_a_field_names_no_upstream(field):
+    # The same, with a field left out.
+    rest = {name: value for name, value in GOOD.items() if name != field}
+    items = [create_item(rest, "servers/b"), create_item(GOOD, "servers/a")]
+    listing, refused = documents.decode_listing(items, "servers/")
+    assert [one.name for one in listing] == ["a"]
+    assert len(refused) == 1
+
+
+JSON = strategies.recursive(
+    strategies.none()
+    | strategies.booleans()
+    | strategies.integers()
+    | strategies.floats(allow_nan=False)
+    | strategies.text(),
+    lambda inner: (
+        strategies.lists(inner, max_size=3)
+        | strategies.dictionaries(strategies.text(), inner, max_size=3)
+    ),
+    max_leaves=5,
+)
+
+
+@given(
+    entries=strategies.lists(
+        strategies.one_of(
+            strategies.dictionaries(
+                strategies.sampled_from(sorted(GOOD)), JSON
+            ).map(lambda change: encode(GOOD | change)),
+            JSON.map(encode),
+            strategies.binary().map(lambda data: base64.b64encode(data)),
+            strategies.text().map(lambda text: text.encode()),
+        ),
+        max_size=8,
+    ),
+    place=strategies.integers(0, 8),
+)
+def test_no_entry_hides_a_good_one_or_stops_the_router(entries, place):
+    # Whatever lies below the prefix, the router goes on, uses the good entry
+    # and no broken one.
+    items = [
+        documents.Item(f"servers/x{n}", text.decode(), 7)
+        for n, text in enumerate(entries)
+    ]
+    items.insert(place, create_item(GOOD, "servers/good"))
+    listing, refused = documents.decode_listing(items, "servers/")
+    assert "good" in [one.name for one in listing]
+    assert len(listing) + len(refused) == len(items)
+    for one in listing:
+        assert one.slots >= 1 and one.born >= 0 and one.service is not None
+
+
+@given(
+    change=strategies.dictionaries(
+        strategies.sampled_from(
+            ["Version", "Routes", "Services", "Limits", "Tenants"]
+        ),
+        JSON,
+    )
+)
+def test_no_configuration_stops_the_router(change):
+    # A configuration of any content is taken or refused with a reason.
+    value = {"Version": 1, "Routes": [], "Services": []} | change
+    try:
+        documents.decode_catalog(create_item(value))
+    except errors.ConfigurationRefused as fault:
+        assert "op/config" in str(fault)
+
+
 @pytest.mark.parametrize(
     ("status", "named", "verdict"),
     [
