Count requests as urgent by the time that they have left

Change: a request with no more time left than the shortest target may wait in an engine's queue until it would be late, like those that come with so little.

--- a/sycamorefall/direct/caches.py
+++ b/sycamorefall/direct/caches.py
@@ -2,7 +2,6 @@
 
 __all__ = [
     "Cache",
-    "clear_cache",
     "count_held",
     "note_parts",
 ]
@@ -69,9 +68,3 @@
         if known < tokens:
             break
     return held
-
-
-def clear_cache(cache: Cache) -> None:
-    """Forgets what an engine held, as after its restart."""
-    cache.parts.clear()
-    cache.tokens = 0
--- a/sycamorefall/direct/dispatching.py
+++ b/sycamorefall/direct/dispatching.py
@@ -149,13 +149,14 @@
 ) -> float:
     """Finds how long a request may wait for others inside an engine.
 
-    The most urgent ones may wait until they would be late; what they leave of
-    the engine's queue is all that the others may fill, which have time to
-    wait here.
+    A request is urgent once it has no more time left than those of the
+    shortest target had when they came. It may wait until it would be late;
+    what is left of the engine's queue is all that the others may fill, which
+    have time to wait here.
     """
     known = state_module.find_urgency(state, request.service)
     shortest = urgency.find_shortest(known, now)
-    if request.route.target_latency <= shortest:
+    if request.target_at - now <= shortest:
         return math.inf
     return fitting.QUEUE_SHARE * shortest
 
--- a/sycamorefall/direct/tests/test_fetching.py
+++ b/sycamorefall/direct/tests/test_fetching.py
@@ -196,8 +196,6 @@
     for number in range(50):
         caches.note_parts(cache, ((number % 7, 9000),), 40_000, 500)
         assert cache.tokens == sum(cache.parts.values()) <= 40_000
-    caches.clear_cache(cache)
-    assert cache.tokens == 0 and not cache.parts
 
 
 def test_part_that_has_grown_counts_as_long_as_it_was():
--- a/sycamorefall/direct/tests/test_loads.py
+++ b/sycamorefall/direct/tests/test_loads.py
@@ -197,14 +197,14 @@
     for _ in range(20):
         freshness.note_proof(state.freshness, now)
         long, _ = fakes.take(state, now, "draft", tokens=39_000)
-        caches.clear_cache(engine.cache)
+        engine.cache = caches.Cache()
         short, sent = fakes.take(state, now + 0.4, "draft", tokens=100)
         if sent:
             outcomes.note_answer(state, now + 0.45, short, first=True)
         outcomes.note_answer(state, now + 0.47, long, first=True)
         for number in (long, short):
             core.cancel_request(state, number, now + 0.5)
-        caches.clear_cache(engine.cache)
+        engine.cache = caches.Cache()
         now += 1.0
     assert engine.reading_rate < 1.6 * before
 
@@ -222,7 +222,7 @@
             end = now + 0.05 + 10_000 / true_rate
             outcomes.note_answer(state, end, number, first=True)
         core.cancel_request(state, number, now + 1.0)
-        caches.clear_cache(engine.cache)
+        engine.cache = caches.Cache()
         now += 1.0
     assert true_rate * 0.7 < engine.reading_rate < true_rate * 1.4
 
