--- a/Makefile
+++ b/Makefile
@@ -27,6 +27,7 @@
 
 bench: $(STAMP)
 	$(BIN)/python -m benchmarks.fairness
+	$(BIN)/python -m benchmarks.placing
 
 lint: $(STAMP)
 	$(BIN)/ruff format --check .
--- a/sycamorefall/direct/tests/test_urgency.py
+++ b/sycamorefall/direct/tests/test_urgency.py
@@ -56,6 +56,19 @@
     assert sent.request == number
 
 
+def test_patient_request_becomes_urgent_as_its_time_runs_out():
+    # A patient request waits for a short queue all its time and is refused,
+    # though an engine could have answered it by then.
+    state = create_state()
+    fakes.take(state, 0.0, URGENT, tokens=100)
+    fill(state, 0.3)
+    number, sent = fakes.take(state, 0.0, PATIENT, tokens=100)
+    assert sent is None
+    assert core.run_timers(state, 0.6) == []
+    (sent,) = fakes.find_sends(core.run_timers(state, 0.75))
+    assert sent.request == number
+
+
 def test_routes_that_nobody_calls_reserve_nothing():
     # Operators publish a route with a target of 20 ms that nobody uses yet.
     # If it bounded the queues, engines would stand half empty for it.
