--- a/sycamorefall/direct/tests/test_urgency.py
+++ b/sycamorefall/direct/tests/test_urgency.py
@@ -69,6 +69,21 @@
     assert sent.request == number
 
 
+def test_urgent_request_of_a_team_with_many_patient_ones_is_sent():
+    # The same from the caller's side: the urgent request came between the
+    # patient ones, and is neither the oldest nor one of the newest.
+    state = create_state()
+    fakes.take(state, 0.0, URGENT, tokens=100)
+    fill(state, 0.3)
+    for _ in range(8):
+        fakes.take(state, 0.1, PATIENT, tokens=100)
+    urgent, _ = fakes.take(state, 0.1, URGENT, tokens=100)
+    for _ in range(8):
+        fakes.take(state, 0.1, PATIENT, tokens=100)
+    (sent,) = fakes.find_sends(core.run_timers(state, 0.12))
+    assert sent.request == urgent
+
+
 def test_routes_that_nobody_calls_reserve_nothing():
     # Operators publish a route with a target of 20 ms that nobody uses yet.
     # If it bounded the queues, engines would stand half empty for it.
