Log what a stopping router closes, and requests that it drops unread

A closed connection left no line, nor did a request that was not begun as its caller had left. Ruled out: a line for each connection, which a crowd would make thousands. Change: `process.closing` says how late the loop is when a stopping process ends listening, `connections.closed` how many idle ones are closed in one pass and on how many of these bytes wait unread, `listening.ended` how many were taken last. A dropped request has a start and an end, and `explain` names it. No decision changes. Before and after: the new test of a frozen router found no line of the request; it finds its id and cause now.

--- a/sycamorefall/direct/daemon.py
+++ b/sycamorefall/direct/daemon.py
@@ -200,6 +200,7 @@
             config.listen.data,
             config.limits,
             lambda call: relay.take_call(desk, call),
+            on_dropped=lambda call: relay.note_dropped(desk, call),
         ).register(loop)
     ]
     if config.listen.operators is not None:
@@ -334,6 +335,13 @@
     daemon.stop_check = now + STOP_CHECK
     if now - daemon.stopping_since < LISTEN_ON:
         return
+    if daemon.servers[0].listening:
+        observation.write_record(
+            observation.Level.INFO,
+            "process.closing",
+            in_progress=len(daemon.state.requests),
+            late=round(daemon.ticker.late, 3),
+        )
     for server in daemon.servers:
         server.begin_stop()
         server.end_listening()
--- a/sycamorefall/direct/relay.py
+++ b/sycamorefall/direct/relay.py
@@ -1,6 +1,6 @@
 """Carries requests to upstreams and answers back to callers."""
 
-__all__ = ["Desk", "perform", "take_call"]
+__all__ = ["Desk", "note_dropped", "perform", "take_call"]
 
 from collections.abc import Iterable
 import dataclasses
@@ -102,6 +102,15 @@
             _take_request(desk, call, new)
 
 
+def note_dropped(desk: Desk, call: transport.IncomingCall) -> None:
+    """Takes note of a request that isn't begun, as its caller has left."""
+    now = transport.read_clock()
+    track = observation.begin_request(
+        desk.recorder, now, "", "", request_id=desk.dialect.read_id(call)
+    )
+    observation.end_request(desk.recorder, track, now, "dropped")
+
+
 def _take_request(
     desk: Desk, call: transport.IncomingCall, new: state_module.NewRequest
 ) -> None:
--- a/sycamorefall/observation/explaining.py
+++ b/sycamorefall/observation/explaining.py
@@ -198,6 +198,7 @@
     "deadline_exceeded": "its time was over before an answer came",
     "broken_off": "its answer was broken off after it had begun",
     "cancelled": "its caller left before the answer was whole",
+    "dropped": "not begun: its caller had left when it was read",
 }
 
 
--- a/sycamorefall/platform/tests/test_explaining.py
+++ b/sycamorefall/platform/tests/test_explaining.py
@@ -2,6 +2,8 @@
 
 import contextlib
 import http.client
+import signal
+import socket
 
 import pytest
 
@@ -32,6 +34,17 @@
         return None
 
 
+def send_and_leave(router, path, request="00000000deadbeef"):
+    """Sends a whole request and closes at once; gives the request's id."""
+    head = (
+        f"GET {path} HTTP/1.1\r\nHost: site.example\r\n"
+        f"Attempt-Id: {request}\r\n\r\n"
+    )
+    with socket.create_connection(("127.0.0.1", router.data)) as caller:
+        caller.sendall(head.encode())
+    return request
+
+
 def test_three_failed_requests_are_explained_by_their_ids(site, capsys):
     # Three callers complain: one was refused, one got no answer that says
     # whether it ran, one got half an answer. On call there are only logs.
@@ -62,6 +75,19 @@
     assert "last to e1" in text
 
 
+def test_request_that_was_read_too_late_is_explained(site, capsys):
+    # A router freezes; a caller gives up meanwhile and closes. Awake again,
+    # the router reads the request and doesn't begin it. Without a record of
+    # that, the request had left no trace at all.
+    site.add_upstream("e1", "engine")
+    router = site.add_router()
+    router.process.send_signal(signal.SIGSTOP)
+    request = send_and_leave(router, "/draft/x")
+    router.process.send_signal(signal.SIGCONT)
+    text = explain(site, request, capsys)
+    assert "not begun: its caller had left when it was read" in text
+
+
 def test_refusal_is_explained_by_the_platform_that_was_away(site, capsys):
     # The store is away for longer than keys may be believed. The caller's
     # refusal must be shown beside the loss of the store.
--- a/sycamorefall/transport/server.py
+++ b/sycamorefall/transport/server.py
@@ -14,7 +14,7 @@
 from circuits.net import sockets
 import msgspec
 
-from sycamorefall import errors, settings
+from sycamorefall import errors, observation, settings
 from sycamorefall.transport import call as call_module
 from sycamorefall.transport import deadlines, inbound, loop, outflow
 
@@ -73,6 +73,7 @@
         on_call: Callable[[call_module.IncomingCall], None],
         channel: str = "web",
         read_clock: Callable[[], float] = loop.read_clock,
+        on_dropped: Callable[[call_module.IncomingCall], None] | None = None,
     ):
         """Opens the listening socket.
 
@@ -82,6 +83,8 @@
             on_call: Called with each request.
             channel: Channel of its events, one for each server.
             read_clock: The clock of the time limits.
+            on_dropped: Called with each request that is not begun, as its
+                caller has left.
 
         Raises:
             errors.AddressInUse: The address can't be bound.
@@ -90,6 +93,7 @@
         self._limits = limits
         self._on_call = on_call
         self._read_clock = read_clock
+        self._on_dropped = on_dropped
         self._connections: dict[socket.socket, _Connection] = {}
         self.stopping = False
         self._listened_at: tuple[str, int] | None = None
@@ -112,6 +116,11 @@
         """Port listened at, also after listening has ended."""
         return self._listened_at[1] if self._listened_at else self.server.port
 
+    @property
+    def listening(self) -> bool:
+        """Whether new connections are taken."""
+        return self.server._sock is not None
+
     def find_next_due(self) -> float:
         """Tells when a time limit ends next."""
         limits = (self._reading, self._idle, self._closing)
@@ -145,11 +154,22 @@
         What has not been sent whole yet is still taken and answered.
         """
         self.stopping = True
+        closed = unread = 0
         for sock, connection in list(self._connections.items()):
             if connection.call is not None:
                 connection.call.close_after()
             elif self._idle.has(sock):
+                closed += 1
+                unread += _has_unread(sock)
                 self.server.close(sock)
+        if closed:
+            observation.write_record(
+                observation.Level.INFO,
+                "connections.closed",
+                closed=closed,
+                unread=unread,
+                open=len(self._connections),
+            )
 
     def end_listening(self) -> None:
         """Takes no more connections, but for those already made.
@@ -160,8 +180,10 @@
         listening = self.server._sock
         if listening is None:
             return
-        while self._accept_some() == ACCEPTS_AT_ONCE:
-            pass
+        taken = sum(iter(self._accept_some, 0))
+        observation.write_record(
+            observation.Level.INFO, "listening.ended", taken=taken
+        )
         # Requests still come on kept connections, and circuits.web asks for
         # this address with each; without it they would get no answer.
         self._listened_at = (self.server.host, self.server.port)
@@ -268,13 +290,15 @@
         connection: _Connection,
         request: inbound.InboundRequest,
     ) -> None:
-        if _has_hung_up(sock):
-            self.server._close(sock)
-            return
         try:
             call = call_module.IncomingCall(self, sock, request)
         except OSError:
             return  # The caller has gone; `disconnect` follows.
+        if _has_hung_up(sock):
+            if self._on_dropped is not None:
+                self._on_dropped(call)
+            self.server._close(sock)
+            return
         connection.call = call
         if self.stopping:
             call.close_after()
@@ -354,6 +378,14 @@
             connection.call.on_drained()
 
 
+def _has_unread(sock: socket.socket) -> bool:
+    """Tells whether bytes have arrived on a connection that nobody read."""
+    try:
+        return sock.recv(1, socket.MSG_PEEK | socket.MSG_DONTWAIT) != b""
+    except OSError:
+        return False
+
+
 def _has_hung_up(sock: socket.socket) -> bool:
     """Tells whether a caller has closed its side after its request.
 
