Read what has arrived before the server closes or judges a connection

Cause: the server took a connection for idle by what its loop had handled. The loop of a crowded VM is late by tenths of a second, and a woken VM by the whole freeze; a request that had arrived meanwhile was closed unanswered. Class: a decision on a view older than the input that has come in. Waiting a fixed while before closing was not tried: no figure holds for a loop that is late. Change: connections are read by the server itself, so that no bytes stand between the kernel and the connection in an event of circuits; each place that closes or judges one reads what has arrived first: the end of listening, idle time, a slow request's limit, room for a new connection, and whether a stopping process is quiet. A caller whose answer began before a stop may ask once more on its connection, since nothing told it that it closes.

--- a/sycamorefall/transport/server.py
+++ b/sycamorefall/transport/server.py
@@ -21,6 +21,9 @@
 DRAIN_LIMIT = 1 << 24
 """Bytes of a refused request that are read and thrown away."""
 
+READ_SIZE = 1 << 16
+"""Bytes read from a connection at once."""
+
 ACCEPTS_AT_ONCE = 64
 """Connections taken before other events of the loop get their turn."""
 
@@ -55,11 +58,20 @@
 class HttpServer(circuits.BaseComponent):
     """Listens for HTTP and hands each request to a function.
 
+    Connections are read here, not by circuits' server: it passes bytes on as
+    an event of its own, and between the two they are neither in the kernel nor
+    with the connection. Before the server closes a connection of its own
+    accord or judges a time limit, it reads what has arrived.
+
     Guards against callers that send slowly or not at all, and against those
     that never take their answer: each would hold a connection for ever, and
     enough of them would keep all others out. A request has a time limit from
     its first byte, a connection without a request one, and so has one that
     is being closed.
+
+    Attributes:
+        stopping: Whether connections close after their next answer.
+        asked_at: When the last request was taken.
     """
 
     channel = "web"
@@ -96,6 +108,7 @@
         self._on_dropped = on_dropped
         self._connections: dict[socket.socket, _Connection] = {}
         self.stopping = False
+        self.asked_at = float("-inf")
         self._listened_at: tuple[str, int] | None = None
         self._reading = deadlines.Deadlines(limits.header_timeout)
         self._idle = deadlines.Deadlines(limits.idle_timeout)
@@ -129,12 +142,15 @@
     def expire(self, now: float) -> None:
         """Refuses or closes the connections whose time limit is over."""
         for sock in self._reading.pop_expired(now):
-            self._refuse(sock, errors.ErrorKind.REQUEST_TIMEOUT)
-        late = self._idle.pop_expired(now) + self._closing.pop_expired(now)
-        for sock in late:
+            self._read_arrived(sock)
+            if self._is_waiting(sock):
+                self._refuse(sock, errors.ErrorKind.REQUEST_TIMEOUT)
+        for sock in self._idle.pop_expired(now):
+            self._close_idle(sock)
+        for sock in self._closing.pop_expired(now):
             # Not by a `close` event: it waits for the caller to take what is
             # still unsent, which is what this caller doesn't do.
-            self.server._close(sock)
+            self._close(sock)
 
     def push(self, sock: socket.socket, data: bytes) -> None:
         """Sends bytes on a connection."""
@@ -159,10 +175,9 @@
             if connection.call is not None:
                 connection.call.close_after()
             elif self._idle.has(sock):
-                closed += 1
-                unread += _has_unread(sock)
-                self.server.close(sock)
-        if closed:
+                closed += self._close_idle(sock)
+                unread += not self._idle.has(sock)
+        if closed or unread:
             observation.write_record(
                 observation.Level.INFO,
                 "connections.closed",
@@ -192,10 +207,12 @@
         listening.close()
 
     @circuits.handler("_read", priority=2)
-    def _on_ready_to_accept(self, event, sock) -> None:
+    def _on_readable(self, event, sock) -> None:
+        event.stop()
         if sock is self.server._sock:
-            event.stop()
             self._accept_some()
+        elif sock in self._connections:
+            self._read_once(sock)
 
     def _accept_some(self) -> int:
         """Takes connections that the kernel has made; returns how many.
@@ -208,15 +225,32 @@
                 sock, _ = self.server._sock.accept()
             except OSError:
                 return taken
-            self.server._on_accept_done(sock)
+            self._take_connection(sock)
         return ACCEPTS_AT_ONCE
 
+    def _take_connection(self, sock: socket.socket) -> None:
+        full = len(self._connections) >= self._limits.max_connections
+        if full and not self._make_room():
+            sock.close()
+            return
+        self.server._on_accept_done(sock, fire_connect_event=False)
+        self._connections[sock] = _Connection(self._limits)
+        self._idle.start(sock, self._read_clock())
+
+    def _make_room(self) -> bool:
+        """Closes the connection that has been idle longest, if there is one."""
+        while (spare := self._idle.find_first()) is not None:
+            if self._close_idle(spare):
+                return True
+        return False
+
     def is_quiet(self) -> bool:
         """Tells whether no request and no answer is under way."""
         return not any(
             connection.call is not None
             or self._reading.has(sock)
             or self.count_unsent(sock)
+            or (not connection.refused and _has_unread(sock))
             for sock, connection in self._connections.items()
         )
 
@@ -240,34 +274,75 @@
         """Counts bytes that wait in a connection's send buffer."""
         return outflow.count_unsent(self.server, sock)
 
-    @circuits.handler("connect")
-    def _on_connect(self, sock, *_) -> None:
-        if len(self._connections) >= self._limits.max_connections:
-            # The one that has been without a request longest makes room.
-            spare = self._idle.find_first()
-            self.server._close(sock if spare is None else spare)
-            if spare is None:
-                return
-        self._connections[sock] = _Connection(self._limits)
-        self._idle.start(sock, self._read_clock())
+    def _read_once(self, sock: socket.socket) -> bool:
+        """Reads what has arrived on a connection, up to `READ_SIZE` bytes.
 
-    @circuits.handler("read", priority=10)
-    def _on_read(self, event, sock, data) -> None:
-        event.stop()
+        Returns:
+            Whether there was anything, and more may follow.
+        """
+        try:
+            data = sock.recv(READ_SIZE)
+        except BlockingIOError:
+            return False
+        except OSError:
+            self._close(sock)
+            return False
+        if data:
+            self._take_bytes(sock, data)
+        else:
+            self.server.close(sock)
+        return bool(data)
+
+    def _read_arrived(self, sock: socket.socket) -> None:
+        """Reads all that has arrived, before a connection is judged.
+
+        Guards against a loop that is late, or a VM that was frozen: requests
+        lie in the kernel, and a connection looks idle or slow that isn't. It
+        showed as connections closed with a whole request on them.
+        """
+        while self._is_waiting(sock) and self._read_once(sock):
+            pass
+
+    def _is_waiting(self, sock: socket.socket) -> bool:
+        """Tells whether a connection is open and no request on it is whole."""
         connection = self._connections.get(sock)
-        if connection is None:
-            return
+        return (
+            connection is not None
+            and connection.call is None
+            and not connection.refused
+        )
+
+    def _close_idle(self, sock: socket.socket) -> bool:
+        """Closes an idle connection, unless bytes of a request have arrived.
+
+        Returns:
+            Whether it is closed.
+        """
+        self._idle.stop(sock)
+        self._read_arrived(sock)
+        if not self._is_waiting(sock) or self._reading.has(sock):
+            return False
+        self._close(sock)
+        return True
+
+    def _close(self, sock: socket.socket) -> None:
+        """Closes a connection at once."""
+        self.server._close(sock)
+        self._forget(sock)
+
+    def _take_bytes(self, sock: socket.socket, data: bytes) -> None:
+        connection = self._connections[sock]
         if connection.refused:
             connection.drained += len(data)
             if connection.drained > DRAIN_LIMIT:
-                self.server._close(sock)
+                self._close(sock)
             return
         connection.reader.feed(data)
         most = self._limits.max_header_bytes + self._limits.max_body_bytes
         if connection.call is None:
             self._take_request(sock, connection)
         elif connection.reader.unread > most:
-            self.server._close(sock)
+            self._close(sock)
 
     def _take_request(
         self, sock: socket.socket, connection: _Connection
@@ -293,13 +368,15 @@
         try:
             call = call_module.IncomingCall(self, sock, request)
         except OSError:
-            return  # The caller has gone; `disconnect` follows.
+            self._close(sock)  # The caller has gone.
+            return
         if _has_hung_up(sock):
             if self._on_dropped is not None:
                 self._on_dropped(call)
-            self.server._close(sock)
+            self._close(sock)
             return
         connection.call = call
+        self.asked_at = self._read_clock()
         if self.stopping:
             call.close_after()
         try:
@@ -317,7 +394,9 @@
             return
         connection.call = None
         now = self._read_clock()
-        if self.stopping or not call.keep_alive:
+        # A caller whose answer began before the stop wasn't told that its
+        # connection closes, and may be sending its next request.
+        if not call.keep_alive:
             connection.refused = True
             self._close_gently(call.sock)
         elif connection.reader.start_next():
@@ -352,6 +431,9 @@
 
     @circuits.handler("disconnect")
     def _on_disconnect(self, sock, *_) -> None:
+        self._forget(sock)
+
+    def _forget(self, sock: socket.socket) -> None:
         connection = self._connections.pop(sock, None)
         for limit in (self._reading, self._idle, self._closing):
             limit.stop(sock)
--- a/sycamorefall/transport/tests/test_closing.py
+++ b/sycamorefall/transport/tests/test_closing.py
@@ -76,3 +76,60 @@
         turn_loop(site, turns)
         assert not site.server.is_quiet(), turns
         caller.close()
+
+
+def test_request_that_arrived_in_idle_time_is_answered():
+    # A VM freezes for longer than connections may stay idle. A caller sent a
+    # request on a kept one before its time was over; on waking the server
+    # closed it for idleness before it had read.
+    site = test_server.Site(idle_timeout=60.0)
+    caller = make_idle(site)
+    caller.sendall(test_server.GET % b"now")
+    site.advance(60.0)
+    assert is_answered(site, caller)
+
+
+def test_request_whose_rest_has_arrived_is_not_too_slow():
+    # A caller sends a request in two parts, a moment apart; the VM freezes
+    # between them. On waking the server refused the request as too slow
+    # though all of it had been there in time.
+    site = test_server.Site(header_timeout=20.0)
+    caller = site.connect()
+    caller.sendall(b"GET /now HTTP/1.1\r\n")
+    site.turn_until(lambda: site.server.find_next_due() == 20.0)
+    caller.sendall(b"Host: a\r\n\r\n")
+    site.advance(20.0)
+    assert is_answered(site, caller)
+
+
+def test_connection_that_makes_room_has_no_request():
+    # At the most connections that a process may have, the one that has been
+    # idle longest makes room for a new one. A request had arrived on it, and
+    # its caller got a closed connection; the next one had none.
+    site = test_server.Site(max_connections=2)
+    asking, idle = make_idle(site), make_idle(site)
+    asking.sendall(test_server.GET % b"now")
+    third = site.connect()
+    site.server._accept_some()
+    assert is_answered(site, asking)
+    assert site.read(idle, b"nothing") == b""
+    for caller in (asking, third):
+        caller.close()
+
+
+def test_caller_of_a_long_stream_may_ask_again_while_its_router_stops():
+    # A stream began before the stop, so its head doesn't say that the
+    # connection closes. As it ends its caller sends the next request; the
+    # server closed the connection under it.
+    site = open_site()
+    caller = site.connect()
+    caller.sendall(test_server.GET % b"long")
+    call = site.turn_until(lambda: site.calls)[0]
+    call.begin(200)
+    site.server.begin_stop()
+    call.write(b"whole")
+    call.end()
+    assert site.read(caller, b"0\r\n\r\n").endswith(b"whole\r\n0\r\n\r\n")
+    caller.sendall(test_server.GET % b"now")
+    answer = site.read(caller, b"\r\n\r\nnow")
+    assert b"Connection: close" in answer
