Answer callers of a stopping router until they come no more

Cause: a stopping router ended listening 2.6 s after the signal, whether or not callers still came. Later callers found nobody, and those just at the end raced with the close. Change: `direct/stopping.py` decides what a stopping router takes. For 2.6 s everything; later only what ends before the process is killed (`grace`, a new setting), the rest is refused at once as not run, to come back elsewhere after 0.1 s. It listens until no request came for 0.3 s, for 4.1 s at most. Before and after: test_callers_that_come_late_... ended at 2.66 s with listening ended at 2.6 s (seen by switching the new rule off); it goes past 3.8 s now, long requests refused, short ones served. Tests of direct/, transport/ and the whole path: 170 passed.

--- a/standins/site.py
+++ b/standins/site.py
@@ -124,8 +124,16 @@
             },
         )
 
-    def add_router(self, name: str = "front-a-1", wait: bool = True) -> Router:
-        """Starts a router and waits until it is ready."""
+    def add_router(
+        self, name: str = "front-a-1", wait: bool = True, more: str = ""
+    ) -> Router:
+        """Starts a router and waits until it is ready.
+
+        Args:
+            name: The name of its VM.
+            wait: Whether to wait.
+            more: Further sections of its settings.
+        """
         data, ready, control = fleet.find_ports(3)
         path = self.folder / f"{name}.ini"
         path.write_text(
@@ -133,7 +141,7 @@
             f"[listen]\ndata = 127.0.0.1:{data}\n"
             f"operators = 127.0.0.1:{ready}\ncontrol = 127.0.0.1:{control}\n"
             f"[platform]\naddress = 127.0.0.1:{self.store_port}\n"
-            f"[log]\ndestination = {self.folder / name}.log\n"
+            f"[log]\ndestination = {self.folder / name}.log\n{more}"
         )
         process = subprocess.Popen(
             [sys.executable, "-m", "sycamorefall.platform"],
--- a/sycamorefall/direct/core.py
+++ b/sycamorefall/direct/core.py
@@ -28,6 +28,7 @@
     patience,
     prompts,
     silence,
+    stopping,
     upstreams,
     urgency,
 )
@@ -92,15 +93,15 @@
     return upstreams.replace_listing(state.table, now, listing)
 
 
-def begin_stop(state: state_module.DirectState) -> None:
+def begin_stop(state: state_module.DirectState, now: float) -> None:
     """Makes the router report that it is not ready; it goes on serving."""
-    state.stopping = True
+    state.stop.since = now
 
 
 def find_unready(state: state_module.DirectState, now: float) -> list[str]:
     """Lists why callers had better be sent to another router."""
     reasons = {
-        "stopping": state.stopping,
+        "stopping": state.stop.since is not None,
         "overloaded": overload.is_overloaded(state.overload, now),
         "no configuration": state.catalog is None,
         "no upstreams": not state.table.by_name,
@@ -159,6 +160,9 @@
     left = route.timeout
     if new.time_left is not None:
         left = min(left, new.time_left)
+    if not stopping.may_take(state.stop, now, now + left):
+        kind = errors.ErrorKind.STOPPING
+        return number, [effects.Fail(number, kind, _choose_pause(state, kind))]
     wait = min(left, dispatching.PATIENCE * route.target_latency)
     request = state_module.Request(
         number,
@@ -197,7 +201,7 @@
     One that this router alone can't serve is to come back at once: it opens
     a new connection, and the balancer gives that to another router.
     """
-    if kind is errors.ErrorKind.NOT_READY:
+    if kind in (errors.ErrorKind.NOT_READY, errors.ErrorKind.STOPPING):
         return ELSEWHERE
     return outcomes.draw_pause(state) if errors.ANSWERS[kind].retry else None
 
--- a/sycamorefall/direct/daemon.py
+++ b/sycamorefall/direct/daemon.py
@@ -20,7 +20,14 @@
     transport,
 )
 from sycamorefall.direct import catalog as catalog_module
-from sycamorefall.direct import core, dialects, freshness, metrics, relay
+from sycamorefall.direct import (
+    core,
+    dialects,
+    freshness,
+    metrics,
+    relay,
+    stopping,
+)
 from sycamorefall.direct import exchange as exchange_module
 from sycamorefall.direct import overload as overload_module
 from sycamorefall.direct import state as state_module
@@ -31,18 +38,9 @@
 """Seconds until a connection to an upstream or the platform is given up: a
 hundred times the way there and back, and half of the usual target latency."""
 
-LISTEN_ON = 2.6
-"""Seconds that a stopping process still takes connections: the balancer asks
-each second and needs two bad answers to send callers elsewhere. A few callers
-come later still (up to 2.8 s was seen), but a long stream that is taken at
-3.2 s does not end before the process is killed."""
-
 STOP_CHECK = 0.05
 """Seconds between two looks of a stopping process at whether it is idle."""
 
-STOP_LINGER = 0.3
-"""Seconds that a stopping process stays after its last answer was sent."""
-
 
 class Source(Protocol):
     """Reads what the platform publishes and passes it to a `Daemon`."""
@@ -71,8 +69,7 @@
         incarnation: Number of this process.
         ticker: Runs the timers.
         source: Reads the platform.
-        stopping_since: When SIGTERM came; None before.
-        quiet_since: Since when a stopping process has nothing to do.
+        stop_check: When a stop in progress is looked at next.
     """
 
     config: settings.DirectSettings
@@ -87,9 +84,7 @@
     incarnation: int
     ticker: transport.Ticker | None = None
     source: Source | None = None
-    stopping_since: float | None = None
     stop_check: float = float("inf")
-    quiet_since: float | None = None
 
     def take_catalog(self, new: catalog_module.Catalog) -> None:
         """Takes a configuration that was read."""
@@ -314,28 +309,30 @@
 
 def _begin_stop(daemon: Daemon) -> None:
     """Begins a graceful stop: what runs is finished, callers are sent away."""
-    if daemon.stopping_since is not None:
+    if daemon.state.stop.since is not None:
         return
     observation.write_record(
         observation.Level.INFO,
         "process.stopping",
         in_progress=len(daemon.state.requests),
     )
-    core.begin_stop(daemon.state)
+    now = transport.read_clock()
+    core.begin_stop(daemon.state, now)
     daemon.servers[0].announce_stop()
-    daemon.stopping_since = daemon.stop_check = transport.read_clock()
+    daemon.stop_check = now
 
 
 def _continue_stop(daemon: Daemon, now: float) -> None:
     """Ends the process once callers are elsewhere and all is answered.
 
-    Guards against connections that the balancer still sends here until it
-    has seen that the process is not ready: refused, their requests are lost.
+    Guards against callers that the balancer still sends here, or that use a
+    connection that they kept: closed, their requests would get no answer.
     """
     daemon.stop_check = now + STOP_CHECK
-    if now - daemon.stopping_since < LISTEN_ON:
-        return
-    if daemon.servers[0].listening:
+    data, stop = daemon.servers[0], daemon.state.stop
+    if data.listening:
+        if not stopping.may_end_listening(stop, now, data.asked_at):
+            return
         observation.write_record(
             observation.Level.INFO,
             "process.closing",
@@ -345,9 +342,6 @@
     for server in daemon.servers:
         server.begin_stop()
         server.end_listening()
-    if not all(server.is_quiet() for server in daemon.servers):
-        daemon.quiet_since = None
-    elif daemon.quiet_since is None:
-        daemon.quiet_since = now
-    elif now - daemon.quiet_since >= STOP_LINGER:
+    quiet = all(server.is_quiet() for server in daemon.servers)
+    if stopping.is_over(stop, now, quiet):
         daemon.loop.stop()
--- a/sycamorefall/direct/state.py
+++ b/sycamorefall/direct/state.py
@@ -19,6 +19,7 @@
 from sycamorefall.direct import (
     budget,
     prompts,
+    stopping,
     upstreams,
     waiting,
 )
@@ -136,6 +137,7 @@
         bounds: Bounds of its settings.
         freshness: Lease on the configuration.
         random: Source of draws and jitter.
+        stop: The process's stop, once it is to end.
         catalog: Configuration in force; None until the first is known.
         table: The upstreams.
         requests: Requests in progress by number.
@@ -151,7 +153,6 @@
         placements: Prompts with long shared parts sent since then.
         overload: How late the process was lately.
         routers: Routers that were heard lately, this one included.
-        stopping: Whether the process is to end.
         serve: Whether a place may have come free for a waiting request.
         served_at: When waiting requests were last looked at.
         look_pause: Seconds until they may be looked at again.
@@ -163,6 +164,7 @@
     bounds: settings.BoundSettings
     freshness: freshness_module.Freshness
     random: random.Random
+    stop: stopping.Stop
     catalog: catalog_module.Catalog | None = None
     table: upstreams.UpstreamTable = dataclasses.field(
         default_factory=upstreams.UpstreamTable
@@ -191,7 +193,6 @@
         default_factory=overload_module.Overload
     )
     routers: int = 1
-    stopping: bool = False
     serve: bool = False
     served_at: float = 0.0
     look_pause: float = 0.0
@@ -213,7 +214,13 @@
         The state.
     """
     lease = freshness_module.Freshness(bounds.revocation)
-    return DirectState(failure_domain, bounds, lease, random.Random(seed))
+    return DirectState(
+        failure_domain,
+        bounds,
+        lease,
+        random.Random(seed),
+        stopping.Stop(bounds.grace),
+    )
 
 
 def find_accounts(state: DirectState, service: str) -> waiting.TeamAccounts:
--- /dev/null
+++ b/sycamorefall/direct/tests/test_stopping.py
@@ -0,0 +1,54 @@
+"""What a router that is told to stop still takes."""
+
+import pytest
+
+from sycamorefall import errors
+from sycamorefall.direct import core, stopping
+from sycamorefall.direct.tests import fakes
+
+
+def stop_router(grace):
+    state = fakes.create_state(grace=grace)
+    core.begin_stop(state, 0.0)
+    return state
+
+
+def test_stopping_router_refuses_what_it_can_not_end():
+    # A caller with 3 s of patience comes 3 s after the signal. Taken, its
+    # stream was cut when the process was killed; it is refused as not run.
+    state = stop_router(grace=6.0)
+    _, sent = fakes.take(state, 1.0, "draft")
+    assert fakes.find_sends([sent])
+    _, refused = fakes.take(state, 3.0, "draft")
+    assert refused.kind is errors.ErrorKind.STOPPING
+    assert refused.retry_after == core.ELSEWHERE
+    assert core.find_unready(state, 3.0)[0] == "stopping"
+
+
+def test_stopping_router_serves_what_ends_in_time():
+    # A short request that comes at the same moment was turned away too,
+    # though it had ended long before the process.
+    state = stop_router(grace=6.0)
+    _, sent = fakes.take(state, 3.0, "draft", time_left=1.0)
+    assert fakes.find_sends([sent])
+
+
+@pytest.mark.parametrize(
+    ("now", "asked_at", "ends"),
+    [
+        (2.5, 0.0, False),  # The balancer can't know yet.
+        (2.7, 2.6, False),  # Callers still come.
+        (3.0, 2.6, True),
+        (4.2, 4.15, True),  # They come all the same.
+    ],
+)
+def test_listening_ends_once_callers_are_elsewhere(now, asked_at, ends):
+    stop = stopping.Stop(8.0, since=0.0)
+    assert stopping.may_end_listening(stop, now, asked_at) is ends
+
+
+def test_process_stays_while_an_answer_is_under_way():
+    stop = stopping.Stop(8.0, since=0.0)
+    looks = [(3.0, True), (3.2, False), (3.4, True), (3.6, True), (3.75, True)]
+    over = [stopping.is_over(stop, now, quiet) for now, quiet in looks]
+    assert over == [False, False, False, False, True]
--- a/sycamorefall/platform/tests/test_whole_path.py
+++ b/sycamorefall/platform/tests/test_whole_path.py
@@ -1,6 +1,7 @@
 """The real program against a store and upstreams that speak the wire."""
 
 import concurrent.futures
+import contextlib
 import http.client
 import re
 import signal
@@ -291,6 +292,29 @@
     assert router.process.wait(8) == 0
 
 
+def test_callers_that_come_late_to_a_stopping_router_are_answered(site):
+    # The balancer learns slowly that a busy router stops and still sends
+    # callers after 3 s. Nobody listened any more, and requests that had just
+    # arrived were closed. Each is to be served if it ends before the process,
+    # and else told at once that it has not run and when to come back.
+    for name, service in (("e1", "engine"), ("l1", "ledger")):
+        site.add_upstream(name, service)
+    router = site.add_router(more="[bounds]\ngrace = 6\n")
+    router.process.send_signal(signal.SIGTERM)
+    began, answers = time.monotonic(), []
+    with contextlib.suppress(ConnectionError):
+        while True:
+            long = ask(router, "/draft/x", prompt=True)
+            short = ask(router, "/book/x", "", left=500, body=b"b")
+            answers.append((time.monotonic() - began, long, short))
+    assert answers[-1][0] > 3.8
+    refused = [long for _, long, _ in answers if long[1] != 200]
+    assert {status for _, status, _, _ in refused} == {503}
+    assert {found["retry-after"] for _, _, found, _ in refused} == {"0.1"}
+    assert {short[1] for _, _, short in answers} == {200}
+    assert router.process.wait(8) == 0
+
+
 def test_changed_settings_and_sighup_cut_nothing(site):
     # Settings change and SIGHUP comes, with a bad file too. Callers must
     # notice nothing; the log must say what is wrong with the file.
--- a/sycamorefall/settings.py
+++ b/sycamorefall/settings.py
@@ -198,12 +198,14 @@
         retry_ratio: Second sends to a service allowed for each request.
         retry_extra: Second sends allowed besides, of all routers together.
         retry_window: Seconds over which both are counted.
+        grace: Seconds between SIGTERM and the process's being killed.
     """
 
     revocation: Positive = 5.0
     retry_ratio: NotNegative = 0.2
     retry_extra: NotNegative = 50.0
     retry_window: Positive = 10.0
+    grace: Positive = 8.0
 
 
 class DirectSettings(msgspec.Struct, frozen=True, forbid_unknown_fields=True):
--- a/sycamorefall/transport/server.py
+++ b/sycamorefall/transport/server.py
@@ -196,15 +196,15 @@
         if listening is None:
             return
         taken = sum(iter(self._accept_some, 0))
-        observation.write_record(
-            observation.Level.INFO, "listening.ended", taken=taken
-        )
         # Requests still come on kept connections, and circuits.web asks for
         # this address with each; without it they would get no answer.
         self._listened_at = (self.server.host, self.server.port)
         self.server._poller.discard(listening)
         self.server._sock = None
         listening.close()
+        observation.write_record(
+            observation.Level.INFO, "listening.ended", taken=taken
+        )
 
     @circuits.handler("_read", priority=2)
     def _on_readable(self, event, sock) -> None:
