Refuse at once what a router is too busy to read in time

Every request waits in the kernel behind all others until it is of no use, and each VM to which the crowd moves does the same. Ruled out: engines that are full (obstacles were "late" or "reads again", with room at most engines in the first seconds); only reporting as not ready, which moves the crowd to the next small VM after 8 s. Retries reach other routers, so the crowd spreads. One limited record and a counter tell it.

--- a/sycamorefall/direct/daemon.py
+++ b/sycamorefall/direct/daemon.py
@@ -196,6 +196,9 @@
             config.limits,
             lambda call: relay.take_call(desk, call),
             on_dropped=lambda call: relay.note_dropped(desk, call),
+            shedding=transport.Shedding(
+                overload_module.LONGEST_TURN, core.ELSEWHERE
+            ),
         ).register(loop)
     ]
     if config.listen.operators is not None:
--- a/sycamorefall/direct/metrics.py
+++ b/sycamorefall/direct/metrics.py
@@ -66,6 +66,12 @@
         ("cause",),
         {("dropped",): control.dropped, ("refused",): control.refused},
     )
+    yield count(
+        "shed",
+        "Requests refused unread, as the process was behind.",
+        (),
+        {(): daemon.servers[0].shed},
+    )
     yield count(
         "log_dropped", "Log records lost.", (), {(): daemon.log.dropped}
     )
--- a/sycamorefall/direct/overload.py
+++ b/sycamorefall/direct/overload.py
@@ -6,7 +6,7 @@
 not ready loses new connections to the others and keeps what it has.
 """
 
-__all__ = ["Overload", "is_overloaded", "note_pass"]
+__all__ = ["LONGEST_TURN", "Overload", "is_overloaded", "note_pass"]
 
 import dataclasses
 
@@ -14,6 +14,11 @@
 """Seconds that a pass of the loop may be late without counting: less than the
 pause between two events of a stream, and more than a collection of garbage."""
 
+LONGEST_TURN = 0.1
+"""Seconds of a turn of the loop after which further new requests in it are
+refused unread: a third of the shortest target latency that was seen, so that
+what is served can be on time."""
+
 MEMORY = 1.0
 """Seconds after which lateness counts half."""
 
--- a/sycamorefall/errors.py
+++ b/sycamorefall/errors.py
@@ -85,6 +85,7 @@
     ANSWER_INCOMPLETE = "answer_incomplete"
     OUTCOME_UNKNOWN = "outcome_unknown"
     NOT_READY = "not_ready"
+    OVERLOADED = "overloaded"
     STOPPING = "stopping"
     INTERNAL = "internal"
 
@@ -122,6 +123,7 @@
     ErrorKind.ANSWER_INCOMPLETE: ErrorAnswer(502, Ran.YES),
     ErrorKind.OUTCOME_UNKNOWN: ErrorAnswer(502, Ran.UNKNOWN),
     ErrorKind.NOT_READY: ErrorAnswer(503, Ran.NO, retry=True),
+    ErrorKind.OVERLOADED: ErrorAnswer(503, Ran.NO, retry=True),
     ErrorKind.STOPPING: ErrorAnswer(503, Ran.NO, retry=True),
     ErrorKind.INTERNAL: ErrorAnswer(500, Ran.UNKNOWN),
 }
@@ -154,6 +156,8 @@
     ErrorKind.OUTCOME_UNKNOWN: "The request may have run, may not be repeated, "
     "and nobody can tell.",
     ErrorKind.NOT_READY: "The router has no configuration yet.",
+    ErrorKind.OVERLOADED: "The router is given more than it can do; another "
+    "one may have time.",
     ErrorKind.STOPPING: "The router is stopping and takes nothing new.",
     ErrorKind.INTERNAL: "A fault in the router; its log has the traceback.",
 }
--- a/sycamorefall/transport/__init__.py
+++ b/sycamorefall/transport/__init__.py
@@ -11,6 +11,7 @@
     "Loop",
     "OutgoingRequest",
     "RequestHeaders",
+    "Shedding",
     "Stage",
     "Ticker",
     "create_loop",
@@ -28,4 +29,4 @@
 from sycamorefall.transport.control import ControlLinks
 from sycamorefall.transport.inbound import RequestHeaders
 from sycamorefall.transport.loop import Loop, Ticker, create_loop, read_clock
-from sycamorefall.transport.server import HttpServer
+from sycamorefall.transport.server import HttpServer, Shedding
--- a/sycamorefall/transport/server.py
+++ b/sycamorefall/transport/server.py
@@ -4,10 +4,11 @@
 whenever it is known, whole or piece by piece.
 """
 
-__all__ = ["HttpServer"]
+__all__ = ["HttpServer", "Shedding"]
 
 from collections.abc import Callable
 import contextlib
+import dataclasses
 import socket
 
 import circuits
@@ -30,6 +31,26 @@
 _CONTINUE = b"HTTP/1.1 100 Continue\r\n\r\n"
 
 
+@dataclasses.dataclass(slots=True, frozen=True)
+class Shedding:
+    """When requests are refused unread, and what their callers are told.
+
+    Guards against a crowd that is more than the process can serve. Read one
+    after the other, its requests wait in the kernel for so long that each is
+    too late when its turn comes, or its caller has left, and the process works
+    for nobody. Refused in a twentieth of the time that serving takes, they go
+    to another process, and what is served is served soon.
+
+    Attributes:
+        after: Seconds that a turn of the loop may take; requests that come to
+            their turn later in it are refused.
+        pause: Seconds after which their callers are to come back.
+    """
+
+    after: float
+    pause: float
+
+
 class _resume(circuits.Event):  # noqa: N801 (circuits' own convention)
     """Turns a connection to its next request."""
 
@@ -72,6 +93,7 @@
     Attributes:
         stopping: Whether connections close after their next answer.
         asked_at: When the last request was taken.
+        shed: Requests refused unread.
     """
 
     channel = "web"
@@ -86,6 +108,7 @@
         channel: str = "web",
         read_clock: Callable[[], float] = loop.read_clock,
         on_dropped: Callable[[call_module.IncomingCall], None] | None = None,
+        shedding: Shedding | None = None,
     ):
         """Opens the listening socket.
 
@@ -97,6 +120,7 @@
             read_clock: The clock of the time limits.
             on_dropped: Called with each request that is not begun, as its
                 caller has left.
+            shedding: When requests are refused unread; None for never.
 
         Raises:
             errors.AddressInUse: The address can't be bound.
@@ -106,6 +130,9 @@
         self._on_call = on_call
         self._read_clock = read_clock
         self._on_dropped = on_dropped
+        self._shedding = shedding
+        self._turn_began: float | None = None
+        self.shed = 0
         self._connections: dict[socket.socket, _Connection] = {}
         self.stopping = False
         self.asked_at = float("-inf")
@@ -209,6 +236,8 @@
     @circuits.handler("_read", priority=2)
     def _on_readable(self, event, sock) -> None:
         event.stop()
+        if self._turn_began is None:
+            self._turn_began = self._read_clock()
         if sock is self.server._sock:
             self._accept_some()
         elif sock in self._connections:
@@ -337,6 +366,10 @@
             if connection.drained > DRAIN_LIMIT:
                 self._close(sock)
             return
+        is_new = connection.call is None and not self._reading.has(sock)
+        if is_new and self._is_behind():
+            self._shed(sock)
+            return
         connection.reader.feed(data)
         most = self._limits.max_header_bytes + self._limits.max_body_bytes
         if connection.call is None:
@@ -344,6 +377,28 @@
         elif connection.reader.unread > most:
             self._close(sock)
 
+    def _is_behind(self) -> bool:
+        """Tells whether this turn of the loop takes too long already."""
+        if self._shedding is None or self._turn_began is None:
+            return False
+        return self._read_clock() - self._turn_began > self._shedding.after
+
+    @circuits.handler("generate_events", channel="*", priority=2)
+    def _on_turn(self, event) -> None:
+        self._turn_began = None
+
+    def _shed(self, sock: socket.socket) -> None:
+        self.shed += 1
+        self._idle.stop(sock)
+        observation.write_limited(
+            observation.Level.WARNING,
+            "requests.shed",
+            shed=self.shed,
+            open=len(self._connections),
+        )
+        kind = errors.ErrorKind.OVERLOADED
+        self._refuse(sock, kind, self._shedding.pause)
+
     def _take_request(
         self, sock: socket.socket, connection: _Connection
     ) -> None:
@@ -409,7 +464,12 @@
         self._closing.start(sock, self._read_clock())
         self.server.close(sock)
 
-    def _refuse(self, sock: socket.socket, kind: errors.ErrorKind) -> None:
+    def _refuse(
+        self,
+        sock: socket.socket,
+        kind: errors.ErrorKind,
+        pause: float | None = None,
+    ) -> None:
         """Answers before the request is whole, then reads on to the end.
 
         Closing at once would reset the connection under a caller that still
@@ -419,9 +479,10 @@
         self._closing.start(sock, self._read_clock())
         self._connections[sock].refused = True
         body = msgspec.json.encode(errors.describe_error(kind))
+        again = "" if pause is None else f"Retry-After: {pause:g}\r\n"
         head = (
             f"HTTP/1.1 {errors.ANSWERS[kind].status} Refused\r\n"
-            "Content-Type: application/json\r\n"
+            f"Content-Type: application/json\r\n{again}"
             f"Content-Length: {len(body)}\r\n"
             "Connection: close\r\n\r\n"
         )
--- a/sycamorefall/transport/tests/test_server.py
+++ b/sycamorefall/transport/tests/test_server.py
@@ -21,7 +21,7 @@
 class Site:
     """A server on a loop that the test turns, by a clock the test sets."""
 
-    def __init__(self, **limits):
+    def __init__(self, shedding=None, **limits):
         port = fleet.find_ports(1)[0]
         self.address = settings.Address("127.0.0.1", port)
         self.now = 0.0
@@ -34,6 +34,7 @@
             settings.LimitSettings(**limits),
             self.take,
             read_clock=lambda: self.now,
+            shedding=shedding,
         ).register(self.loop)
         # As `run` does, but the test keeps the thread and turns the loop.
         self.loop._running = True
@@ -45,6 +46,9 @@
         call.on_hangup = lambda: self.hung_up.append(call.path)
         if call.path == "/now":
             call.respond(200, b"now")
+        if call.path == "/slow":
+            self.now += 0.03
+            call.respond(200, b"slow")
         if call.path == "/fault":
             raise RuntimeError("a fault of ours")
 
@@ -277,3 +281,25 @@
         site.loop.tick(0.001)
     assert [call.path for call in site.calls] == ["/waits"]
     waits.close()
+
+
+def test_crowd_beyond_what_can_be_served_is_refused_soon():
+    # A crowd meets a small VM. Its requests were read in turn, each later
+    # than the one before, until all were too late to be of use. Whoever would
+    # wait for longer than a tenth of a second is told at once to ask again.
+    site = Site(shedding=transport.Shedding(0.1, pause=0.2))
+    site.turn_until(lambda: site.server.port)
+    callers = [site.connect() for _ in range(20)]
+    site.turn_until(lambda: len(site.server._connections) == 20)
+    for caller in callers:
+        caller.sendall(GET % b"slow")
+    answers = [site.read(caller, b"\r\n\r\n") for caller in callers]
+    heads = [answer.splitlines()[0] for answer in answers]
+    assert len(site.calls) == heads.count(b"HTTP/1.1 200 OK") == 4
+    refused = [answer for answer in answers if b" 503 " in answer]
+    assert len(refused) == site.server.shed == 16
+    assert all(b"Retry-After: 0.2\r\n" in answer for answer in refused)
+    assert all(b'"ran":"no"' in answer for answer in refused)
+    later = site.connect()
+    later.sendall(GET % b"now")
+    assert b" 200 " in site.read(later, b"now")
