Measure what a request costs beside idle connections

By reading, circuits keeps sockets in lists and scans them on each event; nothing measured it. It only measures; no code of the system changes.

--- a/Makefile
+++ b/Makefile
@@ -4,7 +4,7 @@
 STAMP := $(VENV)/.installed
 
 .PHONY: setup test demo capacity lint format reference
-.PHONY: days bench bench-control bench-decisions bench-admission
+.PHONY: days bench bench-control bench-connections bench-decisions bench-admission
 
 $(STAMP): pyproject.toml
 	$(PYTHON) -m venv $(VENV)
@@ -25,6 +25,9 @@
 bench-control: $(STAMP)
 	$(BIN)/python -m benchmarks.control
 
+bench-connections: $(STAMP)
+	$(BIN)/python -m benchmarks.connections
+
 bench: $(STAMP)
 	$(BIN)/python -m benchmarks.fairness
 	$(BIN)/python -m benchmarks.placing
