Let a caller that still takes its answer finish as a router stops

Cause: since the server closes idle connections by itself, the end of listening closes them at once, and what of an answer still waits in the server's buffer is thrown away. A connection counts as idle from the moment its answer is written, not from the moment it is sent. Before the close went through circuits, which sends the rest first. Ruled out: a gentle close there; the caller wasn't told that its connection closes and may send its next request behind the answer. Change: `begin_stop` leaves connections with unsent bytes open. A process isn't quiet before they are sent.

--- a/sycamorefall/transport/server.py
+++ b/sycamorefall/transport/server.py
@@ -193,14 +193,15 @@
     def begin_stop(self) -> None:
         """Closes idle connections, and all others after their answer.
 
-        What has not been sent whole yet is still taken and answered.
+        What has not been sent whole yet is still taken and answered; a
+        caller that still takes its answer isn't idle.
         """
         self.stopping = True
         closed = unread = 0
         for sock, connection in list(self._connections.items()):
             if connection.call is not None:
                 connection.call.close_after()
-            elif self._idle.has(sock):
+            elif self._idle.has(sock) and not self.count_unsent(sock):
                 closed += self._close_idle(sock)
                 unread += not self._idle.has(sock)
         if closed or unread:
--- a/sycamorefall/transport/tests/test_closing.py
+++ b/sycamorefall/transport/tests/test_closing.py
@@ -133,3 +133,21 @@
     caller.sendall(test_server.GET % b"now")
     answer = site.read(caller, b"\r\n\r\nnow")
     assert b"Connection: close" in answer
+
+
+def test_answer_that_its_caller_still_takes_is_not_cut_by_a_stop():
+    # A caller takes a long answer slowly: all of it is written, and part of
+    # it waits in the server's buffer. No request is in progress, so as
+    # listening ended the connection was closed as idle and the rest thrown
+    # away.
+    site = open_site()
+    caller = site.connect()
+    caller.sendall(test_server.GET % b"big")
+    call = site.turn_until(lambda: site.calls)[0]
+    call.respond(200, b"x" * (1 << 24) + b"end")
+    turn_loop(site, MOST_TURNS)
+    assert call.backlog
+    site.server.begin_stop()
+    site.server.end_listening()
+    assert site.read(caller, b"end").endswith(b"xend")
+    caller.close()
