Keep no more idle connections to an upstream than all routers may

Cause: a router kept up to 32 idle connections to each upstream, whatever it takes of all callers, and each request that may not be sent twice opens a new one and left it there. Ruled out: failing upstreams (126 answers of 500), the routers' own lateness (p50 of these requests 78 ms), full slots. Change: routers together keep half of what an upstream takes; each its even share by the routers it hears. The rest is left to requests in progress.

--- a/sycamorefall/direct/dispatching.py
+++ b/sycamorefall/direct/dispatching.py
@@ -54,6 +54,12 @@
 bound, a flood at one router of a large fleet had it look without pause: its
 callers got no answer, also those of plain services."""
 
+KEPT_SHARE = 0.5
+"""Part of the connections that an upstream takes of all callers which routers
+may keep idle, together. Without a bound, 28 routers that kept 32 each filled
+the 230 of a plain service: it reset a third of the new connections, and 40% of
+the requests that may not be sent twice ended with an unknown outcome."""
+
 SHORTEST_LEFT = 0.01
 """Seconds that must be left of a request's time for a send to make sense."""
 
@@ -307,6 +313,7 @@
         # leaves open whether it ran; one that may not be repeated is then
         # lost. The new connection costs a millisecond.
         fresh=request.route.kind is catalog.RouteKind.AT_MOST_ONCE,
+        keep=_count_kept(service, state.routers),
         running=chosen.running,
         reads=attempt.unread,
         unread=chosen.unread,
@@ -316,6 +323,13 @@
     )
 
 
+def _count_kept(service: catalog.Service, routers: int) -> int | None:
+    """Counts the idle connections that this router may keep to an upstream."""
+    if not service.max_connections:
+        return None
+    return int(KEPT_SHARE * service.max_connections / routers)
+
+
 def _note_placement(
     state: state_module.DirectState,
     chosen: upstreams.Upstream,
--- a/sycamorefall/direct/effects.py
+++ b/sycamorefall/direct/effects.py
@@ -19,6 +19,8 @@
         time_left: Seconds that the upstream may work.
         team: The team; empty if the route needs none.
         fresh: Whether to use a new connection.
+        keep: Idle connections to the upstream that may be kept after it; None
+            if nothing says how many it takes.
         running: Requests that the upstream runs, this one included.
         reads: Prompt tokens that it is to read for this request.
         unread: The same for all requests, this one included.
@@ -36,6 +38,7 @@
     time_left: float
     team: str
     fresh: bool
+    keep: int | None = None
     running: int = 0
     reads: int = 0
     unread: int = 0
--- a/sycamorefall/direct/relay.py
+++ b/sycamorefall/direct/relay.py
@@ -224,6 +224,7 @@
         call.body,
         fresh=send.fresh,
         host=call.headers.get("host", ""),
+        keep=send.keep,
     )
     delivery.exchange = desk.client.send(
         request,
--- a/sycamorefall/direct/tests/test_links.py
+++ b/sycamorefall/direct/tests/test_links.py
@@ -69,3 +69,17 @@
     assert sum(load.running for load in loads) == 1
     for router in (early, late):
         router.links.close()
+
+
+def test_routers_keep_half_of_an_upstreams_connections_together():
+    # A plain service takes 100 connections of all routers. Each of 28 kept up
+    # to 32 idle ones, so new ones were reset; bookings had an unknown outcome.
+    state = fakes.create_state()
+    _, sent = fakes.take(state, 0.0, "book", team="")
+    assert sent.keep == 50
+    state.routers = 28
+    _, sent = fakes.take(state, 0.0, "book", team="")
+    assert sent.keep == 1
+    state.routers = 370
+    _, sent = fakes.take(state, 0.0, "look", team="")
+    assert sent.keep == 0
--- a/sycamorefall/transport/client.py
+++ b/sycamorefall/transport/client.py
@@ -67,6 +67,8 @@
             the other side while the request is on its way, which leaves
             open whether it arrived.
         host: Host header; the address if empty.
+        keep: Idle connections to the address that may be kept after it, up to
+            `IDLE_PER_ADDRESS`; None for so many.
     """
 
     address: settings.Address
@@ -76,6 +78,7 @@
     body: bytes = b""
     fresh: bool = False
     host: str = ""
+    keep: int | None = None
 
 
 @dataclasses.dataclass(slots=True, frozen=True)
@@ -367,7 +370,10 @@
             and not connection.trailing_data[0]
         )
         kept = self._idle.setdefault(exchange.address, [])
-        if reusable and len(kept) < IDLE_PER_ADDRESS:
+        most = exchange.request.keep
+        if most is None or most > IDLE_PER_ADDRESS:
+            most = IDLE_PER_ADDRESS
+        if reusable and len(kept) < most:
             exchange.idle_since = self._read_clock()
             kept.append(exchange)
         else:
