Read what has arrived before a stopping router stops to listen

Cause: a stopping router ends listening after 0.3 s without a request, and "without" was what its loop had handled. Ruled out: a longer while; no figure holds for a loop that is late. Change: `HttpServer.take_arrived` takes what has arrived; a stop that would end listening calls it and judges again. It costs one walk over the connections, and only when listening is about to end. Before and after: the new test's router, on whose connection a request lay unread, ended listening at 2.8 s; it listens on and ends 0.3 s after the last request now. transport/, direct/, platform/ pass. Conclusion: real by the test; how often it acts on a site isn't measured.

--- a/sycamorefall/direct/daemon.py
+++ b/sycamorefall/direct/daemon.py
@@ -334,6 +334,11 @@
     daemon.stop_check = now + STOP_CHECK
     data, stop = daemon.servers[0], daemon.state.stop
     if data.listening:
+        if not stopping.may_end_listening(stop, now, data.asked_at):
+            return
+        # A late loop has not come to what arrived meanwhile, and would take
+        # its own lateness for callers that come no more.
+        data.take_arrived()
         if not stopping.may_end_listening(stop, now, data.asked_at):
             return
         observation.write_record(
--- a/sycamorefall/direct/tests/test_stopping.py
+++ b/sycamorefall/direct/tests/test_stopping.py
@@ -1,10 +1,13 @@
 """What a router that is told to stop still takes."""
 
+import types
+
 import pytest
 
 from sycamorefall import errors
-from sycamorefall.direct import core, stopping
+from sycamorefall.direct import core, daemon, stopping
 from sycamorefall.direct.tests import fakes
+from sycamorefall.transport.tests import test_server
 
 
 def stop_router(grace):
@@ -52,3 +55,47 @@
     looks = [(3.0, True), (3.2, False), (3.4, True), (3.6, True), (3.75, True)]
     over = [stopping.is_over(stop, now, quiet) for now, quiet in looks]
     assert over == [False, False, False, False, True]
+
+
+class Stopping:
+    """A router that was told to stop at 0.0, its loop turned by the test."""
+
+    def __init__(self):
+        self.site = test_server.Site()
+        self.site.turn_until(lambda: self.site.server.port)
+        self.state = stop_router(grace=8.0)
+        self.site.server.announce_stop()
+        self.daemon = types.SimpleNamespace(
+            state=self.state,
+            servers=[self.site.server],
+            ticker=types.SimpleNamespace(late=0.0),
+            loop=self.site.loop,
+            stop_check=0.0,
+        )
+
+    def look(self, now):
+        """Looks at the stop before input is read, as the loop's timers do."""
+        self.site.now = now
+        daemon._continue_stop(self.daemon, now)
+
+
+def test_late_router_listens_while_requests_wait_unread():
+    # One pass of a crowded router's loop takes longer than the 0.3 s without
+    # a request after which it ends listening. Requests had arrived all the
+    # time, on kept connections and new ones; it hadn't read them, and later
+    # callers found nobody.
+    for connect_late in (False, True):
+        stopping_one = Stopping()
+        site = stopping_one.site
+        caller = site.connect()
+        if not connect_late:
+            site.turn_until(lambda s=site: s.server._connections)
+        caller.sendall(test_server.GET % b"now")
+        stopping_one.look(2.8)
+        assert site.server.listening
+        assert site.read(caller, b"\r\n\r\nnow").endswith(b"now")
+        stopping_one.look(3.0)
+        assert site.server.listening
+        stopping_one.look(3.2)
+        assert not site.server.listening
+        caller.close()
--- a/sycamorefall/transport/server.py
+++ b/sycamorefall/transport/server.py
@@ -213,6 +213,17 @@
                 open=len(self._connections),
             )
 
+    def take_arrived(self) -> None:
+        """Takes all connections and requests that have arrived.
+
+        Whoever asks when the last request came calls this first: the loop
+        may be late.
+        """
+        while self.listening and self._accept_some():
+            pass
+        for sock in list(self._connections):
+            self._read_arrived(sock)
+
     def end_listening(self) -> None:
         """Takes no more connections, but for those already made.
 
