Leave a caller that was not told its connection until the process ends

A connection that was taken last as listening ended had no longer either. Ruled out: a time of its own for such connections; the process's end is one already, and it stays 0.3 s beyond the last request. Change: `begin_stop` and `end_listening` once, as listening ends. It also spares a walk over all connections at each look. Before and after: the new test's caller found its connection closed at the next look; it gets its answer, with `Connection: close`, now. transport/, direct/, platform/ pass. Conclusion: what remains is a request that crosses the process's end itself.

--- a/sycamorefall/direct/daemon.py
+++ b/sycamorefall/direct/daemon.py
@@ -347,9 +347,11 @@
             in_progress=len(daemon.state.requests),
             late=round(daemon.ticker.late, 3),
         )
-    for server in daemon.servers:
-        server.begin_stop()
-        server.end_listening()
+        # Only once: whoever is on a connection later was not told that it
+        # closes, and has it until the process ends.
+        for server in daemon.servers:
+            server.begin_stop()
+            server.end_listening()
     quiet = all(server.is_quiet() for server in daemon.servers)
     if stopping.is_over(stop, now, quiet):
         daemon.loop.stop()
--- a/sycamorefall/direct/tests/test_stopping.py
+++ b/sycamorefall/direct/tests/test_stopping.py
@@ -58,13 +58,12 @@
 
 
 class Stopping:
-    """A router that was told to stop at 0.0, its loop turned by the test."""
+    """A router that is told to stop at 0.0, its loop turned by the test."""
 
     def __init__(self):
         self.site = test_server.Site()
         self.site.turn_until(lambda: self.site.server.port)
-        self.state = stop_router(grace=8.0)
-        self.site.server.announce_stop()
+        self.state = fakes.create_state(grace=8.0)
         self.daemon = types.SimpleNamespace(
             state=self.state,
             servers=[self.site.server],
@@ -73,6 +72,10 @@
             stop_check=0.0,
         )
 
+    def stop(self):
+        core.begin_stop(self.state, 0.0)
+        self.site.server.announce_stop()
+
     def look(self, now):
         """Looks at the stop before input is read, as the loop's timers do."""
         self.site.now = now
@@ -90,6 +93,7 @@
         caller = site.connect()
         if not connect_late:
             site.turn_until(lambda s=site: s.server._connections)
+        stopping_one.stop()
         caller.sendall(test_server.GET % b"now")
         stopping_one.look(2.8)
         assert site.server.listening
@@ -99,3 +103,25 @@
         stopping_one.look(3.2)
         assert not site.server.listening
         caller.close()
+
+
+def test_caller_that_was_not_told_may_ask_again_until_the_process_ends():
+    # A stream that began before the stop ends after listening did; its head
+    # didn't say that the connection closes. The next look at the stop, at
+    # most 0.05 s later, closed it under its caller's next request.
+    stopping_one = Stopping()
+    site = stopping_one.site
+    caller = site.connect()
+    caller.sendall(test_server.GET % b"long")
+    call = site.turn_until(lambda: site.calls)[0]
+    call.begin(200)
+    stopping_one.stop()
+    stopping_one.look(3.0)
+    assert not site.server.listening
+    call.end()
+    assert site.read(caller, b"0\r\n\r\n").endswith(b"0\r\n\r\n")
+    stopping_one.look(3.05)
+    assert site.server.is_quiet()
+    caller.sendall(test_server.GET % b"now")
+    assert not site.server.is_quiet()
+    assert b"Connection: close" in site.read(caller, b"\r\n\r\nnow")
