Move the callers of the stopping test into a module of their own

Cause: a second test of a real router needs the same callers.

Change: `Caller`, `Outcome`, `End` and `wait_for` go to `callers.py`; what is checked is the same.

--- a/sycamorefall/platform/tests/test_stopping.py
+++ b/sycamorefall/platform/tests/test_stopping.py
@@ -2,8 +2,6 @@
 
 import asyncio
 import concurrent.futures
-import dataclasses
-import enum
 import random
 import signal
 import time
@@ -11,7 +9,7 @@
 import pytest
 
 from standins import site as site_module
-from sycamorefall.platform.tests import asking
+from sycamorefall.platform.tests import asking, callers
 
 CROSSING = 0.2
 """Seconds within which a request and a close may cross each other."""
@@ -34,105 +32,6 @@
 """Seconds after SIGTERM between which a router is frozen."""
 
 
-class End(enum.Enum):
-    """What became of a request that was wholly sent."""
-
-    ANSWERED = "answered"
-    REFUSED = "refused"
-    CUT = "cut"
-    CLOSED = "closed"
-
-
-@dataclasses.dataclass(slots=True)
-class Outcome:
-    """A request that was wholly sent, and what came of it.
-
-    Attributes:
-        request: Its id.
-        end: What became of it.
-        waited: Seconds from its last byte to its end.
-        sent_at: Seconds from SIGTERM to its last byte.
-        status: Status of its answer; 0 if there was none.
-    """
-
-    request: str
-    end: End
-    waited: float
-    sent_at: float
-    status: int
-
-
-class Caller:
-    """A caller with one connection, which it uses as long as it is open."""
-
-    def __init__(self, port, outcomes, stopped_at):
-        self.port = port
-        self.outcomes = outcomes
-        self.stopped_at = stopped_at
-        self.reader = self.writer = None
-
-    async def connect(self):
-        """Opens a connection; tells whether the router took it."""
-        self.close()
-        try:
-            self.reader, self.writer = await asyncio.open_connection(
-                "127.0.0.1", self.port
-            )
-        except OSError:
-            return False
-        return True
-
-    async def ask(self, path, number):
-        """Sends a request on the open connection and notes its end."""
-        request = f"{number:016x}"
-        self.writer.write(
-            f"GET {path} HTTP/1.1\r\nHost: site.example\r\n"
-            f"Attempt-Id: {request}\r\n"
-            "Request-Deadline-Ms: 3000\r\n\r\n".encode()
-        )
-        sent_at = time.monotonic()
-        end, status = await self.read_end(f"{path} {request} 0".encode())
-        now = time.monotonic()
-        self.outcomes.append(
-            Outcome(
-                request, end, now - sent_at, sent_at - self.stopped_at(), status
-            )
-        )
-
-    async def read_end(self, right):
-        try:
-            head = await self.reader.readuntil(b"\r\n\r\n")
-            size = find_header(head, b"content-length")
-            body = await self.reader.readexactly(int(size))
-        except asyncio.IncompleteReadError as broken:
-            self.close()
-            return (End.CUT if broken.partial else End.CLOSED), 0
-        except OSError:
-            self.close()
-            return End.CLOSED, 0
-        if find_header(head, b"connection") == b"close":
-            self.close()
-        status = int(head.split()[1])
-        if status == 200:
-            return (End.ANSWERED if body == right else End.CUT), status
-        return (End.REFUSED if status in (429, 503) else End.CUT), status
-
-    def close(self):
-        if self.writer is not None:
-            self.writer.close()
-        self.reader = self.writer = None
-
-
-def find_header(head, name):
-    lines = head.lower().split(b"\r\n")
-    values = [
-        line.partition(b":")[2]
-        for line in lines
-        if line.startswith(name + b":")
-    ]
-    return values[0].strip() if values else b""
-
-
 class Crowd:
     """All callers of one router, before and after its SIGTERM."""
 
@@ -144,7 +43,9 @@
         self.last_number = seed << 32
 
     def make_caller(self):
-        return Caller(self.router.data, self.outcomes, lambda: self.stopped_at)
+        return callers.Caller(
+            self.router.data, self.outcomes, lambda: self.stopped_at
+        )
 
     def next_number(self):
         self.last_number += 1
@@ -202,14 +103,14 @@
             asyncio.create_task(self.ask_steadily())
             for _ in range(STEADY_CALLERS)
         ]
-        await wait_for(
+        await callers.wait_for(
             lambda: len(self.outcomes) > KEPT_CONNECTIONS + 8 * STEADY_CALLERS
         )
         self.router.process.send_signal(signal.SIGTERM)
         self.stopped_at = time.monotonic()
         again = [self.use_again(caller, self.choose_time()) for caller in kept]
         await asyncio.gather(*again, *([self.freeze()] if frozen else []))
-        await wait_for(self.is_gone)
+        await callers.wait_for(self.is_gone)
         took = time.monotonic() - self.stopped_at
         await asyncio.gather(*steady)
         return self.router.process.returncode, took
@@ -219,22 +120,16 @@
         return after - after % CROWD_EVERY
 
 
-async def wait_for(condition, timeout=STOP_LIMIT):
-    async with asyncio.timeout(timeout):
-        while not condition():
-            await asyncio.sleep(0.01)
-
-
 def is_lost(outcome, run):
     """Tells whether a request got an end that no caller may be given."""
     match outcome.end:
-        case End.ANSWERED:
+        case callers.End.ANSWERED:
             return False
-        case End.REFUSED:
+        case callers.End.REFUSED:
             return outcome.request in run
-        case End.CLOSED:
+        case callers.End.CLOSED:
             return outcome.waited > CROSSING or outcome.request in run
-        case End.CUT:
+        case callers.End.CUT:
             return True
 
 
