--- a/sycamorefall/transport/server.py
+++ b/sycamorefall/transport/server.py
@@ -400,6 +400,7 @@
 
     def _shed(self, sock: socket.socket) -> None:
         self.shed += 1
+        self.asked_at = self._read_clock()
         self._idle.stop(sock)
         observation.write_limited(
             observation.Level.WARNING,
