Count the requests at upstreams instead of looking for one

Cause: at each pass the loop asked whether any request is at an upstream. If none is, as in a flood at a router whose engines others fill, that reads every waiting request.

Ruled out: asking the upstreams, of which there are 910.

Change: the state counts them, in the two places where an attempt begins and ends. The times are compared one by one instead of through a chain.

--- a/benchmarks/direct.py
+++ b/benchmarks/direct.py
@@ -241,6 +241,9 @@
     state, told, size = busy.state, busy.told, busy.size
     service = state.catalog.services["engine-0"]
     waiting_ones = [one for one in state.requests.values() if not one.attempt]
+    idle = dataclasses.replace(
+        state, requests={one.number: one for one in waiting_ones}, running=0
+    )
     one = waiting_ones[len(waiting_ones) // 2]
     need = dispatching._describe_need(state, NOW, one)
     standings = placing.list_standings(state.table, NOW, service, full=True)
@@ -302,6 +305,7 @@
             state, NOW, one
         ),
         "find what is due next": lambda: core.find_next_due(state),
+        "the same, nothing runs": lambda: core.find_next_due(idle),
         "check silence": lambda: silence.check_silence(state, NOW),
         f"apply a catalog, {size.waiting} teams wait": apply_catalog,
     }
--- a/sycamorefall/direct/core.py
+++ b/sycamorefall/direct/core.py
@@ -12,7 +12,6 @@
 ]
 
 import heapq
-import itertools
 
 from returns import result
 
@@ -250,9 +249,7 @@
 
 
 def _is_serving_due(state: state_module.DirectState, now: float) -> bool:
-    if not any(room.by_team for room in state.rooms.values()):
-        return False
-    return now >= _find_next_look(state)
+    return _is_anyone_waiting(state) and now >= _find_next_look(state)
 
 
 def _find_next_look(state: state_module.DirectState) -> float:
@@ -267,14 +264,16 @@
 
 def find_next_due(state: state_module.DirectState) -> float:
     """Tells when `run_timers` has something to do next."""
-    is_waiting = any(room.by_team for room in state.rooms.values())
-    running = any(request.attempt for request in state.requests.values())
-    times = itertools.chain(
-        [state.checked_at + SILENCE_CHECK] if running else [],
-        [_find_next_look(state)] if is_waiting else [],
-        [state.deadlines[0][0]] if state.deadlines else [],
-    )
-    return min(times, default=float("inf"))
+    due = state.deadlines[0][0] if state.deadlines else float("inf")
+    if _is_anyone_waiting(state):
+        due = min(due, _find_next_look(state))
+    if state.running:
+        due = min(due, state.checked_at + SILENCE_CHECK)
+    return due
+
+
+def _is_anyone_waiting(state: state_module.DirectState) -> bool:
+    return any(room.by_team for room in state.rooms.values())
 
 
 def _expire_requests(
--- a/sycamorefall/direct/dispatching.py
+++ b/sycamorefall/direct/dispatching.py
@@ -290,6 +290,7 @@
         request.sends, chosen.listed.name, now, chosen.listed.born
     )
     request.attempt = attempt
+    state.running += 1
     if not chosen.own.running:
         # Its silence so far meant nothing.
         chosen.heard_at = now
--- a/sycamorefall/direct/outcomes.py
+++ b/sycamorefall/direct/outcomes.py
@@ -75,6 +75,7 @@
 ) -> upstreams.Upstream | None:
     """Takes a request's load off its upstream; returns the upstream."""
     attempt, request.attempt = request.attempt, None
+    state.running -= 1
     upstream = state_module.find_upstream(state, attempt)
     state.serve = True
     if upstream is None:
--- a/sycamorefall/direct/state.py
+++ b/sycamorefall/direct/state.py
@@ -139,6 +139,9 @@
         catalog: Configuration in force; None until the first is known.
         table: The upstreams.
         requests: Requests in progress by number.
+        running: How many of them are at an upstream. Counted, as the loop
+            asks at each of its passes whether there is one: looking for one
+            among 450 that wait took 20 us, and the whole pass takes 3 us now.
         rooms: Waiting requests by service.
         accounts: What teams received, by service.
         budgets: Second sends, by service.
@@ -168,6 +171,7 @@
         default_factory=upstreams.UpstreamTable
     )
     requests: dict[int, Request] = dataclasses.field(default_factory=dict)
+    running: int = 0
     rooms: dict[str, waiting.WaitingRoom] = dataclasses.field(
         default_factory=dict
     )
