Look closely only at requests whose upstream is silent

Cause: ten times a second the look for silence asked of every running request, in several passes over all, whether its upstream hangs and whether it lives anew.

Change: former lives are found by the pairs of name and birth that requests are at, of which there are as many as upstreams; a closer look goes only to requests whose upstream said nothing for the shortest limit.

What is left asks of each running request whether it may be sent again.

--- a/sycamorefall/direct/silence.py
+++ b/sycamorefall/direct/silence.py
@@ -27,15 +27,18 @@
     tokens sends something every few milliseconds.
     """
     done = _end_former_lives(state, now)
+    running = _list_running(state)
+    silent = _list_silent(state, now, running)
     hanging = {
         request.attempt.upstream
-        for request in state.requests.values()
-        if request.attempt and _is_hanging(state, now, request)
+        for request in running
+        if request.attempt.upstream in silent
+        and _is_hanging(state, now, request)
     }
     stuck = [
         request
-        for request in state.requests.values()
-        if request.attempt and _is_stuck(state, now, request, hanging)
+        for request in running
+        if _is_stuck(state, now, request, hanging)
     ]
     for name in hanging:
         upstreams.bar_upstream(state.table.by_name[name], now)
@@ -44,6 +47,29 @@
     return done
 
 
+def _list_running(
+    state: state_module.DirectState,
+) -> list[state_module.Request]:
+    return [one for one in state.requests.values() if one.attempt]
+
+
+def _list_silent(
+    state: state_module.DirectState,
+    now: float,
+    running: list[state_module.Request],
+) -> set[str]:
+    """Lists upstreams that said nothing for as long as the shortest limit.
+
+    Spares requests at the others, which are nearly all, a closer look: ten
+    times a second it took 0.35 ms for 208 requests and 450 that wait, and
+    takes 0.2 ms with this (`benchmarks.direct`).
+    """
+    limit = min(SILENT_ENGINE, SILENT_BEFORE_FIRST)
+    known = state.table.by_name
+    names = {request.attempt.upstream for request in running} & known.keys()
+    return {name for name in names if now - known[name].heard_at > limit}
+
+
 def _end_former_lives(
     state: state_module.DirectState, now: float
 ) -> list[effects.Effect]:
@@ -53,12 +79,20 @@
     reset, and its caller would wait for an answer that nobody will send.
     Whether the former life ran the request stays open.
     """
+    running = _list_running(state)
+    known = state.table.by_name
+    lives = {(one.attempt.upstream, one.attempt.born) for one in running}
+    former = {
+        (name, born)
+        for name, born in lives
+        if name in known and known[name].listed.born != born
+    }
+    if not former:
+        return []
     ended: list[effects.Effect] = []
-    for request in list(state.requests.values()):
+    for request in running:
         attempt = request.attempt
-        if attempt is None or attempt.upstream not in state.table.by_name:
-            continue
-        if state_module.find_upstream(state, attempt) is None:
+        if (attempt.upstream, attempt.born) in former:
             end = outcomes.AttemptEnd.BROKEN
             ended.append(effects.Abort(request.number))
             ended += outcomes.end_attempt(state, now, request.number, end)
