Shape answers without a second request object

Cause: for each request a `wrappers.Request` of circuits.web was made, only for its answer to be shaped: it parses two URLs, makes a cookie jar and asks the kernel for the server's address. In the profile of a refusal on a kept connection it was 0.23 of 1.0 s. Ruled out: shaping the head without circuits.web; it is 26 us in all. Change: `call._Asked` has the four attributes that circuits.web's answer reads. Before and after, microseconds of processor time, timed alone (the best of 20 times 500): 48.6 and 2.0. `HttpServer.host` and `port` aren't asked for with each request any more.

--- a/sycamorefall/transport/call.py
+++ b/sycamorefall/transport/call.py
@@ -3,6 +3,7 @@
 __all__ = ["EVENT_STREAM", "IncomingCall"]
 
 from collections.abc import Callable
+import dataclasses
 import socket
 from typing import Protocol
 
@@ -32,6 +33,27 @@
         """Counts bytes that wait in a connection's send buffer."""
 
 
+@dataclasses.dataclass(slots=True, frozen=True)
+class _Asked:
+    """What circuits.web reads of a request as it shapes the answer.
+
+    Its own request parses two URLs, makes a cookie jar and asks the kernel
+    for the server's address: 49 us of processor time where this takes 2, both
+    timed alone; a whole refusal on a kept connection took about 440.
+
+    Attributes:
+        method: HTTP method.
+        protocol: HTTP version, such as (1, 1).
+        server: What the answer goes out by.
+        cookie: Cookies that the answer is to set; none.
+    """
+
+    method: str
+    protocol: tuple[int, int]
+    server: Answerer
+    cookie: dict[str, object] = dataclasses.field(default_factory=dict)
+
+
 class IncomingCall:
     """A request that came in, and the way to answer it.
 
@@ -81,14 +103,11 @@
         self.headers = request.headers
         self.target = request.target
         self.body = request.body
-        # circuits.web needs a request of its own to shape the answer; it
-        # gets none of the caller's headers, whose cookies it would parse.
-        own = wrappers.Request(
-            sock, request.method, protocol=request.protocol, server=server
-        )
-        self.remote: str = own.remote.ip
+        self.remote: str = sock.getpeername()[0]
         self._head_only = request.method == "HEAD"
-        self._response = wrappers.Response(own)
+        self._response = wrappers.Response(
+            _Asked(request.method, request.protocol, server)
+        )
         self._response.close = not request.keep_alive
         self.status = 0
         self.begun = False
