--- a/sycamorefall/transport/server.py
+++ b/sycamorefall/transport/server.py
@@ -202,8 +202,9 @@
             if connection.call is not None:
                 connection.call.close_after()
             elif self._idle.has(sock) and not self.count_unsent(sock):
-                closed += self._close_idle(sock)
-                unread += not self._idle.has(sock)
+                is_closed = self._close_idle(sock)
+                closed += is_closed
+                unread += not is_closed
         if closed or unread:
             observation.write_record(
                 observation.Level.INFO,
