Note when a request really leaves, not when that was decided

Cause: a VM frozen between the decision for an upstream and the send took the time of the decision for that of the send. As it woke up, the upstream counted as silent at once and the request went to another one too; and the upstream was given time to work that was over.

Ruled out: leaving time in which the process was away out of silence (a process whose passes are all long would never judge it).

Change: the relay notes the time before it writes the send's headers; time left is taken from that, and a request whose time is over isn't sent. The timers answer it.

What is left of the window is the time from the head's writing to the system call.

--- a/sycamorefall/direct/dispatching.py
+++ b/sycamorefall/direct/dispatching.py
@@ -2,6 +2,7 @@
 
 __all__ = [
     "PATIENCE",
+    "SHORTEST_LEFT",
     "enter_room",
     "explain_refusal",
     "find_budget",
--- a/sycamorefall/direct/outcomes.py
+++ b/sycamorefall/direct/outcomes.py
@@ -8,6 +8,7 @@
     "end_late",
     "forget_request",
     "note_answer",
+    "note_sent",
     "refuse_request",
 ]
 
@@ -108,6 +109,28 @@
     return [effects.Abort(request.number)]
 
 
+def note_sent(
+    state: state_module.DirectState, now: float, number: int
+) -> float:
+    """Takes note of when a request really leaves for its upstream.
+
+    Guards against a freeze between the decision and the send. The upstream
+    would be taken for silent at once, and its request sent to another one;
+    and it would be given time that is over.
+
+    Args:
+        state: The router; changed.
+        now: This process's time.
+        number: A request that is about to be sent.
+
+    Returns:
+        Seconds that are left of the request's time.
+    """
+    request = state.requests[number]
+    request.attempt.sent_at = now
+    return request.answer_by - now
+
+
 def note_answer(
     state: state_module.DirectState,
     now: float,
--- a/sycamorefall/direct/relay.py
+++ b/sycamorefall/direct/relay.py
@@ -11,6 +11,7 @@
 from sycamorefall.direct import (
     core,
     dialects,
+    dispatching,
     effects,
     outcomes,
     streams,
@@ -199,10 +200,15 @@
 
 def _send(desk: Desk, delivery: _Delivery, send: effects.SendTo) -> None:
     call, number = delivery.call, send.request
+    now = transport.read_clock()
+    left = outcomes.note_sent(desk.state, now, number)
+    if left < dispatching.SHORTEST_LEFT:
+        return  # The timers answer it.
+    send = dataclasses.replace(send, time_left=left)
     observation.note_hand_out(
         desk.recorder,
         delivery.track,
-        transport.read_clock(),
+        now,
         str(send.attempt),
         send.upstream,
         running=send.running,
--- /dev/null
+++ b/sycamorefall/direct/tests/test_relay.py
@@ -0,0 +1,67 @@
+"""The way from a decision to the send that it asks for."""
+
+import types
+
+from returns import result
+
+from sycamorefall import transport
+from sycamorefall.direct import core, dialects, effects, relay
+from sycamorefall.direct.tests import fakes
+
+FREEZE = 0.8
+
+
+class Shell:
+    """A router's decisions with I/O that only notes what it is given."""
+
+    def __init__(self, monkeypatch):
+        self.now = 0.0
+        self.sent = []
+        self.state = fakes.create_state()
+        monkeypatch.setattr(transport, "read_clock", lambda: self.now)
+        dialect = dialects.Dialect(
+            read_request=lambda _: result.Success(fakes.ask("look")),
+            read_id=self.read_id,
+            write_headers=lambda _, send, last: self.sent.append(send) or (),
+            is_ours=lambda _, headers: True,
+            read_answer=lambda status, headers: None,
+        )
+        client = types.SimpleNamespace(send=lambda *_: object())
+        self.desk = relay.Desk(self.state, client, dialect)
+        self.freeze = 0.0
+
+    def read_id(self, _):
+        """Reads an id between decision and send; the VM is frozen there."""
+        self.now += self.freeze
+        return "1"
+
+    def take_call(self):
+        call = types.SimpleNamespace(
+            method="GET", target="/look/x", headers={}, body=b"", begun=False
+        )
+        relay.take_call(self.desk, call)
+
+
+def test_freeze_before_a_send_counts_for_neither_its_upstream_nor_its_time(
+    monkeypatch,
+):
+    # A VM is frozen after it chose an upstream and before it sent. As it woke
+    # up, it took the upstream for silent, and the request ran twice; and the
+    # upstream was given time to work that was over.
+    shell = Shell(monkeypatch)
+    shell.freeze = FREEZE
+    shell.take_call()
+    (sent,) = shell.sent
+    assert sent.time_left == 3.0 - FREEZE
+    done = core.run_timers(shell.state, shell.now + 0.1)
+    assert not [one for one in done if isinstance(one, effects.Abort)]
+
+
+def test_request_whose_time_ends_before_its_send_is_not_sent(monkeypatch):
+    # The same for longer than the caller waits: nobody wants the answer.
+    shell = Shell(monkeypatch)
+    shell.freeze = 3.5
+    shell.take_call()
+    assert shell.sent == []
+    done = core.run_timers(shell.state, shell.now)
+    assert len(fakes.find_kinds(done)) == 1
