Count closed connections right, and see the room that a reset one leaves

Cause: `_close_idle` always ends a connection's idle time, and `begin_stop` counted each one without idle time as one with an unread request: the record `connections.closed` said `unread` for all, closed ones too. And at the most connections, one that turned out to be reset while it was read counted as one with a request: the new caller was closed though there was room. Ruled out: nothing else reads the returned value; it goes. Change: both look at what is still open. Before and after: of three idle connections, one with a request, the record said 3 unread, and says 1 now. Conclusion: figures of `unread` recorded since are closed plus unread.

--- a/sycamorefall/transport/server.py
+++ b/sycamorefall/transport/server.py
@@ -202,9 +202,9 @@
             if connection.call is not None:
                 connection.call.close_after()
             elif self._idle.has(sock) and not self.count_unsent(sock):
-                is_closed = self._close_idle(sock)
-                closed += is_closed
-                unread += not is_closed
+                self._close_idle(sock)
+                closed += sock not in self._connections
+                unread += sock in self._connections
         if closed or unread:
             observation.write_record(
                 observation.Level.INFO,
@@ -270,8 +270,7 @@
         return ACCEPTS_AT_ONCE
 
     def _take_connection(self, sock: socket.socket) -> None:
-        full = len(self._connections) >= self._limits.max_connections
-        if full and not self._make_room():
+        if not self._make_room():
             sock.close()
             return
         self.server._on_accept_done(sock, fire_connect_event=False)
@@ -279,11 +278,17 @@
         self._idle.start(sock, self._read_clock())
 
     def _make_room(self) -> bool:
-        """Closes the connection that has been idle longest, if there is one."""
-        while (spare := self._idle.find_first()) is not None:
-            if self._close_idle(spare):
-                return True
-        return False
+        """Closes connections that have been idle longest, if there is no room.
+
+        Returns:
+            Whether there is room for another one.
+        """
+        while len(self._connections) >= self._limits.max_connections:
+            spare = self._idle.find_first()
+            if spare is None:
+                return False
+            self._close_idle(spare)
+        return True
 
     def is_quiet(self) -> bool:
         """Tells whether no request and no answer is under way."""
@@ -353,18 +358,12 @@
             and not connection.refused
         )
 
-    def _close_idle(self, sock: socket.socket) -> bool:
-        """Closes an idle connection, unless bytes of a request have arrived.
-
-        Returns:
-            Whether it is closed.
-        """
+    def _close_idle(self, sock: socket.socket) -> None:
+        """Closes an idle connection, unless bytes of a request have arrived."""
         self._idle.stop(sock)
         self._read_arrived(sock)
-        if not self._is_waiting(sock) or self._reading.has(sock):
-            return False
-        self._close(sock)
-        return True
+        if self._is_waiting(sock) and not self._reading.has(sock):
+            self._close(sock)
 
     def _close(self, sock: socket.socket) -> None:
         """Closes a connection at once."""
--- a/sycamorefall/transport/tests/test_closing.py
+++ b/sycamorefall/transport/tests/test_closing.py
@@ -5,6 +5,10 @@
 closes connections as idle, ends listening, or judges time limits.
 """
 
+import socket
+import struct
+
+from sycamorefall import observation
 from sycamorefall.transport.tests import test_server
 
 MOST_TURNS = 6
@@ -151,3 +155,35 @@
     site.server.end_listening()
     assert site.read(caller, b"end").endswith(b"xend")
     caller.close()
+
+
+def test_record_of_closed_connections_counts_unread_requests(monkeypatch):
+    # The record that a stop leaves told each closed connection as one with a
+    # request on it, so it couldn't show which hypothesis of a loss holds.
+    site = open_site()
+    asking, *idle = [make_idle(site) for _ in range(3)]
+    asking.sendall(test_server.GET % b"long")
+    found = {}
+    monkeypatch.setattr(
+        observation, "write_record", lambda _, kind, **more: found.update(more)
+    )
+    site.server.begin_stop()
+    assert found == {"closed": 2, "unread": 1, "open": 1}
+    for caller in (asking, *idle):
+        caller.close()
+
+
+def test_connection_that_was_reset_makes_room():
+    # At the most connections a new caller comes; the one that is to make
+    # room for it turns out to be reset by its caller. The new one was closed
+    # all the same.
+    site = test_server.Site(max_connections=1)
+    gone = make_idle(site)
+    at_once = struct.pack("ii", 1, 0)
+    gone.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, at_once)
+    gone.close()
+    asking = site.connect()
+    asking.sendall(test_server.GET % b"now")
+    site.server._accept_some()
+    assert is_answered(site, asking)
+    asking.close()
