Bound what a caller that closed its side may hold

Cause: when a caller closes its side while bytes for it are unsent, the server waits for these. Its end stays readable, so each turn of the loop reads it again and none sleeps; an unfinished stream's hang-up is told only after the bytes are taken; and no time limit runs, so a caller that takes nothing holds its connection and its engine for ever. Ruled out: callers that close wholly; their reset is seen at once. Change: an unfinished answer's caller has left. A whole answer is sent on, with the time limit of closing connections and without reading its end again. Conclusion: a guard; no loss on a site was traced to it.

--- a/sycamorefall/transport/server.py
+++ b/sycamorefall/transport/server.py
@@ -336,9 +336,27 @@
         if data:
             self._take_bytes(sock, data)
         else:
-            self.server.close(sock)
+            self._take_end(sock)
         return bool(data)
 
+    def _take_end(self, sock: socket.socket) -> None:
+        """Takes note that a caller has closed its side.
+
+        It has left, unless its whole answer is on the way. The end stays
+        readable: without a stop to reading, the loop would turn for nothing.
+        """
+        connection = self._connections[sock]
+        is_whole = connection.call is None or connection.call.ended
+        if not is_whole or not self.count_unsent(sock):
+            self._close(sock)
+            return
+        connection.call = None
+        connection.refused = True
+        self._idle.stop(sock)
+        self._closing.start(sock, self._read_clock())
+        self.server._poller.removeReader(sock)
+        self.server.close(sock)
+
     def _read_arrived(self, sock: socket.socket) -> None:
         """Reads all that has arrived, before a connection is judged.
 
--- a/sycamorefall/transport/tests/test_closing.py
+++ b/sycamorefall/transport/tests/test_closing.py
@@ -8,7 +8,7 @@
 import socket
 import struct
 
-from sycamorefall import observation
+from sycamorefall import observation, transport
 from sycamorefall.transport.tests import test_server
 
 MOST_TURNS = 6
@@ -187,3 +187,50 @@
     site.server._accept_some()
     assert is_answered(site, asking)
     asking.close()
+
+
+def test_caller_that_closed_its_side_gets_the_rest_in_limited_time(
+    monkeypatch,
+):
+    # A caller has asked all it wants and closes its side while its answer is
+    # on the way. Its end stayed readable, so the loop turned without a rest
+    # until all was taken; and if the caller took nothing, for ever.
+    reads = []
+    read_once = transport.HttpServer._read_once
+    monkeypatch.setattr(
+        transport.HttpServer,
+        "_read_once",
+        lambda self, sock: reads.append(sock) or read_once(self, sock),
+    )
+    site = test_server.Site(header_timeout=20.0)
+    takes, stays = site.connect(), site.connect()
+    for caller in (takes, stays):
+        caller.sendall(test_server.GET % b"big")
+    for call in site.turn_until(lambda: site.calls[1:] and site.calls):
+        call.respond(200, b"x" * (1 << 24) + b"end")
+    turn_loop(site, MOST_TURNS)
+    for caller in (takes, stays):
+        caller.shutdown(socket.SHUT_WR)
+    reads.clear()
+    turn_loop(site, 20)
+    assert len(reads) <= 4
+    assert site.read(takes, b"end").endswith(b"xend")
+    site.advance(20.0)
+    assert not site.server._connections
+    for caller in (takes, stays):
+        caller.close()
+
+
+def test_caller_that_closed_its_side_in_a_stream_has_left():
+    # A caller that takes nothing closes its side in the middle of a stream.
+    # The close waited for the unsent bytes, and an engine worked for nobody.
+    site = open_site()
+    caller = site.connect()
+    caller.sendall(test_server.GET % b"long")
+    call = site.turn_until(lambda: site.calls)[0]
+    call.begin(200)
+    call.write(b"x" * (1 << 24))
+    turn_loop(site, MOST_TURNS)
+    caller.shutdown(socket.SHUT_WR)
+    site.turn_until(lambda: site.hung_up)
+    caller.close()
