Read what lies behind a last answer before its connection closes

Cause: the server closes a connection after its last answer (as it stops, or as the caller asked) without a look at what has arrived. Closed over unread bytes the kernel resets the connection and throws away what of the answer it had not sent yet. Ruled out: keeping each such connection open until its caller closes; they count against the most connections, and callers here send nothing behind an answer that says `Connection: close`. Change: `_close_gently` reads and throws away what has arrived, then closes.

--- a/sycamorefall/transport/server.py
+++ b/sycamorefall/transport/server.py
@@ -492,7 +492,12 @@
     def _close_gently(self, sock: socket.socket) -> None:
         """Closes a connection once all that was written to it is taken."""
         self._closing.start(sock, self._read_clock())
-        self.server.close(sock)
+        # Closed over unread bytes, it would be reset, and what of the answer
+        # is still on its way lost.
+        while sock in self._connections and self._read_once(sock):
+            pass
+        if sock in self._connections:
+            self.server.close(sock)
 
     def _refuse(
         self,
--- a/sycamorefall/transport/tests/test_closing.py
+++ b/sycamorefall/transport/tests/test_closing.py
@@ -234,3 +234,23 @@
     caller.shutdown(socket.SHUT_WR)
     site.turn_until(lambda: site.hung_up)
     caller.close()
+
+
+def test_last_answer_survives_a_request_behind_it():
+    # A caller sends its next request before it has the answer that says that
+    # the connection closes. Closed over unread bytes, the kernel resets the
+    # connection and throws away what of the answer is still on its way.
+    site = open_site()
+    caller = socket.socket()
+    caller.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, 4096)
+    caller.connect(site.address.pair)
+    caller.setblocking(False)
+    caller.sendall(test_server.GET % b"last")
+    call = site.turn_until(lambda: site.calls)[0]
+    call.close_after()
+    caller.sendall(test_server.GET % b"now")
+    call.respond(200, b"x" * 100_000 + b"end")
+    assert not call.backlog
+    site.loop.flush()
+    assert site.read(caller, b"end").endswith(b"xend")
+    caller.close()
