Look only at idle engines where all others are hopeless

Cause: with one idle engine that holds nothing of what is asked for, all others were again held against each candidate.

Change: engines that have work are judged as a whole, apart from idle ones.

--- a/benchmarks/tests/test_direct.py
+++ b/benchmarks/tests/test_direct.py
@@ -3,6 +3,7 @@
 import collections
 import dataclasses
 import heapq
+import itertools
 import random
 
 import pytest
@@ -164,37 +165,38 @@
         }
 
 
-def judge_hopeless(state):
-    """Judges each waiting request by the group, and by each engine."""
-    service = state.catalog.services["engine-0"]
+def list_left_out(state):
+    """Lists for each waiting request the engines that get no look."""
     group = dispatching._list_group(state, direct.NOW, "engine-0")
     for request in state.requests.values():
         if request.attempt is None:
             need = dispatching._describe_need(state, direct.NOW, request)
-            crowded = all(
-                fitting.find_crowding(one, service.engine, need)
-                for one in group.standings
-            )
-            yield fitting.is_hopeless(group, need), crowded
+            possible = fitting.list_possible(group, need)
+            left_out = [one for one in group.standings if one not in possible]
+            yield need, possible, left_out
 
 
 @pytest.mark.parametrize("seed", SEEDS)
-def test_hopeless_request_fits_at_no_engine(seed):
+def test_engine_that_gets_no_look_has_no_room(seed):
     # A request waits, and is refused, though an engine could take it. Cause:
     # what is true of most engines is taken for true of all.
-    judged = list(judge_hopeless(create_mixed(seed).state))
-    assert judged
-    assert all(crowded for hopeless, crowded in judged if hopeless)
+    state = create_mixed(seed).state
+    engine = state.catalog.services["engine-0"].engine
+    for need, _, left_out in list_left_out(state):
+        for one in left_out:
+            assert fitting.find_crowding(one, engine, need) is not None
 
 
-def test_some_requests_are_hopeless_and_some_are_not():
+def test_states_leave_out_all_or_some_or_no_engines():
     # Guards the test above against states that all look alike.
-    judged = [
-        hopeless
+    kinds = collections.Counter(
+        (bool(possible), bool(left_out))
         for seed in SEEDS
-        for hopeless, _ in judge_hopeless(create_mixed(seed).state)
-    ]
-    assert 0.05 < sum(judged) / len(judged) < 0.95
+        for _, possible, left_out in list_left_out(create_mixed(seed).state)
+    )
+    for kind in itertools.product((True, False), repeat=2):
+        if kind != (False, False):
+            assert kinds[kind] > 0.02 * kinds.total()
 
 
 def test_every_step_can_be_repeated():
--- a/sycamorefall/direct/fitting.py
+++ b/sycamorefall/direct/fitting.py
@@ -11,8 +11,8 @@
     "describe_standing",
     "find_crowding",
     "find_obstacle",
-    "is_hopeless",
     "is_waited_for",
+    "list_possible",
     "reads_again",
 ]
 
@@ -137,33 +137,34 @@
 
 @dataclasses.dataclass(slots=True)
 class Group:
-    """Engines with a free slot, and what is true of all of them.
+    """Engines with a free slot, and what is true of all that have work.
 
     Attributes:
         standings: The engines.
-        idle: Whether one of them has next to nothing to do.
-        most_floor: The highest floor.
-        least_queue: The shortest queue, in seconds of reading.
+        idle: Those that have next to nothing to do.
+        most_floor: The highest floor of the others.
+        least_queue: Their shortest queue, in seconds of reading.
     """
 
     standings: list[Standing]
-    idle: bool
+    idle: list[Standing]
     most_floor: float
     least_queue: float
 
 
 def describe_group(standings: list[Standing]) -> Group:
     """Describes engines with a free slot as a whole."""
+    working = [one for one in standings if not one.idle]
     return Group(
         standings,
-        any(one.idle for one in standings),
-        max((one.floor for one in standings), default=-math.inf),
-        min((one.queue for one in standings), default=math.inf),
+        [one for one in standings if one.idle],
+        max((one.floor for one in working), default=-math.inf),
+        min((one.queue for one in working), default=math.inf),
     )
 
 
-def is_hopeless(group: Group, need: Need) -> bool:
-    """Tells that no engine of a group takes a request, without a look at each.
+def list_possible(group: Group, need: Need) -> list[Standing]:
+    """Lists the engines of a group that are worth a look for a request.
 
     A full service has long queues everywhere, so hundreds of requests would be
     held against each engine: with 450 requests that wait for 26 engines that
@@ -174,15 +175,15 @@
         need: What the request needs; it has a prompt.
 
     Returns:
-        Whether `find_crowding` finds something in the way at all of them.
+        The idle ones alone if `find_crowding` finds something in the way at
+        all others.
     """
-    if group.idle:
-        return False
-    return (
+    hopeless = (
         group.most_floor < need.yields_to
         or group.least_queue > need.most_queue
         or FIRST_STEP + group.least_queue > need.time_left
     )
+    return group.idle if hopeless else group.standings
 
 
 def describe_standing(upstream: Upstream, engine: catalog.Engine) -> Standing:
--- a/sycamorefall/direct/placing.py
+++ b/sycamorefall/direct/placing.py
@@ -66,12 +66,10 @@
     if need.prompt is None or service.engine is None:
         usable = _list_usable(table, now, service, need)
         return _choose_plain(usable, now, failure_domain)
-    if fitting.is_hopeless(group, need):
-        return None
     prompt, engine = need.prompt, service.engine
     uncrowded = [
         one
-        for one in group.standings
+        for one in fitting.list_possible(group, need)
         if one.upstream.listed.name not in need.tried
         and fitting.find_crowding(one, engine, need) is None
     ]
