--- a/sycamorefall/transport/__init__.py
+++ b/sycamorefall/transport/__init__.py
@@ -29,4 +29,5 @@
 from sycamorefall.transport.control import ControlLinks
 from sycamorefall.transport.inbound import RequestHeaders
 from sycamorefall.transport.loop import Loop, Ticker, create_loop, read_clock
-from sycamorefall.transport.server import HttpServer, Shedding
+from sycamorefall.transport.server import HttpServer
+from sycamorefall.transport.shedding import Shedding
--- a/sycamorefall/transport/outflow.py
+++ b/sycamorefall/transport/outflow.py
@@ -6,11 +6,14 @@
 not take waits in circuits' own buffer, and the loop's poller sends it.
 """
 
-__all__ = ["count_unsent", "frame_chunk", "push_bytes"]
+__all__ = ["count_unsent", "frame_chunk", "frame_refusal", "push_bytes"]
 
 import socket
 
 from circuits.net import sockets
+import msgspec
+
+from sycamorefall import errors
 
 LAST_CHUNK = b"0\r\n\r\n"
 """Ends an answer in chunks."""
@@ -26,6 +29,24 @@
     return b"%x\r\n%b\r\n" % (len(data), data)
 
 
+def frame_refusal(kind: errors.ErrorKind, pause: float | None = None) -> bytes:
+    """Frames the answer to a request that wasn't read whole.
+
+    Args:
+        kind: Why it is refused.
+        pause: Seconds after which its caller is to come back, if that helps.
+    """
+    body = msgspec.json.encode(errors.describe_error(kind))
+    again = "" if pause is None else f"Retry-After: {pause:g}\r\n"
+    head = (
+        f"HTTP/1.1 {errors.ANSWERS[kind].status} Refused\r\n"
+        f"Content-Type: application/json\r\n{again}"
+        f"Content-Length: {len(body)}\r\n"
+        "Connection: close\r\n\r\n"
+    )
+    return head.encode() + body
+
+
 def push_bytes(
     server: sockets.TCPServer, sock: socket.socket, data: bytes
 ) -> None:
--- a/sycamorefall/transport/server.py
+++ b/sycamorefall/transport/server.py
@@ -4,19 +4,25 @@
 whenever it is known, whole or piece by piece.
 """
 
-__all__ = ["HttpServer", "Shedding"]
+__all__ = ["HttpServer"]
 
 from collections.abc import Callable
 import contextlib
-import dataclasses
 import socket
 
 import circuits
-import msgspec
 
 from sycamorefall import errors, observation, settings
+from sycamorefall.transport import (
+    arrivals,
+    deadlines,
+    inbound,
+    loop,
+    outflow,
+    poller,
+)
 from sycamorefall.transport import call as call_module
-from sycamorefall.transport import deadlines, inbound, loop, outflow, poller
+from sycamorefall.transport import shedding as shedding_module
 
 DRAIN_LIMIT = 1 << 24
 """Bytes of a refused request that are read and thrown away."""
@@ -30,26 +36,6 @@
 _CONTINUE = b"HTTP/1.1 100 Continue\r\n\r\n"
 
 
-@dataclasses.dataclass(slots=True, frozen=True)
-class Shedding:
-    """When requests are refused unread, and what their callers are told.
-
-    Guards against a crowd that is more than the process can serve. Read one
-    after the other, its requests wait in the kernel for so long that each is
-    too late when its turn comes, or its caller has left, and the process works
-    for nobody. Refused in a twentieth of the time that serving takes, they go
-    to another process, and what is served is served soon.
-
-    Attributes:
-        after: Seconds that a turn of the loop may take; requests that come to
-            their turn later in it are refused.
-        pause: Seconds after which their callers are to come back.
-    """
-
-    after: float
-    pause: float
-
-
 class _resume(circuits.Event):  # noqa: N801 (circuits' own convention)
     """Turns a connection to its next request."""
 
@@ -107,7 +93,7 @@
         channel: str = "web",
         read_clock: Callable[[], float] = loop.read_clock,
         on_dropped: Callable[[call_module.IncomingCall], None] | None = None,
-        shedding: Shedding | None = None,
+        shedding: shedding_module.Shedding | None = None,
     ):
         """Opens the listening socket.
 
@@ -130,7 +116,7 @@
         self._read_clock = read_clock
         self._on_dropped = on_dropped
         self._shedding = shedding
-        self._turn_began: float | None = None
+        self._turn = shedding_module.Turn()
         self.shed = 0
         self._connections: dict[socket.socket, _Connection] = {}
         self.stopping = False
@@ -248,8 +234,8 @@
     @circuits.handler("_read", priority=2)
     def _on_readable(self, event, sock) -> None:
         event.stop()
-        if self._turn_began is None:
-            self._turn_began = self._read_clock()
+        if self._turn.began is None:
+            self._turn.began = self._read_clock()
         if sock is self.server._sock:
             self._accept_some()
         elif sock in self._connections:
@@ -296,7 +282,7 @@
             connection.call is not None
             or self._reading.has(sock)
             or self.count_unsent(sock)
-            or (not connection.refused and _has_unread(sock))
+            or (not connection.refused and arrivals.has_unread(sock))
             for sock, connection in self._connections.items()
         )
 
@@ -396,7 +382,9 @@
                 self._close(sock)
             return
         is_new = connection.call is None and not self._reading.has(sock)
-        if is_new and self._is_behind():
+        if is_new and shedding_module.is_behind(
+            self._shedding, self._turn, self._read_clock()
+        ):
             self._shed(sock)
             return
         connection.reader.feed(data)
@@ -406,15 +394,9 @@
         elif connection.reader.unread > most:
             self._close(sock)
 
-    def _is_behind(self) -> bool:
-        """Tells whether this turn of the loop takes too long already."""
-        if self._shedding is None or self._turn_began is None:
-            return False
-        return self._read_clock() - self._turn_began > self._shedding.after
-
     @circuits.handler("generate_events", channel="*", priority=2)
     def _on_turn(self, event) -> None:
-        self._turn_began = None
+        self._turn.began = None
 
     def _shed(self, sock: socket.socket) -> None:
         self.shed += 1
@@ -455,7 +437,7 @@
         except OSError:
             self._close(sock)  # The caller has gone.
             return
-        if _has_hung_up(sock):
+        if arrivals.has_hung_up(sock):
             if self._on_dropped is not None:
                 self._on_dropped(call)
             self._close(sock)
@@ -513,15 +495,7 @@
         self._reading.stop(sock)
         self._closing.start(sock, self._read_clock())
         self._connections[sock].refused = True
-        body = msgspec.json.encode(errors.describe_error(kind))
-        again = "" if pause is None else f"Retry-After: {pause:g}\r\n"
-        head = (
-            f"HTTP/1.1 {errors.ANSWERS[kind].status} Refused\r\n"
-            f"Content-Type: application/json\r\n{again}"
-            f"Content-Length: {len(body)}\r\n"
-            "Connection: close\r\n\r\n"
-        )
-        self.push(sock, head.encode() + body)
+        self.push(sock, outflow.frame_refusal(kind, pause))
         self._connections[sock].written = True
         self._on_written(sock)
 
@@ -554,27 +528,3 @@
                 sock.shutdown(socket.SHUT_WR)
         elif connection.call is not None and connection.call.on_drained:
             connection.call.on_drained()
-
-
-def _has_unread(sock: socket.socket) -> bool:
-    """Tells whether bytes have arrived on a connection that nobody read."""
-    try:
-        return sock.recv(1, socket.MSG_PEEK | socket.MSG_DONTWAIT) != b""
-    except OSError:
-        return False
-
-
-def _has_hung_up(sock: socket.socket) -> bool:
-    """Tells whether a caller has closed its side after its request.
-
-    Guards against work for callers that have left: a process that was frozen,
-    or is given more than it can do, reads requests seconds after they were
-    sent, and would pass them on before it reads that their connection is
-    closed. On a flooded small VM these were all 250 requests a second.
-    """
-    try:
-        return sock.recv(1, socket.MSG_PEEK | socket.MSG_DONTWAIT) == b""
-    except BlockingIOError:
-        return False
-    except OSError:
-        return True
