--- a/benchmarks/direct.py
+++ b/benchmarks/direct.py
@@ -27,6 +27,7 @@
     exchange,
     fetching,
     freshness,
+    needs,
     outcomes,
     placing,
     prompts,
@@ -257,7 +258,7 @@
     )
     one = waiting_ones[len(waiting_ones) // 2]
     queued = _create_queued(size)
-    need = dispatching._describe_need(state, NOW, one)
+    need = needs.describe_need(state, NOW, one)
     group = dispatching._list_group(state, NOW, "engine-0")
     target = state.table.by_service["engine-0"][0]
     sequences = itertools.count(2)
@@ -309,7 +310,7 @@
             queued, NOW
         ),
         "try a request": lambda: dispatching.try_send(state, NOW, one),
-        "describe a need": lambda: dispatching._describe_need(state, NOW, one),
+        "describe a need": lambda: needs.describe_need(state, NOW, one),
         "choose an engine": lambda: placing.choose_upstream(
             state.table, NOW, service, need, "a", group
         ),
--- a/benchmarks/tests/test_direct.py
+++ b/benchmarks/tests/test_direct.py
@@ -13,6 +13,7 @@
     dispatching,
     fitting,
     homes,
+    needs,
     upstreams,
     waiting,
 )
@@ -60,7 +61,7 @@
         received = int(waiting.read_service(accounts, direct.NOW, team))
         for number in waiting.list_candidates(room, team):
             request = state.requests[number]
-            need = dispatching._describe_need(state, direct.NOW, request)
+            need = needs.describe_need(state, direct.NOW, request)
             held_at = homes.list_homes(state.table, direct.NOW, service, need)
             for one in list_usable(state, need):
                 home = one in held_at
@@ -144,7 +145,7 @@
     waiting_ones = [one for one in state.requests.values() if not one.attempt]
     assert waiting_ones
     for request in waiting_ones:
-        need = dispatching._describe_need(state, direct.NOW, request)
+        need = needs.describe_need(state, direct.NOW, request)
         held_at = homes.list_homes(state.table, direct.NOW, service, need)
         usable = list_usable(state, need)
         expected = collections.Counter(
@@ -170,7 +171,7 @@
     group = dispatching._list_group(state, direct.NOW, "engine-0")
     for request in state.requests.values():
         if request.attempt is None:
-            need = dispatching._describe_need(state, direct.NOW, request)
+            need = needs.describe_need(state, direct.NOW, request)
             possible = fitting.list_possible(group, need)
             left_out = [one for one in group.standings if one not in possible]
             yield need, possible, left_out
--- a/sycamorefall/direct/dispatching.py
+++ b/sycamorefall/direct/dispatching.py
@@ -23,10 +23,10 @@
     fetching,
     fitting,
     freshness,
+    needs,
     placing,
     prompts,
     upstreams,
-    urgency,
     waiting,
 )
 from sycamorefall.direct import (
@@ -37,15 +37,6 @@
 """Part of its target latency that a request waits at most for its first send;
 after that it would be late, and is refused with a time to come back."""
 
-FAIRNESS_SLACK = 0.1
-"""Lead in service that a team may have over one that waits elsewhere, in
-seconds of what all engines serve: less than one exchange of accounts can
-tell apart would make teams wait for each other in turn."""
-
-DEPRIVED_AFTER = 0.5
-"""Part of its patience after which a request of a team that is behind goes to
-any engine; the other half is left for that engine to be on time."""
-
 CHECK_TIME = 0.7e-6
 """Seconds that it takes to check whether an engine can take a request: 0.2 to
 0.7 us were measured with 26 engines, 30 teams waiting."""
@@ -125,7 +116,7 @@
     is_engine = request.new.prompt is not None and service.engine is not None
     if is_engine and not group.standings:
         return []
-    need = _describe_need(state, now, request)
+    need = needs.describe_need(state, now, request)
     chosen = placing.choose_upstream(
         state.table, now, service, need, state.failure_domain, group
     )
@@ -138,44 +129,6 @@
     return [_send(state, now, request, chosen, service)]
 
 
-def _describe_need(
-    state: state_module.DirectState,
-    now: float,
-    request: state_module.Request,
-) -> fitting.Need:
-    accounts = state_module.find_accounts(state, request.service)
-    received = waiting.read_service(accounts, now, request.team)
-    slack = FAIRNESS_SLACK * state.catalog.tokens_per_second
-    return fitting.Need(
-        request.new.prompt,
-        request.target_at - now,
-        request.tried,
-        received - slack,
-        request.part_uses * state.routers,
-        _is_deprived(state, now, request),
-        _find_most_queue(state, now, request),
-    )
-
-
-def _find_most_queue(
-    state: state_module.DirectState,
-    now: float,
-    request: state_module.Request,
-) -> float:
-    """Finds how long a request may wait for others inside an engine.
-
-    A request is urgent once it has no more time left than those of the
-    shortest target had when they came. It may wait until it would be late;
-    what is left of the engine's queue is all that the others may fill, which
-    have time to wait here.
-    """
-    known = state_module.find_urgency(state, request.service)
-    shortest = urgency.find_shortest(known, now)
-    if request.target_at - now <= shortest:
-        return math.inf
-    return fitting.QUEUE_SHARE * shortest
-
-
 def explain_refusal(
     state: state_module.DirectState,
     now: float,
@@ -194,7 +147,7 @@
     service = state.catalog.services.get(request.service)
     obstacles = {}
     if service is not None:
-        need = _describe_need(state, now, request)
+        need = needs.describe_need(state, now, request)
         obstacles = placing.count_obstacles(state.table, now, service, need)
     accounts = state_module.find_accounts(state, request.service)
     group = upstreams.list_upstreams(state.table, request.service)
@@ -210,25 +163,6 @@
     )
 
 
-def _is_deprived(
-    state: state_module.DirectState,
-    now: float,
-    request: state_module.Request,
-) -> bool:
-    """Tells whether a request may have its shared part read anywhere.
-
-    Guards against a team whose parts all lie with full engines: it would get
-    nothing while others are served next door. A small team that received
-    little because it asks for little has its request served at home before
-    half of its patience is over.
-    """
-    patience = request.give_up_at - request.arrived_at
-    if now - request.arrived_at < DEPRIVED_AFTER * patience:
-        return False
-    accounts = state_module.find_accounts(state, request.service)
-    return waiting.is_behind(accounts, now, request.team)
-
-
 def find_floors(state: state_module.DirectState, now: float) -> dict[str, int]:
     """Finds the least that a team received that waits here, by engine.
 
@@ -274,7 +208,7 @@
         for number in waiting.list_candidates(room, team):
             if not left:
                 return floors
-            need = _describe_need(state, now, state.requests[number])
+            need = needs.describe_need(state, now, state.requests[number])
             found = placing.list_waited_for(
                 state.table, now, service, need, left.values()
             )
--- /dev/null
+++ b/sycamorefall/direct/needs.py
@@ -0,0 +1,83 @@
+"""What a request asks of an engine at a moment; no I/O."""
+
+__all__ = ["describe_need"]
+
+import math
+
+from sycamorefall.direct import fitting, urgency, waiting
+from sycamorefall.direct import (
+    state as state_module,
+)
+
+FAIRNESS_SLACK = 0.1
+"""Lead in service that a team may have over one that waits elsewhere, in
+seconds of what all engines serve: less than one exchange of accounts can
+tell apart would make teams wait for each other in turn."""
+
+DEPRIVED_AFTER = 0.5
+"""Part of its patience after which a request of a team that is behind goes to
+any engine; the other half is left for that engine to be on time."""
+
+
+def describe_need(
+    state: state_module.DirectState,
+    now: float,
+    request: state_module.Request,
+) -> fitting.Need:
+    """Describes what a request asks of an upstream now.
+
+    Args:
+        state: The router.
+        now: This process's time.
+        request: A request that is nowhere.
+    """
+    accounts = state_module.find_accounts(state, request.service)
+    received = waiting.read_service(accounts, now, request.team)
+    slack = FAIRNESS_SLACK * state.catalog.tokens_per_second
+    return fitting.Need(
+        request.new.prompt,
+        request.target_at - now,
+        request.tried,
+        received - slack,
+        request.part_uses * state.routers,
+        _is_deprived(state, now, request),
+        _find_most_queue(state, now, request),
+    )
+
+
+def _find_most_queue(
+    state: state_module.DirectState,
+    now: float,
+    request: state_module.Request,
+) -> float:
+    """Finds how long a request may wait for others inside an engine.
+
+    A request is urgent once it has no more time left than those of the
+    shortest target had when they came. It may wait until it would be late;
+    what is left of the engine's queue is all that the others may fill, which
+    have time to wait here.
+    """
+    known = state_module.find_urgency(state, request.service)
+    shortest = urgency.find_shortest(known, now)
+    if request.target_at - now <= shortest:
+        return math.inf
+    return fitting.QUEUE_SHARE * shortest
+
+
+def _is_deprived(
+    state: state_module.DirectState,
+    now: float,
+    request: state_module.Request,
+) -> bool:
+    """Tells whether a request may have its shared part read anywhere.
+
+    Guards against a team whose parts all lie with full engines: it would get
+    nothing while others are served next door. A small team that received
+    little because it asks for little has its request served at home before
+    half of its patience is over.
+    """
+    patience = request.give_up_at - request.arrived_at
+    if now - request.arrived_at < DEPRIVED_AFTER * patience:
+        return False
+    accounts = state_module.find_accounts(state, request.service)
+    return waiting.is_behind(accounts, now, request.team)
