Close connections to upstreams that nobody will use

Cause: each request that must have a new connection (one that may not be repeated) left it in the pool after its answer, up to 32 an address and router, and connections past their time were closed only as another request came for them. An upstream bears a number of connections from all routers together and resets those beyond it, with the request on them: the caller gets a 502 that says nobody can tell, and the upstream is barred, so more are refused beside it. Change: a request with a new connection keeps it only if the pool has none; the pool is looked through every half second for connections past their time. Tests: 20 bookings left 20 connections, now one; a kept connection stayed open after its time, now it is closed. Both failed before.

--- a/sycamorefall/transport/client.py
+++ b/sycamorefall/transport/client.py
@@ -37,6 +37,9 @@
 """Seconds that a connection is kept without a request; a typical server
 closes one after 5, and a request sent as it does is lost without a trace."""
 
+SWEEP_INTERVAL = 0.5
+"""Seconds between two looks for connections that were kept long enough."""
+
 IDLE_SHARE = 0.6
 """Part of the idle time that a server announces after which its connection
 isn't used any more: the rest covers the way there and late timers."""
@@ -164,6 +167,7 @@
         self._by_socket: dict[socket.socket, Exchange] = {}
         self._idle: dict[settings.Address, list[Exchange]] = {}
         self._connecting: dict[socket.socket, Exchange] = {}
+        self._swept_at = float("-inf")
 
     def send(self, request: OutgoingRequest, listener: Listener) -> Exchange:
         """Sends a request.
@@ -251,7 +255,7 @@
         )
 
     def expire(self, now: float) -> None:
-        """Gives up connections that are not made in time.
+        """Gives up connections that are not made in time, or no more used.
 
         Guards against a partition that drops packets silently: without it
         a request would hang until the kernel gives up, after minutes.
@@ -263,6 +267,21 @@
         ]
         for exchange in late:
             self._fail(exchange)
+        if now - self._swept_at >= SWEEP_INTERVAL:
+            self._swept_at = now
+            self._close_unused(now)
+
+    def _close_unused(self, now: float) -> None:
+        """Closes the connections that were kept long enough.
+
+        Guards against places that are taken at the other side for nothing: it
+        bears a number of connections from all processes together, and resets
+        new ones beyond that, with the requests on them.
+        """
+        kept = itertools.chain.from_iterable(self._idle.values())
+        unused = [one for one in kept if now - one.idle_since >= one.keep_for]
+        for exchange in unused:
+            self._discard(exchange)
 
     @circuits.handler("_write")
     def _on_write(self, sock: socket.socket) -> None:
@@ -373,6 +392,10 @@
         most = exchange.request.keep
         if most is None or most > IDLE_PER_ADDRESS:
             most = IDLE_PER_ADDRESS
+        # Requests that must have a new connection use none that is kept: what
+        # they leave behind would pile up. One is kept for those that may be
+        # repeated.
+        most = min(most, 1) if exchange.request.fresh else most
         if reusable and len(kept) < most:
             exchange.idle_since = self._read_clock()
             kept.append(exchange)
--- a/sycamorefall/transport/tests/test_client.py
+++ b/sycamorefall/transport/tests/test_client.py
@@ -1,81 +1,139 @@
-"""Connections that the client keeps."""
+"""The HTTP client's connections, seen from the server that it asks."""
 
+import contextlib
 import socket
+import threading
 
-from circuits.core import pollers
+from circuits.core import events, pollers
+import pytest
 
 from sycamorefall import settings, transport
-from sycamorefall.transport.tests import test_server
+from sycamorefall.transport import client as client_module
 
-ANSWER = b"HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok"
+TURNS = 3000
+ANSWER = b"HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n"
 
 
 class Upstream:
-    """A listening socket, and the connections that it took."""
+    """A server that answers each request and closes nothing by itself.
+
+    Attributes:
+        connections: Those that are open.
+        address: Where it answers.
+    """
+
+    def __init__(self):
+        self._listening = socket.create_server(("127.0.0.1", 0))
+        self._listening.setblocking(False)
+        self.connections: list[socket.socket] = []
+        self.address = settings.Address(*self._listening.getsockname())
+
+    def run(self):
+        with contextlib.suppress(BlockingIOError):
+            sock, _ = self._listening.accept()
+            sock.setblocking(False)
+            self.connections.append(sock)
+        for sock in list(self.connections):
+            with contextlib.suppress(BlockingIOError):
+                if sock.recv(1 << 16):
+                    sock.sendall(ANSWER)
+                else:
+                    self.connections.remove(sock)
+                    sock.close()
+
+    def close(self):
+        for sock in [self._listening, *self.connections]:
+            sock.close()
+
+
+class Site:
+    """A client and an upstream, by a clock that the test sets."""
 
     def __init__(self):
-        self.listening = socket.create_server(("127.0.0.1", 0))
-        self.listening.setblocking(False)
-        address, port = self.listening.getsockname()
-        self.address = settings.Address(address, port)
-        self.taken = []
-
-    def take(self):
-        """Takes the connection that was made; tells whether there is one."""
-        try:
-            sock, _ = self.listening.accept()
-        except BlockingIOError:
-            return False
-        self.taken.append(sock)
-        return True
-
-    def count_open(self):
-        return sum(not is_closed(sock) for sock in self.taken)
-
-
-def is_closed(sock):
-    sock.setblocking(False)
-    try:
-        return sock.recv(1, socket.MSG_PEEK) == b""
-    except BlockingIOError:
-        return False
-
-
-def create_client(site):
-    poller = next(
-        part
-        for part in site.loop.components
-        if isinstance(part, pollers.BasePoller)
-    )
-    client = transport.HttpClient(poller, lambda: site.now)
-    return client.register(site.loop)
-
-
-def send(client, upstream, ended, keep):
-    request = transport.OutgoingRequest(
-        upstream.address, "GET", "/", fresh=True, keep=keep
-    )
-    listener = transport.Listener(
-        on_head=lambda *_: None,
-        on_data=lambda _: None,
-        on_end=lambda: ended.append("whole"),
-        on_failure=ended.append,
-    )
-    client.send(request, listener)
-
-
-def test_client_keeps_no_more_connections_than_it_may():
-    # An upstream takes a bounded number of connections and resets the rest.
-    # Requests that may not be sent twice each open one, and each was kept
-    # afterwards: idle ones of many routers filled the bound, and bookings on
-    # new connections were reset with an unknown outcome.
-    site, upstream, ended = test_server.Site(), Upstream(), []
-    client = create_client(site)
-    for number in range(6):
-        send(client, upstream, ended, keep=2)
-        site.turn_until(upstream.take)
-        site.turn_until(lambda: upstream.taken[-1].recv(1 << 16))
-        upstream.taken[-1].sendall(ANSWER)
-        site.turn_until(lambda number=number: len(ended) > number)
-    assert ended == ["whole"] * 6
-    site.turn_until(lambda: upstream.count_open() == 2)
+        self.now = 0.0
+        self.answers = 0
+        self.upstream = Upstream()
+        self.loop = transport.create_loop(lambda: None)
+        poller = next(
+            part
+            for part in self.loop.components
+            if isinstance(part, pollers.BasePoller)
+        )
+        self.client = transport.HttpClient(poller, lambda: self.now)
+        self.client.register(self.loop)
+        self.loop._running = True
+        self.loop._executing_thread = threading.current_thread()
+        self.loop.fire(events.started(self.loop))
+
+    def turn_until(self, check):
+        for _ in range(TURNS):
+            self.loop.tick(0.001)
+            self.upstream.run()
+            if check():
+                return
+        raise AssertionError("the condition never came")
+
+    def take_answer(self):
+        self.answers += 1
+
+    def ask(self, fresh, keep=None):
+        before = self.answers
+        self.send(fresh, keep)
+        self.turn_until(lambda: self.answers > before)
+
+    def send(self, fresh, keep=None):
+        request = transport.OutgoingRequest(
+            self.upstream.address, "POST", "/x", fresh=fresh, keep=keep
+        )
+        listener = transport.Listener(
+            on_head=lambda *_: None,
+            on_data=lambda _: None,
+            on_end=self.take_answer,
+            on_failure=lambda stage: pytest.fail(stage.value),
+        )
+        self.client.send(request, listener)
+
+
+@pytest.fixture
+def site():
+    created = Site()
+    yield created
+    created.upstream.close()
+
+
+def test_new_connections_do_not_pile_up_at_an_upstream(site):
+    # Bookings go over new connections, as they may not be repeated. Each one
+    # stayed open after its answer and nobody used it again, so after nine
+    # seconds of a calm day an upstream had as many as it bears. It reset the
+    # next ones, and their callers learned that nobody can tell what became
+    # of their bookings.
+    for _ in range(20):
+        site.ask(fresh=True)
+    site.turn_until(lambda: len(site.upstream.connections) <= 1)
+    site.ask(fresh=False)
+    assert len(site.upstream.connections) == 1, "the kept one is used"
+
+
+def test_connection_that_is_no_more_used_is_closed(site):
+    # A crowd of requests leaves a connection each. They were looked at only
+    # when the next request came, newest first, so the others stayed open for
+    # as long as the upstream bore them, and took the place of new ones.
+    site.ask(fresh=False)
+    site.now = client_module.IDLE_TIME
+    site.client.expire(site.now)
+    site.turn_until(lambda: not site.upstream.connections)
+
+
+def test_client_keeps_no_more_connections_than_it_may(site):
+    # An upstream takes a bounded number of connections of all routers and
+    # resets the rest. Each router kept as many as it liked, so together they
+    # filled the bound, and new ones were reset with an unknown outcome.
+    for _ in range(6):
+        site.send(fresh=False, keep=2)
+    site.turn_until(lambda: site.answers == 6)
+    site.turn_until(lambda: len(site.upstream.connections) == 2)
+    for _ in range(3):
+        site.ask(fresh=True, keep=2)
+    site.turn_until(lambda: len(site.upstream.connections) == 2)
+    site.ask(fresh=False, keep=0)
+    site.turn_until(lambda: len(site.upstream.connections) == 1)
