Test that a freeze breaks off no stream

Cause under test: the timers judged engines as silent before the loop had read the events that came in a freeze.

Change: a test with 3 such freezes. It fails with the former loop and passes with the present one.

--- a/sycamorefall/platform/tests/test_freezing.py
+++ b/sycamorefall/platform/tests/test_freezing.py
@@ -2,9 +2,12 @@
 
 import asyncio
 import collections
+import concurrent.futures
 import signal
+import time
 
-from sycamorefall.platform.tests import callers
+from standins import site as site_module
+from sycamorefall.platform.tests import asking, callers
 
 CALLERS = 30
 FREEZES = 6
@@ -15,6 +18,15 @@
 BETWEEN = 200
 """Requests that are answered between two freezes."""
 
+STREAM_FREEZES = 3
+STREAM_FREEZE = 1.5
+"""Seconds for which a VM is frozen among streams: longer than a router waits
+for the next event of an engine."""
+
+STREAM_CALLERS = 16
+STREAMS_BETWEEN = 60
+EVENTS = 20
+
 
 class Crowd:
     """Callers that ask without pause while their router is frozen."""
@@ -67,3 +79,54 @@
     assert [request for request, count in runs.items() if count > 1] == []
     ends = {outcome.end for outcome in crowd.outcomes}
     assert ends == {callers.End.ANSWERED}
+
+
+class Readers:
+    """Callers that read streams without pause."""
+
+    def __init__(self, router):
+        self.router = router
+        self.answers = []
+        self.done = False
+
+    def read_steadily(self, path):
+        usage = {"Token-Usage": f"1100,{EVENTS}"}
+        while not self.done:
+            request, status, _, answer = asking.ask(
+                self.router, path, prompt=True, **usage
+            )
+            events = len(asking.list_events(answer))
+            self.answers.append((request, status, events))
+
+    def wait_for_answers(self):
+        enough = len(self.answers) + STREAMS_BETWEEN
+        site_module.wait_until(lambda: len(self.answers) >= enough)
+
+    def play(self):
+        paths = ["/answer/x", "/draft/x"] * (STREAM_CALLERS // 2)
+        with concurrent.futures.ThreadPoolExecutor(STREAM_CALLERS) as pool:
+            reading = [pool.submit(self.read_steadily, path) for path in paths]
+            try:
+                for _ in range(STREAM_FREEZES):
+                    self.wait_for_answers()
+                    self.router.process.send_signal(signal.SIGSTOP)
+                    time.sleep(STREAM_FREEZE)
+                    self.router.process.send_signal(signal.SIGCONT)
+                self.wait_for_answers()
+            finally:
+                self.done = True
+            for reader in reading:
+                reader.result()
+
+
+def test_freeze_breaks_off_no_stream(site):
+    # A VM is frozen for longer than an engine may say nothing, while engines
+    # go on sending. As the router woke up, it took them for silent before it
+    # read: streams were broken off, and some callers got an error.
+    for name in ("e1", "e2"):
+        site.add_upstream(name, "engine", slots=32)
+    router = site.add_router()
+    readers = Readers(router)
+    readers.play()
+    wrong = [one for one in readers.answers if one[1:] != (200, EVENTS)]
+    assert wrong == []
