Make room by closing connections whose answers are sent, first

Cause: a connection counts as idle from the moment its answer is written. At the most connections the one idle longest makes room, and what of its answer was unsent was thrown away, though others had nothing on their way. Ruled out: never closing such a connection; callers that take nothing could then keep all others out. Change: the longest idle one with nothing unsent makes room; if there is none, the longest idle one as before. Before and after: the new test's caller lost the rest of a 16 MB answer while an idle connection stayed, and gets all of it now. transport/, direct/, platform/ pass. Conclusion: acts at the most connections only; not seen on a site.

--- a/sycamorefall/transport/deadlines.py
+++ b/sycamorefall/transport/deadlines.py
@@ -2,6 +2,7 @@
 
 __all__ = ["Deadlines"]
 
+from collections.abc import Iterator
 import itertools
 import socket
 
@@ -34,6 +35,10 @@
         """Tells whether the limit runs for a socket."""
         return sock in self._dues
 
+    def __iter__(self) -> Iterator[socket.socket]:
+        """Goes over the sockets, the one whose limit ends next first."""
+        return iter(self._dues)
+
     def find_next(self) -> float:
         """Returns when the limit ends next for a socket."""
         return next(iter(self._dues.values()), float("inf"))
--- a/sycamorefall/transport/server.py
+++ b/sycamorefall/transport/server.py
@@ -266,11 +266,14 @@
     def _make_room(self) -> bool:
         """Closes connections that have been idle longest, if there is no room.
 
+        Those whose answer is on its way come last.
+
         Returns:
             Whether there is room for another one.
         """
         while len(self._connections) >= self._limits.max_connections:
-            spare = self._idle.find_first()
+            sent = (one for one in self._idle if not self.count_unsent(one))
+            spare = next(sent, self._idle.find_first())
             if spare is None:
                 return False
             self._close_idle(spare)
--- a/sycamorefall/transport/tests/test_closing.py
+++ b/sycamorefall/transport/tests/test_closing.py
@@ -254,3 +254,22 @@
     site.loop.flush()
     assert site.read(caller, b"end").endswith(b"xend")
     caller.close()
+
+
+def test_connection_whose_answer_is_on_its_way_makes_room_last():
+    # At the most connections, one was longest without a request, as its
+    # caller took a long answer slowly. It made room for a new one, and the
+    # rest of the answer was thrown away; an idle connection stayed.
+    site = test_server.Site(max_connections=2)
+    caller = site.connect()
+    caller.sendall(test_server.GET % b"big")
+    call = site.turn_until(lambda: site.calls)[0]
+    call.respond(200, b"x" * (1 << 24) + b"end")
+    turn_loop(site, MOST_TURNS)
+    idle = make_idle(site)
+    new = site.connect()
+    site.server._accept_some()
+    assert site.read(idle, b"nothing") == b""
+    assert site.read(caller, b"end").endswith(b"xend")
+    for one in (caller, new):
+        one.close()
