Go through a request's headers once

Cause: h11 makes each header pair anew whenever its headers are gone through, and the reader did so three times for a request. Change: the pairs are listed once and kept until the request is whole. Before and after, microseconds of processor time for eight headers, timed alone (the best of 100 times 300): 7.7 and 3.2. Reading a whole request varied by more than that from run to run (111 to 146 before, 114 to 132 after, three runs each, beside other work), so no effect on it is claimed. Conclusion: 4.5 us a request; small, but free.

--- a/sycamorefall/transport/inbound.py
+++ b/sycamorefall/transport/inbound.py
@@ -79,6 +79,7 @@
         "_body",
         "_expecting",
         "_head",
+        "_headers",
         "_limits",
         "_parser",
         "_size",
@@ -96,6 +97,7 @@
             max_incomplete_event_size=self._limits.max_header_bytes,
         )
         self._head: h11.Request | None = None
+        self._headers: list[tuple[bytes, bytes]] = []
         self._body: list[bytes] = []
         self._size = 0
         self._expecting = False
@@ -143,8 +145,11 @@
             match event:
                 case h11.Request():
                     self._head = event
+                    # h11 makes each pair anew whenever they are gone through:
+                    # once costs 3 us for eight headers, three times 8.
+                    self._headers = list(event.headers)
                     self._expecting = True
-                    if refusal := self._check_head(event):
+                    if refusal := self._check_headers():
                         return refusal
                 case h11.Data():
                     self._size += len(event.data)
@@ -158,9 +163,9 @@
                 case _:
                     return None
 
-    def _check_head(self, head: h11.Request) -> errors.ErrorKind | None:
-        names = [name for name, _ in head.headers]
-        lengths = [v for name, v in head.headers if name == b"content-length"]
+    def _check_headers(self) -> errors.ErrorKind | None:
+        names = [name for name, _ in self._headers]
+        lengths = [v for name, v in self._headers if name == b"content-length"]
         # With both, a proxy in front could see other bounds of the request
         # than this process, and one caller's bytes become another's request.
         if lengths and b"transfer-encoding" in names:
@@ -182,7 +187,7 @@
             method=head.method.decode("ascii"),
             path=target.path,
             query=target.query,
-            headers=RequestHeaders(list(head.headers)),
+            headers=RequestHeaders(self._headers),
             body=b"".join(self._body),
             protocol=(int(major), int(minor)),
             keep_alive=self._parser.their_state is not h11.MUST_CLOSE,
