Log a refusal's reasons without copying them deeply

Cause: each refusal with reasons went through `dataclasses.asdict`, which copies every value; a flood's refusals are most of what a small router does. Change: `relay._list_fields` lists the fields as they are. The log encodes them at once, and nothing changes them after. Before and after, microseconds of processor time for reasons with two obstacles, timed alone (the best of 100 times 300, twice): 13.7 and 13.5; 2.0 and 2.1. The same dictionary came out of both. Conclusion: 11 us of each refusal that has reasons.

--- a/sycamorefall/direct/relay.py
+++ b/sycamorefall/direct/relay.py
@@ -175,7 +175,7 @@
 
 
 def _fail(desk: Desk, delivery: _Delivery, effect: effects.Fail) -> None:
-    why = dataclasses.asdict(effect.refusal) if effect.refusal else {}
+    why = _list_fields(effect.refusal) if effect.refusal else {}
     ran = effect.ran or errors.ANSWERS[effect.kind].ran
     _forget(
         desk,
@@ -190,6 +190,17 @@
     )
 
 
+def _list_fields(refusal: effects.Refusal) -> dict[str, object]:
+    """Lists what decided a refusal, for its log line.
+
+    A flood's refusals are most of what a small router does. `asdict` copies
+    each value deeply, at 14 us of processor time where this takes 2, both timed
+    alone.
+    """
+    names = (field.name for field in dataclasses.fields(refusal))
+    return {name: getattr(refusal, name) for name in names}
+
+
 def _pass_on(desk: Desk, delivery: _Delivery, number: int) -> None:
     head = delivery.head
     _forget(desk, number, "answered", status=head.status)
