Forget connections that are closed while their close waits

Cause: found by reading. circuits notes a connection whose close waits until its caller has taken all, and doesn't strike it out if it is closed at once, as happens when its time limit ends. Its socket stayed in memory for good, in a list that was looked through on each such close. Change: the server's `_close` strikes it out. Seen failing without it: one connection is left after the only one is closed. Conclusion: a leak of one socket object for each caller that takes nothing; how fast it grows in use was not measured.

--- a/sycamorefall/transport/poller.py
+++ b/sycamorefall/transport/poller.py
@@ -108,6 +108,26 @@
             self._masks.pop(fd, None)
 
 
+class _Server(sockets.TCPServer):
+    """circuits' server, at a cost that is the same for any connections."""
+
+    def __init__(self, pair: tuple[str, int], channel: str):
+        super().__init__(pair, channel=channel)
+        self._clients = Members()
+        self._closeq = Members()
+
+    def _close(self, sock: socket.socket) -> None:
+        """Closes a connection at once.
+
+        Guards against a leak: circuits keeps a connection that waits to be
+        closed for good if it is closed before its caller has taken all. Each
+        caller that takes nothing would leave its socket in memory.
+        """
+        super()._close(sock)
+        if sock in self._closeq:
+            self._closeq.remove(sock)
+
+
 def create_server(listen: settings.Address, channel: str) -> sockets.TCPServer:
     """Opens a listening socket.
 
@@ -118,7 +138,4 @@
     Raises:
         OSError: The address can't be bound.
     """
-    server = sockets.TCPServer(listen.pair, channel=channel)
-    server._clients = Members()
-    server._closeq = Members()
-    return server
+    return _Server(listen.pair, channel)
--- a/sycamorefall/transport/tests/test_poller.py
+++ b/sycamorefall/transport/tests/test_poller.py
@@ -3,11 +3,16 @@
 import contextlib
 import select
 import socket
+import threading
 
+import circuits
+from circuits.core import events
 from hypothesis import given
 from hypothesis import strategies as st
 import pytest
 
+from standins import fleet
+from sycamorefall import settings
 from sycamorefall.transport import poller
 
 PAIRS = 3
@@ -149,3 +154,33 @@
         assert members[:] == list(members) == plain
         assert len(members) == len(plain)
         assert all((one in members) == (one in plain) for one in range(6))
+
+
+def test_server_forgets_a_connection_closed_while_its_close_waited():
+    """Callers that take nothing of their answers leave nothing behind.
+
+    A close waits until the caller has taken all; its time limit ends first,
+    the connection is closed at once, and the server must not remember it as
+    one to be closed: such callers would fill the memory, one by one.
+    """
+    (port,) = fleet.find_ports(1)
+    loop = circuits.BaseComponent()
+    poller.ConnectionPoller().register(loop)
+    address = settings.Address("127.0.0.1", port)
+    server = poller.create_server(address, "web").register(loop)
+    loop._running = True
+    loop._executing_thread = threading.current_thread()
+    loop.fire(events.started(loop))
+    with socket.create_connection(address.pair):
+        for _ in range(100):
+            loop.tick(0.001)
+            if len(server._clients):
+                break
+        (taken,) = server._clients
+        server.write(taken, b"never taken")
+        server.close(taken)
+        assert list(server._closeq) == [taken]
+        server._close(taken)
+    assert not len(server._closeq)
+    assert not len(server._clients)
+    server._close(server._sock)
