Measure growth with connections by turns

Cause: the test of growth measured beside few connections, then beside many. The machine's own speed changed between: the same code took 337 to 680 us for the same request within a minute, and one table of the benchmark showed a growth of 1.5 that six measurements right after did not (0.97 to 1.09). Such a change could fail the test, or let it pass. Change: both are measured by turns, three times; the cheapest of each counts.

--- a/benchmarks/tests/test_connections.py
+++ b/benchmarks/tests/test_connections.py
@@ -15,8 +15,13 @@
     tenths of a second though it had no more to answer than before.
     """
     connections.raise_descriptor_limit()
-    few, many = (
-        connections.measure_cost(idle, kept=False, requests=60, repeats=8)
-        for idle in (10, 3_000)
+    # By turns: the machine's own speed changes by half within seconds.
+    few, many = zip(
+        *([measure(10), measure(3_000)] for _ in range(3)), strict=True
     )
-    assert many.microseconds < MOST_GROWTH * few.microseconds
+    assert min(many) < MOST_GROWTH * min(few)
+
+
+def measure(idle):
+    cost = connections.measure_cost(idle, kept=False, requests=60, repeats=3)
+    return cost.microseconds
