Close connections of callers that have left without parsing their requests

Cause: a VM that fell behind takes requests in the order of arrival, parsed each one, wrote two lines and only then saw that its caller had left; so it was late for the next ones too. Ruled out: the balancer sending on; descriptors (1,354 of 4,100); memory. Change: the look whether a caller has left comes before parsing. The first one of a turn is parsed, so that its id is in the log; the others are counted in one line (`connections.left`). Before and after: with 30 callers that left before one that waits, 31 requests were parsed, now 1 or 2. The comment on circuits.web and the listening address goes: since answers are shaped without a request of circuits.web, nothing asks for it.

--- a/sycamorefall/transport/server.py
+++ b/sycamorefall/transport/server.py
@@ -221,8 +221,6 @@
         if listening is None:
             return
         taken = sum(iter(self._accept_some, 0))
-        # Requests still come on kept connections, and circuits.web asks for
-        # this address with each; without it they would get no answer.
         self._listened_at = (self.server.host, self.server.port)
         self.server._poller.discard(listening)
         self.server._sock = None
@@ -390,6 +388,8 @@
         ):
             self._shed(sock)
             return
+        if is_new and self._drop_unread(sock):
+            return
         connection.reader.feed(data)
         most = self._limits.max_header_bytes + self._limits.max_body_bytes
         if connection.call is None:
@@ -399,7 +399,29 @@
 
     @circuits.handler("generate_events", channel="*", priority=2)
     def _on_turn(self, event) -> None:
-        self._turn.began = None
+        if self._turn.left > 1:
+            observation.write_record(
+                observation.Level.WARNING,
+                "connections.left",
+                left=self._turn.left,
+            )
+        self._turn = shedding_module.Turn()
+
+    def _drop_unread(self, sock: socket.socket) -> bool:
+        """Closes a connection whose caller has left, without parsing.
+
+        Guards against a queue of callers that have left: a VM that fell
+        behind parsed each of their requests before it found that out, and was
+        late for the next ones too. The first one of a turn is parsed, so that
+        the log has its id.
+        """
+        if not arrivals.has_hung_up(sock):
+            return False
+        self._turn.left += 1
+        if self._turn.left == 1:
+            return False
+        self._close(sock)
+        return True
 
     def _shed(self, sock: socket.socket) -> None:
         self.shed += 1
--- a/sycamorefall/transport/shedding.py
+++ b/sycamorefall/transport/shedding.py
@@ -31,9 +31,11 @@
 
     Attributes:
         began: When the first input of it was handled; None before.
+        left: New requests in it whose callers had left.
     """
 
     began: float | None = None
+    left: int = 0
 
 
 def is_behind(shedding: Shedding | None, turn: Turn, now: float) -> bool:
--- a/sycamorefall/transport/tests/test_server.py
+++ b/sycamorefall/transport/tests/test_server.py
@@ -12,6 +12,7 @@
 
 from standins import fleet
 from sycamorefall import errors, settings, transport
+from sycamorefall.transport import inbound
 
 KINDS = {kind.value for kind in errors.ErrorKind}
 GET = b"GET /%s HTTP/1.1\r\nHost: a\r\n\r\n"
@@ -303,3 +304,29 @@
     later = site.connect()
     later.sendall(GET % b"now")
     assert b" 200 " in site.read(later, b"now")
+
+
+def test_callers_that_left_do_not_keep_those_that_wait(monkeypatch):
+    # A large team's callers all reach one small VM, which falls behind. They
+    # give up after a second, but it read the requests of all of them, in the
+    # order of arrival, before it came to callers that still waited: those
+    # had given up too by then, and so on for as long as the crowd came.
+    site = Site()
+    site.turn_until(lambda: site.server.port)
+    for _ in range(30):
+        gone = site.connect()
+        gone.sendall(GET % b"gone")
+        gone.close()
+    waits = site.connect()
+    waits.sendall(GET % b"now")
+    readers = []
+    take = inbound.RequestReader.take
+    monkeypatch.setattr(
+        inbound.RequestReader,
+        "take",
+        lambda reader: readers.append(reader) or take(reader),
+    )
+    assert b"now" in site.read(waits, b"now")
+    assert len(readers) <= 2, "one that has left is told of, no more are read"
+    waits.close()
+    site.turn_until(lambda: not site.server._connections)
