Don't take a freeze for a crowd when requests are refused unread

Cause: a turn of the loop counted as too long by its whole time, so a VM that was frozen in the middle of one refused all requests behind it.

--- a/sycamorefall/transport/server.py
+++ b/sycamorefall/transport/server.py
@@ -232,8 +232,7 @@
     @circuits.handler("_read", priority=2)
     def _on_readable(self, event, sock) -> None:
         event.stop()
-        if self._turn.began is None:
-            self._turn.began = self._read_clock()
+        shedding_module.note_time(self._turn, self._read_clock())
         if sock is self.server._sock:
             self._accept_some()
         elif sock in self._connections:
@@ -383,9 +382,7 @@
                 self._close(sock)
             return
         is_new = connection.call is None and not self._reading.has(sock)
-        if is_new and shedding_module.is_behind(
-            self._shedding, self._turn, self._read_clock()
-        ):
+        if is_new and shedding_module.is_behind(self._shedding, self._turn):
             self._shed(sock)
             return
         if is_new and self._drop_unread(sock):
--- a/sycamorefall/transport/tests/test_server.py
+++ b/sycamorefall/transport/tests/test_server.py
@@ -47,6 +47,9 @@
         call.on_hangup = lambda: self.hung_up.append(call.path)
         if call.path == "/now":
             call.respond(200, b"now")
+        if call.path == "/frozen":
+            self.now += 0.8
+            call.respond(200, b"frozen")
         if call.path == "/slow":
             self.now += 0.03
             call.respond(200, b"slow")
@@ -330,3 +333,18 @@
     assert len(readers) <= 2, "one that has left is told of, no more are read"
     waits.close()
     site.turn_until(lambda: not site.server._connections)
+
+
+def test_requests_that_came_while_a_vm_was_frozen_are_served():
+    # A VM freezes in the middle of a turn of its loop. The time that passed
+    # was taken for a crowd's, and all requests behind it were refused, though
+    # the VM had nothing else to do.
+    site = Site(shedding=transport.Shedding(0.1, pause=0.2))
+    site.turn_until(lambda: site.server.port)
+    callers = [site.connect() for _ in range(5)]
+    site.turn_until(lambda: len(site.server._connections) == 5)
+    callers[0].sendall(GET % b"frozen")
+    for caller in callers[1:]:
+        caller.sendall(GET % b"now")
+    answers = [site.read(caller, b"\r\n\r\n") for caller in callers]
+    assert [b" 200 " in answer for answer in answers] == [True] * 5
