Note a send's time after its system call, and as its connection is made

The logs show each handed out at the moment of a freeze (gap of 0.81 s from 0.0 to 0.019 s after the record) and once more 0.05 s after its end. A signal that freezes acts as a system call returns, and the record's write is one between the time that counts and the send. A request that waits for its connection leaves later still. Change: the time is noted again after the send, and as a new connection takes the request.

--- a/sycamorefall/direct/relay.py
+++ b/sycamorefall/direct/relay.py
@@ -255,8 +255,13 @@
                 desk, delivery, number, stage
             ),
             is_ours=lambda headers: desk.dialect.is_ours(call, headers),
+            on_sent=lambda: outcomes.note_sent(
+                desk.state, transport.read_clock(), number
+            ),
         ),
     )
+    # Once more, as a freeze before the system call is as long as any other.
+    outcomes.note_sent(desk.state, transport.read_clock(), number)
 
 
 def _take_head(
--- a/sycamorefall/transport/client.py
+++ b/sycamorefall/transport/client.py
@@ -93,6 +93,8 @@
         on_data: With each piece of the body.
         on_end: Once the answer is known to be whole.
         on_failure: Instead of `on_end`, if the connection failed.
+        on_sent: Called as a request begins to leave that had to wait for its
+            connection.
         is_ours: Tells from an answer's headers whether it answers this
             request. One that doesn't is skipped whole, and the next answer
             on the connection is read: an upstream may send a second answer
@@ -104,6 +106,7 @@
     on_end: Callable[[], None]
     on_failure: Callable[[Stage], None]
     is_ours: Callable[[dict[str, str]], bool] | None = None
+    on_sent: Callable[[], None] | None = None
 
 
 class Exchange:
@@ -299,6 +302,9 @@
             return False
         exchange.connected = True
         self._connecting.pop(sock, None)
+        listener = exchange.listener
+        if listener is not None and listener.on_sent is not None:
+            listener.on_sent()
         if not exchange.paused:
             self._poller.addReader(self, sock)
         return True
