--- a/sycamorefall/direct/overload.py
+++ b/sycamorefall/direct/overload.py
@@ -16,8 +16,8 @@
 
 LONGEST_TURN = 0.1
 """Seconds of a turn of the loop after which further new requests in it are
-refused unread: a third of the shortest target latency that was seen, so that
-what is served can be on time."""
+refused unread: half of the shortest target latency that was seen, 0.2 s, so
+that what is served can be on time."""
 
 MEMORY = 1.0
 """Seconds after which lateness counts half."""
