--- /dev/null
+++ b/sycamorefall/messages/__init__.py
@@ -0,0 +1,85 @@
+"""Control messages between the system's processes, and their codec.
+
+A message travels in an `Envelope`, encoded as MessagePack. Control messages
+may be lost, repeated, delayed and reordered: every receiver must cope.
+"""
+
+__all__ = [
+    "ATTEMPT_HEADER",
+    "ATTEMPT_PATH",
+    "ORDER_HEADER",
+    "OUTCOME_HEADER",
+    "SIGNATURE_HEADER",
+    "UNCLAIMED",
+    "AccountEntry",
+    "AccountUpdate",
+    "AttemptOrder",
+    "AttemptQuery",
+    "AttemptReport",
+    "AttemptState",
+    "Claim",
+    "Envelope",
+    "Heartbeat",
+    "Message",
+    "Name",
+    "NameEntry",
+    "NoWork",
+    "Outcome",
+    "RouterAddress",
+    "RouterLoad",
+    "SentPrompt",
+    "ServiceDemand",
+    "TeamService",
+    "TeamWaiting",
+    "UnknownNames",
+    "UpstreamLoad",
+    "Waiting",
+    "decode_envelope",
+    "decode_order",
+    "encode_envelope",
+    "encode_order",
+]
+
+from sycamorefall.messages.attempts import (
+    ATTEMPT_HEADER,
+    ATTEMPT_PATH,
+    ORDER_HEADER,
+    OUTCOME_HEADER,
+    SIGNATURE_HEADER,
+    UNCLAIMED,
+    AttemptOrder,
+    AttemptQuery,
+    AttemptReport,
+    AttemptState,
+    Outcome,
+    decode_order,
+    encode_order,
+)
+from sycamorefall.messages.envelope import (
+    Envelope,
+    Message,
+    decode_envelope,
+    encode_envelope,
+)
+from sycamorefall.messages.loads import (
+    RouterAddress,
+    RouterLoad,
+    SentPrompt,
+    ServiceDemand,
+    TeamService,
+    UpstreamLoad,
+)
+from sycamorefall.messages.naming import (
+    Name,
+    NameEntry,
+    UnknownNames,
+)
+from sycamorefall.messages.work import (
+    AccountEntry,
+    AccountUpdate,
+    Claim,
+    Heartbeat,
+    NoWork,
+    TeamWaiting,
+    Waiting,
+)
