Halve what a streamed answer costs a router

Profile of answers of 55 events: h11 reading answers a quarter, recording a piece's time a tenth, an event of circuits for each read a tenth, looking for each event's id a twentieth; of short requests h11 writing the head a tenth.

Change: llhttp (httptools) reads answers; what comes on an upstream's connection goes straight from the poll to the client; times are counted by their units first and put into the histogram many at once; the last event's id is looked for when a stream breaks; request heads are formatted here, and refused if a part holds a line break. h11 goes on reading callers' requests.

Ruled out: reading requests by llhttp too (28 of 2,100 us); fewer events by waiting for more (a caller would wait).

--- a/sycamorefall/direct/streams.py
+++ b/sycamorefall/direct/streams.py
@@ -2,14 +2,12 @@
 
 __all__ = ["EventSplitter", "flush_rest", "split_events", "start_over"]
 
-import dataclasses
 import re
 
 _END = re.compile(rb"\r?\n\r?\n")
 _ID = re.compile(rb"^id: ?([^\r\n]*)", re.MULTILINE)
 
 
-@dataclasses.dataclass(slots=True)
 class EventSplitter:
     """One answer's events.
 
@@ -18,13 +16,33 @@
     go on after it.
 
     Attributes:
-        last_id: Id of the last event passed on; empty before the first.
         resumed: Whether another upstream went on with the stream.
     """
 
-    last_id: str = ""
-    resumed: bool = False
-    _rest: bytes = b""
+    __slots__ = ("_last_id", "_newest", "_rest", "resumed")
+
+    def __init__(self):
+        self.resumed = False
+        self._rest = b""
+        self._newest = b""
+        self._last_id = ""
+
+    @property
+    def last_id(self) -> str:
+        """Id of the last event passed on; empty before the first.
+
+        Looked for when it is asked, which is once a broken stream; at each
+        event it was a quarter of what splitting them cost.
+        """
+        ids = _ID.findall(self._newest)
+        if ids:
+            self._last_id = ids[-1].decode("latin-1")
+        self._newest = b""
+        return self._last_id
+
+    def note_id(self, number: str) -> None:
+        """Takes note of the id of an event that is passed on."""
+        self._last_id, self._newest = number, b""
 
 
 def split_events(splitter: EventSplitter, data: bytes) -> bytes:
@@ -44,20 +62,31 @@
         >>> splitter.last_id
         '1'
     """
-    text = splitter._rest + data
-    ends = [match.end() for match in _END.finditer(text)]
-    if not ends:
+    text = splitter._rest + data if splitter._rest else data
+    end = max(_find_last(text, b"\n\n"), _find_last(text, b"\n\r\n"))
+    if not end:
         splitter._rest = text
         return b""
-    splitter._rest = text[ends[-1] :]
-    if not splitter.resumed:
-        whole = text[: ends[-1]]
-        ids = _ID.findall(whole)
-        if ids:
-            splitter.last_id = ids[-1].decode("latin-1")
-        return whole
+    splitter._rest = text[end:]
+    whole = text[:end]
+    if splitter.resumed:
+        return _leave_out_known(splitter, whole)
+    if b"id:" in whole:
+        splitter._newest = whole
+    return whole
+
+
+def _find_last(text: bytes, ending: bytes) -> int:
+    """Finds where the last event ends that ends so; 0 if none does."""
+    found = text.rfind(ending)
+    return found + len(ending) if found >= 0 else 0
+
+
+def _leave_out_known(splitter: EventSplitter, whole: bytes) -> bytes:
+    """Leaves out the events that the caller has already."""
+    ends = [match.end() for match in _END.finditer(whole)]
     starts = [0, *ends[:-1]]
-    events = [text[a:b] for a, b in zip(starts, ends, strict=True)]
+    events = [whole[a:b] for a, b in zip(starts, ends, strict=True)]
     return b"".join(event for event in events if _is_new(splitter, event))
 
 
@@ -69,7 +98,7 @@
     number, last = found[1].decode("latin-1"), splitter.last_id
     if number.isdecimal() and last.isdecimal() and int(number) <= int(last):
         return False
-    splitter.last_id = number
+    splitter.note_id(number)
     return True
 
 
--- a/sycamorefall/observation/histograms.py
+++ b/sycamorefall/observation/histograms.py
@@ -40,6 +40,9 @@
 DIGITS = 2
 """Significant digits of a recorded time."""
 
+MOST_NEW = 256
+"""Different times that are counted before they go into the histogram."""
+
 COUNT_BYTES = 4
 """Size of one count: up to 4 billion; 8 would double the memory."""
 
@@ -83,25 +86,39 @@
 class TimeHistogram:
     """A histogram of times with their sum.
 
+    Times are counted by their units first and put into the histogram many at
+    once: one at a time, the library takes as long for a streamed piece as its
+    system calls.
+
     Attributes:
-        counts: The histogram, in units of 0.1 ms.
         seconds: Sum of the recorded times.
     """
 
-    __slots__ = ("counts", "seconds")
+    __slots__ = ("_counts", "_new", "seconds")
 
     def __init__(self):
-        self.counts = histogram.HdrHistogram(
+        self._counts = histogram.HdrHistogram(
             1, LONGEST, DIGITS, word_size=COUNT_BYTES
         )
+        self._new: dict[int, int] = {}
         self.seconds = 0.0
 
+    @property
+    def counts(self) -> histogram.HdrHistogram:
+        """The histogram, in units of 0.1 ms."""
+        for units, count in self._new.items():
+            if not self._counts.record_value(units, count):
+                self._counts.record_value(LONGEST, count)
+        self._new.clear()
+        return self._counts
+
     def record(self, seconds: float) -> None:
         """Records one time."""
         units = int(seconds * UNITS_PER_SECOND) or 1
-        if not self.counts.record_value(units):
-            self.counts.record_value(LONGEST)
+        self._new[units] = self._new.get(units, 0) + 1
         self.seconds += seconds
+        if len(self._new) >= MOST_NEW:
+            _ = self.counts
 
     def merge(self, other: "TimeHistogram") -> None:
         """Adds what another recorded."""
@@ -110,7 +127,8 @@
 
     def clear(self) -> None:
         """Forgets what was recorded."""
-        self.counts.reset()
+        self._new.clear()
+        self._counts.reset()
         self.seconds = 0.0
 
     @property
--- a/sycamorefall/transport/client.py
+++ b/sycamorefall/transport/client.py
@@ -1,8 +1,8 @@
 """HTTP requests to sidecars, upstreams and the platform, on the loop.
 
 circuits' own client holds one connection and one answer, so this one keeps
-a small pool of sockets on the loop's poller and parses with h11, which tells
-a complete answer from one that broke off.
+a small pool of sockets on the loop's poller. `answers` tells a complete answer
+from one that broke off.
 """
 
 __all__ = ["Exchange", "HttpClient", "Listener", "OutgoingRequest", "Stage"]
@@ -15,10 +15,10 @@
 import socket
 
 import circuits
-from circuits.core import pollers
-import h11
 
 from sycamorefall import settings
+from sycamorefall.transport import answers, requests
+from sycamorefall.transport import poller as poller_module
 
 READ_SIZE = 1 << 16
 """Bytes read from a socket at once."""
@@ -30,9 +30,6 @@
 """Idle connections that are kept to one address."""
 
 
-BODILESS_METHODS = frozenset({"GET", "HEAD", "DELETE"})
-"""Methods whose requests carry no length if they have no body."""
-
 IDLE_TIME = 4.0
 """Seconds that a connection is kept without a request; a typical server
 closes one after 5, and a request sent as it does is lost without a trace."""
@@ -115,12 +112,12 @@
     __slots__ = (
         "address",
         "connected",
-        "connection",
         "idle_since",
         "keep_for",
         "listener",
         "opened",
         "paused",
+        "reader",
         "request",
         "sent_any",
         "skipping",
@@ -131,11 +128,11 @@
     def __init__(self, address: settings.Address, listener: Listener):
         self.address = address
         self.listener: Listener | None = listener
-        self.connection = h11.Connection(h11.CLIENT)
         self.connected = False
         self.idle_since = 0.0
         self.keep_for = IDLE_TIME
         self.opened = 0.0
+        self.reader = answers.AnswerReader()
         self.request: OutgoingRequest | None = None
         self.skipping = False
         self.paused = False
@@ -151,7 +148,7 @@
 
     def __init__(
         self,
-        poller: pollers.BasePoller,
+        poller: poller_module.ConnectionPoller,
         read_clock: Callable[[], float],
         connect_timeout: float = CONNECT_TIMEOUT,
     ):
@@ -185,14 +182,20 @@
         """
         exchange = None if request.fresh else self._reuse(request.address)
         if exchange is not None:
-            exchange.connection = h11.Connection(h11.CLIENT)
             exchange.listener = listener
             exchange.sent_any = False
         else:
             exchange = self._open(request.address, listener)
         exchange.request = request
         exchange.skipping = False
-        exchange.unsent += _serialize(exchange.connection, request)
+        exchange.reader = answers.AnswerReader(request.method == "HEAD")
+        exchange.unsent += requests.format_request(
+            request.method,
+            request.path,
+            request.host or str(request.address),
+            request.headers,
+            request.body,
+        )
         # A kept connection takes a request at once, as a rule; what it does
         # not take, and its failure, are seen as it becomes writable.
         if not exchange.connected or not _push_unsent(exchange):
@@ -248,7 +251,7 @@
         if paused:
             self._poller.removeReader(exchange.socket)
         else:
-            self._poller.addReader(self, exchange.socket)
+            self._begin_reading(exchange)
 
     def find_next_due(self) -> float:
         """Tells when the oldest pending connection is to be given up."""
@@ -306,9 +309,13 @@
         if listener is not None and listener.on_sent is not None:
             listener.on_sent()
         if not exchange.paused:
-            self._poller.addReader(self, sock)
+            self._begin_reading(exchange)
         return True
 
+    def _begin_reading(self, exchange: Exchange) -> None:
+        self._poller.addReader(self, exchange.socket)
+        self._poller.take_directly(exchange.socket, self._take_readable)
+
     def _flush(self, exchange: Exchange) -> None:
         sent_all = _push_unsent(exchange)
         if sent_all is None:
@@ -316,8 +323,7 @@
         elif sent_all:
             self._poller.removeWriter(exchange.socket)
 
-    @circuits.handler("_read")
-    def _on_read(self, sock: socket.socket) -> None:
+    def _take_readable(self, sock: socket.socket) -> None:
         exchange = self._by_socket.get(sock)
         if exchange is None:
             return
@@ -341,58 +347,61 @@
         The pieces of the body that came together go on together: each would
         cost the next hop a chunk, a system call and a parse of its own.
         """
-        connection = exchange.connection
+        if not data:
+            self._take_end_of_connection(exchange)
+            return
         pieces: list[bytes] = []
-        try:
-            connection.receive_data(data)
-            while exchange.listener is not None:
-                event = connection.next_event()
-                if type(event) is h11.Data:
-                    if not exchange.skipping:
-                        pieces.append(event.data)
-                    continue
-                _deliver_data(exchange, pieces)
-                if event is h11.NEED_DATA or event is h11.PAUSED:
-                    return
-                self._deliver(exchange, event)
-                connection = exchange.connection
-        except h11.RemoteProtocolError:
+        for event in exchange.reader.feed(data):
+            if type(event) is bytes:
+                if not exchange.skipping:
+                    pieces.append(event)
+                continue
             _deliver_data(exchange, pieces)
+            self._deliver(exchange, event)
+            if exchange.listener is None:
+                return
+        _deliver_data(exchange, pieces)
+        if exchange.reader.is_broken:
+            self._fail(exchange)
+
+    def _take_end_of_connection(self, exchange: Exchange) -> None:
+        if not exchange.reader.finish() or exchange.skipping:
             self._fail(exchange)
+            return
+        listener, exchange.listener = exchange.listener, None
+        self._discard(exchange)
+        listener.on_end()
 
-    def _deliver(self, exchange: Exchange, event: h11.Event) -> None:
+    def _deliver(
+        self, exchange: Exchange, event: answers.AnswerHead | answers.End
+    ) -> None:
+        """Passes on an answer's head or its end."""
         listener = exchange.listener
         if listener is None:
             return
-        if isinstance(event, h11.Response):
-            headers = [
-                (name.decode("latin-1"), value.decode("latin-1"))
-                for name, value in event.headers
-            ]
-            exchange.keep_for = _read_keep_time(headers)
-            if listener.is_ours is None or listener.is_ours(dict(headers)):
-                listener.on_head(event.status_code, headers)
+        if isinstance(event, answers.AnswerHead):
+            exchange.keep_for = _read_keep_time(event.headers)
+            is_ours = listener.is_ours
+            if is_ours is None or is_ours(dict(event.headers)):
+                listener.on_head(event.status, event.headers)
             else:
                 exchange.skipping = True
-        elif isinstance(event, h11.EndOfMessage) and exchange.skipping:
-            _expect_next_answer(exchange)
-        elif isinstance(event, h11.EndOfMessage):
+        elif exchange.skipping:
+            # As if it had not come: the next answer is expected.
+            exchange.skipping = False
+        else:
             exchange.listener = None
             self._keep_or_close(exchange)
             listener.on_end()
-        elif isinstance(event, h11.ConnectionClosed):
-            self._fail(exchange)
 
     def _keep_or_close(self, exchange: Exchange) -> None:
-        connection = exchange.connection
         reusable = (
-            connection.our_state is h11.DONE
-            and connection.their_state is h11.DONE
+            exchange.reader.keep_alive
             and not exchange.unsent
             # Guards against an upstream that sends more than it announced:
             # what is left would be taken for the answer to the next request
             # on this connection, and another caller would get it.
-            and not connection.trailing_data[0]
+            and exchange.reader.is_between
         )
         kept = self._idle.setdefault(exchange.address, [])
         most = exchange.request.keep
@@ -457,18 +466,6 @@
     pieces.clear()
 
 
-def _expect_next_answer(exchange: Exchange) -> None:
-    """Reads on after an answer that was skipped, as if it had not come."""
-    rest, closed = exchange.connection.trailing_data
-    exchange.connection = h11.Connection(h11.CLIENT)
-    exchange.skipping = False
-    _serialize(exchange.connection, exchange.request)
-    if rest:
-        exchange.connection.receive_data(rest)
-    if closed:
-        exchange.connection.receive_data(b"")
-
-
 def _read_keep_time(headers: list[tuple[str, str]]) -> float:
     """Reads for how long a connection may stay idle, in seconds."""
     values = [value for name, value in headers if name == "keep-alive"]
@@ -479,22 +476,3 @@
         if name.lower() == "timeout" and value.isdecimal()
     ]
     return min([IDLE_TIME, *(IDLE_SHARE * seconds for seconds in times)])
-
-
-def _serialize(connection: h11.Connection, request: OutgoingRequest) -> bytes:
-    sized = request.body or request.method not in BODILESS_METHODS
-    length = [("Content-Length", str(len(request.body)))] if sized else []
-    head = h11.Request(
-        method=request.method,
-        target=request.path,
-        headers=[
-            ("Host", request.host or str(request.address)),
-            *length,
-            *request.headers,
-        ],
-    )
-    parts = [connection.send(head)]
-    if request.body:
-        parts.append(connection.send(h11.Data(data=request.body)))
-    parts.append(connection.send(h11.EndOfMessage()))
-    return b"".join(parts)
--- a/sycamorefall/transport/loop.py
+++ b/sycamorefall/transport/loop.py
@@ -51,9 +51,7 @@
             self._poller.poll(event.time_left, 1)
         self.taken_until = self._read_clock()
         # Without a bound: epoll gives about a thousand events otherwise.
-        ready = self._poller.poll(0, max(1, len(self._map)))
-        for descriptor, mask in ready:
-            self._process(descriptor, mask)
+        self.pass_on(self._poller.poll(0, max(1, len(self._map))))
 
 
 class Ticker(circuits.BaseComponent):
--- a/sycamorefall/transport/poller.py
+++ b/sycamorefall/transport/poller.py
@@ -8,7 +8,7 @@
 
 __all__ = ["ConnectionPoller", "Members", "create_server"]
 
-from collections.abc import Hashable, Iterable, Iterator
+from collections.abc import Callable, Hashable, Iterable, Iterator
 import select
 import socket
 
@@ -67,10 +67,48 @@
 
     def __init__(self):
         self._masks: dict[int | socket.socket, tuple[int, int]] = {}
+        self._takers: dict[socket.socket, Callable[[socket.socket], None]] = {}
         super().__init__()
         self._read = Members(self._read)
         self._write = Members(self._write)
 
+    def take_directly(
+        self, sock: socket.socket, take: Callable[[socket.socket], None]
+    ) -> None:
+        """Has a function called when there is something to read on a socket.
+
+        In place of an event: as each piece of each stream comes in this way,
+        events were a tenth of what a piece costs.
+
+        Args:
+            sock: A socket that is polled for input; until it is forgotten.
+            take: Called with the socket, in the turn in which it is polled.
+        """
+        self._takers[sock] = take
+
+    def pass_on(self, ready: Iterable[tuple[int, int]]) -> None:
+        """Passes on what a poll found.
+
+        Guards against a socket that another one's input closes, and whose
+        number a new socket gets: what was found is not of the new one.
+
+        Args:
+            ready: Numbers of sockets or pipes, and what can be done with each.
+        """
+        found = [
+            (self._map.get(number), number, mask) for number, mask in ready
+        ]
+        for fd, number, mask in found:
+            if fd is None or self._map.get(number) is not fd:
+                continue
+            take = self._takers.get(fd)
+            if take is not None and mask & select.EPOLLIN:
+                take(fd)
+                mask &= select.EPOLLOUT
+                if not mask or self._map.get(number) is not fd:
+                    continue
+            self._process(number, mask)
+
     def _updateRegistration(self, fd: int | socket.socket) -> None:  # noqa: N802
         """Tells the kernel what a socket or pipe is polled for now."""
         number = fd if isinstance(fd, int) else fd.fileno()
@@ -97,6 +135,7 @@
     def _forget(self, fd: int | socket.socket, number: int) -> None:
         pollers.BasePoller.discard(self, fd)
         self._masks.pop(fd, None)
+        self._takers.pop(fd, None)
         if self._map.get(number) is fd:
             del self._map[number]
 
@@ -106,6 +145,7 @@
         if self._map.get(fileno) is not fd:
             # Its connection failed, and circuits has forgotten it.
             self._masks.pop(fd, None)
+            self._takers.pop(fd, None)
 
 
 class _Server(sockets.TCPServer):
