Log what decides a team's share: cost, service received, and what waits

A team that asked for 7.7 M tokens in six seconds got 2.6 M while another got 5.8 M, and no log told why: a sent request's line said neither what it cost nor what its team was believed to have received, nor whether the engine was left to another team or counted as idle; and nothing told of what waits.

request.handed_out and the line of a refusal say so now. teams.waiting says once a second, while requests wait, how many of up to four teams do, for how long, and how old the loads are that were heard; one line a second at most and router, of four teams, so its volume stays bounded.

--- a/sycamorefall/direct/daemon.py
+++ b/sycamorefall/direct/daemon.py
@@ -18,8 +18,8 @@
     settings,
     transport,
 )
-from sycamorefall.direct import catalog as catalog_module
 from sycamorefall.direct import (
+    backlog,
     core,
     dialects,
     metrics,
@@ -27,10 +27,12 @@
     relay,
     stopping,
 )
+from sycamorefall.direct import catalog as catalog_module
 from sycamorefall.direct import exchange as exchange_module
 from sycamorefall.direct import overload as overload_module
 from sycamorefall.direct import replicator as replicator_module
 from sycamorefall.direct import state as state_module
+from sycamorefall.direct import totals as totals_module
 from sycamorefall.direct import upstreams as upstreams_module
 from sycamorefall.observation import metrics as metrics_module
 
@@ -60,6 +62,7 @@
         ticker: Runs the timers.
         replicator: Keeps what the platform publishes up to date.
         stop_check: When a stop in progress is looked at next.
+        backlog_at: When requests that wait are logged next.
     """
 
     config: settings.DirectSettings
@@ -75,6 +78,7 @@
     ticker: transport.Ticker | None = None
     replicator: replicator_module.Replicator | None = None
     stop_check: float = float("inf")
+    backlog_at: float = 0.0
 
     def take_catalog(self, new: catalog_module.Catalog) -> None:
         """Takes a configuration that was read."""
@@ -315,10 +319,26 @@
     _drop_lapsed(daemon, now)
     daemon.log.flush()
     relay.perform(daemon.desk, core.run_timers(daemon.state, now))
+    if now >= daemon.backlog_at:
+        _log_backlog(daemon, now)
     if now >= daemon.stop_check:
         _continue_stop(daemon, now)
 
 
+def _log_backlog(daemon: Daemon, now: float) -> None:
+    """Logs what waits; a process that is idle wakes up for no line."""
+    daemon.backlog_at = now + backlog.INTERVAL
+    backlogs = backlog.list_backlogs(daemon.state, now)
+    if backlogs:
+        ages = totals_module.find_ages(daemon.exchange.totals, now)
+        observation.write_record(
+            observation.Level.INFO,
+            "teams.waiting",
+            teams=[dataclasses.asdict(one) for one in backlogs],
+            heard={scope.name.lower(): age for scope, age in ages.items()},
+        )
+
+
 def _drop_lapsed(daemon: Daemon, now: float) -> None:
     gone = upstreams_module.drop_lapsed(daemon.state.table, now)
     if gone:
--- a/sycamorefall/direct/dispatching.py
+++ b/sycamorefall/direct/dispatching.py
@@ -155,8 +155,10 @@
     proven_at = state.table.proven_at
     return effects.Refusal(
         {obstacle.value: count for obstacle, count in obstacles.items()},
+        _reckon_cost(request),
         int(waiting.read_service(accounts, now, request.team)),
-        None if floor == math.inf else int(floor),
+        int(accounts.most),
+        _describe_floor(floor),
         state.routers,
         state.catalog.version,
         None if proven_at is None else round(now - proven_at, 3),
@@ -225,6 +227,9 @@
     chosen: upstreams.Upstream,
     service: catalog.Service,
 ) -> effects.SendTo:
+    idle = service.engine is not None and (
+        fitting.describe_standing(chosen, service.engine).idle
+    )
     request.sends += 1
     request.tried.add(chosen.listed.name)
     attempt = state_module.Attempt(
@@ -238,6 +243,7 @@
     chosen.own.running += 1
     upstreams.note_sent(chosen)
     prompt, begins_in, fetch = request.new.prompt, None, None
+    cost, received = _reckon_cost(request), 0.0
     if prompt is not None and service.engine is not None:
         fetch = fetching.choose_source(
             state.table, now, service, prompt, chosen
@@ -252,8 +258,8 @@
         attempt.memory = prompt.tokens + prompt.output
         chosen.own.memory += attempt.memory
         _note_placement(state, chosen, prompt, service.engine)
-        cost = prompt.tokens + prompts.OUTPUT_WEIGHT * prompt.output
         accounts = state_module.find_accounts(state, request.service)
+        received = waiting.read_service(accounts, now, request.team)
         waiting.charge_team(accounts, now, request.team, cost)
     return effects.SendTo(
         request.number,
@@ -273,9 +279,25 @@
         begins_in=begins_in and round(begins_in, 3),
         source=fetch and fetch.source.listed.address,
         fetches=fetch.tokens if fetch else 0,
+        cost=cost,
+        received=int(received),
+        floor=_describe_floor(chosen.floor),
+        idle=idle,
     )
 
 
+def _reckon_cost(request: state_module.Request) -> int:
+    """Reckons the cost units of a request; 0 of one that asks no engine."""
+    prompt = request.new.prompt
+    if prompt is None:
+        return 0
+    return prompt.tokens + prompts.OUTPUT_WEIGHT * prompt.output
+
+
+def _describe_floor(floor: float) -> int | None:
+    return None if floor == math.inf else int(floor)
+
+
 def _count_kept(service: catalog.Service, routers: int) -> int | None:
     """Counts the idle connections that this router may keep to an upstream."""
     if not service.max_connections:
--- a/sycamorefall/direct/effects.py
+++ b/sycamorefall/direct/effects.py
@@ -29,6 +29,11 @@
         source: Where the upstream is to fetch what it lacks of the prompt's
             shared parts; None if it reads all that it lacks.
         fetches: Tokens that it is expected to find there.
+        cost: Cost units that the team is charged.
+        received: What the team received lately before, of all routers.
+        floor: The least that a team received that waits for the upstream at
+            another router; None if none does.
+        idle: Whether the upstream had next to nothing to do.
     """
 
     request: int
@@ -45,6 +50,10 @@
     begins_in: float | None = None
     source: settings.Address | None = None
     fetches: int = 0
+    cost: int = 0
+    received: int = 0
+    floor: int | None = None
+    idle: bool = False
 
 
 @dataclasses.dataclass(slots=True, frozen=True)
@@ -61,7 +70,9 @@
     Attributes:
         obstacles: How many upstreams could not take it, by what was in the
             way; see `fitting.Obstacle`.
+        cost: Cost units that its team would have been charged.
         received: Cost units that its team received lately, of all routers.
+        most: The most that any team received.
         floor: The least that a team received that waits for one of the
             upstreams at another router; None if nothing waits there.
         routers: Routers whose load was counted, this one included.
@@ -71,7 +82,9 @@
     """
 
     obstacles: dict[str, int]
+    cost: int
     received: int
+    most: int
     floor: int | None
     routers: int
     configuration: int
--- a/sycamorefall/direct/relay.py
+++ b/sycamorefall/direct/relay.py
@@ -228,6 +228,10 @@
         begins_in=send.begins_in,
         source=send.source and str(send.source),
         fetches=send.fetches,
+        cost=send.cost,
+        received=send.received,
+        floor=send.floor,
+        idle=send.idle,
         time_left=round(send.time_left, 3),
     )
     streams.start_over(delivery.splitter)
--- a/sycamorefall/direct/totals.py
+++ b/sycamorefall/direct/totals.py
@@ -7,6 +7,7 @@
     "Totals",
     "drop_silent",
     "drop_sources",
+    "find_ages",
     "list_keys",
     "list_services",
     "note_totals",
@@ -218,6 +219,24 @@
             given[entry.team] += entry.amount
 
 
+def find_ages(totals: Totals, now: float) -> dict[messages.LoadScope, float]:
+    """Finds how old the oldest load of each scope is, in seconds.
+
+    Example:
+        >>> one = Source("front-2", 1, 1, heard_at=1.0)
+        >>> two = Source("front-3", 1, 1, heard_at=1.5)
+        >>> scope = messages.LoadScope.ROUTER
+        >>> sources = {(scope, "front-2", 0): one, (scope, "front-3", 0): two}
+        >>> find_ages(Totals(sources), 1.75)[scope]
+        0.75
+    """
+    ages: dict[messages.LoadScope, float] = {}
+    for (scope, _, _), source in totals.sources.items():
+        age = round(now - source.heard_at, 3)
+        ages[scope] = max(age, ages.get(scope, 0.0))
+    return ages
+
+
 def drop_silent(totals: Totals, now: float) -> bool:
     """Drops what was told by routers that say nothing any more.
 
--- a/sycamorefall/observation/explaining.py
+++ b/sycamorefall/observation/explaining.py
@@ -244,7 +244,8 @@
     upstreams = ", ".join(f"{count} {name}" for name, count in counts.items())
     return (
         f": upstreams: {upstreams or 'none listed'}; its team received "
-        f"{merged.get('received')}, the least that waited elsewhere "
+        f"{merged.get('received')}, the best served one {merged.get('most')}, "
+        "the least that waited elsewhere "
         f"{merged.get('floor')}; {merged.get('routers')} routers heard, "
         f"configuration {merged.get('configuration')}, upstreams listed "
         f"{merged.get('listing_age')} s before"
