--- a/benchmarks/site.py
+++ b/benchmarks/site.py
@@ -10,11 +10,14 @@
 __all__ = ["Figures", "Kind", "Site", "run_site"]
 
 import collections
+from collections.abc import Iterable
 import dataclasses
 import heapq
 import itertools
+import math
 import random
 
+from benchmarks import shares as shares_module
 from sycamorefall import messages, settings
 from sycamorefall.direct import (
     caches,
@@ -39,6 +42,9 @@
 FIRST_STEP = 0.03
 """Seconds from the end of reading to the first event."""
 
+MESSAGE_DELAY = 0.002
+"""Seconds that a message between two routers takes."""
+
 
 @dataclasses.dataclass(slots=True, frozen=True)
 class Kind:
@@ -52,6 +58,8 @@
         parts: Shared parts to choose from, all equally often.
         shared: Mean tokens of a shared part.
         own: Mean tokens that no other request shares; lognormal.
+        tail: Standard deviation of their logarithm.
+        most: Most of these tokens.
         output: Tokens that are made.
         spread: Part of the patience by which callers differ.
     """
@@ -65,6 +73,8 @@
     own: int
     output: int
     spread: float = 0.15
+    tail: float = 1.0
+    most: float = math.inf
 
 
 @dataclasses.dataclass(slots=True, frozen=True)
@@ -73,27 +83,40 @@
 
     Attributes:
         kinds: What is asked.
-        routers: Routers; the first one gets half of the requests.
+        routers: Routers; without `entries` the first one gets half of the
+            requests.
+        domains: Failure domains over which the routers are spread.
+        entries: Numbers of the routers that each team's callers send to.
         engines: Engines.
         slots: Requests that one runs at once.
         memory: Tokens that its cache holds.
         reading: Tokens that it reads in a second.
         fetching: Tokens that it copies in a second.
+        stated: What the configuration states the engines to produce, as a
+            part of what they can read.
         making: Seconds for a token that is made.
-        teams: Teams; each asks half as often as the one before.
+        teams: Teams; without `weights` each asks half as often as the one
+            before.
+        weights: How much each team asks, as a multiple of the others.
+        apart: Whether each team has shared parts of its own.
         seconds: How long callers ask.
         seed: Seed of all draws.
     """
 
     kinds: tuple[Kind, ...]
     routers: int = 4
+    domains: int = 1
+    entries: tuple[tuple[int, ...], ...] = ()
     engines: int = 6
     slots: int = 32
     memory: int = 300_000
     reading: float = 60_000.0
     fetching: float = 600_000.0
+    stated: float = 1.0
     making: float = 0.01
     teams: int = 6
+    weights: tuple[float, ...] = ()
+    apart: bool = False
     seconds: float = 12.0
     seed: int = 1
 
@@ -108,6 +131,7 @@
         refusals: Refusals, a number.
         read: Tokens that engines read.
         again: Of these, shared parts that some engine had read before.
+        shares: What each team asked for and got.
     """
 
     asked: collections.Counter[str] = dataclasses.field(
@@ -121,6 +145,9 @@
     )
     read: int = 0
     again: int = 0
+    shares: shares_module.Shares = dataclasses.field(
+        default_factory=shares_module.Shares
+    )
 
     def find_share(self, kind: str) -> float:
         """Finds which part of a kind was answered on time."""
@@ -154,7 +181,14 @@
 
 @dataclasses.dataclass(slots=True)
 class _Router:
-    """A router; `callers` are those of its requests, by number."""
+    """A router.
+
+    Attributes:
+        name: Its VM, and its address.
+        state: Its decisions.
+        told: What it tells and knows of the others.
+        callers: Those of its requests, by number.
+    """
 
     name: str
     state: state_module.DirectState
@@ -166,6 +200,7 @@
     """A run: the event queue and all that lives in it."""
 
     __slots__ = (
+        "by_name",
         "engines",
         "events",
         "figures",
@@ -189,6 +224,7 @@
         self.routers = [
             _create_router(site, number) for number in range(site.routers)
         ]
+        self.by_name = {router.name: router for router in self.routers}
 
     def plan(self, time: float, act, *given: object) -> None:
         """Plans what happens at a time."""
@@ -221,8 +257,9 @@
 
 def _create_router(site: Site, number: int) -> _Router:
     name = f"front-{number}"
+    domain = f"domain-{number % site.domains}"
     state = state_module.create_state(
-        "a", settings.BoundSettings(), site.seed + number
+        domain, settings.BoundSettings(), site.seed + number
     )
     routes = [
         catalog.Route(
@@ -244,7 +281,7 @@
         [catalog.Service(SERVICE, 100, engine)],
         teams,
         True,
-        site.engines * site.reading,
+        site.stated * site.engines * site.reading,
     )
     core.apply_catalog(state, 0.0, known)
     listing = [
@@ -252,15 +289,15 @@
             f"e{n}",
             SERVICE,
             settings.Address("127.0.0.1", n + 1),
-            "a",
+            f"domain-{n % site.domains}",
             site.slots,
             False,
         )
         for n in range(site.engines)
     ]
     core.apply_listing(state, 0.0, listing)
-    seeds = tuple(f"127.0.0.1:{100 + n}" for n in range(site.routers))
-    return _Router(name, state, exchange.Exchange(name, seeds[number], seeds))
+    seeds = tuple(f"front-{n}" for n in range(site.routers))
+    return _Router(name, state, exchange.Exchange(name, name, seeds))
 
 
 def _plan_callers(world: _World, kind: Kind) -> None:
@@ -269,24 +306,52 @@
         max(1, int(draws.lognormvariate(0, 0.7) * kind.shared / 1.28))
         for _ in range(kind.parts)
     ]
-    weights = [0.5**n for n in range(world.site.teams)]
+    weights = world.site.weights or [0.5**n for n in range(world.site.teams)]
     time = draws.expovariate(kind.rate)
     while time < world.site.seconds:
         part = draws.randrange(kind.parts)
-        own = max(1, int(draws.lognormvariate(0, 1.0) * kind.own / 1.65))
+        own = _draw_own(draws, kind)
+        team = draws.choices(range(world.site.teams), weights)[0]
+        if world.site.apart:
+            part = _find_own_part(world.site, kind, part, team)
         parts = ((f"{kind.name}-{part}", sizes[part]), (f"{time}", own))
         prompt = prompts.Prompt(sizes[part] + own, kind.output, parts)
-        team = draws.choices(range(world.site.teams), weights)[0]
         patience = kind.patience * (1 - kind.spread * draws.random())
         caller = _Caller(kind, f"{KEY}-{team}", prompt, time, patience)
-        others = world.routers[1:]
-        first = draws.random() < 0.5
-        router = world.routers[0] if first else draws.choice(others)
+        router = _choose_router(world, team)
         world.figures.asked[kind.name] += prompt.tokens
+        cost = _reckon_cost(prompt)
+        shares_module.note_asked(world.figures.shares, time, caller.team, cost)
         world.plan(time, _ask, world, router, caller)
         time += draws.expovariate(kind.rate)
 
 
+def _draw_own(draws: random.Random, kind: Kind) -> int:
+    """Draws the tokens that a request shares with no other."""
+    mean = round(math.exp(kind.tail**2 / 2), 2)
+    own = draws.lognormvariate(0, kind.tail) * kind.own / mean
+    return int(min(max(1, own), kind.most))
+
+
+def _find_own_part(site: Site, kind: Kind, part: int, team: int) -> int:
+    """Finds the part of a team in whose place one was drawn."""
+    own = part - part % site.teams + team
+    return own if own < kind.parts else own - site.teams
+
+
+def _reckon_cost(prompt: prompts.Prompt) -> int:
+    return prompt.tokens + prompts.OUTPUT_WEIGHT * prompt.output
+
+
+def _choose_router(world: _World, team: int) -> _Router:
+    """Chooses the router that a team's caller sends to."""
+    draws, entries = world.random, world.site.entries
+    if entries:
+        return world.routers[draws.choice(entries[team])]
+    first = draws.random() < 0.5
+    return world.routers[0] if first else draws.choice(world.routers[1:])
+
+
 def _ask(world: _World, router: _Router, caller: _Caller) -> None:
     left = caller.patience - (world.now - caller.asked_at)
     new = state_module.NewRequest(
@@ -302,16 +367,29 @@
     freshness.note_proof(state.freshness, now)
     _perform(world, router, core.run_timers(state, now))
     if now >= exchange.find_next_due(router.told, state):
-        load = exchange.write_load(router.told, state, now)
-        envelope = messages.Envelope(router.name, 1, 1, load)
-        for other in world.routers:
-            if other is not router:
-                world.plan(now + 0.002, _hear, world, other, envelope)
+        _tell(world, router, exchange.write_due(router.told, state, now))
     world.plan(now + TICK, _tick, world, router)
 
 
+def _tell(
+    world: _World, router: _Router, reports: Iterable[exchange.Report]
+) -> None:
+    for report in reports:
+        envelope = messages.Envelope(router.name, 1, 1, report.message)
+        for name in report.receivers:
+            if name != router.name:
+                time = world.now + MESSAGE_DELAY
+                world.plan(time, _hear, world, world.by_name[name], envelope)
+
+
 def _hear(world: _World, router: _Router, envelope: messages.Envelope) -> None:
-    exchange.take_load(router.told, router.state, world.now, envelope)
+    told, state, now = router.told, router.state, world.now
+    if isinstance(envelope.message, messages.KnownRouters):
+        exchange.note_hearsay(told, now, envelope.message.routers)
+        return
+    referral = exchange.take_load(told, state, now, envelope)
+    if referral is not None:
+        _tell(world, router, [referral])
 
 
 def _perform(
@@ -322,7 +400,8 @@
             case effects.SendTo():
                 _read(world, router, effect)
             case effects.Fail():
-                _refuse(world, router, effect)
+                caller = router.callers.pop(effect.request)
+                _refuse(world, router, caller, effect.retry_after)
 
 
 def _read(world: _World, router: _Router, send: effects.SendTo) -> None:
@@ -350,27 +429,36 @@
 
 
 def _begin(world: _World, router: _Router, number: int) -> None:
-    caller = router.callers[number]
+    caller, shares = router.callers.get(number), world.figures.shares
+    if caller is None:
+        return  # It was given up at its deadline.
     outcomes.note_answer(router.state, world.now, number, first=True)
+    cost = _reckon_cost(caller.prompt)
+    shares_module.note_begun(shares, world.now, caller.team, cost)
     if world.now - caller.asked_at <= caller.kind.target:
         world.figures.on_time[caller.kind.name] += caller.prompt.tokens
+    else:
+        shares_module.note_delayed(shares, world.now, caller.team)
 
 
 def _end(world: _World, router: _Router, number: int) -> None:
     end = outcomes.AttemptEnd.COMPLETE
     done = outcomes.end_attempt(router.state, world.now, number, end)
     _perform(world, router, done)
-    del router.callers[number]
+    router.callers.pop(number, None)
 
 
-def _refuse(world: _World, router: _Router, fail: effects.Fail) -> None:
-    caller = router.callers.pop(fail.request)
+def _refuse(
+    world: _World, router: _Router, caller: _Caller, pause: float | None
+) -> None:
     world.figures.refusals[caller.kind.name] += 1
-    if caller.again or fail.retry_after is None:
+    shares = world.figures.shares
+    shares_module.note_delayed(shares, world.now, caller.team)
+    if caller.again or pause is None:
         return
     caller.again = True
     others = [one for one in world.routers if one is not router]
-    time = world.now + fail.retry_after
+    time = world.now + pause
     if time - caller.asked_at < caller.patience:
         other = world.random.choice(others)
         world.plan(time, _ask, world, other, caller)
