--- /dev/null
+++ b/sycamorefall/direct/tests/test_shares.py
@@ -0,0 +1,130 @@
+"""A team that waits gets its share while others are served."""
+
+import pytest
+
+from sycamorefall import messages
+from sycamorefall.direct import (
+    core,
+    dispatching,
+    exchange,
+    freshness,
+    outcomes,
+    waiting,
+)
+from sycamorefall.direct.tests import fakes
+
+ENGINES = ("e1", "e2")
+
+PARTS = (("dossier", 5000),)
+
+
+def tell(state, now, sequence=1, claimed=(), **received):
+    """Has another router tell what waits with it and what it gave teams."""
+    loads = tuple(messages.UpstreamLoad(name, 0, 0, 0, 0) for name in claimed)
+    teams = tuple(messages.TeamService(*entry) for entry in received.items())
+    load = messages.RouterLoad(
+        sequence,
+        "127.0.0.1:2",
+        upstreams=loads,
+        services=(messages.ServiceDemand("engine", teams),),
+    )
+    envelope = messages.Envelope("front-2", 1, 1, load)
+    exchange.take_load(fakes.create_exchange(), state, now, envelope)
+
+
+def run(state, start, seconds):
+    """Runs a router's timers; gives the sends and when they were."""
+    sends = []
+    for step in range(round(seconds / 0.01) + 1):
+        now = start + step * 0.01
+        freshness.note_proof(state.freshness, now)
+        done = core.run_timers(state, now)
+        sends += [(now, sent) for sent in fakes.find_sends(done)]
+    return sends
+
+
+def create_state_with_running(running):
+    """Creates a router whose engines run some requests and read nothing."""
+    state = fakes.create_state()
+    for name in ENGINES:
+        state.table.by_name[name].own.running = running
+    return state
+
+
+def test_flood_leaves_idle_engines_to_a_team_that_waits_elsewhere():
+    # Guards against a flood that takes each engine as soon as that has little
+    # to do: it waits at all routers, so one of them is always the first.
+    state = create_state_with_running(2)
+    tell(state, 0.0, claimed=ENGINES, mill=30_000)
+    _, sent = fakes.take(state, 0.0, "draft", team="mill")
+    assert sent is None
+    _, sent = fakes.take(state, 0.0, "draft", team="trader")
+    sends = run(state, 0.0, 0.1)
+    assert [one.team for _, one in sends] == ["trader"]
+
+
+def test_team_that_is_behind_is_served_away_from_its_home():
+    # Guards against a team that settles at half of what the best served one
+    # gets: above that, it was kept from all engines but its full home.
+    for share, patience in ((0.0, 0.5), (0.4, 0.5), (0.7, 0.7), (0.9, 0.9)):
+        state = fakes.create_state()
+        asked = {"team": "trader", "tokens": 6000, "parts": PARTS}
+        number, sent = fakes.take(state, 0.0, "draft", **asked)
+        core.cancel_request(state, number, 0.0)
+        home = state.table.by_name[sent.upstream]
+        home.own.running = 4
+        (other,) = (
+            state.table.by_name[name]
+            for name in ENGINES
+            if name != sent.upstream
+        )
+        other.own.running = 2
+        state.accounts["engine"].own.clear()
+        tell(state, 0.0, trader=int(share * 100_000), mill=100_000)
+        state.accounts["engine"].most = 100_000
+        fakes.take(state, 0.0, "draft", **asked)
+        ((at, sent),) = run(state, 0.0, 0.39)
+        assert sent.upstream == other.listed.name
+        wait = dispatching.PATIENCE * 0.5
+        assert at <= patience * wait + 0.02
+
+
+def test_best_served_team_keeps_to_the_homes_of_its_parts():
+    # Guards against parts that are read everywhere once a service is full.
+    state = fakes.create_state()
+    asked = {"team": "mill", "tokens": 6000, "parts": PARTS}
+    number, sent = fakes.take(state, 0.0, "draft", **asked)
+    core.cancel_request(state, number, 0.0)
+    state.table.by_name[sent.upstream].own.running = 4
+    tell(state, 0.0, trader=10_000, mill=100_000)
+    state.accounts["engine"].most = 100_000
+    fakes.take(state, 0.0, "draft", **asked)
+    assert run(state, 0.0, 0.39) == []
+
+
+def test_team_is_not_charged_for_what_no_engine_began():
+    # Guards against a team that waits behind others for service that it never
+    # got: while engines are down its requests are sent up to a dozen times.
+    for end in (
+        outcomes.AttemptEnd.NOT_SENT,
+        outcomes.AttemptEnd.NOT_RUN,
+        outcomes.AttemptEnd.OTHER_INCARNATION,
+        outcomes.AttemptEnd.BROKEN,
+    ):
+        state = fakes.create_state(listing=[fakes.list_one("e1")])
+        number, sent = fakes.take(state, 0.0, "draft", tokens=9000)
+        accounts = state.accounts["engine"]
+        assert waiting.read_service(accounts, 0.0, "mill") == sent.cost
+        outcomes.end_attempt(state, 1.0, number, end)
+        received = waiting.read_service(accounts, 1.0, "mill")
+        assert received == pytest.approx(0.0, abs=1.0)
+
+
+def test_team_is_charged_for_an_answer_that_broke_off():
+    # Guards against free service for a team whose answers break off.
+    state = fakes.create_state(listing=[fakes.list_one("e1")])
+    number, sent = fakes.take(state, 0.0, "draft", tokens=9000)
+    outcomes.note_answer(state, 0.1, number, first=True)
+    outcomes.end_attempt(state, 0.1, number, outcomes.AttemptEnd.BROKEN)
+    received = waiting.read_service(state.accounts["engine"], 0.1, "mill")
+    assert received > 0.9 * sent.cost
