Take back a team's charge for a send that no engine began

Callers of a team were held back for service that the team never got: each send was charged, also those that failed before an answer began, and while engines are down a request is sent up to a dozen times.

A send that ends before its first event is refunded, by what is left of the charge after its decay.

--- a/sycamorefall/direct/dispatching.py
+++ b/sycamorefall/direct/dispatching.py
@@ -258,6 +258,7 @@
         attempt.memory = prompt.tokens + prompt.output
         chosen.own.memory += attempt.memory
         _note_placement(state, chosen, prompt, service.engine)
+        attempt.cost, attempt.charged_at = cost, now
         accounts = state_module.find_accounts(state, request.service)
         received = waiting.read_service(accounts, now, request.team)
         waiting.charge_team(accounts, now, request.team, cost)
--- a/sycamorefall/direct/outcomes.py
+++ b/sycamorefall/direct/outcomes.py
@@ -9,6 +9,7 @@
     "forget_request",
     "note_answer",
     "note_sent",
+    "refund_attempt",
     "refuse_request",
 ]
 
@@ -21,6 +22,7 @@
     effects,
     fitting,
     upstreams,
+    waiting,
 )
 from sycamorefall.direct import (
     state as state_module,
@@ -110,6 +112,21 @@
     return [effects.Abort(request.number)]
 
 
+def refund_attempt(
+    state: state_module.DirectState,
+    now: float,
+    request: state_module.Request,
+    attempt: state_module.Attempt,
+) -> None:
+    """Takes back the charge for a send that ended before its answer began."""
+    if attempt.answered:
+        return
+    accounts = state_module.find_accounts(state, request.service)
+    waiting.refund_team(
+        accounts, now, request.team, attempt.cost, attempt.charged_at
+    )
+
+
 def note_sent(
     state: state_module.DirectState, now: float, number: int
 ) -> float:
@@ -210,9 +227,11 @@
     request = state.requests.get(number)
     if request is None or request.attempt is None:
         return []
-    name = request.attempt.upstream
+    attempt = request.attempt
     upstream = _release(state, request)
-    _judge_upstream(state, now, name, upstream, end)
+    _judge_upstream(state, now, attempt.upstream, upstream, end)
+    if end is not AttemptEnd.COMPLETE:
+        refund_attempt(state, now, request, attempt)
     if end in _RAN:
         request.runs += 1
     if end is AttemptEnd.COMPLETE:
--- a/sycamorefall/direct/silence.py
+++ b/sycamorefall/direct/silence.py
@@ -136,6 +136,7 @@
     request: state_module.Request,
 ) -> list[effects.Effect]:
     name = request.attempt.upstream
+    outcomes.refund_attempt(state, now, request, request.attempt)
     aborted = outcomes.drop_attempt(state, request, now)
     upstream = state.table.by_name.get(name)
     if upstream is not None:
--- a/sycamorefall/direct/state.py
+++ b/sycamorefall/direct/state.py
@@ -61,6 +61,8 @@
         unread: Prompt tokens it adds until it begins to answer.
         queued: Prompt tokens that were ahead of it, its own included.
         memory: Tokens it takes of the engine's cache.
+        cost: Cost units that its team was charged.
+        charged_at: When that was.
         answered: Whether its answer has begun.
     """
 
@@ -71,6 +73,8 @@
     unread: int = 0
     queued: int = 0
     memory: int = 0
+    cost: int = 0
+    charged_at: float = 0.0
     answered: bool = False
 
 
--- a/sycamorefall/direct/tests/test_shares.py
+++ b/sycamorefall/direct/tests/test_shares.py
@@ -120,6 +120,19 @@
         assert received == pytest.approx(0.0, abs=1.0)
 
 
+def test_team_is_charged_once_for_a_request_that_moves_from_a_silent_engine():
+    # Guards against the same while an engine hangs and says nothing.
+    state = fakes.create_state()
+    number, first = fakes.take(state, 0.0, "answer", tokens=9000)
+    now = 0.0
+    while state.requests[number].sends < 2:
+        now += 0.05
+        freshness.note_proof(state.freshness, now)
+        core.run_timers(state, now)
+    received = waiting.read_service(state.accounts["engine"], now, "mill")
+    assert received <= first.cost
+
+
 def test_team_is_charged_for_an_answer_that_broke_off():
     # Guards against free service for a team whose answers break off.
     state = fakes.create_state(listing=[fakes.list_one("e1")])
--- a/sycamorefall/direct/waiting.py
+++ b/sycamorefall/direct/waiting.py
@@ -11,6 +11,7 @@
     "list_own",
     "order_teams",
     "read_service",
+    "refund_team",
     "remove_request",
 ]
 
@@ -69,9 +70,36 @@
     accounts.own[team] = (_read_own(accounts, now, team) + cost, now)
 
 
+def refund_team(
+    accounts: TeamAccounts, now: float, team: str, cost: float, since: float
+) -> None:
+    """Takes back what is left of a charge.
+
+    Args:
+        accounts: What teams received; changed.
+        now: This process's time.
+        team: The team.
+        cost: What it was charged, in cost units.
+        since: When that was.
+
+    Example:
+        >>> accounts = TeamAccounts()
+        >>> charge_team(accounts, 0.0, "mill", 60.0)
+        >>> refund_team(accounts, 2.0, "mill", 60.0, since=0.0)
+        >>> read_service(accounts, 2.0, "mill")
+        0.0
+    """
+    left = _read_own(accounts, now, team) - _decay(cost, now - since)
+    accounts.own[team] = (max(0.0, left), now)
+
+
 def _read_own(accounts: TeamAccounts, now: float, team: str) -> float:
     amount, since = accounts.own.get(team, (0.0, now))
-    return amount * 0.5 ** (max(0.0, now - since) / ACCOUNT_MEMORY)
+    return _decay(amount, now - since)
+
+
+def _decay(amount: float, seconds: float) -> float:
+    return amount * 0.5 ** (max(0.0, seconds) / ACCOUNT_MEMORY)
 
 
 def read_service(accounts: TeamAccounts, now: float, team: str) -> float:
