Bound how many engines are left to one waiting request

One request that fits nowhere, such as a long prompt that would be late behind any queue, had room left to it at every engine by every other router until the next whole message.

A waiting request claims eight engines at most, those that suit it best, a team as many times that as it has requests. Failed before: test_request_claims_no_more_engines_than_it_needs (30 engines claimed).

--- a/sycamorefall/direct/backlog.py
+++ b/sycamorefall/direct/backlog.py
@@ -74,7 +74,7 @@
     return TeamBacklog(
         service,
         team,
-        sum(len(queue) for queue in queues.values()),
+        waiting.count_waiting(state.rooms[service], team),
         round(now - oldest, 3),
         int(received),
         int(received - accounts.others.get(team, 0.0)),
--- a/sycamorefall/direct/dispatching.py
+++ b/sycamorefall/direct/dispatching.py
@@ -52,6 +52,11 @@
 the 230 of a plain service: it reset a third of the new connections, and 40% of
 the requests that may not be sent twice ended with an unknown outcome."""
 
+MOST_CLAIMS = 8
+"""Engines that the other routers leave to one waiting request: one of so many
+has room soon. Were all of them left to it, teams that wait at different
+routers would keep each other from engines that stand half empty."""
+
 SHORTEST_LEFT = 0.01
 """Seconds that must be left of a request's time for a send to make sense."""
 
@@ -207,14 +212,17 @@
     left = {one.upstream: one for one in standings}
     for team in waiting.order_teams(room, accounts, now):
         received = int(waiting.read_service(accounts, now, team))
-        for number in waiting.list_candidates(room, team):
+        candidates = list(waiting.list_candidates(room, team))
+        stands_for = waiting.count_waiting(room, team) / len(candidates)
+        most = math.ceil(MOST_CLAIMS * stands_for)
+        for number in candidates:
             if not left:
                 return floors
             need = needs.describe_need(state, now, state.requests[number])
             found = placing.list_waited_for(
                 state.table, now, service, need, left.values()
             )
-            for one in found:
+            for one in found[:most]:
                 del left[one]
                 floors[one.listed.name] = received
     return floors
--- a/sycamorefall/direct/placing.py
+++ b/sycamorefall/direct/placing.py
@@ -197,12 +197,13 @@
             looked at.
 
     Returns:
-        Those of the engines that would get it if they had room.
+        Those of the engines that would get it if they had room, the one that
+        suits it best first.
     """
     if need.prompt is None or need.time_left < fitting.FIRST_STEP:
         return []
     homes = homes_module.list_homes(table, now, service, need)
-    return [
+    found = [
         one.upstream
         for one in standings
         if one.upstream.listed.name not in need.tried
@@ -211,6 +212,11 @@
         )
     ]
 
+    def weigh(one: Upstream) -> float:
+        return _weigh(one, now, need.prompt, service.engine, one in homes)
+
+    return sorted(found, key=weigh)
+
 
 def _has_room(one: Upstream) -> bool:
     return one.running < PLAIN_QUEUE * one.listed.slots
--- a/sycamorefall/direct/tests/test_loads.py
+++ b/sycamorefall/direct/tests/test_loads.py
@@ -6,6 +6,7 @@
 from sycamorefall.direct import (
     caches,
     core,
+    dispatching,
     exchange,
     fitting,
     freshness,
@@ -72,6 +73,22 @@
     assert find_claims(told, state) == {"e1", "e2"}
 
 
+def test_request_claims_no_more_engines_than_it_needs():
+    # Guards against engines that stand half empty: one long prompt that fits
+    # nowhere had room left to it at all of them, and teams that waited at
+    # other routers kept each other away.
+    names = [f"e{n}" for n in range(30)]
+    listing = [fakes.list_one(name, port=n) for n, name in enumerate(names)]
+    state, told = fakes.create_state(listing=listing), fakes.create_exchange()
+    for name in names:
+        state.table.by_name[name].own.running = 4
+    fakes.take(state, 0.0, "draft", tokens=100)
+    assert len(find_claims(told, state)) == dispatching.MOST_CLAIMS
+    for _ in range(9):
+        fakes.take(state, 0.0, "draft", tokens=100)
+    assert find_claims(told, state) == set(names)
+
+
 def test_request_that_is_late_already_claims_no_engine():
     # Callers that were refused come back, too late for a good answer. Room
     # that is kept for them is kept from those that can be on time.
--- a/sycamorefall/direct/waiting.py
+++ b/sycamorefall/direct/waiting.py
@@ -5,6 +5,7 @@
     "WaitingRoom",
     "add_request",
     "charge_team",
+    "count_waiting",
     "find_most",
     "is_behind",
     "list_candidates",
@@ -184,6 +185,11 @@
     )
 
 
+def count_waiting(room: WaitingRoom, team: str) -> int:
+    """Counts the requests of a team that wait."""
+    return sum(len(queue) for queue in room.by_team.get(team, {}).values())
+
+
 def list_candidates(room: WaitingRoom, team: str) -> Iterator[int]:
     """Lists the requests of a team that one pass looks at.
 
