Let a team that falls behind to idle engines before it is at half

A team was refused while engines stood idle: its parts lay with full engines, and it was let to others only once it had received less than half of what the best served team had, which is the very limit that operators hold to be unfair. Class: a control that acts at the limit that it is to keep.

Below 0.6 it is let to idle engines, where reading a part again delays nobody.

--- a/sycamorefall/direct/fitting.py
+++ b/sycamorefall/direct/fitting.py
@@ -105,6 +105,7 @@
         uses: How often its last shared part was asked for lately, at all
             routers.
         anywhere: Whether that part may be read again at any engine.
+        anywhere_idle: Whether it may be at an idle one.
         most_queue: Seconds that it may wait for other prompts to be read.
     """
 
@@ -115,6 +116,7 @@
     leaves_idle_to: float = 0.0
     uses: float = 0.0
     anywhere: bool = False
+    anywhere_idle: bool = False
     most_queue: float = float("inf")
 
 
@@ -292,7 +294,8 @@
     Returns:
         What is in the way; None if the request can go there.
     """
-    if reads_again(standing.upstream, need, home):
+    spared = standing.idle and need.anywhere_idle
+    if not spared and reads_again(standing.upstream, need, home):
         return Obstacle.READS_AGAIN
     obstacle = find_crowding(standing, engine, need)
     if obstacle is not None or standing.idle:
--- a/sycamorefall/direct/needs.py
+++ b/sycamorefall/direct/needs.py
@@ -44,6 +44,7 @@
         leaves_idle_to=waiting.FALLING_BEHIND * received,
         uses=request.part_uses * state.routers,
         anywhere=has_waited and share < waiting.BEHIND,
+        anywhere_idle=has_waited and share < waiting.FALLING_BEHIND,
         most_queue=_find_most_queue(state, now, request),
     )
 
--- a/sycamorefall/direct/placing.py
+++ b/sycamorefall/direct/placing.py
@@ -174,7 +174,7 @@
     Most engines of a full service are kept from it by what they hold, for
     which they need not be described.
     """
-    if fitting.reads_again(one, need, home):
+    if not need.anywhere_idle and fitting.reads_again(one, need, home):
         return fitting.Obstacle.READS_AGAIN
     standing = fitting.describe_standing(one, engine, now)
     return fitting.find_obstacle(standing, engine, need, home)
