--- a/benchmarks/site.py
+++ b/benchmarks/site.py
@@ -7,7 +7,7 @@
 all draws come from the seed, so a second run gives the same figures.
 """
 
-__all__ = ["Figures", "Kind", "Site", "run_site"]
+__all__ = ["Figures", "Kind", "Loss", "Site", "run_site"]
 
 import collections
 from collections.abc import Iterable
@@ -42,6 +42,9 @@
 FIRST_STEP = 0.03
 """Seconds from the end of reading to the first event."""
 
+REQUESTS = 1_000_000
+"""More requests than one process of a router takes."""
+
 MESSAGE_DELAY = 0.002
 """Seconds that a message between two routers takes."""
 
@@ -77,6 +80,21 @@
     most: float = math.inf
 
 
+@dataclasses.dataclass(slots=True, frozen=True)
+class Loss:
+    """A router that loses power, and is back with nothing.
+
+    Attributes:
+        router: Its number.
+        at: When that is, in seconds.
+        until: When it is back.
+    """
+
+    router: int
+    at: float
+    until: float
+
+
 @dataclasses.dataclass(slots=True, frozen=True)
 class Site:
     """Size and load of a site.
@@ -99,6 +117,7 @@
             before.
         weights: How much each team asks, as a multiple of the others.
         apart: Whether each team has shared parts of its own.
+        losses: Routers that lose power.
         seconds: How long callers ask.
         seed: Seed of all draws.
     """
@@ -117,6 +136,7 @@
     teams: int = 6
     weights: tuple[float, ...] = ()
     apart: bool = False
+    losses: tuple[Loss, ...] = ()
     seconds: float = 12.0
     seed: int = 1
 
@@ -188,12 +208,16 @@
         state: Its decisions.
         told: What it tells and knows of the others.
         callers: Those of its requests, by number.
+        process: Counts its processes, from 1.
+        alive: Whether it has power.
     """
 
     name: str
     state: state_module.DirectState
     told: exchange.Exchange
     callers: dict[int, _Caller] = dataclasses.field(default_factory=dict)
+    process: int = 1
+    alive: bool = True
 
 
 class _World:
@@ -236,6 +260,10 @@
             _plan_callers(self, kind)
         for router in self.routers:
             self.plan(0.0, _tick, self, router)
+        for loss in self.site.losses:
+            router = self.routers[loss.router]
+            self.plan(loss.at, _lose, router)
+            self.plan(loss.until, _restart, self, router, loss.router)
         end = self.site.seconds + max(k.target for k in self.site.kinds) + 2.0
         while self.events and self.events[0][0] < end:
             self.now, _, act, given = heapq.heappop(self.events)
@@ -300,6 +328,21 @@
     return _Router(name, state, exchange.Exchange(name, name, seeds))
 
 
+def _lose(router: _Router) -> None:
+    router.alive = False
+    router.callers.clear()
+
+
+def _restart(world: _World, router: _Router, number: int) -> None:
+    new = _create_router(world.site, number)
+    new.told.started_at = world.now
+    router.state, router.told = new.state, new.told
+    router.process += 1
+    router.alive = True
+    # Engines still answer requests of the process before.
+    router.state.last_number = router.process * REQUESTS
+
+
 def _plan_callers(world: _World, kind: Kind) -> None:
     draws = world.random
     sizes = [
@@ -353,6 +396,9 @@
 
 
 def _ask(world: _World, router: _Router, caller: _Caller) -> None:
+    if not router.alive:
+        live = [one for one in world.routers if one.alive]
+        router = world.random.choice(live)
     left = caller.patience - (world.now - caller.asked_at)
     new = state_module.NewRequest(
         HOST, f"/{caller.kind.name}/x", caller.team, left, caller.prompt
@@ -364,18 +410,22 @@
 
 def _tick(world: _World, router: _Router) -> None:
     state, now = router.state, world.now
+    world.plan(now + TICK, _tick, world, router)
+    if not router.alive:
+        return
     freshness.note_proof(state.freshness, now)
     _perform(world, router, core.run_timers(state, now))
     if now >= exchange.find_next_due(router.told, state):
         _tell(world, router, exchange.write_due(router.told, state, now))
-    world.plan(now + TICK, _tick, world, router)
 
 
 def _tell(
     world: _World, router: _Router, reports: Iterable[exchange.Report]
 ) -> None:
     for report in reports:
-        envelope = messages.Envelope(router.name, 1, 1, report.message)
+        envelope = messages.Envelope(
+            router.name, router.process, 1, report.message
+        )
         for name in report.receivers:
             if name != router.name:
                 time = world.now + MESSAGE_DELAY
@@ -383,6 +433,8 @@
 
 
 def _hear(world: _World, router: _Router, envelope: messages.Envelope) -> None:
+    if not router.alive:
+        return
     told, state, now = router.told, router.state, world.now
     if isinstance(envelope.message, messages.KnownRouters):
         exchange.note_hearsay(told, now, envelope.message.routers)
