--- a/benchmarks/tests/test_direct.py
+++ b/benchmarks/tests/test_direct.py
@@ -10,6 +10,7 @@
 
 from benchmarks import direct
 from sycamorefall.direct import (
+    claims,
     dispatching,
     fitting,
     homes,
@@ -79,13 +80,13 @@
     # one empty that nobody waits for. Cause: the stop once every engine has
     # its floor leaves out one, or gives one another team's floor.
     state = create_mixed(seed).state
-    assert dispatching.find_floors(state, direct.NOW) == find_all_floors(state)
+    assert claims.find_floors(state, direct.NOW) == find_all_floors(state)
 
 
 def test_floors_differ_between_the_states():
     # Guards the test above against states in which nothing is decided.
     found = [
-        dispatching.find_floors(create_mixed(seed).state, direct.NOW)
+        claims.find_floors(create_mixed(seed).state, direct.NOW)
         for seed in SEEDS
     ]
     assert any(len(floors) == SMALL.engines for floors in found)
--- a/sycamorefall/direct/exchange.py
+++ b/sycamorefall/direct/exchange.py
@@ -38,7 +38,7 @@
 from sycamorefall import messages
 from sycamorefall.direct import (
     caches,
-    dispatching,
+    claims,
     outlets,
     overload,
     waiting,
@@ -524,8 +524,8 @@
     outlet.whole_sent += 1
     outlet.due = now + _choose_pause(exchange, state)
     _refresh(exchange, state, now)
-    floors = dispatching.find_floors(state, now)
-    short = dispatching.find_floors(state, now, short=True)
+    floors = claims.find_floors(state, now)
+    short = claims.find_floors(state, now, short=True)
     outlet.told = {
         name: _describe_load(
             state, name, floors.get(name, -1), short.get(name, -1)
--- a/sycamorefall/direct/tests/test_loads.py
+++ b/sycamorefall/direct/tests/test_loads.py
@@ -5,8 +5,8 @@
 from sycamorefall import messages
 from sycamorefall.direct import (
     caches,
+    claims,
     core,
-    dispatching,
     exchange,
     fitting,
     freshness,
@@ -83,7 +83,7 @@
     for name in names:
         state.table.by_name[name].own.running = 4
     fakes.take(state, 0.0, "draft", tokens=100)
-    assert len(find_claims(told, state)) == dispatching.MOST_CLAIMS
+    assert len(find_claims(told, state)) == claims.MOST_CLAIMS
     for _ in range(9):
         fakes.take(state, 0.0, "draft", tokens=100)
     assert find_claims(told, state) == set(names)
