Keep teams' accounts and refusals of engines only, and forget refusals

A refusal was noted for each team for ever, and refunds and refusals of plain services put teams into messages that no engine's share needs. Both tests failed before (test_plain_services_keep_no_account_of_teams without the change of outcomes.py; test_refusals_are_forgotten has no function to call without it).

--- a/sycamorefall/direct/claims.py
+++ b/sycamorefall/direct/claims.py
@@ -20,8 +20,8 @@
 ) -> dict[str, int]:
     """Finds the least that a team received that waits here, by engine.
 
-    The other routers leave these engines to it, unless they have next to
-    nothing to do.
+    The other routers leave these engines to it. One that has next to nothing
+    to do they leave only to a team that is short, and only for a moment.
 
     Args:
         state: The router.
--- a/sycamorefall/direct/exchange.py
+++ b/sycamorefall/direct/exchange.py
@@ -778,13 +778,11 @@
 ) -> dict[str, messages.UpstreamLoad]:
     """Describes this router's load, with the floors that were told last."""
     nothing = messages.UpstreamLoad("", 0, 0, 0)
-    known = {name: told.get(name, nothing) for name in state.table.by_name}
     return {
-        name: _describe_load(
-            state, name, known[name].floor, known[name].short_floor
-        )
+        name: _describe_load(state, name, last.floor, last.short_floor)
         for name, one in state.table.by_name.items()
         if one.own.running or name in told
+        for last in [told.get(name, nothing)]
     }
 
 
@@ -816,4 +814,5 @@
         if amount >= LEAST_AMOUNT
     )
     accounts.most = waiting.find_most(accounts, amounts)
+    waiting.forget_refusals(accounts, now)
     return messages.ServiceDemand(service, teams)
--- a/sycamorefall/direct/outcomes.py
+++ b/sycamorefall/direct/outcomes.py
@@ -119,7 +119,7 @@
     attempt: state_module.Attempt,
 ) -> None:
     """Takes back the charge for a send that ended before its answer began."""
-    if attempt.answered:
+    if attempt.answered or not attempt.cost:
         return
     accounts = state_module.find_accounts(state, request.service)
     waiting.refund_team(
@@ -302,8 +302,9 @@
         return [effects.BreakOff(request.number)]
     if not request.runs:
         kind, pause = errors.ErrorKind.NO_UPSTREAM, draw_pause(state)
-        accounts = state_module.find_accounts(state, request.service)
-        waiting.note_refusal(accounts, now, request.team)
+        if request.new.prompt is not None:
+            accounts = state_module.find_accounts(state, request.service)
+            waiting.note_refusal(accounts, now, request.team)
         refusal = dispatching.explain_refusal(state, now, request)
         return [effects.Fail(request.number, kind, pause, refusal)]
     if request.route.kind is catalog.RouteKind.IDEMPOTENT:
--- a/sycamorefall/direct/tests/test_shares.py
+++ b/sycamorefall/direct/tests/test_shares.py
@@ -106,6 +106,27 @@
     assert {one.short_floor for one in later.upstreams} == {0}
 
 
+def test_refusals_are_forgotten():
+    # Guards against memory that grows with the teams that were ever refused.
+    state, told = create_state_with_running(4), fakes.create_exchange()
+    fakes.take(state, 0.0, "draft")
+    run(state, 0.0, 0.45)
+    assert state.accounts["engine"].refused_at
+    exchange.write_load(told, state, 0.5 + waiting.SHORT_FOR)
+    assert not state.accounts["engine"].refused_at
+
+
+def test_plain_services_keep_no_account_of_teams():
+    # Guards against messages that tell of teams at services without engines.
+    state = fakes.create_state()
+    number, _ = fakes.take(state, 0.0, "look", team="")
+    end = outcomes.AttemptEnd.NOT_RUN
+    outcomes.end_attempt(state, 0.1, number, end)
+    run(state, 0.1, 0.5)
+    accounts = state.accounts["ledger"]
+    assert (accounts.own, accounts.refused_at) == ({}, {})
+
+
 def test_team_that_is_behind_is_served_away_from_its_home():
     # Guards against a team that settles at half of what the best served one
     # gets: above that, it was kept from all engines but its full home.
--- a/sycamorefall/direct/waiting.py
+++ b/sycamorefall/direct/waiting.py
@@ -8,6 +8,7 @@
     "count_waiting",
     "find_most",
     "find_share",
+    "forget_refusals",
     "is_short",
     "list_candidates",
     "list_own",
@@ -169,6 +170,15 @@
     accounts.refused_at[team] = now
 
 
+def forget_refusals(accounts: TeamAccounts, now: float) -> None:
+    """Forgets refusals after which no team counts as short any more."""
+    teams = list(accounts.refused_at)
+    for team in itertools.filterfalse(
+        lambda team: is_short(accounts, now, team), teams
+    ):
+        del accounts.refused_at[team]
+
+
 def is_short(accounts: TeamAccounts, now: float, team: str) -> bool:
     """Tells whether a team had a request refused here lately.
 
