--- a/sycamorefall/direct/exchange.py
+++ b/sycamorefall/direct/exchange.py
@@ -41,8 +41,8 @@
     claims,
     outlets,
     overload,
-    waiting,
 )
+from sycamorefall.direct import loads as loads_module
 from sycamorefall.direct import peers as peers_module
 from sycamorefall.direct import state as state_module
 from sycamorefall.direct import totals as totals_module
@@ -84,9 +84,6 @@
 """Seconds after its start in which a router hears all that live: they say
 something each second."""
 
-LEAST_AMOUNT = 50
-"""Cost units below which a team's past service is not worth its bytes."""
-
 REFERRAL_PAUSE = 1.0
 """Seconds after which a router is told again whom it is to speak to."""
 
@@ -519,7 +516,7 @@
     prompts = outlets.begin_message(outlet, now, state.unread_sent)
     outlets.queue_prompts(exchange.domain, prompts)
     if not whole:
-        loads = _describe_loads(state, outlet.told)
+        loads = loads_module.describe_loads(state, outlet.told)
         return _write_change(exchange, outlet, loads, prompts)
     outlet.whole_sent += 1
     outlet.due = now + _choose_pause(exchange, state)
@@ -527,7 +524,7 @@
     floors = claims.find_floors(state, now)
     short = claims.find_floors(state, now, short=True)
     outlet.told = {
-        name: _describe_load(
+        name: loads_module.describe_load(
             state, name, floors.get(name, -1), short.get(name, -1)
         )
         for name, one in state.table.by_name.items()
@@ -539,7 +536,7 @@
         now,
         routers=_name_routers(exchange, outlet, now, state.failure_domain),
         upstreams=tuple(outlet.told.values()),
-        services=_list_own_services(state, now),
+        services=loads_module.list_own_services(state, now),
         prompts=prompts,
     )
 
@@ -602,7 +599,7 @@
     whole = now >= outlet.due
     unread = state.unread_sent + exchange.unread_near
     prompts = outlets.begin_message(outlet, now, unread)
-    own = _describe_loads(state, exchange.own.told)
+    own = loads_module.describe_loads(state, exchange.own.told)
     loads = totals_module.sum_loads(
         [own.values(), *(source.loads.values() for source in sources)]
     )
@@ -620,7 +617,7 @@
     outlet.due = now + min(pause if loads else IDLE_INTERVAL, IDLE_INTERVAL)
     services = totals_module.sum_services(
         [
-            _list_own_services(state, now),
+            loads_module.list_own_services(state, now),
             *(totals_module.list_services(source) for source in sources),
         ]
     )
@@ -770,49 +767,3 @@
         return IDLE_INTERVAL
     heard = 1 + len(exchange.totals.sources)
     return min(max(INTERVAL, WHOLE_PACE * heard), IDLE_INTERVAL)
-
-
-def _describe_loads(
-    state: state_module.DirectState,
-    told: dict[str, messages.UpstreamLoad],
-) -> dict[str, messages.UpstreamLoad]:
-    """Describes this router's load, with the floors that were told last."""
-    nothing = messages.UpstreamLoad("", 0, 0, 0)
-    return {
-        name: _describe_load(state, name, last.floor, last.short_floor)
-        for name, one in state.table.by_name.items()
-        if one.own.running or name in told
-        for last in [told.get(name, nothing)]
-    }
-
-
-def _describe_load(
-    state: state_module.DirectState, name: str, floor: int, short_floor: int
-) -> messages.UpstreamLoad:
-    own = state.table.by_name[name].own
-    return messages.UpstreamLoad(
-        name, own.running, own.unread, own.memory, floor, short_floor
-    )
-
-
-def _list_own_services(
-    state: state_module.DirectState, now: float
-) -> tuple[messages.ServiceDemand, ...]:
-    return tuple(
-        _describe_service(state, now, service) for service in state.accounts
-    )
-
-
-def _describe_service(
-    state: state_module.DirectState, now: float, service: str
-) -> messages.ServiceDemand:
-    accounts = state.accounts[service]
-    amounts = waiting.list_own(accounts, now)
-    teams = tuple(
-        messages.TeamService(team, int(amount))
-        for team, amount in amounts.items()
-        if amount >= LEAST_AMOUNT
-    )
-    accounts.most = waiting.find_most(accounts, amounts)
-    waiting.forget_refusals(accounts, now)
-    return messages.ServiceDemand(service, teams)
