Count what was told of an upstream before it was listed here

A router that lists an engine later than the others took it for empty until one of them told of it again, and sent it requests beside a full batch. The cause: only messages brought totals to the table of upstreams, a listing didn't. One that starts anew under its name begins empty, as before.

--- a/sycamorefall/direct/daemon.py
+++ b/sycamorefall/direct/daemon.py
@@ -101,6 +101,7 @@
         before = {name: one.listed.born for name, one in by_name.items()}
         gone = core.apply_listing(self.state, now, listing)
         new = by_name.keys() - before.keys()
+        exchange_module.note_listing(self.exchange, self.state, new)
         restarted = [
             name
             for name, one in by_name.items()
--- a/sycamorefall/direct/exchange.py
+++ b/sycamorefall/direct/exchange.py
@@ -22,6 +22,7 @@
     "list_addresses",
     "note_address",
     "note_hearsay",
+    "note_listing",
     "note_unnamed",
     "rank_routers",
     "take_load",
@@ -29,7 +30,7 @@
     "write_load",
 ]
 
-from collections.abc import Iterable
+from collections.abc import Iterable, Set
 import dataclasses
 import zlib
 
@@ -250,6 +251,17 @@
     peers_module.note_hearsay(exchange.peers, now, exchange.vm, routers)
 
 
+def note_listing(
+    exchange: Exchange, state: state_module.DirectState, names: Set[str]
+) -> None:
+    """Takes note of what the others have at upstreams that are new here.
+
+    Guards against an upstream that is listed here later than elsewhere: it
+    would count as empty until a router tells of it again.
+    """
+    totals_module.note_totals(exchange.totals, state, names, teams=False)
+
+
 def note_unnamed(
     exchange: Exchange, now: float, envelope: messages.Envelope
 ) -> None:
--- a/sycamorefall/direct/tests/test_delegates.py
+++ b/sycamorefall/direct/tests/test_delegates.py
@@ -81,6 +81,30 @@
             assert max(floors) < float("inf"), one.name
 
 
+def test_refused_team_has_idle_engines_left_in_other_failure_domains():
+    # Guards against a flood in one failure domain that takes the engines that
+    # have little to do from a team that is refused in another.
+    fleet = create_busy(domains=3, size=4)
+    refusing = fleet.routers["router-0-3"]
+    for one in refusing.state.table.by_name.values():
+        one.own.running = 4
+    refusing.take(fleet.now, team="trader")
+    fleet.run(0.45)
+    core.run_timers(refusing.state, fleet.now)
+    refusing.take(fleet.now, team="trader")
+    fleet.run(0.35)
+    for one in fleet.list_live():
+        if one is not refusing:
+            floors = [up.short_floor for up in one.state.table.by_name.values()]
+            assert max(floors) < float("inf"), one.name
+    fleet.run(3.0)
+    core.run_timers(refusing.state, fleet.now)
+    fleet.run(3.0)
+    for one in fleet.list_live():
+        floors = [up.short_floor for up in one.state.table.by_name.values()]
+        assert min(floors) == float("inf"), one.name
+
+
 def test_team_is_charged_for_what_it_got_anywhere():
     # A large team's callers are spread over all failure domains. Each domain
     # would take it for a small one, and it would get a share in each.
--- a/sycamorefall/direct/tests/test_totals.py
+++ b/sycamorefall/direct/tests/test_totals.py
@@ -22,6 +22,7 @@
             draws.randrange(3) * 1000,
             draws.randrange(3) * 5000,
             draws.choice([-1, -1, 0, 1, 2, 3]),
+            draws.choice([-1, -1, 0, 1, 2, 3]),
         )
         for name in draws.sample(ENGINES, draws.randrange(len(ENGINES)))
     )
@@ -47,7 +48,9 @@
         sum(entry.memory for entry in found),
     )
     floors = [entry.floor for entry in found if entry.floor >= 0]
-    return load, min(floors, default=math.inf)
+    short = [entry.short_floor for entry in found if entry.short_floor >= 0]
+    least = min(floors, default=math.inf), min(short, default=math.inf)
+    return load, *least
 
 
 def add_up_team(told, team):
@@ -63,7 +66,8 @@
 def check_totals(told, state, names):
     for name in names & state.table.by_name.keys():
         one = state.table.by_name[name]
-        assert (one.others, one.floor) == add_up(told, name)
+        floors = one.floor, one.short_floor
+        assert (one.others, *floors) == add_up(told, name)
     others = state.accounts["engine"].others if state.accounts else {}
     for team in TEAMS:
         assert others.get(team, 0) == add_up_team(told, team)
@@ -96,12 +100,15 @@
             exchange.write_load(told, state, now)
         if number == 200:
             core.apply_listing(state, now, listing)
+            exchange.note_listing(told, state, set(ENGINES[-1:]))
+            check_totals(told, state, set(ENGINES))
     now += 10.0
     told.own.due = 0.0
     exchange.write_load(told, state, now)
     check_totals(told, state, set(ENGINES))
     assert not told.totals.loads
     assert not told.totals.floors
+    assert not told.totals.short_floors
 
 
 def test_message_without_an_incarnation_counts_for_nothing():
