Log how attempts end, and fingerprint requests whose connection is lost

When several engines crashed in succession, the logs could not show whether the same request was being repeated: each attempt of a caller has a different id, and no log line recorded how an attempt ended. `request.attempt_ended` now records this for each attempt that ends with a failed connection or with anything but a complete, successful answer. Attempts that the router aborts itself (deadline passed, upstream silent, caller gone) are not logged. If the connection was lost after the request had been sent, the record includes the request's fingerprint, a digest of method, host, path with query, team and body. This distinguishes a repeated request from unrelated requests that were running on the same engine.

--- a/sycamorefall/direct/relay.py
+++ b/sycamorefall/direct/relay.py
@@ -13,6 +13,7 @@
     dialects,
     dispatching,
     effects,
+    fingerprints,
     outcomes,
     streams,
 )
@@ -343,7 +344,7 @@
     delivery.exchange = None
     unsent = stage is transport.Stage.NOT_SENT
     end = outcomes.AttemptEnd.NOT_SENT if unsent else outcomes.AttemptEnd.BROKEN
-    _end(desk, delivery, number, end)
+    _end(desk, delivery, number, end, lost_after_send=not unsent)
 
 
 def _end(
@@ -351,7 +352,19 @@
     delivery: _Delivery,
     number: int,
     end: outcomes.AttemptEnd,
+    lost_after_send: bool = False,
 ) -> None:
-    observation.count_event(desk.recorder, "attempt", end.value)
+    fields = {}
+    request = desk.state.requests.get(number)
+    if request is not None and request.attempt is not None:
+        fields["sidecar"] = request.attempt.upstream
+        if lost_after_send:
+            fingerprint = fingerprints.compute_fingerprint(
+                request.new, request.team
+            )
+            fields["fingerprint"] = fingerprint.hex()
+    observation.note_attempt_end(
+        desk.recorder, delivery.track, end.value, **fields
+    )
     now = transport.read_clock()
     perform(desk, outcomes.end_attempt(desk.state, now, number, end))
--- a/sycamorefall/direct/state.py
+++ b/sycamorefall/direct/state.py
@@ -40,6 +40,9 @@
         key: The caller's key; empty if none was sent.
         time_left: Seconds that the caller will wait; None if it didn't say.
         prompt: What it asks of an engine, if it is for one.
+        method: HTTP method.
+        target: Path and query, exactly as received.
+        body: Complete request body.
     """
 
     host: str
@@ -47,6 +50,9 @@
     key: str = ""
     time_left: float | None = None
     prompt: prompts.Prompt | None = None
+    method: str = ""
+    target: str = ""
+    body: bytes = b""
 
 
 @dataclasses.dataclass(slots=True)
--- a/sycamorefall/observation/__init__.py
+++ b/sycamorefall/observation/__init__.py
@@ -9,6 +9,7 @@
     "count_event",
     "end_action",
     "end_request",
+    "note_attempt_end",
     "note_hand_out",
     "note_piece",
     "open_log",
@@ -32,6 +33,7 @@
     begin_request,
     count_event,
     end_request,
+    note_attempt_end,
     note_hand_out,
     note_piece,
 )
--- a/sycamorefall/observation/recorder.py
+++ b/sycamorefall/observation/recorder.py
@@ -10,6 +10,7 @@
     "begin_request",
     "count_event",
     "end_request",
+    "note_attempt_end",
     "note_hand_out",
     "note_piece",
 ]
@@ -144,6 +145,28 @@
         )
 
 
+def note_attempt_end(
+    recorder: Recorder, track: Track, end: str, **fields: object
+) -> None:
+    """Counts the end of an attempt and logs it unless the attempt succeeded.
+
+    Args:
+        recorder: The process's records; changed.
+        track: The request.
+        end: How the attempt ended; one of a fixed set of values.
+        fields: Additional fields for the log record.
+    """
+    count_event(recorder, "attempt", end)
+    if track.action is not None and end != "complete":
+        track.action.log(
+            "request.attempt_ended",
+            level="info",
+            attempt=track.attempt_id,
+            end=end,
+            **fields,
+        )
+
+
 def note_piece(recorder: Recorder, track: Track, now: float) -> None:
     """Records that a piece of a streamed answer came.
 
--- a/sycamorefall/platform/headers.py
+++ b/sycamorefall/platform/headers.py
@@ -86,6 +86,9 @@
                 key=headers.get(_KEY, "").strip(),
                 time_left=None if left is None else float(left) / 1000,
                 prompt=_read_prompt(headers),
+                method=call.method,
+                target=call.target,
+                body=call.body,
             )
         )
     except ValueError as fault:
--- a/sycamorefall/platform/tests/test_explaining.py
+++ b/sycamorefall/platform/tests/test_explaining.py
@@ -2,6 +2,7 @@
 
 import contextlib
 import http.client
+import re
 import signal
 import socket
 
@@ -117,3 +118,25 @@
     # A mistyped file name must not look like a request that left no trace.
     assert command.main(["explain", "1", path]) == command.EXIT_REFUSED
     assert path in capsys.readouterr().err
+
+
+def test_lost_connection_is_logged_with_the_fingerprint(site):
+    # Guards against logs that can't correlate crashes with a repeated request:
+    # each attempt of a caller has a different id.
+    engine = site.add_upstream("e1", "engine")
+    engine.cut_after = 2
+    router = site.add_router()
+    for path in ("/draft/x", "/draft/x", "/draft/y"):
+        assert ask_until_cut(router, path) is None
+    log = site.folder / "front-a-1.log"
+    site_module.wait_until(lambda: len(find_fingerprints(log)) == 3)
+    first, second, other = find_fingerprints(log)
+    assert first == second != other
+
+
+def find_fingerprints(log):
+    lines = log.read_text().splitlines()
+    ends = [line for line in lines if "request.attempt_ended" in line]
+    return [
+        re.search('"fingerprint": ?"([0-9a-f]{32})"', line)[1] for line in ends
+    ]
