--- a/standins/site.py
+++ b/standins/site.py
@@ -91,10 +91,10 @@
         upstream = wire_upstream.Upstream(name)
 
         async def listen():
-            server = await asyncio.start_server(
+            upstream.server = await asyncio.start_server(
                 upstream.serve, "127.0.0.1", port
             )
-            return server.sockets[0].getsockname()[1]
+            return upstream.server.sockets[0].getsockname()[1]
 
         upstream.port = self._await(listen())
         self.upstreams[name] = upstream
--- a/standins/wire_upstream.py
+++ b/standins/wire_upstream.py
@@ -23,6 +23,9 @@
         repeat: Sends it again before the next answer on its connection.
         repeated: How often it did.
         pause: Seconds between two events.
+        crash_on: Body of requests that crash it as it runs them.
+        crashed: Whether it has crashed.
+        server: Its listening socket.
     """
 
     name: str
@@ -39,6 +42,9 @@
     repeat: bool = False
     repeated: int = 0
     pause: float = 0.01
+    crash_on: bytes | None = None
+    crashed: bool = False
+    server: asyncio.Server | None = None
     _last: dict[asyncio.StreamWriter, bytes] = dataclasses.field(
         default_factory=dict
     )
@@ -63,6 +69,13 @@
                 await self._answer(lines[0], headers, body, reader, writer)
         writer.close()
 
+    def crash(self) -> None:
+        """Ends as a crashed process does: all its sockets are closed."""
+        self.crashed = True
+        self.server.close()
+        for writer in self._last:
+            writer.transport.abort()
+
     async def _answer(self, line, headers, body, reader, writer) -> None:
         request = headers.get("attempt-id", "")
         if headers.get("expect-instance") != self.name:
@@ -79,6 +92,10 @@
             )
             return
         self.runs.append((request, headers))
+        if self.crash_on is not None and body == self.crash_on:
+            await asyncio.sleep(self.pause)
+            self.crash()
+            raise ConnectionResetError
         if self.hang:
             if not await reader.read(1):
                 self.gone.append(request)
