--- a/standins/wire_upstream.py
+++ b/standins/wire_upstream.py
@@ -23,9 +23,9 @@
         repeat: Sends it again before the next answer on its connection.
         repeated: How often it did.
         pause: Seconds between two events.
-        crash_on: Body of requests that crash it as it runs them.
+        crash_on: Body of the requests that crash it.
         crashed: Whether it has crashed.
-        server: Its listening socket.
+        server: The server that listens for its connections.
     """
 
     name: str
@@ -70,7 +70,7 @@
         writer.close()
 
     def crash(self) -> None:
-        """Ends as a crashed process does: all its sockets are closed."""
+        """Closes all sockets, as the kernel does for a crashed process."""
         self.crashed = True
         self.server.close()
         for writer in self._last:
--- a/sycamorefall/direct/core.py
+++ b/sycamorefall/direct/core.py
@@ -22,11 +22,13 @@
     catalog,
     dispatching,
     effects,
+    fingerprints,
     freshness,
     outcomes,
     overload,
     patience,
     prompts,
+    quarantine,
     silence,
     stopping,
     upstreams,
@@ -165,6 +167,12 @@
         pause = _choose_pause(state, kind)
         return number, [effects.Fail(number, kind, pause)]
     route, team = judged.unwrap()
+    if state.quarantine.quarantined:
+        fingerprint = fingerprints.compute_fingerprint(new, team)
+        if quarantine.is_quarantined(state.quarantine, fingerprint):
+            quarantine.note_arrival(state.quarantine, now, fingerprint)
+            kind = errors.ErrorKind.QUARANTINED
+            return number, [effects.Fail(number, kind, fingerprint=fingerprint)]
     left = route.timeout
     if new.time_left is not None:
         left = min(left, new.time_left)
@@ -251,6 +259,8 @@
         What is to be done.
     """
     due = _expire_requests(state, now)
+    if now >= quarantine.find_next_expiry(state.quarantine):
+        quarantine.drop_expired(state.quarantine, now)
     if now - state.checked_at >= SILENCE_CHECK:
         state.checked_at = now
         due += silence.check_silence(state, now)
@@ -282,7 +292,7 @@
         due = min(due, _find_next_look(state))
     if state.running:
         due = min(due, state.checked_at + SILENCE_CHECK)
-    return due
+    return min(due, quarantine.find_next_expiry(state.quarantine))
 
 
 def _is_anyone_waiting(state: state_module.DirectState) -> bool:
--- /dev/null
+++ b/sycamorefall/direct/crashes.py
@@ -0,0 +1,163 @@
+"""Detection of upstreams that crash with requests in progress.
+
+A lost connection alone does not prove a crash: an upstream may reset one and
+keep running, and a network partition or a frozen VM closes none. The router
+therefore opens a new connection at once. It is refused only if the process no
+longer exists.
+"""
+
+__all__ = [
+    "note_disconnect",
+    "report_quarantined",
+    "take_check",
+]
+
+from collections.abc import Iterable
+
+from sycamorefall import transport
+from sycamorefall.direct import (
+    dispatching,
+    effects,
+    fingerprints,
+    outcomes,
+    quarantine,
+    upstreams,
+)
+from sycamorefall.direct import state as state_module
+from sycamorefall.direct.quarantine import Crash, Evidence
+
+MOST_CHECKS = 3
+"""Checks of an upstream that does not answer, since packets may be lost."""
+
+DISCONNECT_TIME = 5.0
+"""Seconds for which later lost connections are attributed to the same crash."""
+
+
+def note_disconnect(
+    state: state_module.DirectState, now: float, number: int
+) -> list[effects.Effect]:
+    """Records a connection that was lost after its request was sent.
+
+    A leaving upstream is ignored, as it terminates on purpose.
+
+    Args:
+        state: The router; changed.
+        now: This process's time.
+        number: The request, whose attempt has not been ended yet.
+
+    Returns:
+        What is to be done.
+    """
+    request = state.requests.get(number)
+    if request is None or request.attempt is None:
+        return []
+    upstream = state_module.find_upstream(state, request.attempt)
+    if upstream is None or upstream.listed.leaving:
+        return []
+    crash = Crash(upstream.listed.name, upstream.listed.born)
+    fingerprint = fingerprints.find_fingerprint(request)
+    known = state.disconnects.get(crash)
+    if known is None:
+        state.disconnects = {
+            other: disconnect
+            for other, disconnect in state.disconnects.items()
+            if now - disconnect.since < DISCONNECT_TIME
+        }
+        state.disconnects[crash] = state_module.Disconnect(now, {fingerprint})
+        return [effects.CheckUpstream(crash, upstream.listed.address)]
+    if known.crashed:
+        return _add_suspects(state, now, crash, {fingerprint})
+    known.fingerprints.add(fingerprint)
+    return []
+
+
+def take_check(
+    state: state_module.DirectState,
+    now: float,
+    check: effects.CheckUpstream,
+    found: transport.Reachability,
+) -> list[effects.Effect]:
+    """Processes the result of a reachability check.
+
+    Args:
+        state: The router; changed.
+        now: This process's time.
+        check: The check.
+        found: The result.
+
+    Returns:
+        What is to be done.
+    """
+    known = state.disconnects.get(check.crash)
+    if known is None:
+        return []
+    if found is transport.Reachability.REFUSED:
+        known.crashed = True
+        upstream = state.table.by_name.get(check.crash.upstream)
+        if upstream is not None and upstream.listed.born == check.crash.born:
+            upstreams.bar_upstream(upstream, now)
+        return [
+            effects.ReportCrash(check.crash, len(known.fingerprints)),
+            *_add_suspects(state, now, check.crash, known.fingerprints),
+        ]
+    if found is transport.Reachability.UNKNOWN and known.checks < MOST_CHECKS:
+        known.checks += 1
+        return [check]
+    del state.disconnects[check.crash]
+    return []
+
+
+def _add_suspects(
+    state: state_module.DirectState,
+    now: float,
+    crash: Crash,
+    suspects: Iterable[bytes],
+) -> list[effects.Effect]:
+    found = [Evidence(crash, one, False, now) for one in sorted(suspects)]
+    new, added = quarantine.add_evidence(state.quarantine, now, found)
+    state.quarantine.unsent += ((one.crash, one.fingerprint) for one in new)
+    return report_quarantined(state, now, added)
+
+
+def report_quarantined(
+    state: state_module.DirectState, now: float, added: Iterable[bytes]
+) -> list[effects.Effect]:
+    """Reports newly quarantined requests and refuses those that wait.
+
+    Args:
+        state: The router; changed.
+        now: This process's time.
+        added: Their fingerprints.
+
+    Returns:
+        What is to be done.
+    """
+    added = list(added)
+    if not added:
+        return []
+    reports = [
+        effects.ReportQuarantine(
+            fingerprint,
+            tuple(sorted(state.quarantine.suspects[fingerprint].crashes)),
+        )
+        for fingerprint in added
+        if fingerprint in state.quarantine.suspects
+    ]
+    return [*reports, *_refuse_waiting(state, now)]
+
+
+def _refuse_waiting(
+    state: state_module.DirectState, now: float
+) -> list[effects.Effect]:
+    """Refuses waiting quarantined requests; running ones continue."""
+    refused = [
+        request
+        for request in state.requests.values()
+        if request.attempt is None
+        and dispatching.is_quarantined(state, request)
+    ]
+    return [
+        effect
+        for request in refused
+        for effect in outcomes.refuse_request(state, request, now)
+    ]
--- a/sycamorefall/direct/daemon.py
+++ b/sycamorefall/direct/daemon.py
@@ -21,6 +21,7 @@
 from sycamorefall.direct import (
     backlog,
     core,
+    crashes,
     dialects,
     metrics,
     readers,
@@ -28,6 +29,7 @@
     stopping,
 )
 from sycamorefall.direct import catalog as catalog_module
+from sycamorefall.direct import crash_exchange as crash_exchange_module
 from sycamorefall.direct import exchange as exchange_module
 from sycamorefall.direct import overload as overload_module
 from sycamorefall.direct import replicator as replicator_module
@@ -58,6 +60,7 @@
         servers: For callers, and for the balancer.
         control: Links to the other routers.
         exchange: What the routers tell each other.
+        crash_exchange: Crash evidence to be sent to them.
         incarnation: Number of this process.
         ticker: Runs the timers.
         replicator: Keeps what the platform publishes up to date.
@@ -79,6 +82,9 @@
     replicator: replicator_module.Replicator | None = None
     stop_check: float = float("inf")
     backlog_at: float = 0.0
+    crash_exchange: crash_exchange_module.CrashExchange = dataclasses.field(
+        default_factory=crash_exchange_module.CrashExchange
+    )
 
     def take_catalog(self, new: catalog_module.Catalog) -> None:
         """Takes a configuration that was read."""
@@ -258,6 +264,12 @@
                 daemon.tell(referral.receivers, referral.message)
         case messages.KnownRouters():
             exchange_module.note_hearsay(exchange, now, message.routers)
+        case messages.CrashReports():
+            added = crash_exchange_module.take_reports(
+                daemon.crash_exchange, exchange, daemon.state, now, envelope
+            )
+            done = crashes.report_quarantined(daemon.state, now, added)
+            relay.perform(daemon.desk, done)
         case messages.Subscribe():
             exchange_module.note_address(
                 exchange, now, envelope.sender, message.control
@@ -270,6 +282,19 @@
 def _tell_peers(daemon: Daemon, now: float) -> None:
     reports = exchange_module.write_due(daemon.exchange, daemon.state, now)
     daemon.control.keep_only(exchange_module.list_addresses(daemon.exchange))
+    _tell_reports(daemon, reports)
+
+
+def _tell_crashes(daemon: Daemon, now: float) -> None:
+    reports = crash_exchange_module.write_due(
+        daemon.crash_exchange, daemon.exchange, daemon.state, now
+    )
+    _tell_reports(daemon, reports)
+
+
+def _tell_reports(
+    daemon: Daemon, reports: list[exchange_module.Report]
+) -> None:
     for report in reports:
         daemon.tell(report.receivers, report.message)
 
@@ -304,6 +329,9 @@
         daemon.replicator.find_next_due(),
         upstreams_module.find_lapse_end(daemon.state.table),
         exchange_module.find_next_due(daemon.exchange, daemon.state),
+        crash_exchange_module.find_next_due(
+            daemon.crash_exchange, daemon.state
+        ),
         daemon.stop_check,
         *(server.find_next_due() for server in daemon.servers),
     )
@@ -316,6 +344,10 @@
         server.expire(now)
     if now >= exchange_module.find_next_due(daemon.exchange, daemon.state):
         _tell_peers(daemon, now)
+    if now >= crash_exchange_module.find_next_due(
+        daemon.crash_exchange, daemon.state
+    ):
+        _tell_crashes(daemon, now)
     daemon.replicator.run(now)
     _drop_lapsed(daemon, now)
     daemon.log.flush()
--- a/sycamorefall/direct/dispatching.py
+++ b/sycamorefall/direct/dispatching.py
@@ -6,6 +6,7 @@
     "enter_room",
     "explain_refusal",
     "find_budget",
+    "is_quarantined",
     "leave_room",
     "serve_waiting",
     "try_send",
@@ -20,11 +21,13 @@
     catalog,
     effects,
     fetching,
+    fingerprints,
     fitting,
     freshness,
     needs,
     placing,
     prompts,
+    quarantine,
     upstreams,
     waiting,
 )
@@ -110,6 +113,8 @@
         return []
     if request.team and not freshness.is_fresh(state.freshness, now):
         return []
+    if is_quarantined(state, request):
+        return []
     if group is None:
         group = _list_group(state, now, request.service)
     is_engine = request.new.prompt is not None and service.engine is not None
@@ -128,6 +133,16 @@
     return [_send(state, now, request, chosen, service)]
 
 
+def is_quarantined(
+    state: state_module.DirectState, request: state_module.Request
+) -> bool:
+    """Tells whether a request is quarantined, so no upstream may get it."""
+    known = state.quarantine
+    return bool(known.quarantined) and quarantine.is_quarantined(
+        known, fingerprints.find_fingerprint(request)
+    )
+
+
 def explain_refusal(
     state: state_module.DirectState,
     now: float,
--- a/sycamorefall/direct/effects.py
+++ b/sycamorefall/direct/effects.py
@@ -1,10 +1,22 @@
 """What the decisions of direct sending have the shell do."""
 
-__all__ = ["Abort", "BreakOff", "Effect", "Fail", "PassOn", "Refusal", "SendTo"]
+__all__ = [
+    "Abort",
+    "BreakOff",
+    "CheckUpstream",
+    "Effect",
+    "Fail",
+    "PassOn",
+    "Refusal",
+    "ReportCrash",
+    "ReportQuarantine",
+    "SendTo",
+]
 
 import dataclasses
 
 from sycamorefall import errors, settings
+from sycamorefall.direct import quarantine
 
 
 @dataclasses.dataclass(slots=True, frozen=True)
@@ -102,6 +114,7 @@
         refusal: What decided it, if the router had a choice.
         ran: Overrides what the table of answers says, where it is known
             that the request was sent.
+        fingerprint: Fingerprint of a quarantined request, for its log record.
     """
 
     request: int
@@ -109,6 +122,7 @@
     retry_after: float | None = None
     refusal: Refusal | None = None
     ran: errors.Ran | None = None
+    fingerprint: bytes = b""
 
 
 @dataclasses.dataclass(slots=True, frozen=True)
@@ -125,4 +139,52 @@
     request: int
 
 
-Effect = SendTo | Abort | Fail | BreakOff | PassOn
+@dataclasses.dataclass(slots=True, frozen=True)
+class CheckUpstream:
+    """Check whether an upstream still accepts connections.
+
+    Attributes:
+        crash: The process that may have crashed.
+        address: Where it listens.
+    """
+
+    crash: quarantine.Crash
+    address: settings.Address
+
+
+@dataclasses.dataclass(slots=True, frozen=True)
+class ReportCrash:
+    """Log that an upstream crashed.
+
+    Attributes:
+        crash: The process.
+        requests: Number of this router's requests in progress there.
+    """
+
+    crash: quarantine.Crash
+    requests: int
+
+
+@dataclasses.dataclass(slots=True, frozen=True)
+class ReportQuarantine:
+    """Log that a request is quarantined.
+
+    Attributes:
+        fingerprint: The request's fingerprint.
+        crashes: The crashes at which it was in progress.
+    """
+
+    fingerprint: bytes
+    crashes: tuple[quarantine.Crash, ...]
+
+
+Effect = (
+    SendTo
+    | Abort
+    | Fail
+    | BreakOff
+    | PassOn
+    | CheckUpstream
+    | ReportCrash
+    | ReportQuarantine
+)
--- a/sycamorefall/direct/exchange.py
+++ b/sycamorefall/direct/exchange.py
@@ -19,7 +19,10 @@
     "find_next_due",
     "find_place",
     "is_available",
+    "is_delegate",
     "list_addresses",
+    "list_far_delegates",
+    "list_neighbours",
     "note_address",
     "note_hearsay",
     "note_listing",
@@ -486,7 +489,7 @@
     reports = []
     if now >= _find_own_due(exchange, state):
         message = write_load(exchange, state, now)
-        reports.append(Report(_list_neighbours(exchange, state), message))
+        reports.append(Report(list_neighbours(exchange, state), message))
     if now >= _find_domain_due(exchange, state):
         message = _write_domain(exchange, state, now)
         reports.append(Report(exchange.role.far, message))
@@ -496,7 +499,7 @@
     return reports
 
 
-def _list_neighbours(
+def list_neighbours(
     exchange: Exchange, state: state_module.DirectState
 ) -> tuple[str, ...]:
     """Lists who is told of this router: its failure domain, and strangers."""
@@ -704,12 +707,8 @@
     if now - exchange.started_at < SETTLE_TIME:
         return Role()
     delegates = _rank_delegates(exchange, state, now)
-    elsewhere = {
-        peer.failure_domain
-        for peer in exchange.peers.values()
-        if peer.failure_domain not in ("", state.failure_domain)
-    }
-    if exchange.vm not in delegates or not elsewhere:
+    far = list_far_delegates(exchange, state, now)
+    if exchange.vm not in delegates or not far:
         return Role()
     part, parts = delegates.index(exchange.vm), len(delegates)
     heard = totals_module.list_keys(exchange.totals, LoadScope.ROUTER)
@@ -718,12 +717,34 @@
         for _, name, _ in heard
         if name not in delegates and find_part(name, parts) == part
     )
-    far = tuple(
+    return Role(part, parts, covers, far, covers)
+
+
+def is_delegate(
+    exchange: Exchange, state: state_module.DirectState, now: float
+) -> bool:
+    """Tells whether this router is a delegate of its failure domain.
+
+    If no router is available as delegate, all are.
+    """
+    delegates = _rank_delegates(exchange, state, now)
+    return not delegates or exchange.vm in delegates
+
+
+def list_far_delegates(
+    exchange: Exchange, state: state_module.DirectState, now: float
+) -> tuple[str, ...]:
+    """Lists the delegates of the other failure domains."""
+    elsewhere = {
+        peer.failure_domain
+        for peer in exchange.peers.values()
+        if peer.failure_domain not in ("", state.failure_domain)
+    }
+    return tuple(
         name
         for domain in sorted(elsewhere)
         for name in peers_module.list_delegates(exchange.peers, now, domain)
     )
-    return Role(part, parts, covers, far, covers)
 
 
 def _rank_delegates(
--- a/sycamorefall/direct/fingerprints.py
+++ b/sycamorefall/direct/fingerprints.py
@@ -1,6 +1,6 @@
 """Request fingerprints, which identify repeated requests."""
 
-__all__ = ["FINGERPRINT_SIZE", "compute_fingerprint"]
+__all__ = ["FINGERPRINT_SIZE", "compute_fingerprint", "find_fingerprint"]
 
 import hashlib
 
@@ -42,3 +42,10 @@
         digest.update(encoded)
     digest.update(new.body)
     return digest.digest()
+
+
+def find_fingerprint(request: state_module.Request) -> bytes:
+    """Returns the fingerprint of a request, computed on first use."""
+    if not request.fingerprint:
+        request.fingerprint = compute_fingerprint(request.new, request.team)
+    return request.fingerprint
--- a/sycamorefall/direct/metrics.py
+++ b/sycamorefall/direct/metrics.py
@@ -45,6 +45,12 @@
     yield gauge(
         "routers", "Routers heard, this one included.", (), {(): state.routers}
     )
+    yield gauge(
+        "quarantined_requests",
+        "Requests that are refused as upstreams that ran them crashed.",
+        (),
+        {(): len(state.quarantine.quarantined)},
+    )
     yield gauge(
         "upstreams",
         "Upstreams by service, and whether they get work.",
--- a/sycamorefall/direct/outcomes.py
+++ b/sycamorefall/direct/outcomes.py
@@ -20,7 +20,9 @@
     catalog,
     dispatching,
     effects,
+    fingerprints,
     fitting,
+    quarantine,
     upstreams,
     waiting,
 )
@@ -235,9 +237,10 @@
     if end in _RAN:
         request.runs += 1
     if end is AttemptEnd.COMPLETE:
+        _clear_request(state, request, now)
         forget_request(state, request)
         return []
-    if _may_go_again(request, end):
+    if _may_go_again(state, request, attempt, end):
         again = dispatching.try_send(state, now, request)
         if again:
             return again
@@ -267,15 +270,48 @@
             upstreams.note_failure(upstream, now)
 
 
-def _may_go_again(request: state_module.Request, end: AttemptEnd) -> bool:
+def _clear_request(
+    state: state_module.DirectState, request: state_module.Request, now: float
+) -> None:
+    if state.quarantine.suspects:
+        fingerprint = fingerprints.find_fingerprint(request)
+        quarantine.clear_request(state.quarantine, now, fingerprint)
+
+
+def _may_go_again(
+    state: state_module.DirectState,
+    request: state_module.Request,
+    attempt: state_module.Attempt,
+    end: AttemptEnd,
+) -> bool:
+    if dispatching.is_quarantined(state, request):
+        return False
     if end not in _RAN and not request.runs:
         return True
     kind = request.route.kind
     if end is AttemptEnd.FAILED and request.begun:
         return False
+    if end is AttemptEnd.BROKEN and _is_suspect(state, request, attempt):
+        return False
     return kind.repeatable and request.runs < request.route.most_upstreams
 
 
+def _is_suspect(
+    state: state_module.DirectState,
+    request: state_module.Request,
+    attempt: state_module.Attempt,
+) -> bool:
+    """Tells whether a request was at a crash before its present attempt.
+
+    Suspects are not retried, so one arrival crashes at most two upstreams.
+    """
+    if not state.quarantine.suspects:
+        return False
+    fingerprint = fingerprints.find_fingerprint(request)
+    present = quarantine.Crash(attempt.upstream, attempt.born)
+    return quarantine.count_crashes(state.quarantine, fingerprint, present) > 0
+
+
 def _give_up(
     state: state_module.DirectState,
     request: state_module.Request,
@@ -300,6 +336,11 @@
     forget_request(state, request)
     if request.begun:
         return [effects.BreakOff(request.number)]
+    if not request.runs and dispatching.is_quarantined(state, request):
+        # No Retry-After: a retry would be refused as well.
+        kind = errors.ErrorKind.QUARANTINED
+        fingerprint = fingerprints.find_fingerprint(request)
+        return [effects.Fail(request.number, kind, fingerprint=fingerprint)]
     if not request.runs:
         kind, pause = errors.ErrorKind.NO_UPSTREAM, draw_pause(state)
         if request.new.prompt is not None:
--- /dev/null
+++ b/sycamorefall/direct/quarantine.py
@@ -0,0 +1,274 @@
+"""Quarantine of requests that crash the upstreams that run them.
+
+All requests in progress at a crashed upstream are suspects. A suspect with
+several crashes and no success since is quarantined: it is refused and sent to
+no upstream. Evidence only accumulates in sets, so routers may exchange it in
+any order and repeatedly.
+"""
+
+__all__ = [
+    "Crash",
+    "Evidence",
+    "Quarantine",
+    "Suspect",
+    "add_evidence",
+    "clear_request",
+    "count_crashes",
+    "drop_expired",
+    "find_next_expiry",
+    "is_quarantined",
+    "list_evidence",
+    "note_arrival",
+]
+
+from collections.abc import Iterable, Iterator, Set
+import dataclasses
+import heapq
+from typing import NamedTuple
+
+CRASH_LIMIT = 3
+"""Crashes without a success in between after which a request is quarantined.
+Operators set a limit on what a request may cost after its third crash."""
+
+SUSPECT_TIME = 300.0
+"""Seconds after its last crash until a suspect expires."""
+
+QUARANTINE_TIME = 900.0
+"""Seconds after its last crash or arrival until a quarantine expires."""
+
+MOST_SUSPECTS = 4096
+"""Suspects that are kept, without quarantined requests. Bounds the memory that
+a caller can use up by changing a byte of its request each time."""
+
+MOST_QUARANTINED = 1024
+"""Quarantined requests that are kept."""
+
+EXPIRY_INTERVAL = 10.0
+"""Seconds between two scans for expired suspects."""
+
+
+class Crash(NamedTuple):
+    """A crashed process of an upstream.
+
+    Attributes:
+        upstream: The upstream's incarnation.
+        born: When the process started; see `upstreams.Listed`.
+    """
+
+    upstream: str
+    born: int
+
+
+class Evidence(NamedTuple):
+    """A request that was in progress at a crash.
+
+    Attributes:
+        crash: The crash.
+        fingerprint: The request's fingerprint.
+        cleared: Whether the request has succeeded since.
+        seen_at: Time of the request's last crash, or of its last arrival
+            while quarantined.
+    """
+
+    crash: Crash
+    fingerprint: bytes
+    cleared: bool
+    seen_at: float
+
+
+@dataclasses.dataclass(slots=True)
+class Suspect:
+    """A request that was in progress at one or more crashes.
+
+    Attributes:
+        crashes: Crashes at which it was in progress.
+        cleared: Those of them after which it succeeded.
+        seen_at: Time of its last crash, or of its last arrival while
+            quarantined.
+        quarantined: Whether it is refused.
+    """
+
+    crashes: set[Crash] = dataclasses.field(default_factory=set)
+    cleared: set[Crash] = dataclasses.field(default_factory=set)
+    seen_at: float = float("-inf")
+    quarantined: bool = False
+
+
+@dataclasses.dataclass(slots=True)
+class Quarantine:
+    """Suspects by fingerprint.
+
+    Attributes:
+        suspects: All suspects, quarantined ones included.
+        quarantined: Fingerprints of the quarantined ones.
+        unsent: This router's evidence that is to be sent to the others.
+        expires_at: Time of the next scan for expired suspects.
+    """
+
+    suspects: dict[bytes, Suspect] = dataclasses.field(default_factory=dict)
+    quarantined: set[bytes] = dataclasses.field(default_factory=set)
+    unsent: list[tuple[Crash, bytes]] = dataclasses.field(default_factory=list)
+    expires_at: float = float("inf")
+
+
+def is_quarantined(quarantine: Quarantine, fingerprint: bytes) -> bool:
+    """Tells whether a request is quarantined."""
+    return fingerprint in quarantine.quarantined
+
+
+def count_crashes(
+    quarantine: Quarantine, fingerprint: bytes, excluded: Crash | None = None
+) -> int:
+    """Counts the crashes that a request may have caused.
+
+    Args:
+        quarantine: The suspects.
+        fingerprint: The request's fingerprint.
+        excluded: A crash that is not counted.
+    """
+    suspect = quarantine.suspects.get(fingerprint)
+    return len(_list_uncleared(suspect) - {excluded}) if suspect else 0
+
+
+def _list_uncleared(suspect: Suspect) -> Set[Crash]:
+    return suspect.crashes - suspect.cleared
+
+
+def add_evidence(
+    quarantine: Quarantine, now: float, evidence: Iterable[Evidence]
+) -> tuple[list[Evidence], list[bytes]]:
+    """Adds evidence of this or another router; repeated evidence is ignored.
+
+    Args:
+        quarantine: The suspects; changed.
+        now: This process's time.
+        evidence: The evidence.
+
+    Returns:
+        The evidence that was new, and the fingerprints that are newly
+        quarantined.
+    """
+    new = [one for one in evidence if _add_one(quarantine, one)]
+    if not new:
+        return [], []
+    quarantine.expires_at = min(quarantine.expires_at, now + EXPIRY_INTERVAL)
+    added = _update_quarantined(quarantine, new)
+    _drop_excess(quarantine)
+    return new, added
+
+
+def _add_one(quarantine: Quarantine, one: Evidence) -> bool:
+    """Adds one piece of evidence; tells whether it was new."""
+    suspect = quarantine.suspects.get(one.fingerprint)
+    if suspect is None:
+        suspect = quarantine.suspects[one.fingerprint] = Suspect()
+    suspect.seen_at = max(suspect.seen_at, one.seen_at)
+    known = suspect.cleared if one.cleared else suspect.crashes
+    if one.crash in known:
+        return False
+    suspect.crashes.add(one.crash)
+    if one.cleared:
+        suspect.cleared.add(one.crash)
+    return True
+
+
+def _update_quarantined(
+    quarantine: Quarantine, new: Iterable[Evidence]
+) -> list[bytes]:
+    """Updates the quarantined requests; returns the newly quarantined ones."""
+    added = []
+    for fingerprint in dict.fromkeys(one.fingerprint for one in new):
+        suspect = quarantine.suspects[fingerprint]
+        before = suspect.quarantined
+        suspect.quarantined = len(_list_uncleared(suspect)) >= CRASH_LIMIT
+        if suspect.quarantined and not before:
+            quarantine.quarantined.add(fingerprint)
+            added.append(fingerprint)
+        elif before and not suspect.quarantined:
+            quarantine.quarantined.discard(fingerprint)
+    return added
+
+
+def clear_request(
+    quarantine: Quarantine, now: float, fingerprint: bytes
+) -> None:
+    """Clears a request that succeeded of its crashes."""
+    suspect = quarantine.suspects.get(fingerprint)
+    if suspect is None:
+        return
+    found = [
+        Evidence(crash, fingerprint, True, suspect.seen_at)
+        for crash in _list_uncleared(suspect)
+    ]
+    new, _ = add_evidence(quarantine, now, found)
+    quarantine.unsent += ((one.crash, one.fingerprint) for one in new)
+
+
+def note_arrival(
+    quarantine: Quarantine, now: float, fingerprint: bytes
+) -> None:
+    """Extends the quarantine of a request that arrived again."""
+    quarantine.suspects[fingerprint].seen_at = now
+
+
+def list_evidence(
+    quarantine: Quarantine, records: Iterable[tuple[Crash, bytes]]
+) -> Iterator[Evidence]:
+    """Lists the known evidence for pairs of a crash and a request."""
+    for crash, fingerprint in records:
+        suspect = quarantine.suspects.get(fingerprint)
+        if suspect is not None and crash in suspect.crashes:
+            cleared = crash in suspect.cleared
+            yield Evidence(crash, fingerprint, cleared, suspect.seen_at)
+
+
+def find_next_expiry(quarantine: Quarantine) -> float:
+    """Tells when `drop_expired` is due; infinity if nothing expires."""
+    return quarantine.expires_at
+
+
+def drop_expired(quarantine: Quarantine, now: float) -> None:
+    """Drops expired suspects and quarantined requests."""
+    expired = [
+        fingerprint
+        for fingerprint, suspect in quarantine.suspects.items()
+        if now - suspect.seen_at
+        >= (QUARANTINE_TIME if suspect.quarantined else SUSPECT_TIME)
+    ]
+    _drop(quarantine, expired)
+    due = now + EXPIRY_INTERVAL
+    quarantine.expires_at = due if quarantine.suspects else float("inf")
+
+
+def _drop(quarantine: Quarantine, expired: Iterable[bytes]) -> None:
+    for fingerprint in expired:
+        del quarantine.suspects[fingerprint]
+        quarantine.quarantined.discard(fingerprint)
+
+
+def _drop_excess(quarantine: Quarantine) -> None:
+    """Drops requests above the limits.
+
+    Suspects with the fewest crashes are dropped first, then the oldest ones.
+    Suspects never displace a quarantined request.
+    """
+    suspects = quarantine.suspects
+    excess = len(suspects) - len(quarantine.quarantined) - MOST_SUSPECTS
+    if excess > 0:
+        ranked = heapq.nsmallest(
+            excess,
+            (
+                (len(_list_uncleared(suspect)), suspect.seen_at, fingerprint)
+                for fingerprint, suspect in suspects.items()
+                if not suspect.quarantined
+            ),
+        )
+        _drop(quarantine, (fingerprint for *_, fingerprint in ranked))
+    excess = len(quarantine.quarantined) - MOST_QUARANTINED
+    if excess > 0:
+        oldest = heapq.nsmallest(
+            excess,
+            quarantine.quarantined,
+            key=lambda one: suspects[one].seen_at,
+        )
+        _drop(quarantine, oldest)
--- a/sycamorefall/direct/relay.py
+++ b/sycamorefall/direct/relay.py
@@ -10,6 +10,7 @@
 from sycamorefall import errors, observation, transport
 from sycamorefall.direct import (
     core,
+    crashes,
     dialects,
     dispatching,
     effects,
@@ -32,6 +33,14 @@
 }
 
 
+_UPSTREAM_EFFECTS = (
+    effects.CheckUpstream,
+    effects.ReportCrash,
+    effects.ReportQuarantine,
+)
+"""Effects that concern an upstream, not a request in progress."""
+
+
 class _Delivery:
     """A caller's request and the answer to it on its way.
 
@@ -153,6 +162,9 @@
 def perform(desk: Desk, done: Iterable[effects.Effect]) -> None:
     """Carries out effects of the decisions."""
     for effect in done:
+        if isinstance(effect, _UPSTREAM_EFFECTS):
+            _perform_upstream_effect(desk, effect)
+            continue
         delivery = desk.deliveries.get(effect.request)
         if delivery is None:
             continue
@@ -170,6 +182,39 @@
                 _pass_on(desk, delivery, effect.request)
 
 
+def _perform_upstream_effect(desk: Desk, effect: effects.Effect) -> None:
+    """Carries out an effect that concerns an upstream."""
+    match effect:
+        case effects.CheckUpstream():
+            desk.client.check_reachable(
+                effect.address,
+                lambda found: _take_check(desk, effect, found),
+            )
+        case effects.ReportCrash():
+            observation.count_event(desk.recorder, "upstream", "crashed")
+            observation.write_record(
+                observation.Level.WARNING,
+                "upstream.crashed",
+                upstream=effect.crash.upstream,
+                requests=effect.requests,
+            )
+        case effects.ReportQuarantine():
+            observation.count_event(desk.recorder, "request", "quarantined")
+            observation.write_record(
+                observation.Level.WARNING,
+                "quarantine.added",
+                fingerprint=effect.fingerprint.hex(),
+                crashed=[crash.upstream for crash in effect.crashes],
+            )
+
+
+def _take_check(
+    desk: Desk, check: effects.CheckUpstream, found: transport.Reachability
+) -> None:
+    now = transport.read_clock()
+    perform(desk, crashes.take_check(desk.state, now, check, found))
+
+
 def _abort(desk: Desk, delivery: _Delivery) -> None:
     if delivery.exchange is not None:
         desk.client.abort(delivery.exchange)
@@ -178,6 +223,8 @@
 
 def _fail(desk: Desk, delivery: _Delivery, effect: effects.Fail) -> None:
     why = _list_fields(effect.refusal) if effect.refusal else {}
+    if effect.fingerprint:
+        why["fingerprint"] = effect.fingerprint.hex()
     ran = effect.ran or errors.ANSWERS[effect.kind].ran
     _forget(
         desk,
@@ -344,6 +391,9 @@
     delivery.exchange = None
     unsent = stage is transport.Stage.NOT_SENT
     end = outcomes.AttemptEnd.NOT_SENT if unsent else outcomes.AttemptEnd.BROKEN
+    if not unsent:
+        now = transport.read_clock()
+        perform(desk, crashes.note_disconnect(desk.state, now, number))
     _end(desk, delivery, number, end, lost_after_send=not unsent)
 
 
@@ -359,9 +409,7 @@
     if request is not None and request.attempt is not None:
         fields["sidecar"] = request.attempt.upstream
         if lost_after_send:
-            fingerprint = fingerprints.compute_fingerprint(
-                request.new, request.team
-            )
+            fingerprint = fingerprints.find_fingerprint(request)
             fields["fingerprint"] = fingerprint.hex()
     observation.note_attempt_end(
         desk.recorder, delivery.track, end.value, **fields
--- a/sycamorefall/direct/state.py
+++ b/sycamorefall/direct/state.py
@@ -3,6 +3,7 @@
 __all__ = [
     "Attempt",
     "DirectState",
+    "Disconnect",
     "NewRequest",
     "Placement",
     "Request",
@@ -27,6 +28,7 @@
 from sycamorefall.direct import freshness as freshness_module
 from sycamorefall.direct import overload as overload_module
 from sycamorefall.direct import patience as patience_module
+from sycamorefall.direct import quarantine as quarantine_module
 from sycamorefall.direct import urgency as urgency_module
 
 
@@ -104,6 +106,7 @@
         attempt: Where it is now; None while it waits.
         begun: Whether the caller has a part of the answer.
         part_uses: How often its last shared part was asked for lately.
+        fingerprint: Its fingerprint; empty until it is computed.
     """
 
     number: int
@@ -121,6 +124,7 @@
     attempt: Attempt | None = None
     begun: bool = False
     part_uses: float = 0.0
+    fingerprint: bytes = b""
 
 
 @dataclasses.dataclass(slots=True, frozen=True)
@@ -138,6 +142,23 @@
     news: int
 
 
+@dataclasses.dataclass(slots=True)
+class Disconnect:
+    """Connections to an upstream that were lost with requests in progress.
+
+    Attributes:
+        since: When the first one was lost.
+        fingerprints: Fingerprints of the requests.
+        checks: Reachability checks that were started.
+        crashed: Whether a check found that the upstream has crashed.
+    """
+
+    since: float
+    fingerprints: set[bytes] = dataclasses.field(default_factory=set)
+    checks: int = 1
+    crashed: bool = False
+
+
 @dataclasses.dataclass(slots=True)
 class DirectState:
     """Everything a router that sends directly knows.
@@ -164,6 +185,8 @@
         unread_sent: Prompt tokens sent to be read since the other routers
             were last told.
         placements: Prompts with long shared parts sent since then.
+        quarantine: Requests suspected of crashing upstreams.
+        disconnects: Lost connections, by the process that may have crashed.
         overload: How late the process was lately.
         routers: Routers that were heard lately, this one included.
         serve: Whether a place may have come free for a waiting request.
@@ -203,6 +226,12 @@
     )
     unread_sent: int = 0
     placements: list[Placement] = dataclasses.field(default_factory=list)
+    quarantine: quarantine_module.Quarantine = dataclasses.field(
+        default_factory=quarantine_module.Quarantine
+    )
+    disconnects: dict[quarantine_module.Crash, Disconnect] = dataclasses.field(
+        default_factory=dict
+    )
     overload: overload_module.Overload = dataclasses.field(
         default_factory=overload_module.Overload
     )
--- a/sycamorefall/direct/tests/exchanges.py
+++ b/sycamorefall/direct/tests/exchanges.py
@@ -5,7 +5,7 @@
 import random
 
 from sycamorefall import messages, settings
-from sycamorefall.direct import core, exchange
+from sycamorefall.direct import core, crash_exchange, exchange
 from sycamorefall.direct import state as state_module
 from sycamorefall.direct.tests import fakes
 
@@ -33,6 +33,7 @@
         core.apply_catalog(self.state, 0.0, fakes.create_catalog())
         core.apply_listing(self.state, 0.0, list(ENGINES))
         self.told = exchange.Exchange(name, name, seeds, capacity, now)
+        self.crashes = crash_exchange.CrashExchange()
 
     def take(self, now, **kinds):
         """Takes a request; gives its number and what is done at once."""
@@ -41,7 +42,12 @@
 
 
 class Fleet:
-    """Routers by name, and the messages between them."""
+    """Routers by name, and the messages between them.
+
+    Attributes:
+        cut: Failure domains that are partitioned from the others.
+        loss: Fraction of messages that are lost.
+    """
 
     def __init__(self, domains=3, size=4, seeds=2, seed=1, capacities=(4,)):
         self.random = random.Random(seed)
@@ -49,6 +55,7 @@
         self.events = []
         self.number = itertools.count()
         self.cut = set()
+        self.loss = 0.0
         names = [
             (f"router-{domain}-{n}", f"domain-{domain}")
             for n in range(size)
@@ -84,6 +91,12 @@
                     self._send(
                         one, exchange.write_due(one.told, one.state, self.now)
                     )
+                due = crash_exchange.find_next_due(one.crashes, one.state)
+                if self.now >= due:
+                    reports = crash_exchange.write_due(
+                        one.crashes, one.told, one.state, self.now
+                    )
+                    self._send(one, reports)
 
     def _send(self, one, reports):
         for report in reports:
@@ -101,6 +114,8 @@
         ends = {one.domain, receiver.domain}
         if len(ends) > 1 and ends & self.cut:
             return
+        if self.random.random() < self.loss:
+            return
 
         def arrive():
             if not receiver.alive or self.routers[to] is not receiver:
@@ -109,6 +124,15 @@
             if receiver.domain != one.domain:
                 receiver.heard_far += size
             message = envelope.message
+            if isinstance(message, messages.CrashReports):
+                crash_exchange.take_reports(
+                    receiver.crashes,
+                    receiver.told,
+                    receiver.state,
+                    self.now,
+                    envelope,
+                )
+                return
             if isinstance(message, messages.KnownRouters):
                 exchange.note_hearsay(receiver.told, self.now, message.routers)
                 return
--- a/sycamorefall/direct/tests/fakes.py
+++ b/sycamorefall/direct/tests/fakes.py
@@ -91,7 +91,13 @@
         own = tokens - sum(size for _, size in parts)
         prompt = prompts.Prompt(tokens, 50, (*parts, ("own", own)))
     return state_module.NewRequest(
-        HOST, f"/{route}/x", f"key-{team}" if team else "", time_left, prompt
+        HOST,
+        f"/{route}/x",
+        f"key-{team}" if team else "",
+        time_left,
+        prompt,
+        "POST",
+        f"/{route}/x",
     )
 
 
--- /dev/null
+++ b/sycamorefall/direct/tests/test_crash_exchange.py
@@ -0,0 +1,176 @@
+"""Exchange of crash evidence between routers, in simulated time."""
+
+import pytest
+
+from sycamorefall import messages, names
+from sycamorefall.direct import crash_exchange, quarantine
+from sycamorefall.direct.quarantine import Crash, Evidence
+from sycamorefall.direct.tests import exchanges
+
+HARMFUL = b"h" * 16
+
+SPREAD_BOUND = 3.0
+"""Seconds within which all routers must know of a third crash."""
+
+
+def record_crash(fleet, name, crash, request=HARMFUL, cleared=False):
+    """Records a crash at one router, or a request's success after it."""
+    known = fleet.routers[name].state.quarantine
+    found = [Evidence(Crash(crash, 1), request, cleared, fleet.now)]
+    new, _ = quarantine.add_evidence(known, fleet.now, found)
+    known.unsent += ((one.crash, one.fingerprint) for one in new)
+
+
+def list_unquarantined(fleet, request=HARMFUL):
+    """Lists routers at which a request is not quarantined."""
+    return [
+        one.name
+        for one in fleet.list_live()
+        if not quarantine.is_quarantined(one.state.quarantine, request)
+    ]
+
+
+@pytest.fixture
+def fleet():
+    made = exchanges.Fleet()
+    made.run(4.0)
+    return made
+
+
+def test_crashes_seen_by_three_routers_are_added_up_at_all_routers(fleet):
+    # Guards against a request whose repetitions arrive at different routers,
+    # each of which sees only one crash.
+    for name, crash in (
+        ("router-0-0", "e1"),
+        ("router-1-2", "e2"),
+        ("router-2-3", "e3"),
+    ):
+        record_crash(fleet, name, crash)
+        fleet.run(0.02)
+    fleet.run(0.05)
+    assert list_unquarantined(fleet) == []
+
+
+@pytest.mark.parametrize("seed", range(8))
+def test_quarantine_spreads_within_the_bound_despite_lost_messages(seed):
+    # Guards against routers that miss a quarantine because control messages
+    # are lost.
+    fleet = exchanges.Fleet(domains=4, size=6, seed=seed)
+    fleet.run(4.0)
+    fleet.loss = 0.3
+    for number in range(3):
+        record_crash(fleet, f"router-{number}-{number + 2}", f"e{number}")
+    fleet.run(SPREAD_BOUND)
+    assert list_unquarantined(fleet) == []
+
+
+def test_failure_domain_learns_of_a_quarantine_after_a_partition(fleet):
+    # Guards against routers that send a quarantined request after a partition
+    # because the evidence was exchanged during it.
+    fleet.cut = {"domain-2"}
+    for number in range(3):
+        record_crash(fleet, "router-0-1", f"e{number}")
+    fleet.run(5.0)
+    assert set(list_unquarantined(fleet)) == {f"router-2-{n}" for n in range(4)}
+    fleet.cut = set()
+    fleet.run(2.5)
+    assert list_unquarantined(fleet) == []
+
+
+def test_restarted_router_learns_of_a_quarantine(fleet):
+    # Guards against a restarted router that sends a quarantined request.
+    for number in range(3):
+        record_crash(fleet, "router-0-1", f"e{number}")
+    fleet.run(20.0)
+    fleet.restart("router-1-1")
+    fleet.run(2.0)
+    assert list_unquarantined(fleet) == []
+
+
+def test_success_anywhere_clears_a_request_everywhere(fleet):
+    # Guards against a harmless request that stays a suspect at other routers.
+    for number in range(2):
+        record_crash(fleet, "router-0-1", f"e{number}")
+    fleet.run(0.2)
+    for number in range(2):
+        record_crash(fleet, "router-2-2", f"e{number}", cleared=True)
+    fleet.run(0.2)
+    record_crash(fleet, "router-1-0", "e3")
+    fleet.run(0.2)
+    counts = {
+        quarantine.count_crashes(one.state.quarantine, HARMFUL)
+        for one in fleet.list_live()
+    }
+    assert counts == {1}
+
+
+def test_evidence_expires_although_routers_repeat_it(monkeypatch):
+    # Guards against evidence that never expires because routers keep sending
+    # it to each other.
+    monkeypatch.setattr(quarantine, "QUARANTINE_TIME", 6.0)
+    monkeypatch.setattr(quarantine, "EXPIRY_INTERVAL", 1.0)
+    fleet = exchanges.Fleet(domains=2, size=3)
+    fleet.run(4.0)
+    for number in range(3):
+        record_crash(fleet, "router-0-1", f"e{number}")
+    for _ in range(12):
+        fleet.run(1.0)
+        for one in fleet.list_live():
+            quarantine.drop_expired(one.state.quarantine, fleet.now)
+    assert not any(one.state.quarantine.suspects for one in fleet.list_live())
+
+
+def test_messages_about_crashes_are_bounded(fleet):
+    # Guards against excessive control traffic after the crash of an engine
+    # with many requests in progress.
+    sizes = []
+    for number in range(96):
+        record_crash(fleet, "router-0-1", "e1", b"%016d" % number)
+    one = fleet.routers["router-0-1"]
+    for _ in range(10):
+        for report in crash_exchange.write_due(
+            one.crashes, one.told, one.state, fleet.now
+        ):
+            envelope = messages.Envelope(one.name, 1, 1, report.message)
+            sizes.append(len(messages.encode_envelope(envelope)))
+        fleet.now += crash_exchange.SEND_INTERVAL
+    assert max(sizes) < 2000
+    seconds = 10 * crash_exchange.SEND_INTERVAL
+    assert sum(sizes) / 2 / seconds < 3500
+
+
+def test_malformed_record_is_ignored(fleet):
+    # Guards against malformed records, which another version might send.
+    report = messages.CrashReport(
+        "e1",
+        1,
+        (
+            messages.SuspectRecord(b"short", 0),
+            messages.SuspectRecord(HARMFUL, -5),
+        ),
+    )
+    one = fleet.routers["router-0-0"]
+    envelope = messages.Envelope(
+        "router-0-1", 1, 1, messages.CrashReports((report,))
+    )
+    crash_exchange.take_reports(
+        one.crashes, one.told, one.state, fleet.now, envelope
+    )
+    assert not one.state.quarantine.suspects
+
+
+def test_upstream_names_in_crash_reports_are_defined_once():
+    # Guards against crash reports in which the receiver can't resolve the
+    # upstream's name.
+    record = messages.SuspectRecord(HARMFUL, 3, True)
+    report = messages.CrashReport("e1", 1_791_542_604_516, (record,))
+    sent = messages.Envelope("a", 1, 1, messages.CrashReports((report,)))
+    sender, receiver = names.NameTable(), names.NameTable()
+    for _ in range(2):
+        compact = names.compact_envelope(sender, "b", sent)
+        data = messages.encode_envelope(compact)
+        found, unknown = names.expand_envelope(
+            receiver, messages.decode_envelope(data)
+        )
+        assert (found, unknown) == (sent, ())
+    assert b"e1" not in data
--- /dev/null
+++ b/sycamorefall/direct/tests/test_crashes.py
@@ -0,0 +1,204 @@
+"""Detection of crashed upstreams and handling of their requests."""
+
+import dataclasses
+
+import pytest
+
+from sycamorefall import errors, settings
+from sycamorefall.direct import (
+    core,
+    crashes,
+    effects,
+    fingerprints,
+    outcomes,
+    quarantine,
+)
+from sycamorefall.direct.outcomes import AttemptEnd
+from sycamorefall.direct.tests import fakes
+from sycamorefall.transport import Reachability
+
+LISTING = [
+    *(fakes.list_one(f"e{number}", port=number) for number in range(1, 7)),
+    fakes.list_one("l1", "ledger", port=11),
+    fakes.list_one("l2", "ledger", port=12),
+    fakes.list_one("l3", "ledger", port=13),
+]
+
+
+@pytest.fixture
+def state():
+    return fakes.create_state(listing=LISTING)
+
+
+def lose_connection(state, now, number, found=Reachability.REFUSED):
+    """Ends an attempt with a lost connection; returns all effects."""
+    checks = crashes.note_disconnect(state, now, number)
+    done = outcomes.end_attempt(state, now, number, AttemptEnd.BROKEN)
+    for check in checks:
+        done = [*done, *crashes.take_check(state, now, check, found)]
+    return done
+
+
+def add_crashes(state, now, request, *names):
+    """Adds evidence of a request at crashes; returns new quarantines."""
+    found = [
+        quarantine.Evidence(quarantine.Crash(name, 0), request, False, now)
+        for name in names
+    ]
+    return quarantine.add_evidence(state.quarantine, now, found)[1]
+
+
+def find_fingerprint(route, team="mill"):
+    asked = fakes.ask(route, team)
+    return fingerprints.compute_fingerprint(
+        asked, team if route in ("draft", "answer") else ""
+    )
+
+
+def test_third_crash_quarantines_a_request_and_the_next_arrival_is_refused(
+    state,
+):
+    # Guards against a request that crashes one upstream after the other, and
+    # against a Retry-After for it.
+    for now in (0.0, 1.0, 2.0):
+        number, sent = fakes.take(state, now, "draft")
+        assert isinstance(sent, effects.SendTo)
+        done = lose_connection(state, now + 0.1, number)
+    assert [one for one in done if isinstance(one, effects.ReportQuarantine)]
+    number, refused = fakes.take(state, 3.0, "draft")
+    assert refused.kind is errors.ErrorKind.QUARANTINED
+    assert refused.retry_after is None
+    assert errors.ANSWERS[refused.kind].ran is errors.Ran.NO
+    assert fakes.take(state, 3.0, "draft", team="trader")[1].upstream
+
+
+def test_one_arrival_crashes_two_upstreams_at_most(state):
+    # Guards against a request that crashes every upstream and is retried up to
+    # its route's limit.
+    number, first = fakes.take(state, 0.0, "look")
+    request = state.requests[number]
+    request.route = dataclasses.replace(request.route, most_upstreams=5)
+    again = fakes.find_sends(lose_connection(state, 0.1, number))
+    assert [one.upstream for one in again] != [first.upstream]
+    done = lose_connection(state, 0.2, number)
+    assert not fakes.find_sends(done)
+    assert fakes.find_kinds(done) == [errors.ErrorKind.RETRIES_EXHAUSTED]
+
+
+def test_suspect_is_not_retried(state):
+    # Guards against a retry by a router that knows of an earlier crash from
+    # another router.
+    add_crashes(state, 0.0, find_fingerprint("look"), "elsewhere")
+    number, _ = fakes.take(state, 0.0, "look")
+    assert not fakes.find_sends(lose_connection(state, 0.1, number))
+
+
+@pytest.mark.parametrize("found", [Reachability.ACCEPTED, Reachability.UNKNOWN])
+def test_lost_connection_to_a_live_or_unreachable_upstream_is_no_crash(
+    state, found
+):
+    # Guards against quarantining harmless requests because an upstream resets
+    # connections or is unreachable.
+    for now in (0.0, 1.0, 2.0, 3.0):
+        number, _ = fakes.take(state, now, "draft")
+        lose_connection(state, now + 0.1, number, found)
+    assert not state.quarantine.suspects
+
+
+def test_unanswered_check_is_repeated(state):
+    # Guards against missing a crash because a packet was lost.
+    number, _ = fakes.take(state, 0.0, "draft")
+    (check,) = crashes.note_disconnect(state, 0.1, number)
+    outcomes.end_attempt(state, 0.1, number, AttemptEnd.BROKEN)
+    unknown, refused = Reachability.UNKNOWN, Reachability.REFUSED
+    for now in (0.5, 0.9):
+        assert crashes.take_check(state, now, check, unknown) == [check]
+    assert crashes.take_check(state, 1.3, check, refused)
+    assert state.quarantine.suspects
+
+
+def test_end_of_a_leaving_upstream_is_no_crash(state):
+    # Guards against suspecting requests of an upstream that terminated on
+    # purpose.
+    number, sent = fakes.take(state, 0.0, "draft")
+    leaving = [
+        fakes.list_one(
+            one.name,
+            one.service,
+            one.address.port,
+            leaving=one.name == sent.upstream,
+        )
+        for one in LISTING
+    ]
+    core.apply_listing(state, 0.1, leaving)
+    assert crashes.note_disconnect(state, 0.2, number) == []
+
+
+def test_requests_of_one_crash_are_checked_once_and_all_suspected(state):
+    # Guards against counting a crash once per request, and against missing
+    # requests whose connection is lost after the check.
+    one = [fakes.list_one("e1")]
+    core.apply_listing(state, 0.0, one)
+    numbers = [
+        fakes.take(state, 0.0, "draft", team=team)[0]
+        for team in ("mill", "trader")
+    ]
+    numbers.append(fakes.take(state, 0.0, "answer")[0])
+    (check,) = crashes.note_disconnect(state, 0.1, numbers[0])
+    assert crashes.note_disconnect(state, 0.1, numbers[1]) == []
+    crashes.take_check(state, 0.1, check, Reachability.REFUSED)
+    assert crashes.note_disconnect(state, 0.11, numbers[2]) == []
+    counts = {
+        len(suspect.crashes) for suspect in state.quarantine.suspects.values()
+    }
+    assert len(state.quarantine.suspects) == 3
+    assert counts == {1}
+
+
+def test_crashed_upstream_gets_no_further_request(state):
+    # Guards against further attempts at a process that is known to have
+    # crashed.
+    core.apply_listing(state, 0.0, [fakes.list_one("e1")])
+    number, _ = fakes.take(state, 0.0, "draft")
+    lose_connection(state, 0.1, number)
+    assert fakes.take(state, 0.11, "draft", team="trader")[1] is None
+
+
+def test_success_clears_a_suspect_and_queues_the_evidence(state):
+    # Guards against a harmless request that stays a suspect at other routers.
+    number, _ = fakes.take(state, 0.0, "answer")
+    again = lose_connection(state, 0.1, number)
+    assert fakes.find_sends(again)
+    state.quarantine.unsent.clear()
+    outcomes.end_attempt(state, 0.5, number, AttemptEnd.COMPLETE)
+    (record,) = state.quarantine.unsent
+    (evidence,) = quarantine.list_evidence(state.quarantine, [record])
+    assert evidence.cleared
+
+
+def test_waiting_request_is_refused_when_it_is_quarantined():
+    # Guards against a quarantined request that waits until its timeout, or is
+    # sent when an upstream has capacity.
+    state = fakes.create_state(listing=[])
+    number, sent = fakes.take(state, 0.0, "draft")
+    assert sent is None
+    added = add_crashes(state, 0.0, find_fingerprint("draft"), "a", "b", "c")
+    done = crashes.report_quarantined(state, 0.1, added)
+    assert fakes.find_kinds(done) == [errors.ErrorKind.QUARANTINED]
+    assert not state.requests
+
+
+def test_quarantined_request_is_not_sent_on_after_a_refused_connection(state):
+    # Guards against sending a request to the next upstream if it was
+    # quarantined while its connection was being established.
+    number, _ = fakes.take(state, 0.0, "draft")
+    add_crashes(state, 0.0, find_fingerprint("draft"), "a", "b", "c")
+    done = outcomes.end_attempt(state, 0.1, number, AttemptEnd.NOT_SENT)
+    assert fakes.find_kinds(done) == [errors.ErrorKind.QUARANTINED]
+
+
+def test_check_uses_the_address_of_the_upstream(state):
+    number, sent = fakes.take(state, 0.0, "draft")
+    (check,) = crashes.note_disconnect(state, 0.1, number)
+    assert check.address == sent.address
+    assert isinstance(check.address, settings.Address)
--- a/sycamorefall/errors.py
+++ b/sycamorefall/errors.py
@@ -86,6 +86,7 @@
     OUTCOME_UNKNOWN = "outcome_unknown"
     NOT_READY = "not_ready"
     OVERLOADED = "overloaded"
+    QUARANTINED = "quarantined"
     STOPPING = "stopping"
     INTERNAL = "internal"
 
@@ -124,6 +125,7 @@
     ErrorKind.OUTCOME_UNKNOWN: ErrorAnswer(502, Ran.UNKNOWN),
     ErrorKind.NOT_READY: ErrorAnswer(503, Ran.NO, retry=True),
     ErrorKind.OVERLOADED: ErrorAnswer(503, Ran.NO, retry=True),
+    ErrorKind.QUARANTINED: ErrorAnswer(503, Ran.NO),
     ErrorKind.STOPPING: ErrorAnswer(503, Ran.NO, retry=True),
     ErrorKind.INTERNAL: ErrorAnswer(500, Ran.UNKNOWN),
 }
@@ -158,6 +160,8 @@
     ErrorKind.NOT_READY: "The router has no configuration yet.",
     ErrorKind.OVERLOADED: "The router is given more than it can do; another "
     "one may have time.",
+    ErrorKind.QUARANTINED: "Upstreams that ran this request crashed several "
+    "times in a row; it is not sent to another one.",
     ErrorKind.STOPPING: "The router is stopping and takes nothing new.",
     ErrorKind.INTERNAL: "A fault in the router; its log has the traceback.",
 }
--- a/sycamorefall/messages/__init__.py
+++ b/sycamorefall/messages/__init__.py
@@ -18,6 +18,8 @@
     "AttemptReport",
     "AttemptState",
     "Claim",
+    "CrashReport",
+    "CrashReports",
     "Envelope",
     "FetchRecords",
     "Heartbeat",
@@ -36,6 +38,7 @@
     "SentPrompt",
     "ServiceDemand",
     "Subscribe",
+    "SuspectRecord",
     "TeamService",
     "TeamWaiting",
     "UnknownNames",
@@ -69,12 +72,15 @@
     encode_envelope,
 )
 from sycamorefall.messages.loads import (
+    CrashReport,
+    CrashReports,
     KnownRouters,
     LoadScope,
     RouterAddress,
     RouterLoad,
     SentPrompt,
     ServiceDemand,
+    SuspectRecord,
     TeamService,
     UpstreamLoad,
 )
--- a/sycamorefall/messages/envelope.py
+++ b/sycamorefall/messages/envelope.py
@@ -23,6 +23,7 @@
     | naming.UnknownNames
     | loads.RouterLoad
     | loads.KnownRouters
+    | loads.CrashReports
     | records.Subscribe
     | records.ReaderState
     | records.FetchRecords
--- a/sycamorefall/messages/loads.py
+++ b/sycamorefall/messages/loads.py
@@ -1,12 +1,15 @@
 """What routers that send directly tell each other of their load."""
 
 __all__ = [
+    "CrashReport",
+    "CrashReports",
     "KnownRouters",
     "LoadScope",
     "RouterAddress",
     "RouterLoad",
     "SentPrompt",
     "ServiceDemand",
+    "SuspectRecord",
     "TeamService",
     "UpstreamLoad",
 ]
@@ -156,3 +159,42 @@
     part: int = 0
     parts: int = 1
     covers: int = 1
+
+
+class SuspectRecord(msgspec.Struct, frozen=True, array_like=True):
+    """A request that was in progress at a crash.
+
+    Attributes:
+        fingerprint: The request's fingerprint.
+        age: Seconds since its last crash, or its last arrival while
+            quarantined, rounded up.
+        cleared: Whether it has succeeded since.
+    """
+
+    fingerprint: bytes
+    age: int
+    cleared: bool = False
+
+
+class CrashReport(msgspec.Struct, frozen=True, array_like=True):
+    """A crashed process of an upstream, and the requests in progress there.
+
+    Attributes:
+        upstream: The upstream's incarnation.
+        born: When its process started; 0 if unknown.
+        suspects: The requests.
+    """
+
+    upstream: Name
+    born: int
+    suspects: tuple[SuspectRecord, ...]
+
+
+class CrashReports(msgspec.Struct, frozen=True, array_like=True, tag="x"):
+    """Crash evidence of a router.
+
+    Applying it is idempotent and commutative, so repeated or reordered messages
+    have no effect. Later messages make up for lost ones.
+    """
+
+    reports: tuple[CrashReport, ...]
--- a/sycamorefall/names.py
+++ b/sycamorefall/names.py
@@ -313,6 +313,15 @@
             return messages.AccountUpdate(rename(message.service), entries)
         case messages.RouterLoad():
             return _rename_load(message, rename)
+        case messages.CrashReports():
+            return messages.CrashReports(
+                tuple(
+                    msgspec.structs.replace(
+                        report, upstream=rename(report.upstream)
+                    )
+                    for report in message.reports
+                )
+            )
         case messages.Claim() | messages.NoWork():
             return msgspec.structs.replace(
                 message,
--- a/sycamorefall/observation/explaining.py
+++ b/sycamorefall/observation/explaining.py
@@ -81,7 +81,8 @@
     """Collects and orders what logs tell of a request.
 
     Args:
-        request_id: The id that the caller sent, or got.
+        request_id: The id that the caller sent, or got; or the fingerprint of
+            requests that lost their upstream connection or are quarantined.
         paths: Logs of one or more processes, as they wrote them.
 
     Returns:
@@ -99,7 +100,8 @@
         tasks = {
             line.task
             for line in lines
-            if line.fields.get("request_id") == request_id
+            if request_id
+            in (line.fields.get("request_id"), line.fields.get("fingerprint"))
         }
         if not tasks:
             continue
@@ -199,6 +201,10 @@
     "broken_off": "its answer was broken off after it had begun",
     "cancelled": "its caller left before the answer was whole",
     "dropped": "not begun: its caller had left when it was read",
+    "quarantined": (
+        "refused, it has not run: upstreams that ran it crashed, see "
+        "`quarantine.added`"
+    ),
 }
 
 
--- a/sycamorefall/platform/tests/test_crashing.py
+++ b/sycamorefall/platform/tests/test_crashing.py
@@ -1,10 +1,14 @@
-"""A request that crashes every upstream that runs it, and the real program."""
+"""Requests that crash every upstream, tested with the real program."""
 
+import http.client
+import pathlib
+import re
 import time
 
 import pytest
 
 from standins import site as site_module
+from sycamorefall import command
 from sycamorefall.platform.tests import test_whole_path
 from sycamorefall.platform.tests.asking import ask
 
@@ -13,7 +17,7 @@
 
 @pytest.fixture
 def fleet(site):
-    """Three routers that know each other, before eight engines."""
+    """Three connected routers and eight engines."""
     for number in range(8):
         engine = site.add_upstream(f"e{number}", "engine")
         engine.crash_on = CRASHING
@@ -35,7 +39,7 @@
 @pytest.mark.parametrize("path", ["/draft/x", "/answer/x"])
 def test_request_that_crashes_engines_reaches_no_fourth_one(site, fleet, path):
     # Guards against a request that crashes one engine after the other because
-    # its repetitions reach other routers, or because a router sends it on.
+    # its repetitions reach other routers, or because a router retries it.
     for number in range(9):
         router = fleet[number % len(fleet)]
         _, status, found, _ = ask(router, path, prompt=True, body=CRASHING)
@@ -45,3 +49,41 @@
     assert (status, found.get("retry-after")) == (503, None)
     for router in fleet:
         assert ask(router, path, prompt=True, body=b"sound")[1] == 200
+
+
+def test_reset_connections_are_no_crash(site):
+    # Guards against quarantining harmless requests because a live engine breaks
+    # off its answers to them.
+    engine = site.add_upstream("e1", "engine")
+    engine.cut_after = 2
+    router = site.add_router()
+    for _ in range(4):
+        with pytest.raises(http.client.IncompleteRead):
+            ask(router, "/draft/x", prompt=True)
+    engine.cut_after = None
+    assert ask(router, "/draft/x", prompt=True)[1] == 200
+
+
+def test_quarantined_request_is_explained_by_its_fingerprint(
+    site, fleet, capsys
+):
+    # Guards against logs that don't show which request is refused, and because
+    # of which crashes.
+    for number in range(4):
+        router = fleet[number % len(fleet)]
+        ask(router, "/draft/x", prompt=True, body=CRASHING)
+        time.sleep(0.2)
+    logs = [str(path) for path in sorted(site.folder.glob("front-*.log"))]
+    texts = [pathlib.Path(path).read_text() for path in logs]
+    added = [text for text in texts if "quarantine.added" in text]
+    assert len(added) == len(fleet)
+    (fingerprint,) = {
+        re.search('"fingerprint": ?"([0-9a-f]{32})", ?"crashed"', text)[1]
+        for text in added
+    }
+    assert command.main(["explain", fingerprint, *logs]) == 0
+    text = capsys.readouterr().out
+    assert "upstreams that ran it crashed" in text
+    crashed = [one.name for one in site.upstreams.values() if one.crashed]
+    assert len(crashed) == 3
+    assert all(name in text for name in crashed)
--- a/sycamorefall/transport/__init__.py
+++ b/sycamorefall/transport/__init__.py
@@ -12,6 +12,7 @@
     "OutgoingRequest",
     "RequestHeaders",
     "Shedding",
+    "Reachability",
     "Stage",
     "Ticker",
     "create_loop",
@@ -24,6 +25,7 @@
     HttpClient,
     Listener,
     OutgoingRequest,
+    Reachability,
     Stage,
 )
 from sycamorefall.transport.control import ControlLinks
--- a/sycamorefall/transport/client.py
+++ b/sycamorefall/transport/client.py
@@ -5,7 +5,14 @@
 from one that broke off.
 """
 
-__all__ = ["Exchange", "HttpClient", "Listener", "OutgoingRequest", "Stage"]
+__all__ = [
+    "Exchange",
+    "HttpClient",
+    "Listener",
+    "OutgoingRequest",
+    "Reachability",
+    "Stage",
+]
 
 from collections.abc import Callable
 import dataclasses
@@ -53,6 +60,34 @@
     SENT = "sent"
 
 
+class Reachability(enum.Enum):
+    """Whether a process accepts connections.
+
+    ACCEPTED: A connection was established.
+    REFUSED: The VM refused the connection: no process listens there.
+    UNKNOWN: Neither; the VM may be down or unreachable.
+    """
+
+    ACCEPTED = "accepted"
+    REFUSED = "refused"
+    UNKNOWN = "unknown"
+
+
+@dataclasses.dataclass(slots=True)
+class _ReachabilityCheck:
+    """A connection that is opened to check whether a process accepts it.
+
+    Attributes:
+        opened: When it was begun.
+        failure: Error number if connecting failed immediately; else 0.
+        on_result: Called with the result.
+    """
+
+    opened: float
+    failure: int
+    on_result: Callable[[Reachability], None]
+
+
 @dataclasses.dataclass(slots=True, frozen=True)
 class OutgoingRequest:
     """A request to be sent.
@@ -167,6 +202,7 @@
         self._by_socket: dict[socket.socket, Exchange] = {}
         self._idle: dict[settings.Address, list[Exchange]] = {}
         self._connecting: dict[socket.socket, Exchange] = {}
+        self._checks: dict[socket.socket, _ReachabilityCheck] = {}
         self._swept_at = float("-inf")
 
     def send(self, request: OutgoingRequest, listener: Listener) -> Exchange:
@@ -235,6 +271,45 @@
         exchange.socket.connect_ex(address.pair)
         return exchange
 
+    def check_reachable(
+        self,
+        address: settings.Address,
+        on_result: Callable[[Reachability], None],
+    ) -> None:
+        """Checks whether a process accepts connections, without sending data.
+
+        Args:
+            address: Where it listens.
+            on_result: Called with the result, never before this method
+                returns.
+        """
+        sock = socket.socket(socket.AF_INET, socket.SOCK_STREAM)
+        sock.setblocking(False)
+        failure = sock.connect_ex(address.pair)
+        if failure == errno.EINPROGRESS:
+            failure = 0
+        self._checks[sock] = _ReachabilityCheck(
+            self._read_clock(), failure, on_result
+        )
+        self._poller.addWriter(self, sock)
+
+    def _complete_check(self, sock: socket.socket) -> None:
+        error = sock.getsockopt(socket.SOL_SOCKET, socket.SO_ERROR)
+        match self._checks[sock].failure or error:
+            case 0:
+                found = Reachability.ACCEPTED
+            case errno.ECONNREFUSED:
+                found = Reachability.REFUSED
+            case _:
+                found = Reachability.UNKNOWN
+        self._end_check(sock, found)
+
+    def _end_check(self, sock: socket.socket, found: Reachability) -> None:
+        check = self._checks.pop(sock)
+        self._poller.discard(sock)
+        sock.close()
+        check.on_result(found)
+
     def abort(self, exchange: Exchange) -> None:
         """Gives a request up; its listener is not called any more."""
         if exchange.listener is not None:
@@ -255,9 +330,13 @@
 
     def find_next_due(self) -> float:
         """Tells when the oldest pending connection is to be given up."""
-        pending = next(iter(self._connecting.values()), None)
-        return (
-            pending.opened + self._connect_timeout if pending else float("inf")
+        oldest = (
+            next(iter(pending.values()), None)
+            for pending in (self._connecting, self._checks)
+        )
+        return min(
+            (one.opened + self._connect_timeout for one in oldest if one),
+            default=float("inf"),
         )
 
     def expire(self, now: float) -> None:
@@ -273,6 +352,13 @@
         ]
         for exchange in late:
             self._fail(exchange)
+        unanswered = [
+            sock
+            for sock, check in self._checks.items()
+            if now - check.opened >= self._connect_timeout
+        ]
+        for sock in unanswered:
+            self._end_check(sock, Reachability.UNKNOWN)
         if now - self._swept_at >= SWEEP_INTERVAL:
             self._swept_at = now
             self._close_unused(now)
@@ -291,6 +377,9 @@
 
     @circuits.handler("_write")
     def _on_write(self, sock: socket.socket) -> None:
+        if sock in self._checks:
+            self._complete_check(sock)
+            return
         exchange = self._by_socket.get(sock)
         if exchange is None:
             return
@@ -419,6 +508,9 @@
 
     @circuits.handler("_disconnect")
     def _on_disconnect(self, sock: socket.socket) -> None:
+        if sock in self._checks:
+            self._complete_check(sock)
+            return
         exchange = self._by_socket.get(sock)
         if exchange is not None:
             self._fail(exchange)
--- a/sycamorefall/transport/tests/test_client.py
+++ b/sycamorefall/transport/tests/test_client.py
@@ -1,6 +1,7 @@
 """The HTTP client's connections, seen from the server that it asks."""
 
 import contextlib
+import errno
 import socket
 import threading
 
@@ -137,3 +138,44 @@
     site.turn_until(lambda: len(site.upstream.connections) == 2)
     site.ask(fresh=False, keep=0)
     site.turn_until(lambda: len(site.upstream.connections) == 1)
+
+
+def check_reachable(site, address=None):
+    found = []
+    site.client.check_reachable(address or site.upstream.address, found.append)
+    assert not found
+    return found
+
+
+def test_check_distinguishes_live_from_terminated_processes(site):
+    # Guards against missing a crash, and against reporting one for a live
+    # process.
+    found = check_reachable(site)
+    site.turn_until(lambda: found)
+    assert found == [transport.Reachability.ACCEPTED]
+    with socket.create_server(("127.0.0.1", 0)) as gone:
+        address = settings.Address(*gone.getsockname())
+    found = check_reachable(site, address)
+    site.turn_until(lambda: found)
+    assert found == [transport.Reachability.REFUSED]
+    assert site.client.find_next_due() == float("inf")
+
+
+def test_unanswered_check_is_no_crash(site, monkeypatch):
+    # Guards against reporting a crash after a network partition.
+    monkeypatch.setattr(socket.socket, "connect_ex", lambda *_: 0)
+    found = check_reachable(site)
+    assert site.client.find_next_due() == client_module.CONNECT_TIMEOUT
+    site.now = client_module.CONNECT_TIMEOUT
+    site.client.expire(site.now)
+    assert found == [transport.Reachability.UNKNOWN]
+    assert site.client.find_next_due() == float("inf")
+
+
+def test_unreachable_network_is_no_crash(site, monkeypatch):
+    # Guards against reporting a crash if the router has no network route.
+    unreachable = errno.ENETUNREACH
+    monkeypatch.setattr(socket.socket, "connect_ex", lambda *_: unreachable)
+    found = check_reachable(site)
+    site.turn_until(lambda: found)
+    assert found == [transport.Reachability.UNKNOWN]
