--- a/standins/wire_upstream.py
+++ b/standins/wire_upstream.py
@@ -26,6 +26,9 @@
         crash_on: Body of the requests that crash it.
         crashed: Whether it has crashed.
         server: The server that listens for its connections.
+        leaving: Sends Server-Leaving in its responses, except in a 421.
+        rest: Retry-After value of its 503 responses; None omits the header.
+        refused: Ids of the requests that it refused.
     """
 
     name: str
@@ -45,6 +48,9 @@
     crash_on: bytes | None = None
     crashed: bool = False
     server: asyncio.Server | None = None
+    leaving: bool = False
+    rest: str | None = None
+    refused: list[str] = dataclasses.field(default_factory=list)
     _last: dict[asyncio.StreamWriter, bytes] = dataclasses.field(
         default_factory=dict
     )
@@ -85,10 +91,14 @@
                 + b"\r\nContent-Length: 0\r\n\r\n"
             )
             return
+        extra_headers = "Server-Leaving: 1\r\n" if self.leaving else ""
         if self.refuse:
+            self.refused.append(request)
+            if self.rest is not None:
+                extra_headers += f"Retry-After: {self.rest}\r\n"
             writer.write(
-                b"HTTP/1.1 503 Busy\r\nNot-Executed: 1\r\n"
-                b"Content-Length: 0\r\n\r\n"
+                f"HTTP/1.1 503 Busy\r\nNot-Executed: 1\r\n{extra_headers}"
+                "Content-Length: 0\r\n\r\n".encode()
             )
             return
         self.runs.append((request, headers))
@@ -100,7 +110,10 @@
             if not await reader.read(1):
                 self.gone.append(request)
             return
-        stamp = f"Attempt-Id: {request}\r\nServer-Stamp: s.{self.name}\r\n"
+        stamp = (
+            f"Attempt-Id: {request}\r\nServer-Stamp: s.{self.name}\r\n"
+            f"{extra_headers}"
+        )
         if "prompt-prefix" in headers:
             await self._stream(stamp, headers, reader, writer)
             return
--- a/sycamorefall/direct/dialects.py
+++ b/sycamorefall/direct/dialects.py
@@ -38,11 +38,16 @@
         verdict: What it says.
         status: Its status.
         headers: Headers that go on to the caller.
+        leaving: Whether the upstream announces that it is shutting down.
+        retry_after: Seconds for which the upstream asks this router to send
+            no further requests; None if it doesn't.
     """
 
     verdict: Verdict
     status: int
     headers: tuple[tuple[str, str], ...]
+    leaving: bool = False
+    retry_after: float | None = None
 
 
 @dataclasses.dataclass(slots=True, frozen=True)
--- a/sycamorefall/platform/headers.py
+++ b/sycamorefall/platform/headers.py
@@ -2,9 +2,11 @@
 
 __all__ = ["create_dialect"]
 
+import math
+
 from returns import result
 
-from sycamorefall import transport
+from sycamorefall import observation, transport
 from sycamorefall.direct import dialects, effects, prompts
 from sycamorefall.direct import state as state_module
 
@@ -19,6 +21,8 @@
 _INCARNATION = "Expect-Instance"
 _LAST_EVENT = "Last-Event-Id"
 _FETCH_FROM = "Kv-Fetch"
+_LEAVING = "Server-Leaving"
+_RETRY_AFTER = "Retry-After"
 
 _CONNECTION_HEADERS = frozenset(
     {
@@ -57,6 +61,9 @@
 _MISDIRECTED = 421
 """Status of an upstream that is another incarnation than was meant."""
 
+_UNAVAILABLE = 503
+"""Status of an upstream that refuses a request."""
+
 _PROMISES = frozenset({408, 429, 503})
 """Statuses that tell a caller that its request did not run. From an upstream
 that doesn't say so in the header for it they can't be passed on."""
@@ -164,7 +171,29 @@
         for name, value in headers
         if name not in _CONNECTION_HEADERS
     )
-    return dialects.AnswerHead(verdict, status, passed)
+    leaving = named.get(_LEAVING.lower()) == "1"
+    retry_after = _read_retry_after(named) if status == _UNAVAILABLE else None
+    return dialects.AnswerHead(verdict, status, passed, leaving, retry_after)
+
+
+def _read_retry_after(named: dict[str, str]) -> float | None:
+    """Reads the Retry-After delay in seconds.
+
+    A value that isn't a finite, non-negative number is logged and ignored.
+    """
+    text = named.get(_RETRY_AFTER.lower())
+    if text is None:
+        return None
+    try:
+        seconds = float(text)
+    except ValueError:
+        seconds = math.nan
+    if math.isfinite(seconds) and seconds >= 0:
+        return seconds
+    observation.write_limited(
+        observation.Level.WARNING, "upstream.malformed_rest", value=text[:64]
+    )
+    return None
 
 
 def _judge(status: int, named: dict[str, str]) -> dialects.Verdict:
--- a/sycamorefall/platform/tests/test_translation.py
+++ b/sycamorefall/platform/tests/test_translation.py
@@ -256,3 +256,37 @@
     dialect = headers.create_dialect()
     head = dialect.read_answer(status, list(named.items()))
     assert head.verdict is verdict
+
+
+@pytest.mark.parametrize("status", [200, 500, 503, 421, 302])
+def test_leaving_is_read_from_answers_of_any_status(status):
+    # Guards against missing a shutdown notice in an unsuccessful response.
+    named = {"server-leaving": "1", "attempt-id": "1"}
+    dialect = headers.create_dialect()
+    assert dialect.read_answer(status, list(named.items())).leaving
+    assert not dialect.read_answer(status, [("server-leaving", "0")]).leaving
+    assert not dialect.read_answer(status, []).leaving
+
+
+@pytest.mark.parametrize(
+    ("status", "text", "retry_after"),
+    [
+        (503, "3", 3.0),
+        (503, "0.25", 0.25),
+        (503, "0", 0.0),
+        (503, "1e9", 1e9),
+        (429, "3", None),
+        (200, "3", None),
+        (503, "-1", None),
+        (503, "nan", None),
+        (503, "inf", None),
+        (503, "soon", None),
+        (503, "", None),
+        (503, "Fri, 04 Dec 2026 10:00:00 GMT", None),
+    ],
+)
+def test_retry_after_is_read_only_from_503(status, text, retry_after):
+    # Guards against an invalid value raising or a valid one being ignored.
+    dialect = headers.create_dialect()
+    head = dialect.read_answer(status, [("retry-after", text)])
+    assert head.retry_after == retry_after
