Stop sending requests to upstreams that announced their shutdown

Requests reached an engine 2.3 to 12.8 s after it had announced in an answer to the same router that it was leaving; the limit is 2 s. Requests still running when it exits would be lost.

This is a case of a delayed source overriding a first-hand one.

A shutdown notice in any answer, except one from another process at the upstream's address, now marks the upstream's process as leaving. The mark is keyed by process (incarnation and birth). It survives a stale listing and a lapsed entry, and does not apply to a restarted process. Waiting requests, second sends and fetches skip the upstream as they skip one that is listed as leaving, and its exit is not counted as a crash. `upstream.leaving` is logged once per process.

The router learns of the shutdown from the head of the first such answer, before it passes the answer on.

--- a/sycamorefall/direct/crashes.py
+++ b/sycamorefall/direct/crashes.py
@@ -52,7 +52,7 @@
     if request is None or request.attempt is None:
         return []
     upstream = state_module.find_upstream(state, request.attempt)
-    if upstream is None or upstream.listed.leaving:
+    if upstream is None or upstreams.is_leaving(upstream):
         return []
     crash = Crash(upstream.listed.name, upstream.listed.born)
     fingerprint = fingerprints.find_fingerprint(request)
--- a/sycamorefall/direct/outcomes.py
+++ b/sycamorefall/direct/outcomes.py
@@ -8,6 +8,7 @@
     "end_late",
     "forget_request",
     "note_answer",
+    "note_leaving",
     "note_sent",
     "refund_attempt",
     "refuse_request",
@@ -18,6 +19,7 @@
 from sycamorefall import errors
 from sycamorefall.direct import (
     catalog,
+    dialects,
     dispatching,
     effects,
     fingerprints,
@@ -180,6 +182,33 @@
             _note_read(upstream, now, attempt)
 
 
+def note_leaving(
+    state: state_module.DirectState,
+    now: float,
+    number: int,
+    head: dialects.AnswerHead,
+) -> bool:
+    """Records a shutdown notice from the head of an answer.
+
+    A notice from another process at the upstream's address is ignored.
+
+    Args:
+        state: The router; changed.
+        now: This process's time.
+        number: The request that is answered; its attempt has not ended.
+        head: The head of the answer.
+
+    Returns:
+        Whether this is the first shutdown notice of the upstream's process.
+    """
+    upstream = state_module.find_upstream(state, state.requests[number].attempt)
+    if upstream is None or not head.leaving:
+        return False
+    if head.verdict is dialects.Verdict.OTHER_INCARNATION:
+        return False
+    return upstreams.note_leaving(state.table, now, upstream)
+
+
 def _note_read(
     upstream: upstreams.Upstream, now: float, attempt: state_module.Attempt
 ) -> None:
--- a/sycamorefall/direct/relay.py
+++ b/sycamorefall/direct/relay.py
@@ -324,7 +324,7 @@
     headers: list[tuple[str, str]],
 ) -> None:
     delivery.head = desk.dialect.read_answer(status, headers)
-    _log_upstream_state(desk, number, delivery.head)
+    _note_upstream_state(desk, number, delivery.head)
     verdict = delivery.head.verdict
     if verdict is dialects.Verdict.INVALID:
         _abort(desk, delivery)
@@ -336,15 +336,15 @@
     outcomes.note_answer(desk.state, now, number, first=False)
 
 
-def _log_upstream_state(
+def _note_upstream_state(
     desk: Desk, number: int, head: dialects.AnswerHead
 ) -> None:
-    """Logs a shutdown notice or retry delay from an upstream's response."""
+    """Records a shutdown notice or retry delay from an upstream's response."""
     request = desk.state.requests.get(number)
     if request is None or request.attempt is None:
         return
     upstream = request.attempt.upstream
-    if head.leaving:
+    if outcomes.note_leaving(desk.state, transport.read_clock(), number, head):
         observation.write_record(
             observation.Level.INFO, "upstream.leaving", upstream=upstream
         )
--- a/sycamorefall/direct/tests/test_upstreams.py
+++ b/sycamorefall/direct/tests/test_upstreams.py
@@ -1,8 +1,11 @@
 """Listings of upstreams: lapsed entries, leaving, replaced, reused."""
 
+import dataclasses
 import math
 
-from sycamorefall.direct import upstreams
+import pytest
+
+from sycamorefall.direct import core, dialects, outcomes, upstreams
 from sycamorefall.direct.tests import fakes
 
 
@@ -93,3 +96,70 @@
     after = upstreams.read_failure_rate(one, 1.0 + upstreams.FAILURE_MEMORY)
     assert before > 0.9
     assert abs(after - before / 2) < 1e-9
+
+
+def find_upstream(state, name):
+    return state.table.by_name[name]
+
+
+def create_entry(name, born=0, leaving=False):
+    return dataclasses.replace(fakes.list_one(name, leaving=leaving), born=born)
+
+
+def note_leaving(state, name, now=0.0):
+    upstream = find_upstream(state, name)
+    return upstreams.note_leaving(state.table, now, upstream)
+
+
+def test_stale_listing_does_not_clear_leaving_notice():
+    # Guards against new requests to a leaving upstream that the platform still
+    # lists as ready.
+    state = fakes.create_state(listing=[create_entry("e1")])
+    assert note_leaving(state, "e1")
+    assert not note_leaving(state, "e1"), "a repeated notice is not new"
+    core.apply_listing(state, 1.0, [create_entry("e1")])
+    assert not upstreams.is_usable(find_upstream(state, "e1"), 1.0)
+    assert fakes.take(state, 1.0, "draft")[1] is None
+
+
+def test_relisted_process_keeps_leaving_notice():
+    # Guards against requests to a leaving upstream whose entry lapsed while
+    # the platform was away and is listed again.
+    state = fakes.create_state(listing=[create_entry("e1"), create_entry("e2")])
+    note_leaving(state, "e1")
+    core.apply_listing(state, 1.0, [create_entry("e2")])
+    assert "e1" not in state.table.by_name
+    core.apply_listing(state, 30.0, [create_entry("e1"), create_entry("e2")])
+    assert not upstreams.is_usable(find_upstream(state, "e1"), 30.0)
+
+
+def test_restarted_process_does_not_inherit_leaving_notice():
+    # Guards against a restarted upstream that never receives requests because
+    # of its predecessor's notice.
+    state = fakes.create_state(listing=[create_entry("e1", born=5)])
+    note_leaving(state, "e1")
+    core.apply_listing(state, 1.0, [create_entry("e1", born=9)])
+    assert upstreams.is_usable(find_upstream(state, "e1"), 1.0)
+
+
+def test_notices_of_unlisted_processes_expire():
+    # Guards against memory use that grows with each replaced upstream.
+    state = fakes.create_state(listing=[create_entry("e1")])
+    note_leaving(state, "e1")
+    core.apply_listing(state, 1.0, [])
+    assert state.table.notices
+    core.apply_listing(state, upstreams.NOTICE_RETENTION, [])
+    assert not state.table.notices
+
+
+@pytest.mark.parametrize("verdict", list(dialects.Verdict))
+def test_leaving_notice_is_read_from_any_answer_of_the_upstream(verdict):
+    # Guards against missing a notice in a refusal or failure, and against
+    # attributing one from another process at the address to the upstream.
+    state = fakes.create_state()
+    number, sent = fakes.take(state, 0.0, "draft")
+    head = dialects.AnswerHead(verdict, 200, (), leaving=True)
+    other_process = verdict is dialects.Verdict.OTHER_INCARNATION
+    assert outcomes.note_leaving(state, 0.1, number, head) != other_process
+    usable = upstreams.is_usable(find_upstream(state, sent.upstream), 0.1)
+    assert usable == other_process
--- a/sycamorefall/direct/upstreams.py
+++ b/sycamorefall/direct/upstreams.py
@@ -3,16 +3,20 @@
 __all__ = [
     "Listed",
     "Load",
+    "Notice",
+    "ProcessKey",
     "Upstream",
     "UpstreamTable",
     "bar_upstream",
     "drop_lapsed",
     "end_probe",
     "find_lapse_end",
+    "is_leaving",
     "is_usable",
     "list_upstreams",
     "note_contact",
     "note_failure",
+    "note_leaving",
     "note_other_incarnation",
     "note_sent",
     "note_success",
@@ -24,6 +28,7 @@
 import dataclasses
 import enum
 import math
+from typing import NamedTuple
 
 from sycamorefall import settings
 from sycamorefall.direct import caches
@@ -57,6 +62,37 @@
 """Prompt tokens an engine reads in a second until it was seen reading: the
 slowest that was met."""
 
+NOTICE_RETENTION = 600.0
+"""Seconds for which the notice of an unlisted process is kept, since its entry
+may be missing for as long as the platform is away."""
+
+
+class ProcessKey(NamedTuple):
+    """Identifies an upstream's process across listings.
+
+    Attributes:
+        name: Its incarnation.
+        born: When it started; see `Listed`.
+    """
+
+    name: str
+    born: int
+
+
+@dataclasses.dataclass(slots=True)
+class Notice:
+    """State that an upstream's process announced in its answers.
+
+    It applies regardless of the platform's listing, which may be stale.
+
+    Attributes:
+        leaving: Whether the process announced that it is shutting down.
+        updated_at: When the last announcement was received.
+    """
+
+    leaving: bool = False
+    updated_at: float = float("-inf")
+
 
 class _Health(enum.Enum):
     USABLE = "usable"
@@ -122,6 +158,7 @@
         reading_rate: Prompt tokens it reads in a second.
         cache: What it is taken to hold of prompts.
         barred_until: When it may be tried again after a failure.
+        notice: What its process announced in its answers.
     """
 
     listed: Listed
@@ -134,6 +171,7 @@
     reading_rate: float = READING_RATE
     cache: caches.Cache = dataclasses.field(default_factory=caches.Cache)
     barred_until: float = 0.0
+    notice: Notice = dataclasses.field(default_factory=Notice)
     _health: _Health = _Health.USABLE
     _failures: int = 0
     _failure_rate: float = 0.0
@@ -167,6 +205,8 @@
         lapsed: Upstreams that the platform listed and lists no more, and that
             are used until then.
         replaced: Incarnations known to be replaced at their address.
+        notices: Notices by process, including processes that are currently
+            not listed.
         rankings: Upstreams of a service in the order in which they are to
             hold a prompt part, by service and part; see `placing`.
     """
@@ -179,6 +219,7 @@
     settled_at: float = 0.0
     lapsed: set[str] = dataclasses.field(default_factory=set)
     replaced: set[str] = dataclasses.field(default_factory=set)
+    notices: dict[ProcessKey, Notice] = dataclasses.field(default_factory=dict)
     rankings: dict[tuple[str, str], list[Upstream]] = dataclasses.field(
         default_factory=dict
     )
@@ -217,15 +258,29 @@
     for name, entry in listed.items():
         known = table.by_name.get(name)
         if known is None or known.listed.born != entry.born:
-            table.by_name[name] = Upstream(entry, heard_at=now)
+            notice = table.notices.get(ProcessKey(name, entry.born)) or Notice()
+            table.by_name[name] = Upstream(entry, heard_at=now, notice=notice)
             table.replaced.discard(name)
         else:
             known.listed = entry
     table.replaced &= table.by_name.keys()
+    _drop_notices(table, now)
     _index(table)
     return gone
 
 
+def _drop_notices(table: UpstreamTable, now: float) -> None:
+    """Drops expired notices of unlisted processes."""
+    listed = {
+        ProcessKey(name, one.listed.born) for name, one in table.by_name.items()
+    }
+    table.notices = {
+        process: notice
+        for process, notice in table.notices.items()
+        if process in listed or now - notice.updated_at < NOTICE_RETENTION
+    }
+
+
 def note_contact(
     table: UpstreamTable, now: float, proven_at: float | None
 ) -> None:
@@ -309,13 +364,42 @@
     After a failure it gets nothing for a while, then one request; the rest
     follows once that one is answered.
     """
-    if upstream.listed.leaving:
+    if is_leaving(upstream):
         return False
     if upstream._health is _Health.USABLE:
         return True
     return upstream._health is _Health.BARRED and now >= upstream.barred_until
 
 
+def is_leaving(upstream: Upstream) -> bool:
+    """Tells whether an upstream is listed as leaving or announced it itself."""
+    return upstream.listed.leaving or upstream.notice.leaving
+
+
+def note_leaving(table: UpstreamTable, now: float, upstream: Upstream) -> bool:
+    """Records that an upstream announced its shutdown in an answer.
+
+    Guards against requests sent to a leaving upstream while the listing is
+    stale or unavailable. The notice does not apply to a process restarted
+    under the same name.
+
+    Returns:
+        Whether this is the first shutdown notice of the process.
+    """
+    notice = _update_notice(table, now, upstream)
+    was_leaving, notice.leaving = notice.leaving, True
+    return not was_leaving
+
+
+def _update_notice(
+    table: UpstreamTable, now: float, upstream: Upstream
+) -> Notice:
+    listed = upstream.listed
+    table.notices[ProcessKey(listed.name, listed.born)] = upstream.notice
+    upstream.notice.updated_at = now
+    return upstream.notice
+
+
 def note_sent(upstream: Upstream) -> None:
     """Takes note of a request sent; to a barred upstream it is a probe."""
     if upstream._health is _Health.BARRED:
