Honor Retry-After from upstreams

Requests were refused by an engine that had asked for no requests for 3 s, and were then sent on to others. That engine received 5 to 10 requests from one router in that time (two are allowed, from half a second after its answer) and refused all of them. If no other upstream had room, callers got a Retry-After that ended long before any upstream would accept them.

The Retry-After of an upstream was not used anywhere. A refusal only raised the upstream's failure rate, which a busy service outweighs. As with shutdown notices, this is a case of ignoring what an upstream reports about itself.

An upstream that answers 503 with Retry-After now gets no requests from this router for that time. If delays overlap, the one that ends last applies; a delay is limited to 300 s. It applies to this router only, since the upstream may have asked other routers for a shorter one. Like a shutdown notice, it is bound to the upstream's process. Second sends, homes and fetches skip the upstream. If the retry delays of all upstreams of a service last at least as long as a request may wait, the request is refused at once, even if it is already waiting. Its Retry-After is the time until the first delay ends, plus a random jitter of up to 0.4 s. `upstream.resting` is logged once per delay.

--- a/sycamorefall/direct/core.py
+++ b/sycamorefall/direct/core.py
@@ -205,6 +205,8 @@
         sent = dispatching.try_send(state, now, request)
         if sent:
             return number, sent
+    if dispatching.is_retry_delay_too_long(state, now, request):
+        return number, outcomes.refuse_request(state, request, now)
     dispatching.enter_room(state, request)
     return number, []
 
--- a/sycamorefall/direct/dispatching.py
+++ b/sycamorefall/direct/dispatching.py
@@ -7,6 +7,7 @@
     "explain_refusal",
     "find_budget",
     "is_quarantined",
+    "is_retry_delay_too_long",
     "leave_room",
     "serve_waiting",
     "try_send",
@@ -133,6 +134,16 @@
     return [_send(state, now, request, chosen, service)]
 
 
+def is_retry_delay_too_long(
+    state: state_module.DirectState,
+    now: float,
+    request: state_module.Request,
+) -> bool:
+    """Tells whether all upstreams' retry delays outlast a request's wait."""
+    end = upstreams.find_retry_delay_end(state.table, now, request.service)
+    return end is not None and end >= request.give_up_at
+
+
 def is_quarantined(
     state: state_module.DirectState, request: state_module.Request
 ) -> bool:
--- a/sycamorefall/direct/outcomes.py
+++ b/sycamorefall/direct/outcomes.py
@@ -9,8 +9,10 @@
     "forget_request",
     "note_answer",
     "note_leaving",
+    "note_retry_delay",
     "note_sent",
     "refund_attempt",
+    "refuse_delayed_requests",
     "refuse_request",
 ]
 
@@ -37,6 +39,10 @@
 a full engine takes to end a tenth of what it runs; spread, so that callers
 refused together don't come back together."""
 
+RETRY_JITTER = 0.4
+"""Most seconds of random jitter added to a Retry-After derived from upstreams'
+retry delays, so that callers don't retry simultaneously."""
+
 RATE_SAMPLE = 3_000
 """Prompt tokens from which on the time to the first event tells how fast an
 engine reads; below, the first step weighs too much."""
@@ -77,6 +83,18 @@
     return round(state.random.uniform(*PAUSE), 2)
 
 
+def _choose_retry_after(
+    state: state_module.DirectState,
+    request: state_module.Request,
+    now: float,
+) -> float:
+    """Computes the Retry-After of a refused request, in seconds."""
+    end = upstreams.find_retry_delay_end(state.table, now, request.service)
+    if end is None:
+        return draw_pause(state)
+    return round(end - now + state.random.uniform(0.0, RETRY_JITTER), 2)
+
+
 def _release(
     state: state_module.DirectState, request: state_module.Request
 ) -> upstreams.Upstream | None:
@@ -209,6 +227,59 @@
     return upstreams.note_leaving(state.table, now, upstream)
 
 
+def note_retry_delay(
+    state: state_module.DirectState,
+    now: float,
+    number: int,
+    head: dialects.AnswerHead,
+) -> bool:
+    """Records a retry delay from the head of an answer.
+
+    A retry delay from another process at the upstream's address is ignored.
+
+    Args:
+        state: The router; changed.
+        now: This process's time.
+        number: The request that is answered; its attempt has not ended.
+        head: The head of the answer.
+
+    Returns:
+        Whether a retry delay starts; False if one is already in effect.
+    """
+    upstream = state_module.find_upstream(state, state.requests[number].attempt)
+    if upstream is None or head.retry_after is None:
+        return False
+    if head.verdict is dialects.Verdict.OTHER_INCARNATION:
+        return False
+    return upstreams.note_retry_delay(
+        state.table, now, upstream, head.retry_after
+    )
+
+
+def refuse_delayed_requests(
+    state: state_module.DirectState, now: float, service: str
+) -> list[effects.Effect]:
+    """Refuses a service's waiting requests that the retry delays outlast.
+
+    Guards against callers that wait in full although no upstream will accept
+    their requests in that time.
+    """
+    if upstreams.find_retry_delay_end(state.table, now, service) is None:
+        return []
+    refused = [
+        request
+        for request in state.requests.values()
+        if request.attempt is None
+        and request.service == service
+        and dispatching.is_retry_delay_too_long(state, now, request)
+    ]
+    return [
+        effect
+        for request in refused
+        for effect in refuse_request(state, request, now)
+    ]
+
+
 def _note_read(
     upstream: upstreams.Upstream, now: float, attempt: state_module.Attempt
 ) -> None:
@@ -274,6 +345,8 @@
         if again:
             return again
         if end not in _RAN and not request.runs and now < request.give_up_at:
+            if dispatching.is_retry_delay_too_long(state, now, request):
+                return refuse_request(state, request, now)
             dispatching.enter_room(state, request)
             return []
     return _give_up(state, request, end, now)
@@ -371,7 +444,8 @@
         fingerprint = fingerprints.find_fingerprint(request)
         return [effects.Fail(request.number, kind, fingerprint=fingerprint)]
     if not request.runs:
-        kind, pause = errors.ErrorKind.NO_UPSTREAM, draw_pause(state)
+        kind = errors.ErrorKind.NO_UPSTREAM
+        pause = _choose_retry_after(state, request, now)
         if request.new.prompt is not None:
             accounts = state_module.find_accounts(state, request.service)
             waiting.note_refusal(accounts, now, request.team)
--- a/sycamorefall/direct/relay.py
+++ b/sycamorefall/direct/relay.py
@@ -343,18 +343,22 @@
     request = desk.state.requests.get(number)
     if request is None or request.attempt is None:
         return
-    upstream = request.attempt.upstream
-    if outcomes.note_leaving(desk.state, transport.read_clock(), number, head):
+    upstream, now = request.attempt.upstream, transport.read_clock()
+    if outcomes.note_leaving(desk.state, now, number, head):
         observation.write_record(
             observation.Level.INFO, "upstream.leaving", upstream=upstream
         )
-    if head.retry_after is not None:
+    if outcomes.note_retry_delay(desk.state, now, number, head):
         observation.write_record(
             observation.Level.INFO,
             "upstream.resting",
             upstream=upstream,
             seconds=head.retry_after,
         )
+        done = outcomes.refuse_delayed_requests(
+            desk.state, now, request.service
+        )
+        perform(desk, done)
 
 
 def _take_data(
--- a/sycamorefall/direct/tests/test_upstreams.py
+++ b/sycamorefall/direct/tests/test_upstreams.py
@@ -5,6 +5,7 @@
 
 import pytest
 
+from sycamorefall import errors
 from sycamorefall.direct import core, dialects, outcomes, upstreams
 from sycamorefall.direct.tests import fakes
 
@@ -163,3 +164,113 @@
     assert outcomes.note_leaving(state, 0.1, number, head) != other_process
     usable = upstreams.is_usable(find_upstream(state, sent.upstream), 0.1)
     assert usable == other_process
+
+
+def note_retry_delay(state, name, seconds, now=0.0):
+    upstream = find_upstream(state, name)
+    return upstreams.note_retry_delay(state.table, now, upstream, seconds)
+
+
+def test_shorter_retry_delay_does_not_replace_longer_one():
+    # Guards against a later, shorter retry delay that ends a longer one early.
+    state = fakes.create_state(listing=[create_entry("e1")])
+    assert note_retry_delay(state, "e1", 3.0)
+    assert not note_retry_delay(state, "e1", 1.0, now=1.0)
+    for now, usable in ((2.9, False), (3.0, True)):
+        assert upstreams.is_usable(find_upstream(state, "e1"), now) == usable
+
+
+def test_retry_delay_is_limited():
+    # Guards against an upstream that is excluded indefinitely because of an
+    # excessive Retry-After.
+    state = fakes.create_state(listing=[create_entry("e1")])
+    note_retry_delay(state, "e1", 1e12)
+    end = upstreams.LONGEST_RETRY_DELAY
+    assert upstreams.is_usable(find_upstream(state, "e1"), end)
+
+
+def test_relisted_process_keeps_retry_delay_and_restarted_one_does_not():
+    # Guards against a retry delay that is lost while the platform's store is
+    # unavailable, and against one that a restarted process inherits.
+    state = fakes.create_state(listing=[create_entry("e1", born=5)])
+    note_retry_delay(state, "e1", 60.0)
+    core.apply_listing(state, 1.0, [])
+    core.apply_listing(state, 30.0, [create_entry("e1", born=5)])
+    assert not upstreams.is_usable(find_upstream(state, "e1"), 30.0)
+    core.apply_listing(state, 31.0, [create_entry("e1", born=9)])
+    assert upstreams.is_usable(find_upstream(state, "e1"), 31.0)
+
+
+def test_second_send_skips_upstream_with_retry_delay():
+    # Guards against second sends to an upstream before its retry delay has
+    # elapsed.
+    listing = [fakes.list_one(f"l{n}", "ledger", port=n) for n in (1, 2, 3)]
+    state = fakes.create_state(listing=listing)
+    number, first = fakes.take(state, 0.0, "look")
+    others = [one.name for one in listing if one.name != first.upstream]
+    note_retry_delay(state, others[0], 3.0)
+    end = outcomes.AttemptEnd.NOT_RUN
+    (again,) = outcomes.end_attempt(state, 0.1, number, end)
+    assert again.upstream == others[1]
+
+
+def test_request_is_refused_at_once_if_all_retry_delays_exceed_its_wait():
+    # Guards against a caller that waits until its wait limit and then gets a
+    # Retry-After that ends before any upstream accepts requests.
+    state = fakes.create_state()
+    note_retry_delay(state, "e1", 9.0)
+    note_retry_delay(state, "e2", 4.0)
+    _, refused = fakes.take(state, 1.0, "draft")
+    assert refused.kind is errors.ErrorKind.NO_UPSTREAM
+    assert 3.0 <= refused.retry_after <= 3.0 + outcomes.RETRY_JITTER
+    assert not state.requests
+    assert fakes.take(state, 1.0, "book")[1].upstream, "unaffected service"
+
+
+def test_request_waits_for_retry_delay_that_ends_in_time():
+    # Guards against refusing a request that an upstream can accept before the
+    # request's wait limit.
+    state = fakes.create_state()
+    note_retry_delay(state, "e1", 9.0)
+    note_retry_delay(state, "e2", 0.2)
+    number, sent = fakes.take(state, 0.0, "draft")
+    assert sent is None
+    assert not fakes.find_sends(core.run_timers(state, 0.1))
+    (sent,) = fakes.find_sends(core.run_timers(state, 0.21))
+    assert (sent.request, sent.upstream) == (number, "e2")
+
+
+def test_leaving_upstream_does_not_shorten_retry_after():
+    # Guards against callers that wait for a leaving upstream while the retry
+    # delays of all others are in effect.
+    state = fakes.create_state()
+    note_retry_delay(state, "e1", 9.0)
+    note_leaving(state, "e2")
+    _, refused = fakes.take(state, 0.0, "draft")
+    assert refused.retry_after >= 9.0
+
+
+def test_waiting_requests_are_refused_if_all_retry_delays_exceed_their_wait():
+    # Guards against requests that wait until their wait limit although no
+    # upstream will accept them before it.
+    state = fakes.create_state(listing=[create_entry("e1")])
+    numbers = [fakes.take(state, 0.0, "draft")[0] for _ in range(6)]
+    waiting = [one for one in numbers if not state.requests[one].attempt]
+    assert waiting
+    note_retry_delay(state, "e1", 5.0)
+    refused = outcomes.refuse_delayed_requests(state, 0.1, "engine")
+    assert [one.request for one in refused] == waiting
+    assert all(one.retry_after >= 4.9 for one in refused)
+
+
+@pytest.mark.parametrize("verdict", list(dialects.Verdict))
+def test_retry_delay_of_another_process_is_ignored(verdict):
+    # Guards against attributing a retry delay from another process at the
+    # address to the upstream.
+    state = fakes.create_state()
+    number, sent = fakes.take(state, 0.0, "draft")
+    head = dialects.AnswerHead(verdict, 503, (), retry_after=2.0)
+    other_process = verdict is dialects.Verdict.OTHER_INCARNATION
+    assert outcomes.note_retry_delay(state, 0.1, number, head) != other_process
+    usable = upstreams.is_usable(find_upstream(state, sent.upstream), 0.2)
+    assert usable == other_process
--- a/sycamorefall/direct/upstreams.py
+++ b/sycamorefall/direct/upstreams.py
@@ -11,6 +11,7 @@
     "drop_lapsed",
     "end_probe",
     "find_lapse_end",
+    "find_retry_delay_end",
     "is_leaving",
     "is_usable",
     "list_upstreams",
@@ -18,6 +19,7 @@
     "note_failure",
     "note_leaving",
     "note_other_incarnation",
+    "note_retry_delay",
     "note_sent",
     "note_success",
     "read_failure_rate",
@@ -62,6 +64,10 @@
 """Prompt tokens an engine reads in a second until it was seen reading: the
 slowest that was met."""
 
+LONGEST_RETRY_DELAY = 300.0
+"""Most seconds for which an upstream's Retry-After is followed, so that an
+excessive value does not exclude it indefinitely."""
+
 NOTICE_RETENTION = 600.0
 """Seconds for which the notice of an unlisted process is kept, since its entry
 may be missing for as long as the platform is away."""
@@ -87,10 +93,12 @@
 
     Attributes:
         leaving: Whether the process announced that it is shutting down.
+        delayed_until: When the process's retry delay ends.
         updated_at: When the last announcement was received.
     """
 
     leaving: bool = False
+    delayed_until: float = float("-inf")
     updated_at: float = float("-inf")
 
 
@@ -364,7 +372,7 @@
     After a failure it gets nothing for a while, then one request; the rest
     follows once that one is answered.
     """
-    if is_leaving(upstream):
+    if is_leaving(upstream) or now < upstream.notice.delayed_until:
         return False
     if upstream._health is _Health.USABLE:
         return True
@@ -391,6 +399,47 @@
     return not was_leaving
 
 
+def note_retry_delay(
+    table: UpstreamTable, now: float, upstream: Upstream, seconds: float
+) -> bool:
+    """Records the retry delay that an upstream announced in an answer.
+
+    If delays overlap, the one that ends last applies.
+
+    Args:
+        table: The upstreams; changed.
+        now: This process's time.
+        upstream: The upstream.
+        seconds: The delay; limited to `LONGEST_RETRY_DELAY`.
+
+    Returns:
+        Whether a retry delay starts; False if one is already in effect.
+    """
+    notice = _update_notice(table, now, upstream)
+    was_delayed = now < notice.delayed_until
+    until = now + min(seconds, LONGEST_RETRY_DELAY)
+    notice.delayed_until = max(notice.delayed_until, until)
+    return not was_delayed and until > now
+
+
+def find_retry_delay_end(
+    table: UpstreamTable, now: float, service: str
+) -> float | None:
+    """Finds when the first retry delay of a service's upstreams ends.
+
+    Returns:
+        The time; None unless every upstream that is not leaving has a retry
+        delay in effect.
+    """
+    ends = [
+        one.notice.delayed_until
+        for one in list_upstreams(table, service)
+        if not is_leaving(one)
+    ]
+    end = min(ends, default=now)
+    return end if end > now else None
+
+
 def _update_notice(
     table: UpstreamTable, now: float, upstream: Upstream
 ) -> Notice:
