Reset a waiting request's fingerprint when its team changes

A configuration may move a key to another team while a request with that key is waiting. Once computed, the request's fingerprint still contained the old team, so a quarantine of the request would not have matched it. The fingerprint is now recomputed on its next use. Found by code review; no run showed the fault.

Also add a test for the quarantine check before each send; no test failed when this check was switched off. A request that is quarantined while in progress at a silent upstream is not sent on to another one.

Each of the two new tests fails without the code that it covers.

--- a/sycamorefall/direct/core.py
+++ b/sycamorefall/direct/core.py
@@ -80,6 +80,8 @@
         route, team = judged.unwrap()
         dispatching.leave_room(state, request)
         request.route, request.team = route, team
+        # Recomputed on next use, since it depends on the team.
+        request.fingerprint = b""
         request.service = catalog.choose_service(route, state.random.random())
         dispatching.enter_room(state, request)
     return done
--- a/sycamorefall/direct/tests/test_crashes.py
+++ b/sycamorefall/direct/tests/test_crashes.py
@@ -202,3 +202,28 @@
     (check,) = crashes.note_disconnect(state, 0.1, number)
     assert check.address == sent.address
     assert isinstance(check.address, settings.Address)
+
+
+def test_quarantined_request_is_not_sent_on_from_a_silent_upstream(state):
+    # Guards against sending a request to the next upstream if it was
+    # quarantined while in progress at a silent upstream.
+    number, sent = fakes.take(state, 0.0, "look")
+    assert sent
+    add_crashes(state, 0.1, find_fingerprint("look"), "a", "b", "c")
+    done = core.run_timers(state, 0.7)
+    assert not fakes.find_sends(done)
+    assert fakes.find_kinds(done) == [errors.ErrorKind.RETRIES_EXHAUSTED]
+
+
+def test_fingerprint_is_updated_when_a_waiting_request_changes_team():
+    # Guards against a stale fingerprint after a configuration moves a key to
+    # another team, as a quarantine would then not match the request.
+    state = fakes.create_state(listing=[])
+    number, _ = fakes.take(state, 0.0, "draft")
+    request = state.requests[number]
+    old_fingerprint = fingerprints.find_fingerprint(request)
+    new_catalog = fakes.create_catalog(version=2)
+    new_catalog.teams["key-mill"] = new_catalog.teams["key-trader"]
+    core.apply_catalog(state, 0.1, new_catalog)
+    assert request.team == "trader"
+    assert fingerprints.find_fingerprint(request) != old_fingerprint
