--- a/sycamorefall/direct/crash_exchange.py
+++ b/sycamorefall/direct/crash_exchange.py
@@ -2,10 +2,10 @@
 
 Repetitions of a request that crashes upstreams may arrive at different routers,
 each of which sees only one crash. A router sends new evidence to its failure
-domain within `BATCH_INTERVAL`. The domain's delegates forward it to the delegates of the other
-domains, which forward it within theirs. New evidence is sent several times
-because messages may be lost. Delegates also send a summary once a second, for
-routers that were unreachable or have just started.
+domain within `BATCH_INTERVAL`. The domain's delegates forward it to the
+delegates of the other domains, which forward it within theirs. New evidence is
+sent several times because messages may be lost. Delegates also send a summary
+once a second, for routers that were unreachable or have just started.
 """
 
 __all__ = [
