Direct: limit what a cold upstream gets from all routers together

Cause: an upstream is cold for some seconds after its start and bears a few requests a second from all callers together (ColdPerS). Nothing decided by it: all routers see an idle upstream at the same moment, it falls over, and its streams are cut.

Change: `pacing` divides the rate in advance. Rendezvous hashing chooses four routers of the upstream's own failure domain, which know each other, and each keeps an interval, so that all of them plan half of the rate. A router that has just started, or heard of no other, sends nothing to a cold upstream. Cold is what the entry says, each time that it changes, and an upstream whose process was seen to crash, until its service's cold time is over. All paths that send go through `is_usable`: first sends, retries, resumed streams. A refused request names `cold` among its obstacles; a gauge counts them.

--- a/sycamorefall/direct/catalog.py
+++ b/sycamorefall/direct/catalog.py
@@ -114,11 +114,17 @@
             from all callers together.
         engine: Properties of its model engines; None if its upstreams are not
             model engines.
+        cold_seconds: Seconds for which an upstream is cold after its start; 0
+            if its upstreams are never cold.
+        cold_rate: Requests per second that a cold upstream takes from all
+            callers together; 0 if it takes any number.
     """
 
     name: str
     max_connections: int
     engine: Engine | None = None
+    cold_seconds: float = 0.0
+    cold_rate: float = 0.0
 
 
 @dataclasses.dataclass(slots=True, frozen=True)
--- a/sycamorefall/direct/core.py
+++ b/sycamorefall/direct/core.py
@@ -33,6 +33,7 @@
     stalls,
     stopping,
     upstreams,
+    warmup,
 )
 from sycamorefall.direct import (
     state as state_module,
@@ -109,7 +110,9 @@
         Names of the upstreams that were removed.
     """
     state.dispatch_needed = True
-    return upstreams.replace_listing(state.table, now, listing)
+    removed = upstreams.replace_listing(state.table, now, listing)
+    warmup.update_intervals(state, now)
+    return removed
 
 
 def record_proof(
--- a/sycamorefall/direct/crashes.py
+++ b/sycamorefall/direct/crashes.py
@@ -22,6 +22,7 @@
     outcomes,
     quarantine,
     upstreams,
+    warmup,
 )
 from sycamorefall.direct import state as state_module
 from sycamorefall.direct.quarantine import Crash, Evidence
@@ -105,6 +106,7 @@
             and upstream.listed.start_time == check.crash.start_time
         ):
             upstreams.suspend_upstream(upstream, now)
+            warmup.presume_cold(state, now, upstream)
         return [
             effects.ReportCrash(check.crash, len(known.fingerprints)),
             *_add_suspects(state, now, check.crash, known.fingerprints),
--- a/sycamorefall/direct/dispatching.py
+++ b/sycamorefall/direct/dispatching.py
@@ -226,7 +226,7 @@
         # The upstream had nothing to send, so it was not stalled.
         chosen.last_byte_at = now
     chosen.own_load.running += 1
-    upstreams.record_sent(chosen)
+    upstreams.record_sent(chosen, now)
     prompt, begins_in, fetch = request.incoming.prompt, None, None
     cost, received = _compute_cost(request), 0.0
     if prompt is not None and service.engine is not None:
--- a/sycamorefall/direct/eligibility.py
+++ b/sycamorefall/direct/eligibility.py
@@ -74,6 +74,7 @@
 
     UNUSABLE: The upstream is leaving, suspended or in a retry delay, or was
         already tried.
+    COLD: The upstream is cold, and this router may not send to it now.
     READS_AGAIN: Too many shared tokens that other engines hold would be
         computed again.
     SLOTS: All slots of the upstream are occupied.
@@ -84,6 +85,7 @@
     """
 
     UNUSABLE = "unusable"
+    COLD = "cold"
     READS_AGAIN = "reads_again"
     SLOTS = "slots"
     MEMORY = "memory"
--- a/sycamorefall/direct/exchange.py
+++ b/sycamorefall/direct/exchange.py
@@ -47,6 +47,7 @@
     overload,
     receiver_groups,
     service_floors,
+    warmup,
 )
 from sycamorefall.direct import own_load as own_load_module
 from sycamorefall.direct import peers as peers_module
@@ -764,6 +765,35 @@
         names = state.table.by_name.keys()
         totals_module.apply_totals(exchange.totals, state, names, True)
     exchange.role = _compute_role(exchange, state, now)
+    warmup.update_senders(
+        state, now, exchange.vm, _list_domain_routers(exchange, state, now)
+    )
+
+
+def _list_domain_routers(
+    exchange: Exchange, state: state_module.DirectState, now: float
+) -> set[str]:
+    """Lists the routers of this failure domain, even if they are silent.
+
+    A router that is partitioned from this one may still reach the upstreams.
+
+    Returns:
+        VM names, including this router's and those of routers whose domain is
+        unknown; empty while this router can't know the others.
+    """
+    is_alone = not any(
+        peer.heard_at > float("-inf") for peer in exchange.peers.values()
+    )
+    has_other_seeds = any(seed != exchange.control for seed in exchange.seeds)
+    is_new = now - exchange.started_at < warmup.FLEET_DISCOVERY_TIME
+    if is_new or (is_alone and has_other_seeds):
+        return set()
+    names = {
+        name
+        for name, peer in exchange.peers.items()
+        if peer.failure_domain in ("", state.failure_domain)
+    }
+    return names | {exchange.vm}
 
 
 def _compute_role(
--- a/sycamorefall/direct/metrics.py
+++ b/sycamorefall/direct/metrics.py
@@ -7,6 +7,7 @@
 
 from prometheus_client import metrics_core
 
+from sycamorefall.direct import pacing
 from sycamorefall.direct import upstreams as upstreams_module
 from sycamorefall.observation import metrics
 
@@ -57,6 +58,12 @@
         ("service", "usable"),
         _count_upstreams(state.table, now),
     )
+    yield gauge(
+        "restricted_upstreams",
+        "Upstreams that are cold and so get few requests.",
+        ("service", "reason"),
+        _count_restricted(state.table, now),
+    )
     yield count(
         "control_bytes",
         "Messages between routers.",
@@ -105,3 +112,15 @@
         counts[service, "yes"] = usable
         counts[service, "no"] = len(group) - usable
     return counts
+
+
+def _count_restricted(
+    table: upstreams_module.UpstreamTable, now: float
+) -> dict[tuple[str, str], int]:
+    """Counts cold upstreams by service and reason."""
+    counts: dict[tuple[str, str], int] = {}
+    for service, group in table.by_service.items():
+        counts[service, "cold"] = sum(
+            pacing.is_cold(one.pacing, now) for one in group
+        )
+    return counts
--- a/sycamorefall/direct/state.py
+++ b/sycamorefall/direct/state.py
@@ -201,6 +201,9 @@
         disconnects: Lost connections, by the process that may have crashed.
         overload: Recent lateness of the event loop.
         routers: Number of routers heard from recently, including this one.
+        vm: Name of this router's VM; empty until it is set.
+        domain_routers: VM names of the routers in this router's failure
+            domain, including this one; empty while they are not known.
         dispatch_needed: Whether capacity may have become free for a waiting
             request.
         last_dispatch_at: Time of the last try to send waiting requests.
@@ -251,6 +254,8 @@
         default_factory=overload_module.Overload
     )
     routers: int = 1
+    vm: str = ""
+    domain_routers: frozenset[str] = frozenset()
     dispatch_needed: bool = False
     last_dispatch_at: float = 0.0
     min_dispatch_interval: float = 0.0
--- a/sycamorefall/direct/tests/fakes.py
+++ b/sycamorefall/direct/tests/fakes.py
@@ -22,7 +22,12 @@
 
 
 def create_catalog(
-    version=1, keys=("mill", "trader"), excluded=(), fetch_rate=0.0
+    version=1,
+    keys=("mill", "trader"),
+    excluded=(),
+    fetch_rate=0.0,
+    cold_seconds=0.0,
+    cold_rate=0.0,
 ):
     """Creates a catalog with a key for each team in `keys`.
 
@@ -32,6 +37,8 @@
         excluded: Names of the routes to leave out.
         fetch_rate: Tokens per second that an engine copies from the cache of
             another one.
+        cold_seconds: Seconds for which an upstream is cold after its start.
+        cold_rate: Requests per second that a cold upstream takes.
     """
     routes = [
         catalog.Route(
@@ -52,8 +59,8 @@
     ]
     engine = catalog.Engine(4, 100_000, fetch_rate)
     services = [
-        catalog.Service("engine", 100, engine),
-        catalog.Service("ledger", 100),
+        catalog.Service("engine", 100, engine, cold_seconds, cold_rate),
+        catalog.Service("ledger", 100, None, cold_seconds, cold_rate),
     ]
     teams = {f"key-{team}": catalog.Team(team) for team in keys}
     return catalog.create_catalog(
@@ -62,16 +69,25 @@
 
 
 def create_upstream_entry(
-    name, service="engine", port=1, leaving=False, listed_revision=1
+    name,
+    service="engine",
+    port=1,
+    leaving=False,
+    listed_revision=1,
+    failure_domain="a",
+    cold_remaining=0.0,
+    changed_revision=1,
 ):
     return upstreams.UpstreamEntry(
         name,
         service,
         settings.Address("127.0.0.1", port),
-        "a",
+        failure_domain,
         4,
         leaving,
         listed_revision,
+        cold_remaining=cold_remaining,
+        changed_revision=changed_revision,
     )
 
 
--- a/sycamorefall/direct/tests/test_restarts.py
+++ b/sycamorefall/direct/tests/test_restarts.py
@@ -57,7 +57,7 @@
     state = create_state(("e1", 100))
     engine = state.table.by_name["e1"]
     for _ in range(6):
-        upstreams.record_sent(engine)
+        upstreams.record_sent(engine, 0.0)
         upstreams.record_failure(engine, 0.0)
         upstreams.suspend_upstream(engine, 0.0)
     assert fakes.submit_request(state, 0.0, "draft", tokens=100)[1] is None
--- a/sycamorefall/direct/upstream_selection.py
+++ b/sycamorefall/direct/upstream_selection.py
@@ -18,7 +18,7 @@
 from collections.abc import Iterable
 
 from sycamorefall.direct import catalog as catalog_module
-from sycamorefall.direct import eligibility, prompts
+from sycamorefall.direct import eligibility, pacing, prompts
 from sycamorefall.direct import homes as homes_module
 from sycamorefall.direct import upstreams as upstreams_module
 from sycamorefall.direct.upstreams import Upstream
@@ -156,7 +156,7 @@
     usable = _list_usable(table, now, service, constraints)
     group = upstreams_module.list_upstreams(table, service.name)
     counts = collections.Counter(
-        {eligibility.Obstacle.UNUSABLE: len(group) - len(usable)}
+        _classify_unusable(one, now) for one in group if one not in usable
     )
     if constraints.prompt is None or service.engine is None:
         full = [one for one in usable if not _has_room(one)]
@@ -171,6 +171,13 @@
     return {obstacle: count for obstacle, count in counts.items() if count}
 
 
+def _classify_unusable(upstream: Upstream, now: float) -> eligibility.Obstacle:
+    """Returns why an upstream can't take any request now."""
+    if pacing.allows_send(upstream.pacing, now):
+        return eligibility.Obstacle.UNUSABLE
+    return eligibility.Obstacle.COLD
+
+
 def _find_obstacle(
     upstream: Upstream,
     now: float,
--- a/sycamorefall/direct/upstreams.py
+++ b/sycamorefall/direct/upstreams.py
@@ -34,6 +34,7 @@
 
 from sycamorefall import settings
 from sycamorefall.direct import caches
+from sycamorefall.direct import pacing as pacing_module
 
 MISSING_ENTRY_GRACE = 2.3
 """Seconds after a platform outage during which upstreams that are missing from
@@ -132,6 +133,9 @@
         listed_revision: Platform revision at which the entry was created.
         start_time: Start time of the upstream's process by its own clock; 0 if
             unknown. Distinguishes processes that use the same name.
+        cold_remaining: Seconds for which the upstream was still cold when it
+            wrote the entry.
+        changed_revision: Platform revision at which the entry was last changed.
     """
 
     name: str
@@ -142,6 +146,8 @@
     leaving: bool
     listed_revision: int = 0
     start_time: int = 0
+    cold_remaining: float = 0.0
+    changed_revision: int = 0
 
 
 @dataclasses.dataclass(slots=True)
@@ -183,6 +189,7 @@
         cache: Estimate of the prompt parts in the engine's KV cache.
         suspended_until: Time from which a probe may be sent after a failure.
         notice: State that the upstream's process announced in its responses.
+        pacing: Limit on the requests that it gets while it is cold.
     """
 
     listed: UpstreamEntry
@@ -198,6 +205,9 @@
     )
     suspended_until: float = 0.0
     notice: Notice = dataclasses.field(default_factory=Notice)
+    pacing: pacing_module.Pacing = dataclasses.field(
+        default_factory=pacing_module.Pacing
+    )
     _health: _Health = _Health.USABLE
     _consecutive_failures: int = 0
     _failure_rate: float = 0.0
@@ -291,11 +301,13 @@
                 table.notices.get(ProcessKey(name, entry.start_time))
                 or Notice()
             )
-            table.by_name[name] = Upstream(
-                entry, last_byte_at=now, notice=notice
-            )
+            upstream = Upstream(entry, last_byte_at=now, notice=notice)
+            upstream.pacing.listed_until = now + entry.cold_remaining
+            table.by_name[name] = upstream
             table.replaced.discard(name)
         else:
+            if known.listed.changed_revision != entry.changed_revision:
+                known.pacing.listed_until = now + entry.cold_remaining
             known.listed = entry
     table.replaced &= table.by_name.keys()
     _drop_notices(table, now)
@@ -411,6 +423,8 @@
     """
     if is_leaving(upstream) or now < upstream.notice.delayed_until:
         return False
+    if not pacing_module.allows_send(upstream.pacing, now):
+        return False
     if upstream._health is _Health.USABLE:
         return True
     return (
@@ -491,8 +505,9 @@
     return upstream.notice
 
 
-def record_sent(upstream: Upstream) -> None:
+def record_sent(upstream: Upstream, now: float) -> None:
     """Records a sent request; to a suspended upstream it is the probe."""
+    pacing_module.record_send(upstream.pacing, now)
     if upstream._health is _Health.SUSPENDED:
         upstream._health = _Health.PROBING
 
--- a/sycamorefall/platform/documents.py
+++ b/sycamorefall/platform/documents.py
@@ -105,6 +105,8 @@
 class _Service(msgspec.Struct, rename="pascal"):
     name: str
     max_connections: int = 0
+    cold_start_s: Annotated[float, msgspec.Meta(ge=0)] = 0.0
+    cold_per_s: Annotated[float, msgspec.Meta(ge=0)] = 0.0
     engine: _Engine | None = None
 
 
@@ -217,7 +219,13 @@
         service.engine.kv_capacity_tokens,
         _compute_fetch_rate(service.engine),
     )
-    return catalog.Service(service.name, service.max_connections, engine)
+    return catalog.Service(
+        service.name,
+        service.max_connections,
+        engine,
+        service.cold_start_s,
+        service.cold_per_s,
+    )
 
 
 def _compute_fetch_rate(engine: _Engine) -> float:
@@ -268,4 +276,6 @@
         entry.state == _DRAINING_STATE,
         record.created_revision,
         entry.born or 0,
+        max(0.0, entry.cold_remaining_ms / 1000),
+        record.changed_revision,
     )
