Direct: send nothing to an evacuated failure domain

Cause: operators evacuate a failure domain by a record of the platform (op/evacuate/DOMAIN), and nothing read it.

Upstreams of an evacuated domain are not usable: for first sends, retries, resumed streams, as homes or as sources of copies. What runs there goes on. Waiting requests are tried again at once, and refused at once if all upstreams of their service are evacuated. A domain that is in use again is taken to be cold for its service's cold time, since upstreams may have been restarted before their entries say so. An unreadable record, or one that names no failure domain of the settings ([vm] failure_domains), is logged once and evacuates nothing. Shown by a log line, a gauge and `explain` (`evacuated`).

--- a/benchmarks/tests/test_cold_upstreams.py
+++ b/benchmarks/tests/test_cold_upstreams.py
@@ -1,7 +1,7 @@
 """Test of the requests that a cold upstream gets from fleets of all sizes.
 
-The load: every router has more requests waiting than it can send when a domain's
-upstreams start together.
+The load: every router has more requests waiting than it can send, and the
+upstreams of a failure domain start together.
 """
 
 import pytest
--- a/standins/site.py
+++ b/standins/site.py
@@ -136,6 +136,8 @@
         slots: int = 8,
         state: str = "ready",
         born: int = 1,
+        zone: str = "a",
+        cold_ms: int = 0,
     ) -> None:
         """Writes an upstream's entry to the store, or replaces it."""
         self.store.put(
@@ -143,11 +145,11 @@
             {
                 "Service": service,
                 "Address": f"127.0.0.1:{self.upstreams[name].port}",
-                "Zone": "a",
+                "Zone": zone,
                 "Version": "v1",
                 "Slots": slots,
                 "State": state,
-                "ColdRemainingMs": 0,
+                "ColdRemainingMs": cold_ms,
                 "Sequence": 1,
                 "born": born,
             },
@@ -170,6 +172,7 @@
         path = self.folder / f"{name}.ini"
         path.write_text(
             f"[vm]\nname = {name}\nfailure_domain = a\n"
+            "failure_domains = a, b\n"
             f"[listen]\ndata = 127.0.0.1:{data}\n"
             f"operators = 127.0.0.1:{operators}\n"
             f"control = 127.0.0.1:{control}\n"
--- a/sycamorefall/direct/core.py
+++ b/sycamorefall/direct/core.py
@@ -2,6 +2,7 @@
 
 __all__ = [
     "apply_catalog",
+    "apply_evacuated_domains",
     "apply_listing",
     "begin_stop",
     "cancel_request",
@@ -12,6 +13,7 @@
     "run_timers",
 ]
 
+from collections.abc import Collection
 import heapq
 
 from returns import result
@@ -111,10 +113,48 @@
     """
     state.dispatch_needed = True
     removed = upstreams.replace_listing(state.table, now, listing)
+    _mark_evacuated(state, now)
     warmup.update_intervals(state, now)
     return removed
 
 
+def apply_evacuated_domains(
+    state: state_module.DirectState, now: float, domains: Collection[str]
+) -> list[effects.Effect]:
+    """Applies the set of failure domains whose upstreams get no requests.
+
+    Requests in progress there continue. Waiting requests of a service without
+    other upstreams are refused. The upstreams of a domain that is in use again
+    are taken to be cold, since they may have been restarted in the meantime.
+
+    Args:
+        state: The router's state; changed.
+        now: Current time of this process's clock.
+        domains: Names of all evacuated failure domains.
+
+    Returns:
+        Errors for the refused requests.
+    """
+    state.evacuated_domains = frozenset(domains)
+    state.dispatch_needed = True
+    _mark_evacuated(state, now)
+    return [
+        effect
+        for service in state.table.by_service
+        for effect in outcomes.refuse_delayed_requests(state, now, service)
+    ]
+
+
+def _mark_evacuated(state: state_module.DirectState, now: float) -> None:
+    """Marks the upstreams of evacuated domains, and those in use again."""
+    for upstream in state.table.by_name.values():
+        was_evacuated = upstream.evacuated
+        domain = upstream.listed.failure_domain
+        upstream.evacuated = domain in state.evacuated_domains
+        if was_evacuated and not upstream.evacuated:
+            warmup.presume_cold(state, now, upstream)
+
+
 def record_proof(
     state: state_module.DirectState, now: float, proven_at: float
 ) -> None:
--- a/sycamorefall/direct/daemon.py
+++ b/sycamorefall/direct/daemon.py
@@ -69,6 +69,8 @@
         next_backlog_log_at: Time from which on waiting requests are logged
             again.
         crash_exchange: Exchange of crash reports with the other routers.
+        unknown_domains: Names in the platform's evacuations that are not those
+            of failure domains.
     """
 
     config: settings.DirectSettings
@@ -88,6 +90,7 @@
     crash_exchange: crash_exchange_module.CrashExchange = dataclasses.field(
         default_factory=crash_exchange_module.CrashExchange
     )
+    unknown_domains: set[str] = dataclasses.field(default_factory=set)
 
     def handle_catalog(self, new: catalog_module.Catalog) -> None:
         """Applies a configuration, and logs it if it is newer."""
@@ -127,6 +130,31 @@
                 restarted=restarted,
             )
 
+    def handle_evacuated_domains(self, domains: set[str]) -> None:
+        """Applies the evacuated failure domains, and logs what changed."""
+        known = self.config.vm.list_failure_domains()
+        unknown = {name for name in domains if known and name not in known}
+        if unknown != self.unknown_domains:
+            self.unknown_domains = unknown
+            observation.write_record(
+                observation.Level.WARNING,
+                "evacuation.unknown_domains",
+                domains=sorted(unknown),
+            )
+        evacuated = domains - unknown
+        before = self.state.evacuated_domains
+        if evacuated == before:
+            return
+        now = transport.read_clock()
+        pending = core.apply_evacuated_domains(self.state, now, evacuated)
+        observation.write_record(
+            observation.Level.INFO,
+            "domains.evacuated",
+            domains=sorted(evacuated),
+            before=sorted(before),
+        )
+        relay.perform_effects(self.proxy, pending)
+
     def handle_proof(self, proven_at: float) -> None:
         """Records that configuration and listing were current at a time."""
         core.record_proof(self.state, transport.read_clock(), proven_at)
--- a/sycamorefall/direct/dispatching.py
+++ b/sycamorefall/direct/dispatching.py
@@ -149,7 +149,10 @@
     now: float,
     request: state_module.Request,
 ) -> bool:
-    """Returns whether all upstreams' retry delays outlast a request's wait."""
+    """Returns whether all upstreams' retry delays outlast a request's wait.
+
+    An evacuated upstream counts as one with an endless delay.
+    """
     end = upstreams.find_retry_delay_end(state.table, now, request.service)
     return end is not None and end >= request.give_up_at
 
--- a/sycamorefall/direct/eligibility.py
+++ b/sycamorefall/direct/eligibility.py
@@ -74,6 +74,7 @@
 
     UNUSABLE: The upstream is leaving, suspended or in a retry delay, or was
         already tried.
+    EVACUATED: The upstream's failure domain is evacuated.
     COLD: The upstream is cold, and this router may not send to it now.
     READS_AGAIN: Too many shared tokens that other engines hold would be
         computed again.
@@ -85,6 +86,7 @@
     """
 
     UNUSABLE = "unusable"
+    EVACUATED = "evacuated"
     COLD = "cold"
     READS_AGAIN = "reads_again"
     SLOTS = "slots"
--- a/sycamorefall/direct/metrics.py
+++ b/sycamorefall/direct/metrics.py
@@ -60,7 +60,7 @@
     )
     yield gauge(
         "restricted_upstreams",
-        "Upstreams that are cold and so get few requests.",
+        "Upstreams that are evacuated, or cold and so get few requests.",
         ("service", "reason"),
         _count_restricted(state.table, now),
     )
@@ -117,9 +117,10 @@
 def _count_restricted(
     table: upstreams_module.UpstreamTable, now: float
 ) -> dict[tuple[str, str], int]:
-    """Counts cold upstreams by service and reason."""
+    """Counts evacuated and cold upstreams by service and reason."""
     counts: dict[tuple[str, str], int] = {}
     for service, group in table.by_service.items():
+        counts[service, "evacuated"] = sum(one.evacuated for one in group)
         counts[service, "cold"] = sum(
             pacing.is_cold(one.pacing, now) for one in group
         )
--- a/sycamorefall/direct/outcomes.py
+++ b/sycamorefall/direct/outcomes.py
@@ -17,6 +17,7 @@
 ]
 
 import enum
+import math
 
 from sycamorefall import errors
 from sycamorefall.direct import (
@@ -98,7 +99,7 @@
     after the first of these delays.
     """
     end = upstreams.find_retry_delay_end(state.table, now, request.service)
-    if end is None:
+    if end is None or end == math.inf:
         return draw_retry_after(state)
     return round(end - now + state.random.uniform(0.0, RETRY_JITTER), 2)
 
@@ -278,7 +279,8 @@
     """Refuses waiting requests whose wait limit precedes the end of all delays.
 
     No upstream of the service will accept these requests in time, so their
-    callers should not wait until the limit.
+    callers should not wait until the limit. The same holds if all upstreams
+    are evacuated.
     """
     if upstreams.find_retry_delay_end(state.table, now, service) is None:
         return []
--- a/sycamorefall/direct/state.py
+++ b/sycamorefall/direct/state.py
@@ -204,6 +204,7 @@
         vm: Name of this router's VM; empty until it is set.
         domain_routers: VM names of the routers in this router's failure
             domain, including this one; empty while they are not known.
+        evacuated_domains: Failure domains whose upstreams get no requests.
         dispatch_needed: Whether capacity may have become free for a waiting
             request.
         last_dispatch_at: Time of the last try to send waiting requests.
@@ -256,6 +257,7 @@
     routers: int = 1
     vm: str = ""
     domain_routers: frozenset[str] = frozenset()
+    evacuated_domains: frozenset[str] = frozenset()
     dispatch_needed: bool = False
     last_dispatch_at: float = 0.0
     min_dispatch_interval: float = 0.0
--- a/sycamorefall/direct/upstream_selection.py
+++ b/sycamorefall/direct/upstream_selection.py
@@ -173,6 +173,8 @@
 
 def _classify_unusable(upstream: Upstream, now: float) -> eligibility.Obstacle:
     """Returns why an upstream can't take any request now."""
+    if upstream.evacuated:
+        return eligibility.Obstacle.EVACUATED
     if pacing.allows_send(upstream.pacing, now):
         return eligibility.Obstacle.UNUSABLE
     return eligibility.Obstacle.COLD
--- a/sycamorefall/direct/upstreams.py
+++ b/sycamorefall/direct/upstreams.py
@@ -189,6 +189,7 @@
         cache: Estimate of the prompt parts in the engine's KV cache.
         suspended_until: Time from which a probe may be sent after a failure.
         notice: State that the upstream's process announced in its responses.
+        evacuated: Whether its failure domain is evacuated.
         pacing: Limit on the requests that it gets while it is cold.
     """
 
@@ -205,6 +206,7 @@
     )
     suspended_until: float = 0.0
     notice: Notice = dataclasses.field(default_factory=Notice)
+    evacuated: bool = False
     pacing: pacing_module.Pacing = dataclasses.field(
         default_factory=pacing_module.Pacing
     )
@@ -421,7 +423,9 @@
     A suspended upstream gets no requests until its suspension ends, then one
     request as a probe. Further requests follow once the probe has succeeded.
     """
-    if is_leaving(upstream) or now < upstream.notice.delayed_until:
+    if is_leaving(upstream) or upstream.evacuated:
+        return False
+    if now < upstream.notice.delayed_until:
         return False
     if not pacing_module.allows_send(upstream.pacing, now):
         return False
@@ -484,11 +488,11 @@
     """Finds when the first retry delay of a service's upstreams ends.
 
     Returns:
-        The time; None if any upstream that is not leaving has no retry delay
-        in effect, or if there is no such upstream.
+        The time; infinity if all upstreams that are not leaving are evacuated;
+        None if any of them can take requests now, or if there is none.
     """
     ends = [
-        one.notice.delayed_until
+        math.inf if one.evacuated else one.notice.delayed_until
         for one in list_upstreams(table, service)
         if not is_leaving(one)
     ]
--- a/sycamorefall/direct/warmup.py
+++ b/sycamorefall/direct/warmup.py
@@ -2,7 +2,8 @@
 
 An upstream is cold for some seconds after its start, and says so in its entry
 in the listing. It is also taken to be cold where its entry may not show a start
-yet: after its process was found to have crashed.
+yet: after its failure domain has been evacuated, and after its process was
+found to have crashed.
 
 Only routers of its own failure domain send to a cold upstream, as those all
 know each other. A router that has just started, or that has not heard from any
--- a/sycamorefall/platform/documents.py
+++ b/sycamorefall/platform/documents.py
@@ -3,6 +3,7 @@
 __all__ = [
     "ItemPage",
     "decode_catalog",
+    "decode_evacuated_domain",
     "decode_listing",
     "translate_item",
 ]
@@ -234,6 +235,28 @@
     return engine.link_mbps * _BYTES_PER_MEGABIT / engine.kv_token_bytes
 
 
+def decode_evacuated_domain(record: messages.Record, prefix: str) -> str:
+    """Decodes a record by which the operators evacuate a failure domain.
+
+    Args:
+        record: The record.
+        prefix: Prefix of the record's key. The rest of the key is the name of
+            the failure domain.
+
+    Returns:
+        Name of the failure domain.
+
+    Raises:
+        errors.ConfigurationRefused: The record's value is not a JSON object,
+            or its key names no failure domain.
+    """
+    _decode(record, dict)
+    name = record.key.removeprefix(prefix)
+    if not name.strip():
+        raise errors.ConfigurationRefused(0, f"{record.key!r}: no name")
+    return name
+
+
 def decode_listing(
     records: Iterable[messages.Record], prefix: str
 ) -> tuple[dict[str, upstreams.UpstreamEntry], dict[str, str]]:
--- a/sycamorefall/platform/store.py
+++ b/sycamorefall/platform/store.py
@@ -17,6 +17,7 @@
 
 CONFIGURATION_KEY = "op/config"
 UPSTREAM_PREFIX = "servers/"
+EVACUATION_PREFIX = "op/evacuate/"
 
 ALL_KEYS = ""
 """Prefix of all keys. One read of all items takes one call less than separate
@@ -163,11 +164,8 @@
         configuration = known.by_key.get(CONFIGURATION_KEY)
         if configuration is not None and not self._is_decoded(configuration):
             self._apply_configuration(configuration)
-        entries = {
-            key: record
-            for key, record in known.by_key.items()
-            if key.startswith(UPSTREAM_PREFIX)
-        }
+        self._apply_evacuations(known)
+        entries = _select_records(known, UPSTREAM_PREFIX)
         new = [one for one in entries.values() if not self._is_decoded(one)]
         if new or self._upstreams.keys() - entries.keys():
             self._apply_upstreams(entries, new)
@@ -188,6 +186,23 @@
         else:
             self._daemon.handle_catalog(new)
 
+    def _apply_evacuations(self, known: records_module.Records) -> None:
+        """Puts the evacuations of failure domains into effect.
+
+        A record that can't be decoded, or that names an unknown failure domain,
+        is logged and evacuates nothing.
+        """
+        decoded: set[str] = set()
+        for record in _select_records(known, EVACUATION_PREFIX).values():
+            try:
+                decoded.add(
+                    documents.decode_evacuated_domain(record, EVACUATION_PREFIX)
+                )
+            except errors.ConfigurationRefused as error:
+                if not self._is_decoded(record):
+                    _log_refused(str(error))
+        self._daemon.handle_evacuated_domains(decoded)
+
     def _apply_upstreams(
         self,
         entries: Mapping[str, messages.Record],
@@ -213,6 +228,17 @@
         self._daemon.handle_listing(list(self._upstreams.values()))
 
 
+def _select_records(
+    known: records_module.Records, prefix: str
+) -> dict[str, messages.Record]:
+    """Selects the records whose keys start with a prefix, by key."""
+    return {
+        key: record
+        for key, record in known.by_key.items()
+        if key.startswith(prefix)
+    }
+
+
 def _log_refused(reason: str) -> None:
     """Logs that a document is invalid and isn't put into effect."""
     observation.write_record(
--- a/sycamorefall/settings.py
+++ b/sycamorefall/settings.py
@@ -65,12 +65,20 @@
         return self.host, self.port
 
 
+def _split_list(text: str) -> tuple[str, ...]:
+    """Splits a comma-separated list; empty items are dropped."""
+    parts = (part.strip() for part in text.split(","))
+    return tuple(part for part in parts if part)
+
+
 class VmSettings(msgspec.Struct, frozen=True, forbid_unknown_fields=True):
     """Section `[vm]`: the VM on which this process runs.
 
     Attributes:
         name: Name of the VM in the platform's list.
         failure_domain: Failure domain of the VM.
+        failure_domains: Names of all failure domains, separated by commas. If
+            given, the evacuation of any other one is ignored.
         cores: Number of processor cores of the VM.
         cpu_share: Fraction of the cores that the process may use. Of the
             routers that send directly, those with the highest product of
@@ -80,9 +88,14 @@
 
     name: Name
     failure_domain: Name
+    failure_domains: str = ""
     cores: Positive = 1.0
     cpu_share: Positive = 1.0
 
+    def list_failure_domains(self) -> tuple[str, ...]:
+        """Splits `failure_domains` into single names."""
+        return _split_list(self.failure_domains)
+
 
 class ListenSettings(msgspec.Struct, frozen=True, forbid_unknown_fields=True):
     """Section `[listen]`: addresses at which this process listens.
@@ -134,8 +147,7 @@
 
     def list_addresses(self) -> tuple[str, ...]:
         """Splits `addresses` into single addresses."""
-        parts = (part.strip() for part in self.addresses.split(","))
-        return tuple(part for part in parts if part)
+        return _split_list(self.addresses)
 
 
 class UpstreamSettings(msgspec.Struct, frozen=True, forbid_unknown_fields=True):
