--- a/sycamorefall/direct/upstream_selection.py
+++ b/sycamorefall/direct/upstream_selection.py
@@ -43,8 +43,13 @@
 a multiple of its slots."""
 
 REMOTE_DOMAIN_COST = 0.004
-"""Cost in seconds of an upstream in another failure domain; applies to plain
-services only."""
+"""Cost in seconds of an upstream of a plain service in another failure
+domain."""
+
+REMOTE_ENGINE_COST = 0.05
+"""Cost in seconds of an engine in another failure domain. Traffic between
+domains is billed, so a request crosses only if it would wait noticeably longer
+in its own domain, or to an engine that holds a long shared part."""
 
 
 def choose_upstream(
@@ -83,7 +88,9 @@
     homes = homes_module.list_homes(table, now, service, constraints)
     costs = [
         (
-            _estimate_cost(one.upstream, now, prompt, engine, is_home),
+            _estimate_cost(one.upstream, now, prompt, engine, is_home)
+            + REMOTE_ENGINE_COST
+            * (one.upstream.listed.failure_domain != failure_domain),
             one.upstream,
         )
         for one in candidates
