--- a/sycamorefall/observation/recorder.py
+++ b/sycamorefall/observation/recorder.py
@@ -64,6 +64,7 @@
             was received.
         last_piece_at: Time at which the last piece so far was received.
         pieces: Number of pieces received so far.
+        longest_pause: Longest time between two pieces so far, in seconds.
         ended: Whether the end of the request was recorded.
     """
 
@@ -76,6 +77,7 @@
     first_piece_at: float | None = None
     last_piece_at: float | None = None
     pieces: int = 0
+    longest_pause: float = 0.0
     ended: bool = False
 
 
@@ -189,6 +191,7 @@
             histograms_module.TimeKind.BETWEEN_TOKENS,
             trace.last_piece_at,
         )
+        trace.longest_pause = max(trace.longest_pause, now - since)
     trace.last_piece_at = now
     _record_time(recorder, trace, kind, now - since)
 
@@ -225,6 +228,7 @@
             seconds=round(now - trace.arrived_at, 6),
             pieces=trace.pieces,
             first_seconds=_compute_first_piece_delay(trace),
+            longest_pause=round(trace.longest_pause, 3),
             **fields,
         )
 
--- a/sycamorefall/platform/tests/test_translation.py
+++ b/sycamorefall/platform/tests/test_translation.py
@@ -46,6 +46,7 @@
         "TimeoutMs": 1500,
         "TargetLatencyMs": 400,
         "StreamResume": True,
+        "GapAimMs": 500,
         "MaxAttempts": 2,
         "TrafficSplit": [
             {"Service": "new", "Weight": 10},
@@ -57,7 +58,14 @@
             {
                 "Version": 4,
                 "Routes": [route],
-                "Services": [{"Name": "old", "MaxConnections": 9}],
+                "Services": [
+                    {
+                        "Name": "old",
+                        "MaxConnections": 9,
+                        "ColdStartS": 3,
+                        "ColdPerS": 13.0,
+                    }
+                ],
                 "Limits": {"TokensPerS": 5},
                 "Tenants": [{"Name": "mill", "ApiKeys": ["k"]}],
                 "Unknown": 1,
@@ -67,9 +75,12 @@
     found = catalog.find_route(configuration, "site.example", "/a/x")
     assert found.kind is catalog.RouteKind.RESUMABLE_STREAM
     assert (found.timeout, found.target_latency) == (1.5, 0.4)
+    assert found.max_pause == 0.5
     assert catalog.choose_service(found, 0.05) == "new"
     assert configuration.teams["k"].name == "mill"
     assert configuration.requires_key and configuration.tokens_per_second == 5
+    old = configuration.services["old"]
+    assert (old.cold_seconds, old.cold_rate) == (3.0, 13.0)
 
 
 def test_fetch_rate_is_computed_from_the_link():
