Direct: remove the breaks from prompts

Pauses there come from long prompts as often as from prompts that follow each other, and breaks don't help against those.

Change: `pauses` and the route's limit leave the code. `longest_pause` in the log stays, as it is what showed the cause.

--- a/sycamorefall/direct/catalog.py
+++ b/sycamorefall/direct/catalog.py
@@ -75,8 +75,6 @@
             event, is on time.
         max_upstreams: Maximum number of upstreams that may run one request.
         public: Whether requests need no key.
-        max_pause: Seconds between two events of a stream beyond which its
-            response counts as late; 0 if unlimited.
     """
 
     name: str
@@ -88,7 +86,6 @@
     target_latency: float
     max_upstreams: int = 1
     public: bool = False
-    max_pause: float = 0.0
 
 
 @dataclasses.dataclass(slots=True, frozen=True)
--- a/sycamorefall/direct/eligibility.py
+++ b/sycamorefall/direct/eligibility.py
@@ -21,7 +21,7 @@
 import enum
 import math
 
-from sycamorefall.direct import caches, catalog, pauses, prompts
+from sycamorefall.direct import caches, catalog, prompts
 from sycamorefall.direct.upstreams import Upstream
 
 MAX_REREAD_SHARE = 0.2
@@ -81,8 +81,6 @@
     SLOTS: All slots of the upstream are occupied.
     MEMORY: Running requests fill the engine's KV cache.
     YIELDS: The engine is left to a waiting team that received less service.
-    BREAK: The engine is to finish its pending prompts first, as the pauses of
-        its streams grow too long.
     QUEUE: The prefill queue is so long that urgent requests would be late.
     LATE: The response would start after its target latency.
     """
@@ -94,7 +92,6 @@
     SLOTS = "slots"
     MEMORY = "memory"
     YIELDS = "yields"
-    BREAK = "break"
     QUEUE = "queue"
     LATE = "late"
 
@@ -156,7 +153,6 @@
         idle: Whether the prefill queue and the batch are below the idle limits.
         unreserved: Whether the engine is idle and open to any team, even if
             another team waits for it at another router.
-        needs_break: Whether the engine is to finish its pending prompts first.
     """
 
     upstream: Upstream
@@ -167,7 +163,6 @@
     queue_seconds: float
     idle: bool
     unreserved: bool
-    needs_break: bool = False
 
 
 @dataclasses.dataclass(slots=True)
@@ -241,7 +236,6 @@
     running = own_load.running + peer_load.running
     unread = own_load.unread + peer_load.unread
     has_short_queue = unread <= IDLE_QUEUE_SECONDS * upstream.prefill_rate
-    pauses.update_busy(upstream.breaks, now, not has_short_queue)
     idle = has_short_queue and running <= IDLE_SLOT_SHARE * engine.slots
     upstream.idle_since = min(upstream.idle_since, now) if idle else math.inf
     reserved = now - upstream.idle_since < RESERVATION_SECONDS
@@ -254,7 +248,6 @@
         unread / upstream.prefill_rate,
         idle,
         idle and (not reserved or running <= SPARE_SLOT_SHARE * engine.slots),
-        pauses.needs_break(upstream.breaks, now),
     )
 
 
@@ -387,8 +380,6 @@
             engine_load.upstream.short_floor < constraints.yield_idle_below
         )
         return Obstacle.YIELDS if reserved else None
-    if engine_load.needs_break:
-        return Obstacle.BREAK
     if engine_load.floor < constraints.yield_below:
         return Obstacle.YIELDS
     if FIRST_TOKEN_OVERHEAD + engine_load.queue_seconds > constraints.time_left:
--- a/sycamorefall/direct/outcomes.py
+++ b/sycamorefall/direct/outcomes.py
@@ -28,7 +28,6 @@
     eligibility,
     fair_queue,
     fingerprints,
-    pauses,
     quarantine,
     upstreams,
 )
@@ -208,12 +207,6 @@
     upstream = state_module.find_upstream(state, attempt)
     if upstream is not None:
         upstream.last_byte_at = now
-    if first and attempt.response_started and upstream is not None:
-        max_pause = request.route.max_pause
-        if max_pause and now - attempt.last_event_at > max_pause:
-            pauses.record_pause(upstream.breaks, now)
-    if first:
-        attempt.last_event_at = now
     if first and not attempt.response_started:
         attempt.response_started = True
         request.forwarding_started = True
--- a/sycamorefall/direct/state.py
+++ b/sycamorefall/direct/state.py
@@ -77,7 +77,6 @@
         cost: Cost units that the request's team was charged.
         charged_at: Time of the charge.
         response_started: Whether the first part of the response has arrived.
-        last_event_at: When the last events of the response arrived.
     """
 
     number: int
@@ -90,7 +89,6 @@
     cost: int = 0
     charged_at: float = 0.0
     response_started: bool = False
-    last_event_at: float = 0.0
 
 
 @dataclasses.dataclass(slots=True)
--- a/sycamorefall/direct/upstreams.py
+++ b/sycamorefall/direct/upstreams.py
@@ -35,7 +35,6 @@
 from sycamorefall import settings
 from sycamorefall.direct import caches
 from sycamorefall.direct import pacing as pacing_module
-from sycamorefall.direct import pauses as pauses_module
 
 MISSING_ENTRY_GRACE = 2.3
 """Seconds after a platform outage during which upstreams that are missing from
@@ -192,8 +191,6 @@
         notice: State that the upstream's process announced in its responses.
         evacuated: Whether its failure domain is evacuated.
         pacing: Limit on the requests that it gets while it is cold.
-        breaks: Limit on the time for which it processes prompts without a
-            break.
     """
 
     listed: UpstreamEntry
@@ -213,9 +210,6 @@
     pacing: pacing_module.Pacing = dataclasses.field(
         default_factory=pacing_module.Pacing
     )
-    breaks: pauses_module.PrefillBreaks = dataclasses.field(
-        default_factory=pauses_module.PrefillBreaks
-    )
     _health: _Health = _Health.USABLE
     _consecutive_failures: int = 0
     _failure_rate: float = 0.0
--- a/sycamorefall/platform/documents.py
+++ b/sycamorefall/platform/documents.py
@@ -92,7 +92,6 @@
     max_attempts: int = 1
     public: bool = False
     stream_resume: bool = False
-    gap_aim_ms: Annotated[float, msgspec.Meta(ge=0)] = 0.0
     service: str = ""
     traffic_split: list[_Share] = []
 
@@ -212,7 +211,6 @@
         route.target_latency_ms / 1000,
         max(1, route.max_attempts),
         route.public,
-        route.gap_aim_ms / 1000,
     )
 
 
--- a/sycamorefall/platform/tests/test_translation.py
+++ b/sycamorefall/platform/tests/test_translation.py
@@ -46,7 +46,6 @@
         "TimeoutMs": 1500,
         "TargetLatencyMs": 400,
         "StreamResume": True,
-        "GapAimMs": 500,
         "MaxAttempts": 2,
         "TrafficSplit": [
             {"Service": "new", "Weight": 10},
@@ -75,7 +74,6 @@
     found = catalog.find_route(configuration, "site.example", "/a/x")
     assert found.kind is catalog.RouteKind.RESUMABLE_STREAM
     assert (found.timeout, found.target_latency) == (1.5, 0.4)
-    assert found.max_pause == 0.5
     assert catalog.choose_service(found, 0.05) == "new"
     assert configuration.teams["k"].name == "mill"
     assert configuration.requires_key and configuration.tokens_per_second == 5
