Direct: log unknown evacuated domains only when one is new

A domain that is no longer named by an evacuation caused a warning with an empty list. The obstacles of a refused request are counted by name, not by a search of the usable upstreams for each of the others.

--- a/sycamorefall/direct/daemon.py
+++ b/sycamorefall/direct/daemon.py
@@ -134,13 +134,13 @@
         """Applies the evacuated failure domains, and logs what changed."""
         known = self.config.vm.list_failure_domains()
         unknown = {name for name in domains if known and name not in known}
-        if unknown != self.unknown_domains:
-            self.unknown_domains = unknown
+        if unknown - self.unknown_domains:
             observation.write_record(
                 observation.Level.WARNING,
                 "evacuation.unknown_domains",
                 domains=sorted(unknown),
             )
+        self.unknown_domains = unknown
         evacuated = domains - unknown
         before = self.state.evacuated_domains
         if evacuated == before:
--- a/sycamorefall/direct/upstream_selection.py
+++ b/sycamorefall/direct/upstream_selection.py
@@ -169,9 +169,11 @@
         request.
     """
     usable = _list_usable(table, now, service, constraints)
-    group = upstreams_module.list_upstreams(table, service.name)
+    usable_names = {one.listed.name for one in usable}
     counts = collections.Counter(
-        _classify_unusable(one, now) for one in group if one not in usable
+        _classify_unusable(one, now)
+        for one in upstreams_module.list_upstreams(table, service.name)
+        if one.listed.name not in usable_names
     )
     if constraints.prompt is None or service.engine is None:
         full = [one for one in usable if not _has_room(one)]
