Direct: remove the cost of long prompts

The queue alone exceeds 0.3 s at a site that is overloaded, so prompts of any length left their homes.

--- a/sycamorefall/direct/upstream_selection.py
+++ b/sycamorefall/direct/upstream_selection.py
@@ -35,14 +35,6 @@
 """Cost in seconds of a full batch, in which each token takes longer to
 generate. A partly filled batch costs a proportional part."""
 
-LONG_PREFILL_SECONDS = 0.3
-"""Pending prefill in seconds beyond which the streams that run on the engine
-pause noticeably."""
-
-STREAM_DELAY_COST = 0.01
-"""Cost in seconds for each stream that a long prefill delays. It makes long
-prompts go where few streams run."""
-
 PLAIN_REQUEST_SECONDS = 0.045
 """Approximate duration in seconds of a request of a plain service."""
 
@@ -300,8 +292,4 @@
     ) / upstream.prefill_rate
     batch = BATCH_COST * upstream.running / engine.slots
     failing = upstreams_module.compute_failure_rate(upstream, now)
-    cost = prefill + batch + FAILURE_COST * failing
-    pending = (upstream.unread + own_tokens + reread) / upstream.prefill_rate
-    if pending > LONG_PREFILL_SECONDS:
-        cost += STREAM_DELAY_COST * upstream.running
-    return cost
+    return prefill + batch + FAILURE_COST * failing
