Direct: keep streams fast enough for long responses to end

Cause: an engine that processes prompts without a break generates a token per step of 25 instead of 6 ms.

Change: each router observes the gaps between events at each engine, and the lengths of the responses of each route. Streams that are cut or still in progress count as far as they got (Kaplan-Meier), so the limit holds from the first seconds. An engine whose streams run more slowly than 95 of 100 responses need gets no prompts. New obstacle `pace`.

--- a/sycamorefall/direct/eligibility.py
+++ b/sycamorefall/direct/eligibility.py
@@ -21,7 +21,7 @@
 import enum
 import math
 
-from sycamorefall.direct import caches, catalog, prompts
+from sycamorefall.direct import caches, catalog, prompts, stream_pace
 from sycamorefall.direct.upstreams import Upstream
 
 MAX_REREAD_SHARE = 0.2
@@ -81,6 +81,7 @@
     SLOTS: All slots of the upstream are occupied.
     MEMORY: Running requests fill the engine's KV cache.
     YIELDS: The engine is left to a waiting team that received less service.
+    PACE: Streams run so slowly there that long ones would not end in time.
     QUEUE: The prefill queue is so long that urgent requests would be late.
     LATE: The response would start after its target latency.
     """
@@ -92,6 +93,7 @@
     SLOTS = "slots"
     MEMORY = "memory"
     YIELDS = "yields"
+    PACE = "pace"
     QUEUE = "queue"
     LATE = "late"
 
@@ -119,6 +121,8 @@
             regardless of `MAX_REREAD_SHARE`.
         allow_reread_if_idle: The same, for idle engines only.
         max_queue_seconds: Longest acceptable prefill queue of an engine.
+        max_gap: Longest acceptable seconds between two events of an engine's
+            streams.
     """
 
     prompt: prompts.Prompt | None
@@ -130,6 +134,7 @@
     allow_reread: bool = False
     allow_reread_if_idle: bool = False
     max_queue_seconds: float = float("inf")
+    max_gap: float = float("inf")
 
 
 @dataclasses.dataclass(slots=True)
@@ -153,6 +158,8 @@
         idle: Whether the prefill queue and the batch are below the idle limits.
         unreserved: Whether the engine is idle and open to any team, even if
             another team waits for it at another router.
+        gap: Average seconds between two events of its streams; 0 if unknown, or
+            if most slots are free and few prompts are pending.
     """
 
     upstream: Upstream
@@ -163,6 +170,7 @@
     queue_seconds: float
     idle: bool
     unreserved: bool
+    gap: float = 0.0
 
 
 @dataclasses.dataclass(slots=True)
@@ -175,12 +183,14 @@
         max_floor: Highest floor of the engines that are not idle.
         min_queue_seconds: Shortest prefill queue of the engines that are not
             idle.
+        min_gap: Shortest gap between events at the engines that are not idle.
     """
 
     engine_loads: list[EngineLoad]
     idle: list[EngineLoad]
     max_floor: float
     min_queue_seconds: float
+    min_gap: float
 
 
 def summarize_group(engine_loads: list[EngineLoad]) -> EngineGroup:
@@ -191,6 +201,7 @@
         [one for one in engine_loads if one.idle],
         max((one.floor for one in working), default=-math.inf),
         min((one.queue_seconds for one in working), default=math.inf),
+        min((one.gap for one in working), default=math.inf),
     )
 
 
@@ -215,6 +226,7 @@
     all_blocked = (
         group.max_floor < constraints.yield_below
         or group.min_queue_seconds > constraints.max_queue_seconds
+        or group.min_gap > constraints.max_gap
         or FIRST_TOKEN_OVERHEAD + group.min_queue_seconds
         > constraints.time_left
     )
@@ -239,6 +251,7 @@
     idle = has_short_queue and running <= IDLE_SLOT_SHARE * engine.slots
     upstream.idle_since = min(upstream.idle_since, now) if idle else math.inf
     reserved = now - upstream.idle_since < RESERVATION_SECONDS
+    is_spare = idle and running <= SPARE_SLOT_SHARE * engine.slots
     return EngineLoad(
         upstream,
         running,
@@ -247,7 +260,8 @@
         upstream.floor,
         unread / upstream.prefill_rate,
         idle,
-        idle and (not reserved or running <= SPARE_SLOT_SHARE * engine.slots),
+        idle and (not reserved or is_spare),
+        0.0 if is_spare else stream_pace.estimate_gap(upstream.pace, now),
     )
 
 
@@ -375,6 +389,8 @@
         and memory > MAX_MEMORY_SHARE * engine.kv_capacity_tokens
     ):
         return Obstacle.MEMORY
+    if engine_load.gap > constraints.max_gap:
+        return Obstacle.PACE
     if engine_load.idle:
         reserved = not engine_load.unreserved and (
             engine_load.upstream.short_floor < constraints.yield_idle_below
--- a/sycamorefall/direct/outcomes.py
+++ b/sycamorefall/direct/outcomes.py
@@ -29,6 +29,7 @@
     fair_queue,
     fingerprints,
     quarantine,
+    stream_pace,
     upstreams,
 )
 from sycamorefall.direct import (
@@ -207,12 +208,42 @@
     upstream = state_module.find_upstream(state, attempt)
     if upstream is not None:
         upstream.last_byte_at = now
-    if first and not attempt.response_started:
-        attempt.response_started = True
-        request.forwarding_started = True
-        state.dispatch_needed = True
-        if upstream is not None:
-            _record_prefill(upstream, now, attempt)
+    if not first:
+        return
+    if request.route.kind.streamed:
+        _record_event(state, request, upstream, now)
+    if attempt.response_started:
+        return
+    attempt.response_started = True
+    request.forwarding_started = True
+    state.dispatch_needed = True
+    if upstream is not None:
+        _record_prefill(upstream, now, attempt)
+
+
+def _record_event(
+    state: state_module.DirectState,
+    request: state_module.Request,
+    upstream: upstreams.Upstream | None,
+    now: float,
+) -> None:
+    """Records the gap before an event, and how long its response is so far.
+
+    The first event of a resumed stream is one more of the same response.
+    """
+    attempt = request.attempt
+    if attempt.response_started and upstream is not None:
+        gap = now - attempt.last_event_at
+        stream_pace.record_gap(upstream.pace, now, gap)
+    attempt.last_event_at = now
+    lengths = state_module.get_or_create_response_lengths(
+        state, request.service, request.route.name
+    )
+    if request.forwarding_started:
+        request.events += 1
+        stream_pace.record_event(lengths, now, request.events)
+    else:
+        stream_pace.record_start(lengths, now, request.deadline - now)
 
 
 def record_leaving(
@@ -371,6 +402,13 @@
         request.possible_runs += 1
     if end is AttemptEnd.COMPLETE:
         _clear_request(state, request, now)
+        if attempt.response_started and request.route.kind.streamed:
+            stream_pace.record_end(
+                state_module.get_or_create_response_lengths(
+                    state, request.service, request.route.name
+                ),
+                request.events,
+            )
         discard_request(state, request)
         return []
     if _may_retry(state, request, attempt, end):
--- a/sycamorefall/direct/placement_constraints.py
+++ b/sycamorefall/direct/placement_constraints.py
@@ -6,7 +6,12 @@
 
 import math
 
-from sycamorefall.direct import eligibility, fair_queue, latency_targets
+from sycamorefall.direct import (
+    eligibility,
+    fair_queue,
+    latency_targets,
+    stream_pace,
+)
 from sycamorefall.direct import (
     state as state_module,
 )
@@ -40,6 +45,9 @@
     share = fair_queue.compute_relative_share(accounts, received)
     slack = FAIRNESS_SLACK * state.catalog.tokens_per_second
     has_waited_long = _has_waited_long(request, now)
+    is_underserved = (
+        has_waited_long and share < fair_queue.IDLE_UNDERSERVED_SHARE
+    )
     return eligibility.PlacementConstraints(
         request.incoming.prompt,
         request.target_at - now,
@@ -48,9 +56,11 @@
         yield_idle_below=fair_queue.IDLE_UNDERSERVED_SHARE * received,
         recent_part_uses=request.part_uses * state.routers,
         allow_reread=has_waited_long and share < fair_queue.UNDERSERVED_SHARE,
-        allow_reread_if_idle=has_waited_long
-        and share < fair_queue.IDLE_UNDERSERVED_SHARE,
+        allow_reread_if_idle=is_underserved,
         max_queue_seconds=_compute_max_queue_seconds(state, now, request),
+        max_gap=math.inf
+        if is_underserved
+        else _find_max_gap(state, now, request.service),
     )
 
 
@@ -75,6 +85,19 @@
     return eligibility.QUEUE_SHARE * shortest
 
 
+def _find_max_gap(
+    state: state_module.DirectState, now: float, service: str
+) -> float:
+    """Finds the longest acceptable gap between the events of streams.
+
+    Only routers that have streams at an engine know their pace. A team whose
+    callers meet such a router must not get less for that, so the limit does not
+    hold for underserved teams.
+    """
+    lengths = state.response_lengths.get(service, {})
+    return stream_pace.find_max_gap(lengths.values(), now)
+
+
 def _has_waited_long(request: state_module.Request, now: float) -> bool:
     """Returns whether a request has waited long enough to leave its homes.
 
--- a/sycamorefall/direct/state.py
+++ b/sycamorefall/direct/state.py
@@ -11,6 +11,7 @@
     "find_upstream",
     "get_or_create_accounts",
     "get_or_create_recent_targets",
+    "get_or_create_response_lengths",
 ]
 
 import dataclasses
@@ -22,6 +23,7 @@
     fair_queue,
     prompts,
     stopping,
+    stream_pace,
     upstreams,
 )
 from sycamorefall.direct import catalog as catalog_module
@@ -77,6 +79,7 @@
         cost: Cost units that the request's team was charged.
         charged_at: Time of the charge.
         response_started: Whether the first part of the response has arrived.
+        last_event_at: When the latest event of the response arrived.
     """
 
     number: int
@@ -89,6 +92,7 @@
     cost: int = 0
     charged_at: float = 0.0
     response_started: bool = False
+    last_event_at: float = 0.0
 
 
 @dataclasses.dataclass(slots=True)
@@ -113,6 +117,7 @@
         attempt: The attempt in progress; None while the request waits.
         forwarding_started: Whether the caller has received a part of the
             response.
+        events: Number of events of the response after its first one.
         part_uses: Decayed number of recent requests with the same last shared
             prompt part.
         fingerprint: Fingerprint of the request; empty until it is computed.
@@ -132,6 +137,7 @@
     tried: set[str] = dataclasses.field(default_factory=set)
     attempt: Attempt | None = None
     forwarding_started: bool = False
+    events: int = 0
     part_uses: float = 0.0
     fingerprint: bytes = b""
 
@@ -190,6 +196,7 @@
         accounts: Cost units that the teams received, by service.
         budgets: Retry budgets by service.
         recent_targets: Target latencies of recent requests, by service.
+        response_lengths: Lengths of streamed responses, by service and route.
         deadlines: Heap of (time, request number).
         part_usage: Decayed numbers of recent requests by shared prompt part.
         patience: Times that callers are willing to wait, by route.
@@ -236,6 +243,9 @@
     recent_targets: dict[str, latency_targets_module.RecentTargets] = (
         dataclasses.field(default_factory=dict)
     )
+    response_lengths: dict[str, dict[str, stream_pace.ResponseLengths]] = (
+        dataclasses.field(default_factory=dict)
+    )
     deadlines: list[tuple[float, int]] = dataclasses.field(default_factory=list)
     part_usage: prompts.PartUsage = dataclasses.field(
         default_factory=prompts.PartUsage
@@ -323,3 +333,14 @@
             latency_targets_module.RecentTargets()
         )
     return targets
+
+
+def get_or_create_response_lengths(
+    state: DirectState, service: str, route: str
+) -> stream_pace.ResponseLengths:
+    """Returns the lengths of a route's responses; creates them if missing."""
+    by_route = state.response_lengths.setdefault(service, {})
+    lengths = by_route.get(route)
+    if lengths is None:
+        lengths = by_route[route] = stream_pace.ResponseLengths()
+    return lengths
--- a/sycamorefall/direct/upstreams.py
+++ b/sycamorefall/direct/upstreams.py
@@ -33,7 +33,7 @@
 from typing import NamedTuple
 
 from sycamorefall import settings
-from sycamorefall.direct import caches
+from sycamorefall.direct import caches, stream_pace
 from sycamorefall.direct import pacing as pacing_module
 
 MISSING_ENTRY_GRACE = 2.3
@@ -191,6 +191,7 @@
         notice: State that the upstream's process announced in its responses.
         evacuated: Whether its failure domain is evacuated.
         pacing: Limit on the requests that it gets while it is cold.
+        pace: Observed pace of its streams.
     """
 
     listed: UpstreamEntry
@@ -210,6 +211,9 @@
     pacing: pacing_module.Pacing = dataclasses.field(
         default_factory=pacing_module.Pacing
     )
+    pace: stream_pace.StreamPace = dataclasses.field(
+        default_factory=stream_pace.StreamPace
+    )
     _health: _Health = _Health.USABLE
     _consecutive_failures: int = 0
     _failure_rate: float = 0.0
