Direct: refuse callers with little time left before their deadlines

Cause: a request waits for up to 0.8 of its route's target. A caller that retries has less time left than that, so its request waited until its deadline and the caller never learnt that it did not run.

Change: a request waits for half of the time until its deadline at most.

--- a/sycamorefall/direct/core.py
+++ b/sycamorefall/direct/core.py
@@ -256,7 +256,10 @@
         return number, [
             effects.AnswerError(number, kind, _choose_retry_after(state, kind))
         ]
-    wait = min(remaining, dispatching.MAX_WAIT_SHARE * route.target_latency)
+    wait = min(
+        dispatching.MAX_WAIT_SHARE * route.target_latency,
+        dispatching.MAX_TIME_SHARE * remaining,
+    )
     request = state_module.Request(
         number,
         incoming,
--- a/sycamorefall/direct/dispatching.py
+++ b/sycamorefall/direct/dispatching.py
@@ -1,6 +1,7 @@
 """Sends requests to upstreams, on arrival or from the service queues."""
 
 __all__ = [
+    "MAX_TIME_SHARE",
     "MAX_WAIT_SHARE",
     "MIN_TIME_LEFT",
     "dequeue_request",
@@ -41,6 +42,11 @@
 latency. A request that waited longer would be late, so it is refused with a
 Retry-After."""
 
+MAX_TIME_SHARE = 0.5
+"""Maximum wait of a request as a fraction of the time until its deadline. A
+caller that retries has little time left: the rest is for the response, or for
+the caller to learn that its request did not run."""
+
 CHECK_SECONDS = 0.7e-6
 """Seconds that a check whether an engine can take a request takes: 0.2 to 0.7
 us were measured with 26 engines and 30 waiting teams."""
--- a/sycamorefall/direct/tests/test_patience.py
+++ b/sycamorefall/direct/tests/test_patience.py
@@ -5,6 +5,7 @@
 from hypothesis import example, given, strategies
 import pytest
 
+from sycamorefall import errors
 from sycamorefall.direct import core, eligibility, patience
 from sycamorefall.direct.tests import fakes
 
@@ -92,3 +93,19 @@
     )
     assert sent is not None
     assert sent.begins_in < TARGET
+
+
+def test_caller_with_little_time_is_refused_before_its_deadline():
+    # Guards against requests of retrying callers that wait until their
+    # deadlines: the callers never learn that they did not run.
+    state = fakes.create_state()
+    for one in state.table.by_service["engine"]:
+        one.own_load.running = 4
+    number, _ = fakes.submit_request(state, 0.0, "draft", time_left=0.3)
+    new, _ = fakes.submit_request(state, 0.0, "draft", time_left=3.0)
+    (refused,) = core.run_timers(state, 0.2)
+    assert (refused.request, refused.kind) == (
+        number,
+        errors.ErrorKind.NO_UPSTREAM,
+    )
+    assert new in state.requests
