Direct: assume the average pace where a router has no streams

Cause: routers with few streams don't know how slow an engine's streams are, and went on to send where those with many held back.

Change: engines without streams of a router count with the average gap of the others.

--- a/sycamorefall/direct/eligibility.py
+++ b/sycamorefall/direct/eligibility.py
@@ -8,6 +8,7 @@
     "count_reread_tokens",
     "count_uncached_tokens",
     "exceeds_reread_limit",
+    "fill_unknown_gaps",
     "find_load_obstacle",
     "find_obstacle",
     "is_awaited",
@@ -20,6 +21,7 @@
 import dataclasses
 import enum
 import math
+import statistics
 
 from sycamorefall.direct import caches, catalog, prompts, stream_pace
 from sycamorefall.direct.upstreams import Upstream
@@ -158,8 +160,8 @@
         idle: Whether the prefill queue and the batch are below the idle limits.
         unreserved: Whether the engine is idle and open to any team, even if
             another team waits for it at another router.
-        gap: Average seconds between two events of its streams; 0 if unknown, or
-            if most slots are free and few prompts are pending.
+        gap: Average seconds between two events of its streams; None if unknown,
+            0 if most slots are free and few prompts are pending.
     """
 
     upstream: Upstream
@@ -170,7 +172,7 @@
     queue_seconds: float
     idle: bool
     unreserved: bool
-    gap: float = 0.0
+    gap: float | None = None
 
 
 @dataclasses.dataclass(slots=True)
@@ -201,7 +203,7 @@
         [one for one in engine_loads if one.idle],
         max((one.floor for one in working), default=-math.inf),
         min((one.queue_seconds for one in working), default=math.inf),
-        min((one.gap for one in working), default=math.inf),
+        min((one.gap or 0.0 for one in working), default=math.inf),
     )
 
 
@@ -265,6 +267,24 @@
     )
 
 
+def fill_unknown_gaps(engine_loads: list[EngineLoad]) -> None:
+    """Assumes the average gap at engines where this router has no streams.
+
+    Otherwise routers with few streams would go on to send where those with many
+    don't, and teams whose callers meet the latter would get less.
+
+    Args:
+        engine_loads: Loads of a service's engines; their `gap` is changed.
+    """
+    known = [one.gap for one in engine_loads if one.gap]
+    if not known:
+        return
+    average = statistics.fmean(known)
+    for one in engine_loads:
+        if one.gap is None:
+            one.gap = average
+
+
 def count_uncached_tokens(
     upstream: Upstream, prompt: prompts.Prompt, is_home: bool
 ) -> int:
@@ -389,7 +409,7 @@
         and memory > MAX_MEMORY_SHARE * engine.kv_capacity_tokens
     ):
         return Obstacle.MEMORY
-    if engine_load.gap > constraints.max_gap:
+    if engine_load.gap is not None and engine_load.gap > constraints.max_gap:
         return Obstacle.PACE
     if engine_load.idle:
         reserved = not engine_load.unreserved and (
--- a/sycamorefall/direct/stream_pace.py
+++ b/sycamorefall/direct/stream_pace.py
@@ -100,9 +100,9 @@
     pace.measured_at = now
 
 
-def estimate_gap(pace: StreamPace, now: float) -> float:
-    """Estimates the seconds between two events of a stream; 0 if unknown."""
-    return pace.gap if now - pace.measured_at <= GAP_LIFETIME else 0.0
+def estimate_gap(pace: StreamPace, now: float) -> float | None:
+    """Estimates the seconds between two events of a stream; None if unknown."""
+    return pace.gap if now - pace.measured_at <= GAP_LIFETIME else None
 
 
 def record_start(
--- a/sycamorefall/direct/tests/test_stream_pace.py
+++ b/sycamorefall/direct/tests/test_stream_pace.py
@@ -16,6 +16,7 @@
     fair_queue,
     outcomes,
     stream_pace,
+    upstream_selection,
 )
 from sycamorefall.direct import state as state_module
 from sycamorefall.direct.tests import fakes
@@ -98,7 +99,7 @@
     for step in range(20):
         stream_pace.record_gap(pace, step * SLOW_GAP, SLOW_GAP)
     assert stream_pace.estimate_gap(pace, 5.0) == pytest.approx(SLOW_GAP)
-    assert stream_pace.estimate_gap(pace, 8.0) == 0.0
+    assert stream_pace.estimate_gap(pace, 8.0) is None
 
 
 def start_stream(state, now, gap, events):
@@ -121,6 +122,7 @@
     )
     slow.own_load.running = 2
     slow.own_load.unread = fast.own_load.unread = 3_000
+    stream_pace.record_gap(fast.pace, 2.3, 0.02)
     sent = [fakes.submit_request(state, 2.3, "draft")[1] for _ in range(3)]
     assert [one.upstream for one in sent] == [fast.listed.name] * 3
     fast.own_load.running = 4
@@ -169,6 +171,23 @@
     assert stream_pace.estimate_length(lengths) == 25
 
 
+def test_unknown_pace_is_that_of_other_engines(state):
+    # Guards against routers with few streams that go on to send to engines
+    # whose pace they don't know, at the cost of the others' teams.
+    slow, unknown = state.table.by_service["engine"]
+    service = state.catalog.services["engine"]
+    for one in (slow, unknown):
+        one.own_load.running = 2
+    loads = upstream_selection.list_engine_loads(state.table, 1.0, service)
+    assert [one.gap for one in loads] == [None, None]
+    stream_pace.record_gap(slow.pace, 1.0, 0.3)
+    loads = upstream_selection.list_engine_loads(state.table, 1.0, service)
+    assert [one.gap for one in loads] == pytest.approx([0.3, 0.3])
+    unknown.own_load.running = 1
+    loads = upstream_selection.list_engine_loads(state.table, 1.0, service)
+    assert [one.gap for one in loads] == pytest.approx([0.3, 0.0])
+
+
 def test_mostly_free_engine_gets_prompts_at_any_pace(state):
     # Guards against a slow engine that gets nothing although it is idle.
     slow = state.table.by_service["engine"][0]
--- a/sycamorefall/direct/upstream_selection.py
+++ b/sycamorefall/direct/upstream_selection.py
@@ -120,12 +120,14 @@
     engine = service.engine
     if engine is None:
         return []
-    return [
+    engine_loads = [
         eligibility.measure_engine_load(one, engine, now)
         for one in upstreams_module.list_upstreams(table, service.name)
         if (full or one.running < engine.slots)
         and upstreams_module.is_usable(one, now)
     ]
+    eligibility.fill_unknown_gaps(engine_loads)
+    return engine_loads
 
 
 def _list_usable(
