Direct: hold back only the best served teams, and ignore gaps of a frozen VM

Change: the limit on the pace holds only for teams that received as much as the best served one, within the slack of the accounts. Gaps over 1 s don't count.

--- a/sycamorefall/direct/placement_constraints.py
+++ b/sycamorefall/direct/placement_constraints.py
@@ -45,11 +45,7 @@
     share = fair_queue.compute_relative_share(accounts, received)
     slack = FAIRNESS_SLACK * state.catalog.tokens_per_second
     has_waited_long = _has_waited_long(request, now)
-    is_underserved = share < fair_queue.IDLE_UNDERSERVED_SHARE
-    is_held_back = is_underserved and (
-        has_waited_long
-        or fair_queue.was_refused_recently(accounts, now, request.team)
-    )
+    is_behind = received < accounts.max_received - slack
     return eligibility.PlacementConstraints(
         request.incoming.prompt,
         request.target_at - now,
@@ -58,10 +54,11 @@
         yield_idle_below=fair_queue.IDLE_UNDERSERVED_SHARE * received,
         recent_part_uses=request.part_uses * state.routers,
         allow_reread=has_waited_long and share < fair_queue.UNDERSERVED_SHARE,
-        allow_reread_if_idle=has_waited_long and is_underserved,
+        allow_reread_if_idle=has_waited_long
+        and share < fair_queue.IDLE_UNDERSERVED_SHARE,
         max_queue_seconds=_compute_max_queue_seconds(state, now, request),
         max_gap=math.inf
-        if is_held_back
+        if is_behind
         else _find_max_gap(state, now, request.service),
     )
 
@@ -93,8 +90,8 @@
     """Finds the longest acceptable gap between the events of streams.
 
     Routers with many streams know the pace better than others. A team whose
-    callers meet such a router must not get less for that, so the limit does not
-    hold for teams that are underserved.
+    callers meet such a router must not get less for that, so the limit holds
+    only for the teams that are served best.
     """
     lengths = state.response_lengths.get(service, {})
     return stream_pace.find_max_gap(lengths.values(), now)
--- a/sycamorefall/direct/stream_pace.py
+++ b/sycamorefall/direct/stream_pace.py
@@ -45,6 +45,10 @@
 """Time constant in seconds of an engine's average gap: several times as long as
 its prompts are queued, so that the average varies little."""
 
+MAX_GAP = 1.0
+"""Longest gap in seconds that counts. A longer one is no engine's pace: this VM
+was frozen, packets were lost, or the request was preempted."""
+
 GAP_LIFETIME = 2.0
 """Seconds after the last event of its streams for which an engine's average gap
 is known."""
@@ -88,13 +92,15 @@
 
 
 def record_gap(pace: StreamPace, now: float, gap: float) -> None:
-    """Records the gap before an event of a stream.
+    """Records the gap before an event of a stream, unless above `MAX_GAP`.
 
     Args:
         pace: Pace of the stream's engine; changed.
         now: Current time of this process's clock.
         gap: Seconds since the last event of the stream.
     """
+    if gap > MAX_GAP:
+        return
     weight = -math.expm1((pace.measured_at - now) / SMOOTHING_TIME)
     pace.gap += weight * (gap - pace.gap)
     pace.measured_at = now
