Direct: count events that are read at once one by one

Cause: a router that is late reads several events of a stream at once. They counted as one event after a long gap, so a busy machine took its engines for slow.

Change: the gap is the time divided by the number of events, and a response is as long as it has events.

--- a/sycamorefall/direct/outcomes.py
+++ b/sycamorefall/direct/outcomes.py
@@ -191,6 +191,7 @@
     now: float,
     number: int,
     first: bool,
+    events: int = 1,
 ) -> None:
     """Records that bytes of a response were received from an upstream.
 
@@ -200,6 +201,7 @@
         number: Number of the request that is answered.
         first: Whether a part of the response can be forwarded to the caller.
             The first call of an attempt with True starts its response.
+        events: Number of complete events of a stream among them.
     """
     request = state.requests.get(number)
     if request is None or request.attempt is None:
@@ -211,7 +213,7 @@
     if not first:
         return
     if request.route.kind.streamed:
-        _record_event(state, request, upstream, now)
+        _record_events(state, request, upstream, now, events)
     if attempt.response_started:
         return
     attempt.response_started = True
@@ -221,29 +223,34 @@
         _record_prefill(upstream, now, attempt)
 
 
-def _record_event(
+def _record_events(
     state: state_module.DirectState,
     request: state_module.Request,
     upstream: upstreams.Upstream | None,
     now: float,
+    events: int,
 ) -> None:
-    """Records the gap before an event, and how long its response is so far.
+    """Records the gap between events, and how long their response is so far.
 
-    The first event of a resumed stream is one more of the same response.
+    A router that is late reads several events at once, which the engine sent
+    one after the other. The first event of a resumed stream is one more of the
+    same response.
     """
     attempt = request.attempt
+    events = max(1, events)
     if attempt.response_started and upstream is not None:
-        gap = now - attempt.last_event_at
+        gap = (now - attempt.last_event_at) / events
         stream_pace.record_gap(upstream.pace, now, gap)
     attempt.last_event_at = now
     lengths = state_module.get_or_create_response_lengths(
         state, request.service, request.route.name
     )
-    if request.forwarding_started:
+    if not request.forwarding_started:
+        stream_pace.record_start(lengths, now, request.deadline - now)
+        events -= 1
+    for _ in range(events):
         request.events += 1
         stream_pace.record_event(lengths, now, request.events)
-    else:
-        stream_pace.record_start(lengths, now, request.deadline - now)
 
 
 def record_leaving(
--- a/sycamorefall/direct/relay.py
+++ b/sycamorefall/direct/relay.py
@@ -404,7 +404,13 @@
         return
     events = streams.split_events(proxied.splitter, data)
     now = transport.read_clock()
-    outcomes.record_response(proxy.state, now, number, first=bool(events))
+    outcomes.record_response(
+        proxy.state,
+        now,
+        number,
+        first=bool(events),
+        events=streams.count_events(events),
+    )
     if events:
         observation.record_piece(proxy.recorder, proxied.trace, now)
         _forward_events(proxy, proxied, events)
--- a/sycamorefall/direct/streams.py
+++ b/sycamorefall/direct/streams.py
@@ -2,6 +2,7 @@
 
 __all__ = [
     "EventSplitter",
+    "count_events",
     "flush_rest",
     "prepare_resume",
     "split_events",
@@ -83,6 +84,16 @@
     return complete
 
 
+def count_events(data: bytes) -> int:
+    r"""Counts the events in the result of `split_events`.
+
+    Example:
+        >>> count_events(b"id: 1\ndata: a\n\nid: 2\r\ndata: b\r\n\r\n")
+        2
+    """
+    return data.count(b"\n\n") + data.count(b"\n\r\n")
+
+
 def _find_last_end(text: bytes, ending: bytes) -> int:
     """Finds the end of the last event with this ending; 0 if there is none."""
     found = text.rfind(ending)
--- a/sycamorefall/direct/tests/test_stream_pace.py
+++ b/sycamorefall/direct/tests/test_stream_pace.py
@@ -116,6 +116,20 @@
     assert gap == pytest.approx(FAST_GAP)
 
 
+def test_events_that_are_read_at_once_count_one_by_one(state):
+    # Guards against a late router that takes its engines for slow: it reads
+    # several events at once, after a longer time.
+    core.record_proof(state, 0.0, 0.0)
+    number, sent = fakes.submit_request(state, 0.0, "draft")
+    outcomes.record_response(state, 0.1, number, first=True, events=2)
+    outcomes.record_response(state, 0.6, number, first=True, events=5)
+    outcomes.end_attempt(state, 0.6, number, outcomes.AttemptEnd.COMPLETE)
+    pace = state.table.by_name[sent.upstream].pace
+    assert stream_pace.estimate_gap(pace, 0.6) == pytest.approx(0.1)
+    (lengths,) = state.response_lengths["engine"].values()
+    assert stream_pace.estimate_length(lengths) == 6
+
+
 def start_stream(state, now, gap, events):
     """Starts a stream and plays some events; returns its number and engine."""
     core.record_proof(state, now, now)
