--- a/standins/wire_store.py
+++ b/standins/wire_store.py
@@ -5,6 +5,7 @@
 import asyncio
 import base64
 import collections
+import dataclasses
 import json
 import time
 
@@ -14,12 +15,27 @@
 """Maximum number of items in a response to a range read."""
 
 
+@dataclasses.dataclass(frozen=True)
+class Copy:
+    """A copy of a store's items, from which the store can be restored.
+
+    Attributes:
+        items: The items; see `Store`.
+        revision: Revision of the last change.
+    """
+
+    items: dict[str, tuple[str, int, int]]
+    revision: int
+
+
 class Store:
     """A key-value store with revisions, watches and fault injection.
 
     Attributes:
         items: By key: the encoded value, the revision of its last change, and
             the revision at which it was created.
+        era: Number of times that the store was restored from a copy, and one;
+            a header of each response.
         changes: Revision and key of each change.
         revision: Revision of the last change.
         oldest_revision: Oldest revision from which a watch can start.
@@ -30,6 +46,7 @@
 
     def __init__(self):
         self.items: dict[str, tuple[str, int, int]] = {}
+        self.era = 1
         self.changes: list[tuple[int, str]] = []
         self.revision = 1
         self.oldest_revision = 0
@@ -51,6 +68,20 @@
         self.items.pop(key, None)
         self.changes.append((self.revision, key))
 
+    def copy(self) -> Copy:
+        """Copies the items, for a later `restore`."""
+        return Copy(dict(self.items), self.revision)
+
+    def restore(self, copy: Copy) -> None:
+        """Restores a copy: what was written since is lost, revisions go back.
+
+        The history is lost as well, and the era rises.
+        """
+        self.items = dict(copy.items)
+        self.changes, self.revision = [], copy.revision
+        self.oldest_revision = copy.revision
+        self.era += 1
+
     def discard_history(self) -> None:
         """Discards the history, so that watches from before now get 410."""
         self.oldest_revision = self.revision
@@ -66,6 +97,11 @@
 
     async def handle_request(self, request: web.Request) -> web.Response:
         """Responds to a read of a key, a range read or a watch."""
+        response = await self._respond(request)
+        response.headers["Store-Era"] = str(self.era)
+        return response
+
+    async def _respond(self, request: web.Request) -> web.Response:
         self.read_counts[request.path] += 1
         if self.unavailable:
             return web.Response(status=503)
@@ -94,7 +130,7 @@
         after, deadline = int(query["After"]), int(query["WaitMs"]) / 1000
         deadline += time.monotonic()
         while time.monotonic() < deadline:
-            if after < self.oldest_revision:
+            if after < self.oldest_revision or after > self.revision:
                 return web.Response(status=410)
             new_changes = [
                 change
--- a/sycamorefall/platform/tests/router_client.py
+++ b/sycamorefall/platform/tests/router_client.py
@@ -2,6 +2,7 @@
 
 import itertools
 import re
+import urllib.request
 
 from standins import site as site_module
 
@@ -45,3 +46,11 @@
 
 def parse_event_data(response_body):
     return re.findall(rb"data: (\S+)", response_body)
+
+
+def read_metric(router, name):
+    """Reads a metric without labels from a router's page."""
+    url = f"http://127.0.0.1:{router.operators}/metrics"
+    with urllib.request.urlopen(url, timeout=2) as response:
+        text = response.read().decode()
+    return float(re.search(rf"^sycamorefall_{name} (\S+)$", text, re.M)[1])
--- a/sycamorefall/platform/tests/test_whole_path.py
+++ b/sycamorefall/platform/tests/test_whole_path.py
@@ -14,6 +14,7 @@
 from standins import site as site_module
 from sycamorefall.platform.tests.router_client import (
     parse_event_data,
+    read_metric,
     send_request,
     store_configuration,
 )
@@ -196,14 +197,7 @@
 
     A router counts those that it receives heartbeats from, and itself.
     """
-    counts = set()
-    for router in routers:
-        url = f"http://127.0.0.1:{router.operators}/metrics"
-        with urllib.request.urlopen(url, timeout=2) as response:
-            text = response.read().decode()
-        match = re.search(r"^sycamorefall_routers (\S+)$", text, re.M)
-        counts.add(int(float(match[1])))
-    return counts
+    return {read_metric(router, "routers") for router in routers}
 
 
 def test_invalid_documents_are_logged_and_last_valid_ones_stay(site):
