Direct: order revisions over all eras of the platform

What callers saw: for seconds after the platform's store had come back from a copy, no change of the configuration and no leaving of an upstream was in force at any router: 404 on a route that had been added 2.2 s before, a route served 2.6 s after it was removed. A key revoked in that time would have stayed valid.

Cause: a comparison of revisions without the era that they belong to. The store goes back to a lower revision and gives revisions out again. The same held between routers, for tombstones, announced states and decoded records.

Change: era and number become one revision where a response is decoded; every comparison sees only these. A read that can't be ordered fails. For 2.3 s after a router learns of a new era it keeps what the copy may lack, and proofs don't renew the lease on keys. Log record platform.restored, metrics platform_era and platform_restorations_total.

--- a/sycamorefall/direct/core.py
+++ b/sycamorefall/direct/core.py
@@ -4,6 +4,7 @@
     "apply_catalog",
     "apply_evacuated_domains",
     "apply_listing",
+    "begin_settling",
     "begin_stop",
     "cancel_request",
     "find_next_due",
@@ -169,6 +170,24 @@
     upstreams.confirm_listing(state.table, now, proven_at)
 
 
+def begin_settling(
+    state: state_module.DirectState, until: float, withdraw: bool
+) -> None:
+    """Keeps in force what a platform restored from a copy may have lost.
+
+    Upstreams that are missing are kept, evacuated domains stay evacuated, and
+    the lease on keys isn't renewed.
+
+    Args:
+        state: The router's state; changed.
+        until: When the platform's records count as complete again.
+        withdraw: Whether the lease ends now; see `freshness.hold_proofs`.
+    """
+    state.settles_at = until
+    freshness.hold_proofs(state.freshness, until, withdraw)
+    upstreams.begin_grace(state.table, until)
+
+
 def begin_stop(state: state_module.DirectState, now: float) -> None:
     """Begins a graceful stop: reports not ready, but keeps serving requests."""
     state.stop.since = now
--- a/sycamorefall/direct/daemon.py
+++ b/sycamorefall/direct/daemon.py
@@ -131,7 +131,11 @@
             )
 
     def handle_evacuated_domains(self, domains: set[str]) -> None:
-        """Applies the evacuated failure domains, and logs what changed."""
+        """Applies the evacuated failure domains, and logs what changed.
+
+        While the platform's records settle after a restoration, domains stay
+        evacuated.
+        """
         known = self.config.vm.list_failure_domains()
         unknown = {name for name in domains if known and name not in known}
         if unknown - self.unknown_domains:
@@ -143,9 +147,11 @@
         self.unknown_domains = unknown
         evacuated = domains - unknown
         before = self.state.evacuated_domains
+        now = transport.read_clock()
+        if now < self.state.settles_at:
+            evacuated |= before
         if evacuated == before:
             return
-        now = transport.read_clock()
         pending = core.apply_evacuated_domains(self.state, now, evacuated)
         observation.write_record(
             observation.Level.INFO,
@@ -159,6 +165,10 @@
         """Records that configuration and listing were current at a time."""
         core.record_proof(self.state, transport.read_clock(), proven_at)
 
+    def handle_settling(self, until: float, withdraw: bool) -> None:
+        """Keeps in force what a restored platform may have lost."""
+        core.begin_settling(self.state, until, withdraw)
+
     def send_message(
         self, receivers: Iterable[str], message: messages.Message
     ) -> None:
@@ -286,6 +296,7 @@
         ),
         daemon.send_message,
         daemon.handle_proof,
+        daemon.handle_settling,
     )
     daemon.ticker = transport.Ticker(
         lambda: _find_next_due(daemon), lambda now: _run_timers(daemon, now)
--- a/sycamorefall/direct/freshness.py
+++ b/sycamorefall/direct/freshness.py
@@ -9,6 +9,7 @@
 
 __all__ = [
     "Freshness",
+    "hold_proofs",
     "is_fresh",
     "record_proof",
 ]
@@ -31,10 +32,13 @@
         proven_at: When the last read that proved it was sent, and not when its
             answer came: the answer doesn't show changes made while it was in
             transit.
+        held_until: Proofs of earlier times don't count; minus infinity if none
+            are held.
     """
 
     revocation_bound: float
     proven_at: float = float("-inf")
+    held_until: float = float("-inf")
 
 
 def record_proof(freshness: Freshness, sent_at: float) -> None:
@@ -44,7 +48,37 @@
         freshness: The lease; changed unless a later read proved it already.
         sent_at: When the read was sent.
     """
-    freshness.proven_at = max(freshness.proven_at, sent_at)
+    if sent_at >= freshness.held_until:
+        freshness.proven_at = max(freshness.proven_at, sent_at)
+
+
+def hold_proofs(freshness: Freshness, until: float, withdraw: bool) -> None:
+    """Ignores proofs of times before a platform's records are complete again.
+
+    Guards against a key whose revocation was lost when the platform was
+    restored from a copy, before this process had read it. Until operators have
+    written it again, the newest configuration still has the key. A lease from
+    before the restoration ends in time by itself.
+
+    Args:
+        freshness: The lease; changed.
+        until: When the records count as complete.
+        withdraw: Whether the lease rests on records from after the restoration
+            and ends now.
+
+    Example:
+        >>> freshness = Freshness(revocation_bound=5.0)
+        >>> hold_proofs(freshness, until=12.0, withdraw=False)
+        >>> record_proof(freshness, 11.0)
+        >>> is_fresh(freshness, 11.0)
+        False
+        >>> record_proof(freshness, 12.0)
+        >>> is_fresh(freshness, 12.0)
+        True
+    """
+    freshness.held_until = max(freshness.held_until, until)
+    if withdraw and freshness.proven_at < freshness.held_until:
+        freshness.proven_at = float("-inf")
 
 
 def is_fresh(freshness: Freshness, now: float) -> bool:
--- a/sycamorefall/direct/metrics.py
+++ b/sycamorefall/direct/metrics.py
@@ -96,6 +96,19 @@
         ("kind", "end"),
         dict(daemon.replicator.reads),
     )
+    yield gauge(
+        "platform_era",
+        "Era of the platform's records; it rises when the platform is restored "
+        "from a copy.",
+        (),
+        {(): daemon.replicator.get_era()},
+    )
+    yield count(
+        "platform_restorations",
+        "Restorations of the platform that this process learned of.",
+        (),
+        {(): daemon.replicator.restorations},
+    )
     yield count(
         "control_lost",
         "Control messages dropped or refused.",
--- a/sycamorefall/direct/records.py
+++ b/sycamorefall/direct/records.py
@@ -3,6 +3,10 @@
 Records arrive from the platform and from other routers, in any order. Each
 carries the revision of its last change, so an older version never replaces a
 later one, and a deleted record doesn't reappear.
+
+A platform that is restored from a copy begins a new era, whose revisions are
+higher than all before (`revisions`). Its records replace the known ones, also
+those whose last change was lost.
 """
 
 __all__ = [
@@ -11,14 +15,16 @@
     "apply_changes",
     "apply_snapshot",
     "collect_changes",
+    "list_in_force",
 ]
 
-from collections.abc import Iterable
+from collections.abc import Iterable, Mapping
 import dataclasses
 import enum
 import hashlib
 
 from sycamorefall import messages
+from sycamorefall.direct import revisions
 
 MAX_TOMBSTONES = 1000
 """Maximum number of deleted keys that are remembered. A router that lacks an
@@ -48,6 +54,8 @@
         by_key: The records by key; some may be later than the revision.
         tombstones: Deleted keys, earliest deletion first, with a revision by
             which the key was deleted.
+        returned: Records that had been deleted in an earlier era and that came
+            back with the copy, or were written since: revisions by key.
         revision: Revision up to which every change is included; 0 while there
             are no records.
         fingerprint: XOR of the hashes of all keys.
@@ -55,6 +63,7 @@
 
     by_key: dict[str, messages.Record] = dataclasses.field(default_factory=dict)
     tombstones: dict[str, int] = dataclasses.field(default_factory=dict)
+    returned: dict[str, int] = dataclasses.field(default_factory=dict)
     revision: int = 0
     fingerprint: int = 0
 
@@ -76,12 +85,19 @@
     """
     current = records.by_key.get(record.key)
     if current is None:
-        if record.changed_revision <= records.tombstones.get(record.key, 0):
-            return False
+        deleted_by = records.tombstones.get(record.key)
+        if deleted_by is not None:
+            if record.changed_revision <= deleted_by:
+                return False
+            era = revisions.get_era(record.changed_revision)
+            if revisions.get_era(deleted_by) < era:
+                records.returned[record.key] = record.changed_revision
+            del records.tombstones[record.key]
         records.fingerprint ^= _hash_key(record.key)
-        records.tombstones.pop(record.key, None)
     elif record.changed_revision <= current.changed_revision:
         return False
+    else:
+        records.returned.pop(record.key, None)
     records.by_key[record.key] = record
     return True
 
@@ -101,6 +117,7 @@
     if current is None or current.changed_revision > revision:
         return False
     del records.by_key[key]
+    records.returned.pop(key, None)
     records.fingerprint ^= _hash_key(key)
     records.tombstones[key] = revision
     while len(records.tombstones) > MAX_TOMBSTONES:
@@ -149,13 +166,18 @@
 
     Returns:
         Whether anything changed. `INCOMPLETE` leaves the revision as it was:
-        the changes start after it, or the fingerprints differ after them.
+        the changes start after it or end in a later era, or the fingerprints
+        differ after them.
     """
     if not changes.since:
         return apply_snapshot(records, changes.revision, changes.records)
     if changes.revision <= records.revision:
         return UpdateOutcome.UNCHANGED
-    if records.revision < changes.since:
+    era = revisions.get_era(changes.revision)
+    if (
+        records.revision < changes.since
+        or revisions.get_era(records.revision) < era
+    ):
         return UpdateOutcome.INCOMPLETE
     puts = [_put(records, record) for record in changes.records]
     drops = [
@@ -204,3 +226,18 @@
         deleted_keys if since else (),
         records.fingerprint,
     )
+
+
+def list_in_force(records: Records) -> Mapping[str, messages.Record]:
+    """Lists the records that are to be put into effect, by key.
+
+    Records that came back with a copy are left out while it is not known
+    whether they are up to date: an upstream that has left would get requests.
+    """
+    if not records.returned:
+        return records.by_key
+    return {
+        key: record
+        for key, record in records.by_key.items()
+        if key not in records.returned
+    }
--- a/sycamorefall/direct/replica.py
+++ b/sycamorefall/direct/replica.py
@@ -5,10 +5,15 @@
 time at which the records were certainly the newest. A proof from another router
 is never later than the true time: its sender converts the time to this
 process's clock, using a `Subscribe` message that this process sent before.
+
+After the platform was restored from a copy, its records lack what was written
+in the seconds before. Operators and upstreams write that again. Until they have
+had time to do so, the replica is settling: see `BeginSettling`.
 """
 
 __all__ = [
     "ApplyRecords",
+    "BeginSettling",
     "CancelRead",
     "Effect",
     "RecordProof",
@@ -20,6 +25,7 @@
     "handle_probe",
     "handle_read_failure",
     "handle_snapshot",
+    "is_contradictory",
     "receive_message",
     "run_timers",
 ]
@@ -31,11 +37,16 @@
 from sycamorefall.direct import read_schedule as read_schedule_module
 from sycamorefall.direct import readers as readers_module
 from sycamorefall.direct import records as records_module
+from sycamorefall.direct import revisions, upstreams
 
 CATCH_UP_TIMEOUT = 0.3
 """Seconds that another router may take to send the records of a revision that
 it announced; after that they are read from the platform."""
 
+SETTLING_TIME = upstreams.MISSING_ENTRY_GRACE
+"""Seconds after a restoration of the platform until what it lost is taken to be
+written again."""
+
 READER_CHOICE_INTERVAL = 0.25
 """Seconds between two choices of readers."""
 
@@ -91,7 +102,35 @@
     proven_at: float
 
 
-Effect = StartRead | CancelRead | SendMessage | ApplyRecords | RecordProof
+@dataclasses.dataclass(slots=True, frozen=True)
+class BeginSettling:
+    """Effect: keep in force what the restored platform may have lost.
+
+    Attributes:
+        until: When the records count as complete again, by this process's
+            clock. Proofs of earlier times don't renew the lease.
+        withdraw: Whether the lease in effect has to end, since this process
+            started after the restoration and learned of it only now.
+        era_before: The era before the restoration; None if unknown.
+        era: The platform's era.
+        returned: Number of records that came back with the copy.
+    """
+
+    until: float
+    withdraw: bool
+    era_before: int | None
+    era: int
+    returned: int
+
+
+Effect = (
+    StartRead
+    | CancelRead
+    | SendMessage
+    | ApplyRecords
+    | RecordProof
+    | BeginSettling
+)
 
 
 @dataclasses.dataclass(slots=True)
@@ -108,6 +147,11 @@
             records this replica lacked; 0 before any is announced.
         announced_proof: When that revision was certainly the newest.
         choose_readers_at: When the readers are chosen next.
+        known_at_read: Revision of the records when the read in progress was
+            sent.
+        settles_at: When the records count as complete after a restoration that
+            this process has learned of; None if it knows of none.
+        settling: Whether that time has yet to come.
     """
 
     incarnation: int
@@ -120,6 +164,9 @@
     announced_revision: int = 0
     announced_proof: float = float("-inf")
     choose_readers_at: float = float("-inf")
+    known_at_read: int = 0
+    settles_at: float | None = None
+    settling: bool = False
 
 
 def create_replica(
@@ -162,6 +209,7 @@
         read_schedule_module.find_next_due(replica.read_schedule),
         readers_module.find_next_due(replica.readers),
         replica.choose_readers_at,
+        replica.settles_at if replica.settling else float("inf"),
     )
 
 
@@ -180,6 +228,10 @@
     """
     read_schedule, readers = replica.read_schedule, replica.readers
     effects: list[Effect] = []
+    if replica.settling and now >= replica.settles_at:
+        replica.settling = False
+        replica.records.returned.clear()
+        effects.append(ApplyRecords())
     if read_schedule_module.is_read_expired(read_schedule, now):
         effects += [CancelRead(), *handle_read_failure(replica, now)]
     if now >= replica.choose_readers_at:
@@ -197,10 +249,21 @@
         effects.append(SendMessage(name, subscribe))
     kind = read_schedule_module.start_due_read(read_schedule, now)
     if kind is not None:
+        replica.known_at_read = replica.records.revision
         effects.append(StartRead(kind))
     return effects
 
 
+def is_contradictory(replica: Replica, revision: int) -> bool:
+    """Returns whether an answer is from before what was known as it was asked.
+
+    Reads are linearizable, so such a platform was restored without a higher
+    era, or no longer states its era. Its answers prove nothing, and can't be
+    ordered; the read counts as failed, so that the lease runs out.
+    """
+    return revision < replica.known_at_read
+
+
 def handle_probe(replica: Replica, now: float, revision: int) -> list[Effect]:
     """Handles the answer to a probe.
 
@@ -248,7 +311,7 @@
     )
     before = replica.records.revision
     outcome = records_module.apply_snapshot(replica.records, revision, listed)
-    effects: list[Effect] = []
+    effects = _begin_settling(replica, now, before)
     if outcome is not records_module.UpdateOutcome.UNCHANGED or not before:
         effects.append(ApplyRecords())
     replica.read_schedule.snapshot_due_at = float("inf")
@@ -320,10 +383,57 @@
         replica.records.revision,
         replica.read_schedule.proven_at + subscriber.clock_offset,
         replica.read_schedule.failures == 0,
+        float("-inf")
+        if replica.settles_at is None
+        else replica.settles_at + subscriber.clock_offset,
     )
     return SendMessage(name, state)
 
 
+def _begin_settling(replica: Replica, now: float, before: int) -> list[Effect]:
+    """Begins to settle if the new records are of a later era than those before.
+
+    Args:
+        replica: The replica, which has the new records already; changed.
+        now: Current time of this process's clock.
+        before: Revision of the replica before the new records; 0 if it had
+            none.
+
+    Returns:
+        Effects to perform before the records are put into effect.
+    """
+    era_before = revisions.get_era(before)
+    era = revisions.get_era(replica.records.revision)
+    if not before or era <= era_before:
+        return []
+    replica.settles_at, replica.settling = now + SETTLING_TIME, True
+    returned = len(replica.records.returned)
+    return [BeginSettling(replica.settles_at, False, era_before, era, returned)]
+
+
+def _learn_settling(
+    replica: Replica, now: float, state: messages.ReaderState
+) -> list[Effect]:
+    """Settles with a router that learned of a restoration before.
+
+    A process that started after the restoration doesn't learn of it otherwise.
+
+    Returns:
+        Effects to perform; none if the states are of different eras, or if this
+        process knows of a restoration itself.
+    """
+    era = revisions.get_era(replica.records.revision)
+    if (
+        replica.settles_at is not None
+        or state.settles_at <= now
+        or revisions.get_era(state.revision) != era
+    ):
+        return []
+    replica.settles_at = min(state.settles_at, now + SETTLING_TIME)
+    replica.settling = True
+    return [BeginSettling(replica.settles_at, True, None, era, 0)]
+
+
 def _send_state_to_all(
     replica: Replica, now: float, changed: bool = False
 ) -> list[Effect]:
@@ -361,7 +471,10 @@
         replica.choose_readers_at = now
     proven_at = min(state.proven_at, now)
     if state.revision <= replica.records.revision:
-        return _record_proof(replica, now, proven_at, by_own_read=False)
+        effects = _learn_settling(replica, now, state)
+        return effects + _record_proof(
+            replica, now, proven_at, by_own_read=False
+        )
     if (
         state.revision >= replica.announced_revision
         and proven_at >= replica.announced_proof
@@ -373,7 +486,9 @@
     read_schedule_module.schedule_snapshot(
         replica.read_schedule, now + CATCH_UP_TIMEOUT
     )
-    fetch = messages.FetchRecords(replica.records.revision)
+    known = replica.records.revision
+    is_same_era = revisions.get_era(state.revision) == revisions.get_era(known)
+    fetch = messages.FetchRecords(known if is_same_era else 0)
     return [SendMessage(sender, fetch)]
 
 
@@ -390,7 +505,7 @@
 ) -> list[Effect]:
     before = replica.records.revision
     outcome = records_module.apply_changes(replica.records, changes)
-    effects: list[Effect] = []
+    effects = _begin_settling(replica, now, before)
     if outcome is not records_module.UpdateOutcome.UNCHANGED:
         effects.append(ApplyRecords())
     if outcome is records_module.UpdateOutcome.INCOMPLETE:
--- a/sycamorefall/direct/replicator.py
+++ b/sycamorefall/direct/replicator.py
@@ -16,6 +16,7 @@
     readers,
     records,
     replica,
+    revisions,
 )
 
 
@@ -40,15 +41,19 @@
         source: Reads the platform and applies the records; None until it is
             set.
         reads: Number of finished reads, by kind and result.
+        restorations: Number of times that the platform was found to have been
+            restored from a copy.
     """
 
     __slots__ = (
         "_is_reachable",
         "_on_proof",
+        "_on_settling",
         "_rank_routers",
         "_send",
         "reads",
         "replica",
+        "restorations",
         "source",
     )
 
@@ -58,6 +63,7 @@
         rank_routers: replica.RankRouters,
         send: Callable[[Iterable[str], messages.Message], None],
         on_proof: Callable[[float], None],
+        on_settling: Callable[[float, bool], None],
     ):
         """Creates a replicator whose `source` is not set yet.
 
@@ -68,6 +74,8 @@
                 address.
             on_proof: Called with each time at which the records in effect were
                 certainly the newest.
+            on_settling: Called with `until` and `withdraw` of each
+                `replica.BeginSettling`.
         """
         self.replica = initial_replica
         self.source: RecordSource | None = None
@@ -75,7 +83,9 @@
         self._rank_routers = rank_routers
         self._send = send
         self._on_proof = on_proof
+        self._on_settling = on_settling
         self._is_reachable = True
+        self.restorations = 0
 
     def find_next_due(self) -> float:
         """Returns when `run` has to be called next."""
@@ -101,6 +111,8 @@
 
     def receive_probe(self, revision: int) -> None:
         """Handles the platform's revision, the answer to a probe."""
+        if self._refuse_contradiction(revision):
+            return
         self._record_successful_read(read_schedule.ReadKind.PROBE)
         now = transport.read_clock()
         self._perform(replica.handle_probe(self.replica, now, revision))
@@ -109,6 +121,8 @@
         self, revision: int, listed: Iterable[messages.Record]
     ) -> None:
         """Handles all records as of a revision, the answer to a snapshot."""
+        if self._refuse_contradiction(revision):
+            return
         self._record_successful_read(read_schedule.ReadKind.SNAPSHOT)
         now = transport.read_clock()
         effects = replica.handle_snapshot(self.replica, now, revision, listed)
@@ -120,6 +134,21 @@
         now = transport.read_clock()
         self._perform(replica.handle_read_failure(self.replica, now))
 
+    def get_era(self) -> int:
+        """Returns the platform's era that the known records are of."""
+        return revisions.get_era(self.replica.records.revision)
+
+    def _refuse_contradiction(self, revision: int) -> bool:
+        """Counts an answer from before what was known as failed.
+
+        Returns:
+            Whether the answer was one.
+        """
+        if not replica.is_contradictory(self.replica, revision):
+            return False
+        self.receive_failure("revision went back")
+        return True
+
     def _perform(self, effects: Iterable[replica.Effect]) -> None:
         for effect in effects:
             match effect:
@@ -133,6 +162,20 @@
                     self.source.apply_records(self.replica.records)
                 case replica.RecordProof(proven_at):
                     self._on_proof(proven_at)
+                case replica.BeginSettling():
+                    self._begin_settling(effect)
+
+    def _begin_settling(self, effect: replica.BeginSettling) -> None:
+        self.restorations += 1
+        observation.write_record(
+            observation.Level.WARNING,
+            "platform.restored",
+            era=effect.era,
+            before=effect.era_before,
+            returned=effect.returned,
+            settles_in=round(effect.until - transport.read_clock(), 3),
+        )
+        self._on_settling(effect.until, effect.withdraw)
 
     def _record_failed_read(self, reason: str) -> None:
         self.reads[self.replica.read_schedule.read.value, "failed"] += 1
@@ -159,6 +202,7 @@
     rank_routers: replica.RankRouters,
     send: Callable[[Iterable[str], messages.Message], None],
     on_proof: Callable[[float], None],
+    on_settling: Callable[[float, bool], None],
 ) -> Replicator:
     """Creates the replicator of an empty replica.
 
@@ -171,9 +215,12 @@
         rank_routers: See `Replicator`.
         send: See `Replicator`.
         on_proof: See `Replicator`.
+        on_settling: See `Replicator`.
     """
     now = transport.read_clock()
     initial_replica = replica.create_replica(
         now, incarnation, incarnation, control, reader_selection, seeds
     )
-    return Replicator(initial_replica, rank_routers, send, on_proof)
+    return Replicator(
+        initial_replica, rank_routers, send, on_proof, on_settling
+    )
--- a/sycamorefall/direct/state.py
+++ b/sycamorefall/direct/state.py
@@ -212,6 +212,8 @@
         vm: Name of this router's VM; empty until it is set.
         domain_routers: VM names of the routers in this router's failure
             domain, including this one; empty while they are not known.
+        settles_at: When the platform's records count as complete again after a
+            restoration.
         evacuated_domains: Failure domains whose upstreams get no requests.
         dispatch_needed: Whether capacity may have become free for a waiting
             request.
@@ -269,6 +271,7 @@
     routers: int = 1
     vm: str = ""
     domain_routers: frozenset[str] = frozenset()
+    settles_at: float = float("-inf")
     evacuated_domains: frozenset[str] = frozenset()
     dispatch_needed: bool = False
     last_dispatch_at: float = 0.0
--- a/sycamorefall/direct/tests/simulated_replicas.py
+++ b/sycamorefall/direct/tests/simulated_replicas.py
@@ -10,7 +10,13 @@
 import random
 
 from sycamorefall import messages
-from sycamorefall.direct import readers, replica
+from sycamorefall.direct import (
+    freshness,
+    readers,
+    records,
+    replica,
+    revisions,
+)
 
 STEP = 0.01
 """Seconds of simulated time between two runs of a router's timers."""
@@ -18,6 +24,9 @@
 READ_TIME = 0.004
 """Seconds from the start of a read to its answer."""
 
+REVOCATION_BOUND = 5.0
+"""Seconds after its revocation at which a key must no longer work."""
+
 FAILURE_DETECTION_TIME = 2.5
 """Seconds until the other routers detect that a router has failed."""
 
@@ -27,8 +36,9 @@
 
     Attributes:
         records: Records by key.
-        revision: Current revision.
-        changed_at: Simulated time of each change, by revision.
+        era: Number of times that it was restored from a copy, and one.
+        number: Number of the last change.
+        changed_at: Simulated time of each change that isn't lost, by revision.
         unavailable: Whether all reads are refused.
         refused_routers: Names of routers whose reads are refused.
         unanswered_routers: Names of routers whose reads are never answered.
@@ -37,25 +47,51 @@
 
     def __init__(self):
         self.records = {}
-        self.revision = 1
+        self.era, self.number = 1, 1
         self.changed_at = {}
         self.unavailable = False
         self.refused_routers = set()
         self.unanswered_routers = set()
         self.calls = []
 
-    def put(self, key, now):
-        self.revision += 1
+    @property
+    def revision(self):
+        return revisions.combine(self.era, self.number)
+
+    def put(self, key, now, value=b"v"):
+        self.number += 1
         known = self.records.get(key)
         created = known.created_revision if known else self.revision
-        self.records[key] = messages.Record(key, created, self.revision, b"v")
+        self.records[key] = messages.Record(key, created, self.revision, value)
         self.changed_at[self.revision] = now
 
     def delete(self, key, now):
-        self.revision += 1
+        self.number += 1
         del self.records[key]
         self.changed_at[self.revision] = now
 
+    def copy(self):
+        return self.number, dict(self.records)
+
+    def restore(self, copy):
+        """Restores a copy; all records get revisions of the new era."""
+        self.number, kept = copy
+        self.era += 1
+
+        def renew(revision):
+            return revisions.combine(self.era, revisions.get_number(revision))
+
+        self.records = {
+            key: messages.Record(
+                key,
+                renew(record.created_revision),
+                renew(record.changed_revision),
+                record.value,
+            )
+            for key, record in kept.items()
+        }
+        self.changed_at.clear()
+
 
 class Router:
     """A simulated router process with its replica.
@@ -66,6 +102,9 @@
         frozen: Whether its process is paused; events wait in the inbox.
         ran_at: Simulated time at which it last ran.
         proven_at: Time of the latest proof, by its own clock.
+        lease: Its lease on keys.
+        version: Highest version of the configuration that it has applied.
+        upstreams: Keys of the other records in effect.
         applied_revision: Revision of the records that it put into effect.
         read_number: Number of the latest read; answers to earlier reads are
             ignored.
@@ -78,6 +117,8 @@
         self.alive, self.frozen = True, False
         self.ran_at = fleet.now
         self.proven_at, self.applied_revision = float("-inf"), 0
+        self.lease = freshness.Freshness(REVOCATION_BOUND)
+        self.version, self.upstreams = 0, frozenset()
         self.read_number = 0
         self.inbox = []
         self.replica = replica.create_replica(
@@ -191,9 +232,23 @@
                 case replica.SendMessage(to, message):
                     self._send(router, to, message)
                 case replica.ApplyRecords():
-                    router.applied_revision = router.replica.records.revision
+                    self._apply_records(router)
                 case replica.RecordProof(proven_at):
                     router.proven_at = max(router.proven_at, proven_at)
+                    freshness.record_proof(router.lease, proven_at)
+                case replica.BeginSettling():
+                    freshness.hold_proofs(
+                        router.lease, effect.until, effect.withdraw
+                    )
+
+    def _apply_records(self, router):
+        known = router.replica.records
+        router.applied_revision = known.revision
+        in_force = dict(records.list_in_force(known))
+        configuration = in_force.pop("configuration", None)
+        if configuration is not None and configuration.value.isdigit():
+            router.version = max(router.version, int(configuration.value))
+        router.upstreams = frozenset(in_force)
 
     def _start_read(self, router, kind, number):
         platform = self.platform
@@ -226,6 +281,11 @@
                 )
                 return
             kind, (revision, listed) = answer
+            if replica.is_contradictory(router.replica, revision):
+                self._perform(
+                    router, replica.handle_read_failure(router.replica, now)
+                )
+                return
             if kind.value == "probe":
                 effects = replica.handle_probe(router.replica, now, revision)
             else:
@@ -261,6 +321,10 @@
 
         self._schedule(self.random.uniform(0.0001, self.max_delay), arrive)
 
+    def accepts_keys(self, router):
+        now = self.now + router.clock_offset
+        return freshness.is_fresh(router.lease, now)
+
     def compute_proof_age(self, router):
         """Computes the true age of a router's proof, in seconds."""
         return self.now + router.clock_offset - router.proven_at
--- a/sycamorefall/direct/upstreams.py
+++ b/sycamorefall/direct/upstreams.py
@@ -7,6 +7,7 @@
     "Upstream",
     "UpstreamEntry",
     "UpstreamTable",
+    "begin_grace",
     "compute_failure_rate",
     "confirm_listing",
     "drop_missing",
@@ -15,6 +16,7 @@
     "find_retry_delay_end",
     "is_leaving",
     "is_usable",
+    "keep_leaving",
     "list_upstreams",
     "record_failure",
     "record_leaving",
@@ -33,7 +35,7 @@
 from typing import NamedTuple
 
 from sycamorefall import settings
-from sycamorefall.direct import caches, stream_pace
+from sycamorefall.direct import caches, revisions, stream_pace
 from sycamorefall.direct import pacing as pacing_module
 
 MISSING_ENTRY_GRACE = 2.3
@@ -312,7 +314,10 @@
             table.by_name[name] = upstream
             table.replaced.discard(name)
         else:
-            if known.listed.changed_revision != entry.changed_revision:
+            # A restored platform lists the same entry at a new revision.
+            if revisions.get_number(
+                known.listed.changed_revision
+            ) != revisions.get_number(entry.changed_revision):
                 known.pacing.listed_until = now + entry.cold_remaining
             known.listed = entry
     table.replaced &= table.by_name.keys()
@@ -321,6 +326,35 @@
     return dropped
 
 
+def keep_leaving(
+    before: UpstreamEntry | None, entry: UpstreamEntry
+) -> UpstreamEntry:
+    """Keeps an upstream leaving whose notice a restored platform has lost.
+
+    Args:
+        before: The upstream's entry as it was known before; None if unknown.
+        entry: Its new entry.
+
+    Returns:
+        The new entry, leaving if the earlier one was, unless it is of another
+        process, or was changed since in the same era.
+    """
+    if (
+        before is None
+        or not before.leaving
+        or before.start_time != entry.start_time
+        or revisions.get_era(before.changed_revision)
+        == revisions.get_era(entry.changed_revision)
+    ):
+        return entry
+    return dataclasses.replace(entry, leaving=True)
+
+
+def begin_grace(table: UpstreamTable, until: float) -> None:
+    """Keeps upstreams that are missing from the listing until a time."""
+    table.grace_ends_at = max(table.grace_ends_at, until)
+
+
 def _drop_notices(table: UpstreamTable, now: float) -> None:
     """Drops expired notices of unlisted processes."""
     listed = {
--- a/sycamorefall/messages/records.py
+++ b/sycamorefall/messages/records.py
@@ -1,6 +1,9 @@
 """Messages by which routers forward the platform's records to each other.
 
-They allow a few routers to read the platform on behalf of all.
+They allow a few routers to read the platform on behalf of all. All revisions
+include the platform's era. The tags differ from those of earlier versions,
+whose revisions didn't: a process of such a version would take these for
+revisions that the platform has yet to reach.
 """
 
 __all__ = [
@@ -30,7 +33,7 @@
     value: bytes
 
 
-class Subscribe(msgspec.Struct, frozen=True, array_like=True, tag="s"):
+class Subscribe(msgspec.Struct, frozen=True, array_like=True, tag="S"):
     """A router's subscription to the records that another router learns.
 
     The message is repeated for as long as the subscription is wanted, so a lost
@@ -52,7 +55,7 @@
     changes_only: bool = False
 
 
-class ReaderState(msgspec.Struct, frozen=True, array_like=True, tag="k"):
+class ReaderState(msgspec.Struct, frozen=True, array_like=True, tag="K"):
     """Revision and age of a router's records, sent to a subscriber.
 
     Attributes:
@@ -64,15 +67,19 @@
             latest, in seconds by the subscriber's clock. The conversion between
             clocks may make it earlier, never later.
         reads_succeed: Whether the sender's reads of the platform succeed.
+        settles_at: Time by the subscriber's clock from which the sender's
+            records count as complete again, after the platform was restored
+            from a copy; minus infinity if the sender knows of no restoration.
     """
 
     process_incarnation: int
     revision: int
     proven_at: float
     reads_succeed: bool
+    settles_at: float = float("-inf")
 
 
-class FetchRecords(msgspec.Struct, frozen=True, array_like=True, tag="f"):
+class FetchRecords(msgspec.Struct, frozen=True, array_like=True, tag="F"):
     """A router's request for the records that changed after a revision.
 
     Attributes:
@@ -82,7 +89,7 @@
     since: int
 
 
-class RecordChanges(msgspec.Struct, frozen=True, array_like=True, tag="d"):
+class RecordChanges(msgspec.Struct, frozen=True, array_like=True, tag="D"):
     """The records that changed between two revisions.
 
     Attributes:
--- a/sycamorefall/platform/documents.py
+++ b/sycamorefall/platform/documents.py
@@ -5,6 +5,7 @@
     "decode_catalog",
     "decode_evacuated_domain",
     "decode_listing",
+    "parse_era",
     "translate_item",
 ]
 
@@ -15,7 +16,9 @@
 import msgspec
 
 from sycamorefall import errors, messages, settings
-from sycamorefall.direct import catalog, upstreams
+from sycamorefall.direct import catalog, revisions, upstreams
+
+_Number = Annotated[int, msgspec.Meta(ge=0, le=revisions.MAX_NUMBER)]
 
 
 class Item(msgspec.Struct, rename="pascal"):
@@ -30,8 +33,8 @@
 
     key: str
     value: str = ""
-    create_rev: int = 0
-    revision: int = 0
+    create_rev: _Number = 0
+    revision: _Number = 0
 
 
 class ItemPage(msgspec.Struct, rename="pascal"):
@@ -45,7 +48,7 @@
 
     items: list[Item] = []
     more_pages: bool = False
-    current_rev: int = 0
+    current_rev: _Number = 0
 
 
 class _Upstream(msgspec.Struct, rename="pascal"):
@@ -140,17 +143,48 @@
 """State of an upstream that is to get no new requests."""
 
 
-def translate_item(item: Item) -> messages.Record:
+def parse_era(text: str | None) -> int | None:
+    """Parses the era that a response of the store states.
+
+    Args:
+        text: Value of the header; None if the response lacks it.
+
+    Returns:
+        The era, 0 without the header; None if the value is not valid.
+
+    Example:
+        >>> parse_era("3"), parse_era(None), parse_era("-1"), parse_era("new")
+        (3, 0, None, None)
+    """
+    if text is None:
+        return 0
+    if not (text.isascii() and text.isdecimal()):
+        return None
+    # The length is checked first: `int` refuses thousands of digits.
+    is_short = len(text) <= len(str(revisions.MAX_ERA))
+    return int(text) if is_short and int(text) <= revisions.MAX_ERA else None
+
+
+def translate_item(item: Item, era: int) -> messages.Record:
     """Translates an item of the store into a record.
 
     If the value is not valid base64, the record's value is empty. Decoding the
     record then fails as it does for any invalid document.
+
+    Args:
+        item: The item.
+        era: Era of the store in which the item was read.
     """
     try:
         value = base64.b64decode(item.value, validate=True)
     except ValueError:
         value = b""
-    return messages.Record(item.key, item.create_rev, item.revision, value)
+    return messages.Record(
+        item.key,
+        revisions.combine(era, item.create_rev),
+        revisions.combine(era, item.revision),
+        value,
+    )
 
 
 def _decode(record: messages.Record, struct_type: type) -> object:
--- a/sycamorefall/platform/store.py
+++ b/sycamorefall/platform/store.py
@@ -11,7 +11,7 @@
 from sycamorefall import errors, messages, observation, settings, transport
 from sycamorefall.direct import daemon as daemon_module
 from sycamorefall.direct import records as records_module
-from sycamorefall.direct import upstreams
+from sycamorefall.direct import revisions, upstreams
 from sycamorefall.direct.read_schedule import ReadKind
 from sycamorefall.platform import documents
 
@@ -31,6 +31,10 @@
 """Maximum size in bytes of one page of a read: room for ten values of the
 largest size."""
 
+ERA_HEADER = "store-era"
+"""Header with the store's era, in each of its responses. A store that is never
+restored from a copy may lack it."""
+
 _OK = 200
 
 
@@ -45,9 +49,12 @@
         chunks: Received parts of the current page's body.
         size: Total bytes of `chunks`.
         items: Items of the pages received so far.
-        revision: Lowest revision of the pages received so far; None before the
-            first one. The lowest counts, because an earlier page doesn't show
-            changes made before a later one was read.
+        number: Lowest number of a change that the pages received so far state
+            as the store's last; None before the first page. The lowest counts,
+            because an earlier page doesn't show changes made before a later one
+            was read.
+        era: Era that the current page states; None if it is invalid.
+        first_era: Era of the first page.
     """
 
     kind: ReadKind
@@ -56,7 +63,9 @@
     chunks: list[bytes] = dataclasses.field(default_factory=list)
     size: int = 0
     items: list[documents.Item] = dataclasses.field(default_factory=list)
-    revision: int | None = None
+    number: int | None = None
+    era: int | None = None
+    first_era: int | None = None
 
 
 class StoreReader:
@@ -101,15 +110,23 @@
         request = transport.OutgoingRequest(self._address, "GET", path)
         pending_read.status, pending_read.chunks, pending_read.size = 0, [], 0
         listener = transport.Listener(
-            on_head=lambda status, _: self._handle_head(pending_read, status),
+            on_head=lambda status, headers: self._handle_head(
+                pending_read, status, headers
+            ),
             on_data=lambda data: self._handle_data(pending_read, data),
             on_end=lambda: self._handle_end(pending_read),
             on_failure=lambda _: self._report_failure("connection"),
         )
         pending_read.exchange = self._daemon.client.send(request, listener)
 
-    def _handle_head(self, pending_read: _PendingRead, status: int) -> None:
+    def _handle_head(
+        self,
+        pending_read: _PendingRead,
+        status: int,
+        headers: Iterable[tuple[str, str]],
+    ) -> None:
         pending_read.status = status
+        pending_read.era = documents.parse_era(dict(headers).get(ERA_HEADER))
 
     def _handle_data(self, pending_read: _PendingRead, data: bytes) -> None:
         pending_read.chunks.append(data)
@@ -122,6 +139,14 @@
         if pending_read.status != _OK:
             self._report_failure(f"status {pending_read.status}")
             return
+        if pending_read.era is None:
+            self._report_failure("invalid era")
+            return
+        if pending_read.first_era is None:
+            pending_read.first_era = pending_read.era
+        if pending_read.era != pending_read.first_era:
+            self._report_failure("restored between two pages")
+            return
         data = b"".join(pending_read.chunks)
         try:
             page = msgspec.json.decode(data, type=documents.ItemPage)
@@ -133,10 +158,10 @@
     def _handle_page(
         self, pending_read: _PendingRead, page: documents.ItemPage
     ) -> None:
-        revision = page.current_rev
-        if pending_read.revision is not None:
-            revision = min(revision, pending_read.revision)
-        pending_read.revision = revision
+        number = page.current_rev
+        if pending_read.number is not None:
+            number = min(number, pending_read.number)
+        pending_read.number = number
         pending_read.items += page.items
         if (
             pending_read.kind is ReadKind.SNAPSHOT
@@ -147,11 +172,14 @@
             self._send_page(pending_read, after=page.items[-1].key)
             return
         self._pending_read = None
+        era = pending_read.era
+        revision = revisions.combine(era, number)
         if pending_read.kind is ReadKind.PROBE:
             self._daemon.replicator.receive_probe(revision)
         else:
             records = [
-                documents.translate_item(item) for item in pending_read.items
+                documents.translate_item(item, era)
+                for item in pending_read.items
             ]
             self._daemon.replicator.receive_snapshot(revision, records)
 
@@ -161,16 +189,17 @@
 
     def apply_records(self, known: records_module.Records) -> None:
         """Puts the records that have changed into effect."""
-        configuration = known.by_key.get(CONFIGURATION_KEY)
+        by_key = records_module.list_in_force(known)
+        configuration = by_key.get(CONFIGURATION_KEY)
         if configuration is not None and not self._is_decoded(configuration):
             self._apply_configuration(configuration)
-        self._apply_evacuations(known)
-        entries = _select_records(known, UPSTREAM_PREFIX)
+        self._apply_evacuations(by_key)
+        entries = _select_records(by_key, UPSTREAM_PREFIX)
         new = [one for one in entries.values() if not self._is_decoded(one)]
         if new or self._upstreams.keys() - entries.keys():
             self._apply_upstreams(entries, new)
         self._decoded_revisions = {
-            key: record.changed_revision for key, record in known.by_key.items()
+            key: record.changed_revision for key, record in by_key.items()
         }
 
     def _is_decoded(self, record: messages.Record) -> bool:
@@ -186,14 +215,14 @@
         else:
             self._daemon.handle_catalog(new)
 
-    def _apply_evacuations(self, known: records_module.Records) -> None:
+    def _apply_evacuations(self, by_key: Mapping[str, messages.Record]) -> None:
         """Puts the evacuations of failure domains into effect.
 
         A record that can't be decoded, or that names an unknown failure domain,
         is logged and evacuates nothing.
         """
         decoded: set[str] = set()
-        for record in _select_records(known, EVACUATION_PREFIX).values():
+        for record in _select_records(by_key, EVACUATION_PREFIX).values():
             try:
                 decoded.add(
                     documents.decode_evacuated_domain(record, EVACUATION_PREFIX)
@@ -220,6 +249,10 @@
         decoded, refused = documents.decode_listing(new, UPSTREAM_PREFIX)
         for reason in refused.values():
             _log_refused(reason)
+        decoded = {
+            key: upstreams.keep_leaving(self._upstreams.get(key), entry)
+            for key, entry in decoded.items()
+        }
         self._upstreams = {
             key: entry
             for key, entry in (self._upstreams | decoded).items()
@@ -229,13 +262,11 @@
 
 
 def _select_records(
-    known: records_module.Records, prefix: str
+    by_key: Mapping[str, messages.Record], prefix: str
 ) -> dict[str, messages.Record]:
     """Selects the records whose keys start with a prefix, by key."""
     return {
-        key: record
-        for key, record in known.by_key.items()
-        if key.startswith(prefix)
+        key: record for key, record in by_key.items() if key.startswith(prefix)
     }
 
 
--- a/sycamorefall/platform/tests/test_translation.py
+++ b/sycamorefall/platform/tests/test_translation.py
@@ -34,7 +34,7 @@
 
 
 def create_raw_record(key, text):
-    return documents.translate_item(documents.Item(key, text, 7, 9))
+    return documents.translate_item(documents.Item(key, text, 7, 9), era=1)
 
 
 def test_configuration_is_decoded():
