Direct: count only sends that may have arrived as retries

What callers saw: with a router that has few retries left, as after its start, a request whose first upstream was down was refused with 503, though no other had been asked. Two tests on real routers with crashed engines failed so.

Cause: a send of which no byte was sent counted as the first, so the next one needed a retry. The budget bounds arrivals beyond the first, and that send never arrives.

Change: a request's ended sends are counted apart from those that weren't sent, and only the former need a retry. The new test failed for a send that wasn't sent before, and passes now. The tests of crashing requests also need a retry where an engine crashed, so their routers count as started long ago.

--- a/sycamorefall/direct/budget.py
+++ b/sycamorefall/direct/budget.py
@@ -1,6 +1,7 @@
 """Retry budget of a service, shared by all routers without messages.
 
-A retry is any send of a request after its first. Each router may use the part
+A retry is any send of a request after the first that may have reached an
+upstream. Each router may use the part
 of the allowance that its own requests earn and an equal part of the fixed
 allowance.
 
--- a/sycamorefall/direct/dispatching.py
+++ b/sycamorefall/direct/dispatching.py
@@ -146,7 +146,7 @@
     )
     if chosen is None:
         return []
-    if request.sends and not budget.take_retry(
+    if request.arrivals and not budget.take_retry(
         get_or_create_budget(state, request.service), now
     ):
         return []
--- a/sycamorefall/direct/metrics.py
+++ b/sycamorefall/direct/metrics.py
@@ -66,8 +66,8 @@
     )
     yield count(
         "retries",
-        "Sends after the first of a request, by service and whether the budget "
-        "had one left; a waiting request asks for one repeatedly.",
+        "Sends of a request after one that may have reached an upstream, by "
+        "whether the budget had one left; a waiting request asks repeatedly.",
         ("service", "result"),
         {
             (service, result): getattr(known, result)
--- a/sycamorefall/direct/outcomes.py
+++ b/sycamorefall/direct/outcomes.py
@@ -141,6 +141,7 @@
     """Aborts the current attempt of a request, if there is one."""
     if request.attempt is None:
         return []
+    request.arrivals += 1
     request.possible_runs += 1
     upstream = _release_attempt(state, request)
     if upstream is not None:
@@ -405,6 +406,8 @@
     _update_upstream_health(state, now, attempt.upstream, upstream, end)
     if end is not AttemptEnd.COMPLETE:
         refund_attempt(state, now, request, attempt)
+    if end is not AttemptEnd.NOT_SENT:
+        request.arrivals += 1
     if end in _MAY_HAVE_RUN:
         request.possible_runs += 1
     if end is AttemptEnd.COMPLETE:
--- a/sycamorefall/direct/state.py
+++ b/sycamorefall/direct/state.py
@@ -111,6 +111,8 @@
         target_at: Time at which the first part of the response is due.
         give_up_at: Time at which the request is refused if it still waits.
         sends: Number of attempts so far.
+        arrivals: Number of ended attempts of which a part was sent, so that
+            the upstream may have counted the request.
         possible_runs: Number of ended attempts in which the upstream may have
             run the request.
         tried: Names of the upstreams that the request was sent to.
@@ -133,6 +135,7 @@
     target_at: float
     give_up_at: float
     sends: int = 0
+    arrivals: int = 0
     possible_runs: int = 0
     tried: set[str] = dataclasses.field(default_factory=set)
     attempt: Attempt | None = None
--- a/sycamorefall/direct/tests/test_retry_budget.py
+++ b/sycamorefall/direct/tests/test_retry_budget.py
@@ -1,10 +1,12 @@
 import itertools
 
 from hypothesis import example, given, strategies
+import pytest
 
 from sycamorefall import settings
-from sycamorefall.direct import budget, dispatching
+from sycamorefall.direct import budget, core, dispatching, outcomes
 from sycamorefall.direct import state as state_module
+from sycamorefall.direct.tests import fakes
 
 SERVICE = "engine"
 STEP = 0.25
@@ -101,3 +103,22 @@
             tries = 30 if now >= failing_at else 0
             router.run(now, requests, tries)
     assert find_excess(routers) <= 0
+
+
+@pytest.mark.parametrize(
+    ("end", "is_sent_again"),
+    [
+        (outcomes.AttemptEnd.NOT_SENT, True),
+        (outcomes.AttemptEnd.NOT_RUN, False),
+        (outcomes.AttemptEnd.OTHER_INCARNATION, False),
+        (outcomes.AttemptEnd.BROKEN, False),
+    ],
+)
+def test_send_that_reached_no_upstream_needs_no_retry(end, is_sent_again):
+    # Guards against a router without retries, as after its start, that refuses
+    # each request whose first upstream is down.
+    state = fakes.create_state(retry_ratio=0.0, retry_extra=0.0)
+    number, _ = fakes.submit_request(state, 0.0, "look")
+    again = outcomes.end_attempt(state, 0.01, number, end)
+    again += core.run_timers(state, 0.02)
+    assert bool(fakes.list_sends(again)) == is_sent_again
--- a/sycamorefall/platform/tests/test_crashing.py
+++ b/sycamorefall/platform/tests/test_crashing.py
@@ -21,8 +21,9 @@
     for number in range(8):
         engine = site.add_upstream(f"e{number}", "engine")
         engine.crash_on_body = CRASHING_BODY
-    first = site.add_router("front-a-1")
-    seeds = f"[peers]\naddresses = 127.0.0.1:{first.control}\n"
+    started = test_whole_path.LONG_STARTED
+    first = site.add_router("front-a-1", extra_settings=started)
+    seeds = f"{started}[peers]\naddresses = 127.0.0.1:{first.control}\n"
     routers = [first] + [
         site.add_router(f"front-a-{number}", extra_settings=seeds)
         for number in (2, 3)
