Direct: learn of a restoration with the first state of another router

A router that started after a restoration took records and their proof from a reader before it learned that these may be incomplete, and accepted keys until the reader's next message, up to a second. Now any state of a reader tells it. The test, which looked only once, now checks each moment; it failed before.

--- a/sycamorefall/direct/replica.py
+++ b/sycamorefall/direct/replica.py
@@ -419,14 +419,15 @@
     A process that started after the restoration doesn't learn of it otherwise.
 
     Returns:
-        Effects to perform; none if the states are of different eras, or if this
-        process knows of a restoration itself.
+        Effects to perform; none if this process has records of another era, or
+        knows of a restoration itself.
     """
-    era = revisions.get_era(replica.records.revision)
+    era = revisions.get_era(state.revision)
+    known = replica.records.revision
     if (
         replica.settles_at is not None
         or state.settles_at <= now
-        or revisions.get_era(state.revision) != era
+        or (known and revisions.get_era(known) != era)
     ):
         return []
     replica.settles_at = min(state.settles_at, now + SETTLING_TIME)
@@ -470,8 +471,8 @@
         readers_module.exclude_reader(readers, now, sender)
         replica.choose_readers_at = now
     proven_at = min(state.proven_at, now)
+    effects = _learn_settling(replica, now, state)
     if state.revision <= replica.records.revision:
-        effects = _learn_settling(replica, now, state)
         return effects + _record_proof(
             replica, now, proven_at, by_own_read=False
         )
@@ -489,7 +490,7 @@
     known = replica.records.revision
     is_same_era = revisions.get_era(state.revision) == revisions.get_era(known)
     fetch = messages.FetchRecords(known if is_same_era else 0)
-    return [SendMessage(sender, fetch)]
+    return [*effects, SendMessage(sender, fetch)]
 
 
 def _handle_fetch(replica: Replica, sender: str, since: int) -> list[Effect]:
--- a/sycamorefall/direct/tests/test_restorations.py
+++ b/sycamorefall/direct/tests/test_restorations.py
@@ -191,8 +191,11 @@
     lose_changes(fleet, operator)
     fleet.run(0.6, operator.check)
     fleet.restart("router-0-2")
-    fleet.run(0.6)
-    assert not fleet.accepts_keys(fleet.routers["router-0-2"])
+
+    def check():
+        assert not fleet.accepts_keys(fleet.routers["router-0-2"])
+
+    fleet.run(1.4, check)
     operator.write_again()
     fleet.run(3.0, operator.check)
     assert fleet.accepts_keys(fleet.routers["router-0-2"])
