--- a/sycamorefall/direct/budget.py
+++ b/sycamorefall/direct/budget.py
@@ -1,9 +1,8 @@
 """Retry budget of a service, shared by all routers without messages.
 
 A retry is any send of a request after the first that may have reached an
-upstream. Each router may use the part
-of the allowance that its own requests earn and an equal part of the fixed
-allowance.
+upstream. Each router may use the part of the allowance that its own requests
+earn and an equal part of the fixed allowance.
 
 A process forgets its retries when it ends. A process that has just started
 therefore assumes that another one on its VM sent as many as allowed a moment
@@ -36,10 +35,9 @@
 START_SHARE = 0.35
 """Fraction of the allowance that is used by a process that has run for less.
 
-The sum with `FULL_SHARE` is less than 1. This router counts requests when they
-arrive. Outside of it they are counted when they are sent, in windows that begin
-at any time. The edges of the windows therefore differ by up to a bucket at each
-end."""
+The sum with `FULL_SHARE` is less than 1, as the edges of windows differ by up
+to a bucket at each end. This router counts requests when they arrive. Outside
+of it they are counted when they are sent, in windows that begin at any time."""
 
 
 @dataclasses.dataclass(slots=True)
