--- a/sycamorefall/direct/dispatching.py
+++ b/sycamorefall/direct/dispatching.py
@@ -290,6 +290,7 @@
         received=int(received),
         floor=_encode_floor(chosen.floor),
         idle=idle,
+        software_version=chosen.listed.software_version,
     )
 
 
--- a/sycamorefall/direct/effects.py
+++ b/sycamorefall/direct/effects.py
@@ -53,6 +53,7 @@
         floor: Fewest cost units recently received by a team that waits for the
             upstream at another router; None if no team does.
         idle: Whether the upstream had almost nothing to do.
+        software_version: Version of the upstream's software.
     """
 
     request: int
@@ -73,6 +74,7 @@
     received: int = 0
     floor: int | None = None
     idle: bool = False
+    software_version: str = ""
 
 
 @dataclasses.dataclass(slots=True, frozen=True)
--- a/sycamorefall/direct/relay.py
+++ b/sycamorefall/direct/relay.py
@@ -29,6 +29,10 @@
 """Unsent bytes for a slow caller above which reading its upstream is paused."""
 
 
+MAX_LOGGED_TEXT = 64
+"""Characters of a text of callers or upstreams that a log record holds."""
+
+
 _ATTEMPT_ENDS = {
     dialects.ResponseOutcome.SUCCESS: outcomes.AttemptEnd.COMPLETE,
     dialects.ResponseOutcome.FAILURE: outcomes.AttemptEnd.FAILED,
@@ -152,6 +156,7 @@
         request_id=proxy.dialect.read_request_id(call),
         route=request.route.name if request else "",
         target=round(request.target_at - now, 3) if request else None,
+        **_list_resume_fields(incoming),
     )
     streamed = request is not None and request.route.kind.streamed
     proxy.in_flight[number] = _ProxiedRequest(call, streamed, trace)
@@ -159,6 +164,18 @@
     perform_effects(proxy, pending)
 
 
+def _list_resume_fields(
+    incoming: state_module.IncomingRequest,
+) -> dict[str, str]:
+    """Returns which stream a request goes on with, for its log record."""
+    if incoming.resumes is None and not incoming.last_event_id:
+        return {}
+    return {
+        "resumes": (incoming.resumes or "")[:MAX_LOGGED_TEXT],
+        "last_event": incoming.last_event_id[:MAX_LOGGED_TEXT],
+    }
+
+
 def _cancel(proxy: Proxy, number: int) -> None:
     now = transport.read_clock()
     pending = core.cancel_request(proxy.state, number, now)
@@ -306,6 +323,7 @@
         received=send.received,
         floor=send.floor,
         idle=send.idle,
+        version=send.software_version[:MAX_LOGGED_TEXT],
         time_left=round(send.time_left, 3),
     )
     streams.prepare_resume(proxied.splitter)
--- a/sycamorefall/direct/state.py
+++ b/sycamorefall/direct/state.py
@@ -49,6 +49,12 @@
         method: HTTP method.
         target: Path and query, exactly as received.
         body: Complete request body.
+        attempt_id: Id that the caller gave to this request; empty if none.
+        resumes: Id of the caller's earlier request that brought the first
+            event of the stream that this one goes on with; None if it names
+            none.
+        last_event_id: Id of the last event that the caller has received of that
+            stream; empty if it states none.
     """
 
     host: str
@@ -59,6 +65,9 @@
     method: str = ""
     target: str = ""
     body: bytes = b""
+    attempt_id: str = ""
+    resumes: str | None = None
+    last_event_id: str = ""
 
 
 @dataclasses.dataclass(slots=True)
--- a/sycamorefall/direct/upstreams.py
+++ b/sycamorefall/direct/upstreams.py
@@ -138,6 +138,8 @@
         cold_remaining: Seconds for which the upstream was still cold when it
             wrote the entry.
         changed_revision: Platform revision at which the entry was last changed.
+        software_version: Version of the upstream's software, as the entry
+            states it; has no order.
     """
 
     name: str
@@ -150,6 +152,7 @@
     start_time: int = 0
     cold_remaining: float = 0.0
     changed_revision: int = 0
+    software_version: str = ""
 
 
 @dataclasses.dataclass(slots=True)
--- a/sycamorefall/platform/documents.py
+++ b/sycamorefall/platform/documents.py
@@ -335,4 +335,5 @@
         entry.born or 0,
         max(0.0, entry.cold_remaining_ms / 1000),
         record.changed_revision,
+        entry.version,
     )
--- a/sycamorefall/platform/headers.py
+++ b/sycamorefall/platform/headers.py
@@ -21,6 +21,10 @@
 _TEAM_HEADER = "Tenant"
 _INCARNATION_HEADER = "Expect-Instance"
 _LAST_EVENT_HEADER = "Last-Event-Id"
+_RESUMES_HEADER = "Resumes"
+"""Header in which a caller names the attempt that brought a stream's first
+event, if it asks for the rest of the stream."""
+
 _FETCH_FROM_HEADER = "Kv-Fetch"
 _LEAVING_HEADER = "Server-Leaving"
 _RETRY_AFTER_HEADER = "Retry-After"
@@ -102,6 +106,9 @@
                 method=call.method,
                 target=call.target,
                 body=call.body,
+                attempt_id=headers.get(_ATTEMPT_ID_HEADER, ""),
+                resumes=headers.get(_RESUMES_HEADER),
+                last_event_id=headers.get(_LAST_EVENT_HEADER, "").strip(),
             )
         )
     except ValueError as error:
