--- a/standins/site.py
+++ b/standins/site.py
@@ -106,7 +106,12 @@
         await asyncio.gather(*tasks, return_exceptions=True)
 
     def add_upstream(
-        self, name: str, service: str, slots: int = 8, port: int = 0
+        self,
+        name: str,
+        service: str,
+        slots: int = 8,
+        port: int = 0,
+        version: str = "v1",
     ) -> wire_upstream.Upstream:
         """Starts an upstream and writes its entry to the store.
 
@@ -115,8 +120,9 @@
             service: Service that the upstream belongs to.
             slots: Number of slots in the entry.
             port: Port to listen on; 0 for any free port.
+            version: Version of its software.
         """
-        upstream = wire_upstream.Upstream(name)
+        upstream = wire_upstream.Upstream(name, version=version)
 
         async def listen():
             upstream.server = await asyncio.start_server(
@@ -138,15 +144,21 @@
         born: int = 1,
         zone: str = "a",
         cold_ms: int = 0,
+        version: str | None = None,
     ) -> None:
-        """Writes an upstream's entry to the store, or replaces it."""
+        """Writes an upstream's entry to the store, or replaces it.
+
+        Without `version`, the entry has that of the running upstream.
+        """
+        if version is None:
+            version = self.upstreams[name].version
         self.store.put(
             f"servers/{name}",
             {
                 "Service": service,
                 "Address": f"127.0.0.1:{self.upstreams[name].port}",
                 "Zone": zone,
-                "Version": "v1",
+                "Version": version,
                 "Slots": slots,
                 "State": state,
                 "ColdRemainingMs": cold_ms,
--- a/standins/wire_upstream.py
+++ b/standins/wire_upstream.py
@@ -17,6 +17,7 @@
     Attributes:
         name: Its incarnation; requests for another one get status 421.
         port: Port on loopback on which it listens.
+        version: Version of its software, a field of each event that it sends.
         runs: Id and headers of each request that it ran.
         cancelled: Ids of the requests whose connection was closed while it
             hung.
@@ -41,6 +42,7 @@
 
     name: str
     port: int = 0
+    version: str = "v1"
     runs: list[tuple[str, dict[str, str]]] = dataclasses.field(
         default_factory=list
     )
@@ -62,6 +64,9 @@
     _last_responses: dict[asyncio.StreamWriter, bytes] = dataclasses.field(
         default_factory=dict
     )
+    _streaming: set[asyncio.StreamWriter] = dataclasses.field(
+        default_factory=set
+    )
 
     async def serve(
         self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter
@@ -90,6 +95,12 @@
         for writer in self._last_responses:
             writer.transport.abort()
 
+    def break_streams(self) -> int:
+        """Resets the connections of all streams; returns their number."""
+        for writer in self._streaming:
+            writer.transport.abort()
+        return len(self._streaming)
+
     async def _respond(self, line, headers, body, reader, writer) -> None:
         request_id = headers.get("attempt-id", "")
         if headers.get("expect-instance") != self.name:
@@ -123,7 +134,11 @@
             f"{extra_headers}"
         )
         if "prompt-prefix" in headers:
-            await self._stream(stamp, headers, reader, writer)
+            self._streaming.add(writer)
+            try:
+                await self._stream(stamp, headers, reader, writer)
+            finally:
+                self._streaming.discard(writer)
             return
         data = f"{line.split()[1]} {request_id} {len(body)}".encode()
         status = "500 Failed" if self.fail else "200 OK"
@@ -149,7 +164,10 @@
         )
         request_id = headers["attempt-id"]
         for number in range(first, count + 1):
-            event = f"id: {number}\ndata: {request_id}/{number}\n\n".encode()
+            event = (
+                f"id: {number}\ndata: {request_id}/{number}\n"
+                f"version: {self.version}\n\n"
+            ).encode()
             if self.truncate_after is not None and number > self.truncate_after:
                 writer.write(b"%x\r\n%b" % (len(event), event[:7]))
                 await writer.drain()
--- a/sycamorefall/platform/tests/router_client.py
+++ b/sycamorefall/platform/tests/router_client.py
@@ -7,6 +7,11 @@
 from standins import site as site_module
 
 PROMPT = {"Token-Usage": "1100,5", "Prompt-Prefix": "aa:800,bb:300"}
+
+LONG_STARTED = "[bounds]\nretry_window = 0.01\nretry_extra = 100\n"
+"""Settings with which a router has run for a window of retries when it is
+ready. A router that has run for less sends few of them."""
+
 _request_numbers = itertools.count(1)
 
 
--- a/sycamorefall/platform/tests/test_whole_path.py
+++ b/sycamorefall/platform/tests/test_whole_path.py
@@ -13,16 +13,13 @@
 
 from standins import site as site_module
 from sycamorefall.platform.tests.router_client import (
+    LONG_STARTED,
     parse_event_data,
     read_metric,
     send_request,
     store_configuration,
 )
 
-LONG_STARTED = "[bounds]\nretry_window = 0.01\nretry_extra = 100\n"
-"""Settings with which a router has run for a window of retries when it is
-ready. A router that has run for less sends few of them."""
-
 
 def test_each_caller_gets_its_own_complete_response(site):
     # Guards against responses that are mixed up, truncated or unsigned when 50
