Direct: go on within one response only at the version that began it

Callers got streams with events of two software versions in one response. After a break, the second send went to any usable upstream of the service, and nothing knew the versions, though what two of them write doesn't fit together.

Each upstream now has an origin, a digest of its service and version. The first event that is forwarded binds its request to the origin of the process that the attempt was sent to, whatever the listing says later. Choice, homes, floors and refusals leave out upstreams of other origins. An entry of the same name with another version is another process, whose predecessor's attempts have ended. A blank version binds to the process.

--- a/sycamorefall/direct/dispatching.py
+++ b/sycamorefall/direct/dispatching.py
@@ -230,7 +230,11 @@
     request.sends += 1
     request.tried.add(chosen.listed.name)
     attempt = state_module.Attempt(
-        request.sends, chosen.listed.name, now, chosen.listed.start_time
+        request.sends,
+        chosen.listed.name,
+        now,
+        chosen.listed.start_time,
+        origin=chosen.origin,
     )
     request.attempt = attempt
     state.running += 1
--- a/sycamorefall/direct/eligibility.py
+++ b/sycamorefall/direct/eligibility.py
@@ -12,6 +12,7 @@
     "find_load_obstacle",
     "find_obstacle",
     "is_awaited",
+    "is_excluded",
     "measure_engine_load",
     "prefilter_engines",
     "summarize_group",
@@ -83,6 +84,8 @@
     SLOTS: All slots of the upstream are occupied.
     MEMORY: Running requests fill the engine's KV cache.
     YIELDS: The engine is left to a waiting team that received less service.
+    VERSION: The upstream has another software version than the one that began
+        the stream.
     PACE: Streams run so slowly there that long ones would not end in time.
     QUEUE: The prefill queue is so long that urgent requests would be late.
     LATE: The response would start after its target latency.
@@ -95,6 +98,7 @@
     SLOTS = "slots"
     MEMORY = "memory"
     YIELDS = "yields"
+    VERSION = "version"
     PACE = "pace"
     QUEUE = "queue"
     LATE = "late"
@@ -125,6 +129,8 @@
         max_queue_seconds: Longest acceptable prefill queue of an engine.
         max_gap: Longest acceptable seconds between two events of an engine's
             streams.
+        origin: Origin of the stream that the request goes on with; None if any
+            upstream may run it.
     """
 
     prompt: prompts.Prompt | None
@@ -137,6 +143,7 @@
     allow_reread_if_idle: bool = False
     max_queue_seconds: float = float("inf")
     max_gap: float = float("inf")
+    origin: int | None = None
 
 
 @dataclasses.dataclass(slots=True)
@@ -207,6 +214,16 @@
     )
 
 
+def is_excluded(upstream: Upstream, constraints: PlacementConstraints) -> bool:
+    """Returns whether a request may not be sent to an upstream at all.
+
+    It was sent there before, or goes on with a stream of another origin.
+    """
+    return upstream.listed.name in constraints.tried or (
+        constraints.origin is not None and constraints.origin != upstream.origin
+    )
+
+
 def prefilter_engines(
     group: EngineGroup, constraints: PlacementConstraints
 ) -> list[EngineLoad]:
--- a/sycamorefall/direct/homes.py
+++ b/sycamorefall/direct/homes.py
@@ -28,8 +28,8 @@
     """Lists the homes of a prompt's last shared part, highest rank first.
 
     The number of homes grows with the recent uses of the part. Engines that
-    are not usable or were already tried are skipped in favor of the next in
-    rank.
+    are not usable or may not get the request are skipped in favor of the next
+    in rank.
 
     Args:
         table: All upstreams.
@@ -45,7 +45,7 @@
     usable = (
         one
         for one in ranked
-        if one.listed.name not in constraints.tried
+        if not eligibility.is_excluded(one, constraints)
         and upstreams_module.is_usable(one, now)
     )
     return list(itertools.islice(usable, count))
--- a/sycamorefall/direct/outcomes.py
+++ b/sycamorefall/direct/outcomes.py
@@ -219,6 +219,8 @@
         return
     attempt.response_started = True
     request.forwarding_started = True
+    if request.route.kind.streamed and request.origin is None:
+        request.origin = attempt.origin
     state.dispatch_needed = True
     if upstream is not None:
         _record_prefill(upstream, now, attempt)
--- a/sycamorefall/direct/placement_constraints.py
+++ b/sycamorefall/direct/placement_constraints.py
@@ -60,6 +60,7 @@
         max_gap=math.inf
         if is_behind
         else _find_max_gap(state, now, request.service),
+        origin=request.origin,
     )
 
 
--- a/sycamorefall/direct/stalls.py
+++ b/sycamorefall/direct/stalls.py
@@ -98,20 +98,12 @@
     """
     running = _list_running(state)
     known = state.table.by_name
-    processes = {
-        (one.attempt.upstream, one.attempt.start_time) for one in running
-    }
-    ended_processes = {
-        (name, start_time)
-        for name, start_time in processes
-        if name in known and known[name].listed.start_time != start_time
-    }
-    if not ended_processes:
-        return []
     ended: list[effects.Effect] = []
     for request in running:
         attempt = request.attempt
-        if (attempt.upstream, attempt.start_time) in ended_processes:
+        if attempt.upstream in known and (
+            state_module.find_upstream(state, attempt) is None
+        ):
             end = outcomes.AttemptEnd.BROKEN
             ended.append(effects.AbortAttempt(request.number))
             ended += outcomes.end_attempt(state, now, request.number, end)
--- a/sycamorefall/direct/state.py
+++ b/sycamorefall/direct/state.py
@@ -89,6 +89,8 @@
         charged_at: Time of the charge.
         response_started: Whether the first part of the response has arrived.
         last_event_at: When the latest event of the response arrived.
+        origin: Origin of the streams of the upstream's process; see
+            `stream_origins`.
     """
 
     number: int
@@ -102,6 +104,7 @@
     charged_at: float = 0.0
     response_started: bool = False
     last_event_at: float = 0.0
+    origin: int = 0
 
 
 @dataclasses.dataclass(slots=True)
@@ -132,6 +135,8 @@
         part_uses: Decayed number of recent requests with the same last shared
             prompt part.
         fingerprint: Fingerprint of the request; empty until it is computed.
+        origin: Origin of the stream that the request goes on with; None as long
+            as any upstream may run it.
     """
 
     number: int
@@ -152,6 +157,7 @@
     events: int = 0
     part_uses: float = 0.0
     fingerprint: bytes = b""
+    origin: int | None = None
 
 
 @dataclasses.dataclass(slots=True, frozen=True)
@@ -339,7 +345,7 @@
     upstream = state.table.by_name.get(attempt.upstream)
     if upstream is None or upstream.listed.start_time != attempt.start_time:
         return None
-    return upstream
+    return upstream if upstream.origin == attempt.origin else None
 
 
 def get_or_create_recent_targets(
--- a/sycamorefall/direct/tests/fakes.py
+++ b/sycamorefall/direct/tests/fakes.py
@@ -80,6 +80,8 @@
     failure_domain="a",
     cold_remaining=0.0,
     changed_revision=1,
+    software_version="v1",
+    start_time=0,
 ):
     return upstreams.UpstreamEntry(
         name,
@@ -89,8 +91,10 @@
         4,
         leaving,
         listed_revision,
+        start_time,
         cold_remaining=cold_remaining,
         changed_revision=changed_revision,
+        software_version=software_version,
     )
 
 
--- a/sycamorefall/direct/upstream_selection.py
+++ b/sycamorefall/direct/upstream_selection.py
@@ -80,7 +80,7 @@
     candidates = [
         one
         for one in eligibility.prefilter_engines(group, constraints)
-        if one.upstream.listed.name not in constraints.tried
+        if not eligibility.is_excluded(one.upstream, constraints)
         and eligibility.find_load_obstacle(one, engine, constraints) is None
     ]
     if not candidates:
@@ -139,7 +139,7 @@
     return [
         one
         for one in upstreams_module.list_upstreams(table, service.name)
-        if one.listed.name not in constraints.tried
+        if not eligibility.is_excluded(one, constraints)
         and upstreams_module.is_usable(one, now)
     ]
 
@@ -165,7 +165,7 @@
     usable = _list_usable(table, now, service, constraints)
     usable_names = {one.listed.name for one in usable}
     counts = collections.Counter(
-        _classify_unusable(one, now)
+        _classify_unusable(one, now, constraints)
         for one in upstreams_module.list_upstreams(table, service.name)
         if one.listed.name not in usable_names
     )
@@ -182,8 +182,14 @@
     return {obstacle: count for obstacle, count in counts.items() if count}
 
 
-def _classify_unusable(upstream: Upstream, now: float) -> eligibility.Obstacle:
-    """Returns why an upstream can't take any request now."""
+def _classify_unusable(
+    upstream: Upstream,
+    now: float,
+    constraints: eligibility.PlacementConstraints,
+) -> eligibility.Obstacle:
+    """Returns why an upstream can't take a request, whatever its load."""
+    if constraints.origin not in (None, upstream.origin):
+        return eligibility.Obstacle.VERSION
     if upstream.evacuated:
         return eligibility.Obstacle.EVACUATED
     if pacing.allows_send(upstream.pacing, now):
@@ -241,7 +247,7 @@
     found = [
         one.upstream
         for one in engine_loads
-        if one.upstream.listed.name not in constraints.tried
+        if not eligibility.is_excluded(one.upstream, constraints)
         and eligibility.is_awaited(
             one, service.engine, constraints, one.upstream in homes
         )
--- a/sycamorefall/direct/upstreams.py
+++ b/sycamorefall/direct/upstreams.py
@@ -15,6 +15,7 @@
     "find_grace_end",
     "find_retry_delay_end",
     "is_leaving",
+    "is_other_process",
     "is_usable",
     "keep_leaving",
     "list_upstreams",
@@ -35,7 +36,12 @@
 from typing import NamedTuple
 
 from sycamorefall import settings
-from sycamorefall.direct import caches, revisions, stream_pace
+from sycamorefall.direct import (
+    caches,
+    revisions,
+    stream_origins,
+    stream_pace,
+)
 from sycamorefall.direct import pacing as pacing_module
 
 MISSING_ENTRY_GRACE = 2.3
@@ -197,6 +203,7 @@
         evacuated: Whether its failure domain is evacuated.
         pacing: Limit on the requests that it gets while it is cold.
         pace: Observed pace of its streams.
+        origin: Origin of the streams that it begins; see `stream_origins`.
     """
 
     listed: UpstreamEntry
@@ -223,6 +230,15 @@
     _consecutive_failures: int = 0
     _failure_rate: float = 0.0
     _failure_rate_at: float = 0.0
+    origin: int = dataclasses.field(init=False)
+
+    def __post_init__(self):
+        entry = self.listed
+        self.origin = stream_origins.compute_origin(
+            entry.service,
+            entry.software_version,
+            (entry.name, entry.start_time),
+        )
 
     @property
     def running(self) -> int:
@@ -287,7 +303,8 @@
 
     A process that restarted under the same name gets a new `Upstream`, because
     its cache is empty and the requests of its predecessor are lost. The old
-    cache estimate and load would be wrong for it.
+    cache estimate and load would be wrong for it. A change of the software
+    version shows a restart too.
 
     Args:
         table: The upstreams; changed.
@@ -307,7 +324,7 @@
     dropped = drop_missing(table, now)
     for name, entry in listed.items():
         known = table.by_name.get(name)
-        if known is None or known.listed.start_time != entry.start_time:
+        if known is None or is_other_process(known.listed, entry):
             notice = (
                 table.notices.get(ProcessKey(name, entry.start_time))
                 or Notice()
@@ -329,6 +346,14 @@
     return dropped
 
 
+def is_other_process(before: UpstreamEntry, entry: UpstreamEntry) -> bool:
+    """Returns whether an entry is of another process with the same name."""
+    return (
+        before.start_time != entry.start_time
+        or before.software_version != entry.software_version
+    )
+
+
 def keep_leaving(
     before: UpstreamEntry | None, entry: UpstreamEntry
 ) -> UpstreamEntry:
@@ -345,7 +370,7 @@
     if (
         before is None
         or not before.leaving
-        or before.start_time != entry.start_time
+        or is_other_process(before, entry)
         or revisions.get_era(before.changed_revision)
         == revisions.get_era(entry.changed_revision)
     ):
