Direct: take streams up only at the version that began them

Callers who took a stream up, after an engine or a router had failed, got events of two software versions: the router that they reached sent the request to any engine of the service.

A stream's key is a digest of its team and of the id of the attempt that brought its first event, which the caller names. Before that event leaves, the router tells the stream's origin to two holders, ranked by a hash of the key, and in batches, through delegates, to another failure domain. A router that doesn't know a stream asks its holders and delegates, and the request waits for 0.3 s at most. It is bound to upstreams of the origin; not knowing means not going on. Requests that are bound have queues of their own, so they hide no others. What can't go on is refused at once: the version is gone, or no router knows the stream. Ids of other teams find nothing, and only streams that began are kept, until 5 s after their callers' deadlines.

Log, metrics and explain follow streams that were taken up.

The state machine finds a stream of two versions with each of four guards taken out (choice, lookup, binding at the first event, answers).

--- a/sycamorefall/direct/core.py
+++ b/sycamorefall/direct/core.py
@@ -7,6 +7,7 @@
     "begin_settling",
     "begin_stop",
     "cancel_request",
+    "end_lookup",
     "find_next_due",
     "handle_request",
     "list_unready_reasons",
@@ -33,8 +34,10 @@
     patience,
     prompts,
     quarantine,
+    resumption,
     stalls,
     stopping,
+    stream_origins,
     upstreams,
     warmup,
 )
@@ -92,11 +95,36 @@
         request.route, request.team = route, team
         # Recomputed on next use, since it depends on the team.
         request.fingerprint = b""
-        request.service = catalog.choose_service(route, state.random.random())
-        dispatching.enqueue_request(state, request)
+        pending += _route_again(state, request)
     return pending
 
 
+def _route_again(
+    state: state_module.DirectState, request: state_module.Request
+) -> list[effects.Effect]:
+    """Chooses the service of a waiting request anew, and queues the request.
+
+    Returns:
+        The error of a request that goes on with a stream and no longer may.
+    """
+    if request.resumes:
+        check = resumption.check_request(request.incoming, request.route)
+        if isinstance(check, result.Failure):
+            outcomes.discard_request(state, request)
+            return [effects.AnswerError(request.number, check.failure())]
+        if request.awaits_origin:
+            return []
+        refused = resumption.bind_request(state, request, request.known_origin)
+        if refused:
+            return refused
+    else:
+        request.service = catalog.choose_service(
+            request.route, state.random.random()
+        )
+    dispatching.enqueue_request(state, request)
+    return []
+
+
 def apply_listing(
     state: state_module.DirectState,
     now: float,
@@ -275,6 +303,10 @@
         return number, [
             effects.AnswerError(number, kind, _choose_retry_after(state, kind))
         ]
+    check = resumption.check_request(incoming, route)
+    if isinstance(check, result.Failure):
+        return number, [effects.AnswerError(number, check.failure())]
+    stream = check.unwrap()
     wait = min(
         dispatching.MAX_WAIT_SHARE * route.target_latency,
         dispatching.MAX_TIME_SHARE * remaining,
@@ -291,29 +323,91 @@
         + route.target_latency
         - _estimate_elapsed(state, route, incoming),
         give_up_at=now + wait,
+        stream_key=_compute_stream_key(team, stream or incoming.attempt_id),
+        resumes=bool(stream),
     )
     state.requests[number] = request
+    heapq.heappush(state.deadlines, (request.deadline, number))
+    heapq.heappush(state.deadlines, (request.give_up_at, number))
+    if not request.resumes:
+        return number, _dispatch_request(state, now, request)
+    known = stream_origins.find_origin(state.origins, now, request.stream_key)
+    if known is None:
+        return number, resumption.look_up_origin(state, now, request)
+    return number, _resume_stream(state, now, request, known)
+
+
+def _compute_stream_key(team: str, attempt_id: str) -> int | None:
+    """Computes the key of a stream; None if its caller can't name it."""
+    if not 0 < len(attempt_id) <= resumption.MAX_ID_LENGTH:
+        return None
+    return stream_origins.compute_key(team, attempt_id)
+
+
+def _resume_stream(
+    state: state_module.DirectState,
+    now: float,
+    request: state_module.Request,
+    known: stream_origins.KnownOrigin,
+) -> list[effects.Effect]:
+    """Binds a request to the origin of its stream, then dispatches it."""
+    refused = resumption.bind_request(state, request, known)
+    return refused or _dispatch_request(state, now, request)
+
+
+def end_lookup(
+    state: state_module.DirectState, now: float, key: int
+) -> list[effects.Effect]:
+    """Dispatches or refuses the requests that waited for a stream's origin.
+
+    Args:
+        state: The router's state; changed.
+        now: Current time of this process's clock.
+        key: Key of the stream, of which all that can be known is known.
+
+    Returns:
+        Effects to perform.
+    """
+    known = stream_origins.find_origin(state.origins, now, key)
+    return [
+        effect
+        for request in resumption.take_lookup(state, key)
+        for effect in (
+            _resume_stream(state, now, request, known)
+            if known is not None
+            else resumption.refuse(state, request, False)
+        )
+    ]
+
+
+def _dispatch_request(
+    state: state_module.DirectState,
+    now: float,
+    request: state_module.Request,
+) -> list[effects.Effect]:
+    """Sends a request whose service is known, or enqueues or refuses it."""
+    incoming = request.incoming
     if incoming.prompt is not None:
         key = incoming.prompt.home_key
         request.part_uses = prompts.record_use(state.part_usage, now, key)
         recent_targets = state_module.get_or_create_recent_targets(
             state, request.service
         )
-        latency_targets.record_target(recent_targets, now, route.target_latency)
+        latency_targets.record_target(
+            recent_targets, now, request.route.target_latency
+        )
     budget.count_request(
         dispatching.get_or_create_budget(state, request.service), now
     )
-    heapq.heappush(state.deadlines, (request.deadline, number))
-    heapq.heappush(state.deadlines, (request.give_up_at, number))
     queue = state.service_queues.get(request.service)
     if queue is None or not queue.by_team:
         sent = dispatching.try_send(state, now, request)
         if sent:
-            return number, sent
+            return sent
     if dispatching.is_retry_delay_too_long(state, now, request):
-        return number, outcomes.fail_request(state, request, now)
+        return outcomes.fail_request(state, request, now)
     dispatching.enqueue_request(state, request)
-    return number, []
+    return []
 
 
 def _choose_retry_after(
@@ -383,12 +477,15 @@
     Returns:
         Effects to perform.
     """
-    pending = _expire_requests(state, now)
+    pending = resumption.expire_lookups(state, now)
+    pending += _expire_requests(state, now)
+    stream_origins.drop_expired(state.origins, now)
     if now >= quarantine.find_next_scan(state.quarantine):
         quarantine.drop_expired(state.quarantine, now)
     if now - state.stalls_checked_at >= STALL_CHECK_INTERVAL:
         state.stalls_checked_at = now
         pending += stalls.handle_stalls(state, now)
+        pending += resumption.refuse_unservable(state)
     if _is_dispatch_due(state, now):
         state.last_dispatch_at = now
         pending += dispatching.send_waiting_requests(state, now)
@@ -417,6 +514,7 @@
 def find_next_due(state: state_module.DirectState) -> float:
     """Computes when `run_timers` next has work; infinity if never."""
     due = state.deadlines[0][0] if state.deadlines else float("inf")
+    due = min(due, resumption.find_next_due(state))
     if _is_any_request_waiting(state):
         due = min(due, _compute_next_dispatch(state))
     if state.running:
--- a/sycamorefall/direct/daemon.py
+++ b/sycamorefall/direct/daemon.py
@@ -31,6 +31,7 @@
 from sycamorefall.direct import catalog as catalog_module
 from sycamorefall.direct import crash_exchange as crash_exchange_module
 from sycamorefall.direct import exchange as exchange_module
+from sycamorefall.direct import origin_exchange as origin_exchange_module
 from sycamorefall.direct import overload as overload_module
 from sycamorefall.direct import replicator as replicator_module
 from sycamorefall.direct import state as state_module
@@ -69,6 +70,7 @@
         next_backlog_log_at: Time from which on waiting requests are logged
             again.
         crash_exchange: Exchange of crash reports with the other routers.
+        origin_exchange: Exchange of streams' origins with the other routers.
         unknown_domains: Names in the platform's evacuations that are not those
             of failure domains.
     """
@@ -90,6 +92,9 @@
     crash_exchange: crash_exchange_module.CrashExchange = dataclasses.field(
         default_factory=crash_exchange_module.CrashExchange
     )
+    origin_exchange: origin_exchange_module.OriginExchange = dataclasses.field(
+        default_factory=origin_exchange_module.OriginExchange
+    )
     unknown_domains: set[str] = dataclasses.field(default_factory=set)
 
     def handle_catalog(self, new: catalog_module.Catalog) -> None:
@@ -286,6 +291,9 @@
         load_exchange,
         incarnation,
     )
+    proxy.on_stream_begun = lambda: _send_origins(
+        daemon, transport.read_clock()
+    )
     daemon.replicator = replicator_module.create_replicator(
         readers.ReaderSelection(config.vm.name, config.vm.failure_domain),
         incarnation,
@@ -322,6 +330,12 @@
             )
             pending = crashes.report_quarantined(daemon.state, now, added)
             relay.perform_effects(daemon.proxy, pending)
+        case (
+            messages.StreamOrigins()
+            | messages.OriginQuery()
+            | messages.OriginAnswer()
+        ):
+            _handle_origin_message(daemon, now, envelope)
         case messages.Subscribe():
             exchange_module.record_address(
                 exchange, now, envelope.sender, message.control
@@ -346,6 +360,45 @@
     _send_messages(daemon, outbound)
 
 
+def _handle_origin_message(
+    daemon: Daemon, now: float, envelope: messages.Envelope
+) -> None:
+    """Handles a message about the origins of streams."""
+    state, known = daemon.state, []
+    try:
+        match envelope.message:
+            case messages.StreamOrigins():
+                known = origin_exchange_module.handle_origins(
+                    daemon.origin_exchange, state, now, envelope
+                )
+            case messages.OriginQuery():
+                outbound = origin_exchange_module.handle_query(
+                    daemon.exchange, state, now, envelope
+                )
+                _send_messages(daemon, outbound)
+            case messages.OriginAnswer():
+                known = origin_exchange_module.handle_answer(
+                    state, now, envelope
+                )
+    except errors.MessageRefused as error:
+        observation.write_rate_limited(
+            observation.Level.WARNING,
+            "origins.refused",
+            sender=envelope.sender,
+            reason=str(error),
+        )
+    for key in known:
+        pending = core.end_lookup(state, now, key)
+        relay.perform_effects(daemon.proxy, pending)
+
+
+def _send_origins(daemon: Daemon, now: float) -> None:
+    outbound = origin_exchange_module.build_due_messages(
+        daemon.origin_exchange, daemon.exchange, daemon.state, now
+    )
+    _send_messages(daemon, outbound)
+
+
 def _send_messages(
     daemon: Daemon, outbound: list[exchange_module.OutboundMessage]
 ) -> None:
@@ -386,6 +439,9 @@
         crash_exchange_module.find_next_due(
             daemon.crash_exchange, daemon.state
         ),
+        origin_exchange_module.find_next_due(
+            daemon.origin_exchange, daemon.state
+        ),
         daemon.next_stop_check_at,
         *(server.find_next_due() for server in daemon.servers),
     )
@@ -402,6 +458,10 @@
         daemon.crash_exchange, daemon.state
     ):
         _send_crash_reports(daemon, now)
+    if now >= origin_exchange_module.find_next_due(
+        daemon.origin_exchange, daemon.state
+    ):
+        _send_origins(daemon, now)
     daemon.replicator.run(now)
     _drop_missing_upstreams(daemon, now)
     daemon.log.flush()
--- a/sycamorefall/direct/dispatching.py
+++ b/sycamorefall/direct/dispatching.py
@@ -95,8 +95,13 @@
     service_queue = state.service_queues.setdefault(
         request.service, fair_queue.ServiceQueue()
     )
-    target = request.route.target_latency
-    fair_queue.add_request(service_queue, request.team, request.number, target)
+    fair_queue.add_request(
+        service_queue,
+        request.team,
+        request.number,
+        request.route.target_latency,
+        request.origin,
+    )
 
 
 def dequeue_request(
@@ -162,7 +167,9 @@
 
     An evacuated upstream counts as one with an endless delay.
     """
-    end = upstreams.find_retry_delay_end(state.table, now, request.service)
+    end = upstreams.find_retry_delay_end(
+        state.table, now, request.service, request.origin
+    )
     return end is not None and end >= request.give_up_at
 
 
--- a/sycamorefall/direct/fair_queue.py
+++ b/sycamorefall/direct/fair_queue.py
@@ -77,12 +77,13 @@
     """Queues of the requests that wait for one service.
 
     Attributes:
-        by_team: Request numbers by team, then by target latency in seconds,
-            oldest first.
+        by_team: Request numbers by team, then by target latency in seconds and
+            the origin that a request is bound to, oldest first. The origin is 0
+            for requests that any upstream may run.
     """
 
-    by_team: dict[str, dict[float, dict[int, None]]] = dataclasses.field(
-        default_factory=dict
+    by_team: dict[str, dict[tuple[float, int], dict[int, None]]] = (
+        dataclasses.field(default_factory=dict)
     )
 
 
@@ -230,21 +231,29 @@
 
 
 def add_request(
-    service_queue: ServiceQueue, team: str, number: int, target: float = 0.0
+    service_queue: ServiceQueue,
+    team: str,
+    number: int,
+    target: float = 0.0,
+    origin: int | None = None,
 ) -> None:
-    """Appends a request to its team's queue for the target latency."""
+    """Appends a request to its team's queue for the target latency.
+
+    Requests that are bound to the upstreams of an origin have a queue of their
+    own, so that they don't hide requests that other upstreams may run.
+    """
     queues = service_queue.by_team.setdefault(team, {})
-    queues.setdefault(target, {})[number] = None
+    queues.setdefault((target, origin or 0), {})[number] = None
 
 
 def remove_request(service_queue: ServiceQueue, team: str, number: int) -> None:
     """Removes a request; does nothing if it is not queued."""
     queues = service_queue.by_team.get(team, {})
-    found = [target for target, queue in queues.items() if number in queue]
-    for target in found:
-        del queues[target][number]
-        if not queues[target]:
-            del queues[target]
+    found = [key for key, queue in queues.items() if number in queue]
+    for key in found:
+        del queues[key][number]
+        if not queues[key]:
+            del queues[key]
     if found and not queues:
         del service_queue.by_team[team]
 
@@ -279,11 +288,12 @@
     """Lists the requests of a team that one dispatch pass tries.
 
     The candidates are the oldest request and the newest ones of each target
-    latency, the shortest target first. During a flood, the oldest requests can
-    hardly be on time any more. With these alone, the requests of a team that
-    sent 200 a second to one router were sent after half a second on average,
-    and the team received a third of another team's service. The queues per
-    target latency keep urgent requests from being hidden behind patient ones.
+    latency and origin, the shortest target first. During a flood, the oldest
+    requests can hardly be on time any more. With these alone, the requests of a
+    team that sent 200 a second to one router were sent after half a second on
+    average, and the team received a third of another team's service. The queues
+    per target latency keep urgent requests from being hidden behind patient
+    ones.
 
     Example:
         >>> queue = ServiceQueue()
@@ -295,7 +305,7 @@
         [9, 0, 10, 8]
     """
     queues = service_queue.by_team.get(team, {})
-    picked = (_pick_candidates(queues[target]) for target in sorted(queues))
+    picked = (_pick_candidates(queues[key]) for key in sorted(queues))
     return itertools.chain.from_iterable(picked)
 
 
--- a/sycamorefall/direct/metrics.py
+++ b/sycamorefall/direct/metrics.py
@@ -52,6 +52,18 @@
         (),
         {(): len(state.quarantine.quarantined)},
     )
+    yield gauge(
+        "stream_origins",
+        "Streams whose software version this router knows.",
+        (),
+        {(): len(state.origins.known)},
+    )
+    yield gauge(
+        "stream_lookups",
+        "Streams whose software version other routers were asked for.",
+        (),
+        {(): len(state.origins.lookups)},
+    )
     yield gauge(
         "upstreams",
         "Upstreams by service, and whether they get work.",
--- a/sycamorefall/direct/outcomes.py
+++ b/sycamorefall/direct/outcomes.py
@@ -29,6 +29,7 @@
     fair_queue,
     fingerprints,
     quarantine,
+    stream_origins,
     stream_pace,
     upstreams,
 )
@@ -99,7 +100,9 @@
     If all upstreams have a retry delay in effect, Retry-After ends shortly
     after the first of these delays.
     """
-    end = upstreams.find_retry_delay_end(state.table, now, request.service)
+    end = upstreams.find_retry_delay_end(
+        state.table, now, request.service, request.origin
+    )
     if end is None or end == math.inf:
         return draw_retry_after(state)
     return round(end - now + state.random.uniform(0.0, RETRY_JITTER), 2)
@@ -219,13 +222,42 @@
         return
     attempt.response_started = True
     request.forwarding_started = True
-    if request.route.kind.streamed and request.origin is None:
+    if request.route.kind.streamed:
         request.origin = attempt.origin
+        _record_begun(state, now, request)
     state.dispatch_needed = True
     if upstream is not None:
         _record_prefill(upstream, now, attempt)
 
 
+def _record_begun(
+    state: state_module.DirectState,
+    now: float,
+    request: state_module.Request,
+) -> None:
+    """Records the origin of a stream whose caller may take it up elsewhere.
+
+    A stream that was taken up is told to other routers again, since those that
+    were told before may be gone.
+    """
+    if (
+        request.route.kind is not catalog.RouteKind.RESUMABLE_STREAM
+        or request.stream_key is None
+    ):
+        return
+    time_left = request.incoming.time_left
+    if time_left is None:
+        time_left = request.route.timeout
+    stream_origins.record_origin(
+        state.origins,
+        now,
+        request.stream_key,
+        request.origin,
+        stream_origins.compute_retention(request.arrived_at + time_left - now),
+    )
+    state.origins.untold.append(request.stream_key)
+
+
 def _record_events(
     state: state_module.DirectState,
     request: state_module.Request,
@@ -323,12 +355,11 @@
     callers should not wait until the limit. The same holds if all upstreams
     are evacuated.
     """
-    if upstreams.find_retry_delay_end(state.table, now, service) is None:
-        return []
     refused = [
         request
         for request in state.requests.values()
         if request.attempt is None
+        and not request.awaits_origin
         and request.service == service
         and dispatching.is_retry_delay_too_long(state, now, request)
     ]
--- a/sycamorefall/direct/relay.py
+++ b/sycamorefall/direct/relay.py
@@ -7,7 +7,7 @@
     "record_dropped_call",
 ]
 
-from collections.abc import Iterable
+from collections.abc import Callable, Iterable
 import dataclasses
 
 from returns import result
@@ -21,6 +21,7 @@
     effects,
     fingerprints,
     outcomes,
+    resumption,
     streams,
 )
 from sycamorefall.direct import state as state_module
@@ -65,10 +66,15 @@
             gets.
         buffered: Parts of a response that is forwarded only when complete.
         trace: Log and metric data of the request.
+        request: The request as the decision logic knows it; None if it was
+            refused at once.
+        incoming: The request as received.
     """
 
     __slots__ = (
         "call",
+        "incoming",
+        "request",
         "exchange",
         "first_head",
         "head",
@@ -81,16 +87,19 @@
     def __init__(
         self,
         call: transport.IncomingCall,
-        streamed: bool,
+        incoming: state_module.IncomingRequest,
+        request: state_module.Request | None,
         trace: observation.RequestTrace,
     ):
         self.call = call
+        self.incoming = incoming
+        self.request = request
         self.exchange: transport.Exchange | None = None
         self.first_head: dialects.ResponseHead | None = None
         self.head: dialects.ResponseHead | None = None
         self.buffered: list[bytes] = []
         self.splitter = streams.EventSplitter()
-        self.streamed = streamed
+        self.streamed = request is not None and request.route.kind.streamed
         self.trace = trace
 
 
@@ -104,6 +113,7 @@
         dialect: Translation between HTTP messages and the router's types.
         recorder: Records requests for logs and metrics.
         in_flight: Requests in progress by number.
+        on_stream_begun: Called before the first event of a stream is forwarded.
     """
 
     state: state_module.DirectState
@@ -115,6 +125,7 @@
     in_flight: dict[int, _ProxiedRequest] = dataclasses.field(
         default_factory=dict
     )
+    on_stream_begun: Callable[[], None] = lambda: None
 
 
 def handle_call(proxy: Proxy, call: transport.IncomingCall) -> None:
@@ -158,8 +169,7 @@
         target=round(request.target_at - now, 3) if request else None,
         **_list_resume_fields(incoming),
     )
-    streamed = request is not None and request.route.kind.streamed
-    proxy.in_flight[number] = _ProxiedRequest(call, streamed, trace)
+    proxy.in_flight[number] = _ProxiedRequest(call, incoming, request, trace)
     call.on_hangup = lambda: _cancel(proxy, number)
     perform_effects(proxy, pending)
 
@@ -189,11 +199,41 @@
     proxied = proxy.in_flight.pop(number, None)
     if proxied is not None:
         now = transport.read_clock()
+        _record_resumption(proxy, proxied, now, end)
         observation.record_request_end(
             proxy.recorder, proxied.trace, now, end, **fields
         )
 
 
+def _record_resumption(
+    proxy: Proxy, proxied: _ProxiedRequest, now: float, end: str
+) -> None:
+    """Logs and counts how a request ended that went on with a stream."""
+    stream = _list_resume_fields(proxied.incoming)
+    if not stream or (proxied.request and not proxied.request.resumes):
+        return
+    known = proxied.request and proxied.request.known_origin
+    fields = {"source": "unknown"}
+    if known:
+        fields = {
+            "source": known.source or "own",
+            "age": round(now - known.learned_at, 3),
+            "version": resumption.find_version(proxy.state, known)[
+                :MAX_LOGGED_TEXT
+            ],
+        }
+    reason = resumption.classify_resumption(proxied.request)
+    observation.record_resumption(
+        proxy.recorder,
+        proxied.trace,
+        reason,
+        result=end,
+        attempt=proxied.incoming.attempt_id[:MAX_LOGGED_TEXT],
+        **stream,
+        **fields,
+    )
+
+
 def perform_effects(proxy: Proxy, pending: Iterable[effects.Effect]) -> None:
     """Performs effects; those of requests that have ended are ignored."""
     for effect in pending:
@@ -431,6 +471,8 @@
     )
     if events:
         observation.record_piece(proxy.recorder, proxied.trace, now)
+        if proxy.state.origins.untold:
+            proxy.on_stream_begun()
         _forward_events(proxy, proxied, events)
 
 
--- a/sycamorefall/direct/state.py
+++ b/sycamorefall/direct/state.py
@@ -23,6 +23,7 @@
     fair_queue,
     prompts,
     stopping,
+    stream_origins,
     stream_pace,
     upstreams,
 )
@@ -137,6 +138,12 @@
         fingerprint: Fingerprint of the request; empty until it is computed.
         origin: Origin of the stream that the request goes on with; None as long
             as any upstream may run it.
+        stream_key: Key of the request's stream; None if its caller can't name
+            it. See `stream_origins`.
+        resumes: Whether another request has begun the stream.
+        awaits_origin: Whether the request waits for the origin of its stream.
+        known_origin: What was known of the stream when it was taken up; None
+            if it wasn't, or nothing was known.
     """
 
     number: int
@@ -158,6 +165,10 @@
     part_uses: float = 0.0
     fingerprint: bytes = b""
     origin: int | None = None
+    stream_key: int | None = None
+    resumes: bool = False
+    awaits_origin: bool = False
+    known_origin: stream_origins.KnownOrigin | None = None
 
 
 @dataclasses.dataclass(slots=True, frozen=True)
@@ -224,6 +235,7 @@
         placements: Prompts with long shared parts sent since the placements
             were last collected for a report to the other routers.
         quarantine: Requests suspected of crashing upstreams.
+        origins: Origins of streams that callers may take up.
         disconnects: Lost connections, by the process that may have crashed.
         overload: Recent lateness of the event loop.
         routers: Number of routers heard from recently, including this one.
@@ -280,6 +292,9 @@
     quarantine: quarantine_module.Quarantine = dataclasses.field(
         default_factory=quarantine_module.Quarantine
     )
+    origins: stream_origins.StreamOrigins = dataclasses.field(
+        default_factory=stream_origins.StreamOrigins
+    )
     disconnects: dict[quarantine_module.Crash, Disconnect] = dataclasses.field(
         default_factory=dict
     )
--- a/sycamorefall/direct/upstreams.py
+++ b/sycamorefall/direct/upstreams.py
@@ -549,10 +549,17 @@
 
 
 def find_retry_delay_end(
-    table: UpstreamTable, now: float, service: str
+    table: UpstreamTable, now: float, service: str, origin: int | None = None
 ) -> float | None:
     """Finds when the first retry delay of a service's upstreams ends.
 
+    Args:
+        table: All upstreams.
+        now: Current time of this process's clock.
+        service: The service.
+        origin: Origin to whose upstreams a request is bound; None if any of
+            the service may run it.
+
     Returns:
         The time; infinity if all upstreams that are not leaving are evacuated;
         None if any of them can take requests now, or if there is none.
@@ -560,7 +567,7 @@
     ends = [
         math.inf if one.evacuated else one.notice.delayed_until
         for one in list_upstreams(table, service)
-        if not is_leaving(one)
+        if not is_leaving(one) and origin in (None, one.origin)
     ]
     end = min(ends, default=now)
     return end if end > now else None
--- a/sycamorefall/errors.py
+++ b/sycamorefall/errors.py
@@ -95,6 +95,9 @@
     NOT_READY = "not_ready"
     OVERLOADED = "overloaded"
     QUARANTINED = "quarantined"
+    STREAM_NOT_RESUMABLE = "stream_not_resumable"
+    STREAM_UNKNOWN = "stream_unknown"
+    STREAM_VERSION_GONE = "stream_version_gone"
     STOPPING = "stopping"
     INTERNAL = "internal"
 
@@ -134,6 +137,9 @@
     ErrorKind.NOT_READY: ErrorAnswer(503, Ran.NO, retry=True),
     ErrorKind.OVERLOADED: ErrorAnswer(503, Ran.NO, retry=True),
     ErrorKind.QUARANTINED: ErrorAnswer(503, Ran.NO),
+    ErrorKind.STREAM_NOT_RESUMABLE: ErrorAnswer(400, Ran.NO),
+    ErrorKind.STREAM_UNKNOWN: ErrorAnswer(503, Ran.NO, retry=True),
+    ErrorKind.STREAM_VERSION_GONE: ErrorAnswer(503, Ran.NO),
     ErrorKind.STOPPING: ErrorAnswer(503, Ran.NO, retry=True),
     ErrorKind.INTERNAL: ErrorAnswer(500, Ran.UNKNOWN),
 }
@@ -170,6 +176,14 @@
     "one may have time.",
     ErrorKind.QUARANTINED: "Upstreams that ran this request crashed several "
     "times in a row; it is not sent to another one.",
+    ErrorKind.STREAM_NOT_RESUMABLE: "The request goes on with a stream, which "
+    "its route doesn't allow.",
+    ErrorKind.STREAM_UNKNOWN: "The request goes on with a stream, and this "
+    "router doesn't know which software version began it. Without Retry-After "
+    "no router does; only a new stream can be begun.",
+    ErrorKind.STREAM_VERSION_GONE: "The request goes on with a stream, and no "
+    "upstream has the software version that began it; only a new stream can be "
+    "begun.",
     ErrorKind.STOPPING: "The router is stopping and takes nothing new.",
     ErrorKind.INTERNAL: "A fault in the router; its log has the traceback.",
 }
--- a/sycamorefall/messages/__init__.py
+++ b/sycamorefall/messages/__init__.py
@@ -28,10 +28,15 @@
     "Heartbeat",
     "KnownRouters",
     "LoadScope",
+    "MAX_KEEP_SECONDS",
+    "MAX_PACKED_STREAMS",
     "Message",
     "Name",
     "NameEntry",
     "NoWork",
+    "OriginAnswer",
+    "OriginQuery",
+    "PackedOrigin",
     "ReaderState",
     "Record",
     "RecordChanges",
@@ -39,6 +44,7 @@
     "RouterLoad",
     "SentPrompt",
     "ServiceDemand",
+    "StreamOrigins",
     "Subscribe",
     "SuspectRecord",
     "TeamService",
@@ -50,6 +56,10 @@
     "decode_order",
     "encode_envelope",
     "encode_order",
+    "pack_keys",
+    "pack_origins",
+    "unpack_keys",
+    "unpack_origins",
 ]
 
 from sycamorefall.messages.attempts import (
@@ -107,3 +117,15 @@
     TeamWaiting,
     Waiting,
 )
+from sycamorefall.messages.streams import (
+    MAX_KEEP_SECONDS,
+    MAX_PACKED_STREAMS,
+    OriginAnswer,
+    OriginQuery,
+    PackedOrigin,
+    StreamOrigins,
+    pack_keys,
+    pack_origins,
+    unpack_keys,
+    unpack_origins,
+)
--- a/sycamorefall/messages/envelope.py
+++ b/sycamorefall/messages/envelope.py
@@ -10,7 +10,14 @@
 import msgspec
 
 from sycamorefall import errors
-from sycamorefall.messages import attempts, loads, naming, records, scheduling
+from sycamorefall.messages import (
+    attempts,
+    loads,
+    naming,
+    records,
+    scheduling,
+    streams,
+)
 
 Message = (
     scheduling.Heartbeat
@@ -28,6 +35,9 @@
     | records.ReaderState
     | records.FetchRecords
     | records.RecordChanges
+    | streams.StreamOrigins
+    | streams.OriginQuery
+    | streams.OriginAnswer
 )
 
 
--- a/sycamorefall/observation/__init__.py
+++ b/sycamorefall/observation/__init__.py
@@ -13,6 +13,7 @@
     "record_piece",
     "record_request_end",
     "record_request_start",
+    "record_resumption",
     "start_action",
     "write_rate_limited",
     "write_record",
@@ -36,4 +37,5 @@
     record_piece,
     record_request_end,
     record_request_start,
+    record_resumption,
 )
--- a/sycamorefall/observation/recorder.py
+++ b/sycamorefall/observation/recorder.py
@@ -13,6 +13,7 @@
     "record_piece",
     "record_request_end",
     "record_request_start",
+    "record_resumption",
 ]
 
 import collections
@@ -233,6 +234,24 @@
         )
 
 
+def record_resumption(
+    recorder: Recorder, trace: RequestTrace, reason: str, **fields: object
+) -> None:
+    """Logs and counts a request that went on with a stream.
+
+    Args:
+        recorder: Counters and histograms of the process; modified.
+        trace: Trace of the request.
+        reason: How far it came; one of a fixed set of values.
+        fields: Additional fields for the log record.
+    """
+    count_event(recorder, "stream_taken_up", reason)
+    if trace.action is not None:
+        trace.action.log(
+            "stream.taken_up", level="info", reason=reason, **fields
+        )
+
+
 def _compute_first_piece_delay(trace: RequestTrace) -> float | None:
     if trace.first_piece_at is None:
         return None
--- a/sycamorefall/observation/request_explanation.py
+++ b/sycamorefall/observation/request_explanation.py
@@ -7,7 +7,7 @@
     "format_explanation",
 ]
 
-from collections.abc import Iterator, Sequence
+from collections.abc import Iterable, Iterator, Sequence
 import dataclasses
 import itertools
 import pathlib
@@ -92,8 +92,9 @@
     """Collects and orders the log records about a request.
 
     Args:
-        request_id: Request id that the caller sent or received; or fingerprint
-            of requests that lost their upstream connection or are quarantined.
+        request_id: Request id that the caller sent or received, of any attempt
+            at a stream that it took up; or fingerprint of requests that lost
+            their upstream connection or are quarantined.
         paths: Paths of the logs of one or more processes.
 
     Returns:
@@ -107,16 +108,17 @@
     found: list[LogRecord] = []
     missing: list[str] = []
     causes: list[str] = []
-    for path in paths:
-        records = list(_read_records(path))
+    logs = [list(_read_records(path)) for path in paths]
+    ids = _list_attempt_ids(itertools.chain.from_iterable(logs), request_id)
+    for records in logs:
         tasks = {
             record.task
             for record in records
-            if request_id
-            in (
+            if ids
+            & {
                 record.fields.get("request_id"),
                 record.fields.get("fingerprint"),
-            )
+            }
         }
         if not tasks:
             continue
@@ -132,6 +134,24 @@
     return Explanation(request_id, tuple(found), tuple(causes), tuple(missing))
 
 
+def _list_attempt_ids(
+    records: Iterable[LogRecord], request_id: str
+) -> set[str]:
+    """Lists the ids of all attempts at the stream that a request is for.
+
+    Each attempt that goes on with a stream names the one that brought its first
+    event, so that one names them all.
+    """
+    first_by_id = {
+        record.fields["request_id"]: record.fields["resumes"]
+        for record in records
+        if record.fields.get("resumes") and "request_id" in record.fields
+    }
+    first = first_by_id.get(request_id, request_id)
+    others = {one for one, other in first_by_id.items() if other == first}
+    return {request_id, first, *others}
+
+
 def _read_records(path: str) -> Iterator[LogRecord]:
     """Reads the records of a log.
 
