Direct: fetch cached prompts only within a software version

Routers told an engine to fetch cached parts of a prompt from any engine of its service, so during a release an engine went on with memory that another software version had written. What two versions write doesn't fit together, and upstreams don't check it. The class is that of streams that go on at another version: work of two upstreams is joined by service alone.

It costs the first engines of a new version the copies.

The new test fails without the change: parts came from the other version.

--- a/sycamorefall/direct/fetching.py
+++ b/sycamorefall/direct/fetching.py
@@ -48,7 +48,9 @@
     The engine with the most cached tokens of the prompt is chosen. If no
     engine is known to hold more than the target, it is the home of the last
     shared part, as all routers send the part there. If the home does not hold
-    the part, the target computes it as it would without the fetch.
+    the part, the target computes it as it would without the fetch. Only engines
+    of the target's software version count: what two versions write doesn't fit
+    together.
 
     Args:
         table: All upstreams.
@@ -69,7 +71,9 @@
     others = [
         one
         for one in homes.rank_engines(table, service, prompt.home_key)
-        if one is not target and upstreams_module.is_usable(one, now)
+        if one is not target
+        and one.origin == target.origin
+        and upstreams_module.is_usable(one, now)
     ]
     if not others:
         return None
--- a/sycamorefall/direct/tests/test_fetching.py
+++ b/sycamorefall/direct/tests/test_fetching.py
@@ -1,5 +1,7 @@
 """Tests of shared prompt parts that engines copy instead of computing them."""
 
+import dataclasses
+
 from hypothesis import given, strategies
 import msgspec
 
@@ -80,6 +82,27 @@
     assert sent.reads == 9500, "the tokens cached at the home are not known"
 
 
+def test_parts_are_not_fetched_from_another_software_version():
+    # Guards against an engine that goes on with memory that another software
+    # version has written, which is known or taken to have the part.
+    state = create_state()
+    versions = {"e1": "v1", "e2": "v2", "e3": "v2", "e4": "v1"}
+    listing = [
+        dataclasses.replace(one, software_version=versions[one.name])
+        for one in LISTING
+    ]
+    core.apply_listing(state, 0.0, listing)
+    paper_homes = rank(state)[:3]
+    for holder in paper_homes:
+        send_to(state, holder)
+    by_address = {one.address: one.software_version for one in listing}
+    for target in paper_homes:
+        target.cache = caches.CacheEstimate()
+        sent = send_to(state, target)
+        version = target.listed.software_version
+        assert by_address[sent.source] == version
+
+
 def test_nothing_is_fetched_from_a_suspended_engine():
     # Guards against a fetch from an engine that has crashed, for which the
     # target would wait in vain.
