Tests: taken up streams beside stops, lone routers and gone versions

Real routers: a stream whose version is gone is refused in 0.3 s, a router that knows no other lets none of 16 foreign streams go on, streams of a stopping router go on elsewhere, and explain finds all attempts of a stream from the id of one.

--- a/sycamorefall/platform/tests/router_client.py
+++ b/sycamorefall/platform/tests/router_client.py
@@ -54,8 +54,10 @@
 
 
 def read_metric(router, name):
-    """Reads a metric without labels from a router's page."""
+    """Reads a metric from a router's page, by name and labels."""
     url = f"http://127.0.0.1:{router.operators}/metrics"
     with urllib.request.urlopen(url, timeout=2) as response:
         text = response.read().decode()
-    return float(re.search(rf"^sycamorefall_{name} (\S+)$", text, re.M)[1])
+    return float(
+        re.search(rf"^sycamorefall_{re.escape(name)} (\S+)$", text, re.M)[1]
+    )
--- a/sycamorefall/platform/tests/test_resuming.py
+++ b/sycamorefall/platform/tests/test_resuming.py
@@ -1,11 +1,13 @@
 """Streams that go on at another upstream while two software versions serve."""
 
 import concurrent.futures
+import time
 
 import pytest
 
 from standins import site as site_module
 from standins import stream_callers
+from sycamorefall.observation import request_explanation
 from sycamorefall.platform.tests.router_client import LONG_STARTED, read_metric
 
 STREAM_COUNT = 16
@@ -94,3 +96,90 @@
     take_up_all(routers[1:], streams)
     assert list_crossed(streams) == []
     assert sum(one.complete for one in streams) >= STREAM_COUNT / 2
+
+
+def test_stream_is_refused_at_once_if_its_version_is_gone(site, engines):
+    # Guards against a caller that waits for engines that don't exist any more,
+    # or gets events of another version.
+    router = site.add_router(extra_settings=LONG_STARTED)
+    stream = stream_callers.Stream()
+    with stream_callers.read_streams(router, [stream]):
+        wait_for_events([stream])
+        for engine in engines[:2] if stream.versions == {"v1"} else engines[2:]:
+            engine.refuse = True
+            site.store.delete(f"servers/{engine.name}")
+            engine.break_streams()
+    assert not stream.complete
+    site_module.wait_until(
+        lambda: (
+            read_metric(router, 'upstreams{service="engine",usable="yes"}') == 2
+        )
+    )
+    began_at = time.monotonic()
+    stream_callers.take_up(router, stream)
+    assert time.monotonic() - began_at < 0.3
+    assert stream.statuses[-1] == 503
+    assert stream.retry_after is None
+    assert len(stream.versions) == 1
+
+
+def test_router_without_peers_refuses_foreign_streams(site, engines):
+    # Guards against a stream of two versions at a router that was started after
+    # all others had ended, or hears none: it can't know which version began it.
+    routers = [site.add_router(f"front-a-{n}") for n in (1, 2)]
+    streams = create_streams()
+    with stream_callers.read_streams(routers[0], streams):
+        wait_for_events(streams)
+        routers[0].process.kill()
+    take_up_all(routers[1:], streams)
+    assert {one.statuses[-1] for one in streams} == {503}
+    assert list_crossed(streams) == []
+
+
+def test_stopping_router_ends_streams_that_others_can_go_on_with(site, engines):
+    # Guards against streams that are lost with a router that is stopped while
+    # engines break off, and whose callers come back elsewhere.
+    routers = add_routers(site, 3)
+    site_module.wait_until(lambda: hear_each_other(routers))
+    streams = create_streams()
+    with stream_callers.read_streams(routers[0], streams):
+        wait_for_events(streams)
+        routers[0].process.terminate()
+        for engine in engines:
+            engine.break_streams()
+    take_up_all(routers[1:], [one for one in streams if not one.complete])
+    assert list_crossed(streams) == []
+    assert sum(one.complete for one in streams) >= STREAM_COUNT / 2
+
+
+def test_log_explains_a_stream_over_all_attempts(site, engines):
+    # Guards against a stream whose attempts at several routers can't be found
+    # from one of their ids.
+    routers = add_routers(site, 2)
+    site_module.wait_until(lambda: hear_each_other(routers))
+    streams = create_streams()[:4]
+    with stream_callers.read_streams(routers[0], streams):
+        wait_for_events(streams)
+        routers[0].process.kill()
+    take_up_all(routers[1:], streams)
+    assert all(one.complete for one in streams)
+    assert (
+        read_metric(
+            routers[1], 'events_total{detail="sent",event="stream_taken_up"}'
+        )
+        == 4
+    )
+    routers[1].process.terminate()
+    routers[1].process.wait()
+    logs = [str(site.folder / f"front-a-{number}.log") for number in (1, 2)]
+    explained = request_explanation.explain_request(
+        streams[0].attempts[1], logs
+    )
+    (taken_up,) = [
+        one for one in explained.records if one.kind == "stream.taken_up"
+    ]
+    assert taken_up.fields["source"] == "front-a-1"
+    assert taken_up.fields["resumes"] == streams[0].attempts[0]
+    assert {taken_up.fields["version"]} == streams[0].versions
+    starts = [one for one in explained.records if one.kind == "request started"]
+    assert [one.log for one in starts] == ["front-a-1.log", "front-a-2.log"]
