Direct: a freeze doesn't count as pace if several events are read after it

A time above 1 s without an event isn't to count, but it was divided by the number of events that are read at once before it was compared. Frozen for 1.5 s, with 5 and 2 events to read, a router took its engines for 2.5 times as slow as they were. It sent them nothing, so it measured nothing for 2 s, and all that waited was refused. The time is compared first now, and doesn't weigh what else is read in the same moment.

The new unit test fails without the change (0.196 s for 0.08 s between events).

--- a/sycamorefall/direct/outcomes.py
+++ b/sycamorefall/direct/outcomes.py
@@ -274,8 +274,8 @@
     attempt = request.attempt
     events = max(1, events)
     if attempt.response_started and upstream is not None:
-        gap = (now - attempt.last_event_at) / events
-        stream_pace.record_gap(upstream.pace, now, gap)
+        elapsed = now - attempt.last_event_at
+        stream_pace.record_gap(upstream.pace, now, elapsed, events)
     attempt.last_event_at = now
     lengths = state_module.get_or_create_response_lengths(
         state, request.service, request.route.name
--- a/sycamorefall/direct/stream_pace.py
+++ b/sycamorefall/direct/stream_pace.py
@@ -46,8 +46,9 @@
 its prompts are queued, so that the average varies little."""
 
 MAX_GAP = 1.0
-"""Longest gap in seconds that counts. A longer one is no engine's pace: this VM
-was frozen, packets were lost, or the request was preempted."""
+"""Longest time in seconds without an event that counts. A longer one is no
+engine's pace: this VM was frozen, packets were lost, or the request was
+preempted."""
 
 GAP_LIFETIME = 2.0
 """Seconds after the last event of its streams for which an engine's average gap
@@ -91,18 +92,26 @@
     last_event_at: float = _NEVER
 
 
-def record_gap(pace: StreamPace, now: float, gap: float) -> None:
-    """Records the gap before an event of a stream, unless above `MAX_GAP`.
+def record_gap(
+    pace: StreamPace, now: float, elapsed: float, events: int = 1
+) -> None:
+    """Records the gap before the events of a stream that are read at once.
 
     Args:
         pace: Pace of the stream's engine; changed.
         now: Current time of this process's clock.
-        gap: Seconds since the last event of the stream.
+        elapsed: Seconds since the last event of the stream. If it is above
+            `MAX_GAP`, the average stays as it is.
+        events: Number of events, which the engine sent one after the other.
     """
-    if gap > MAX_GAP:
+    if elapsed > MAX_GAP:
+        if pace.measured_at > _NEVER:
+            # More events may be read at the same moment, and must not count
+            # for the time that has passed.
+            pace.measured_at = now
         return
     weight = -math.expm1((pace.measured_at - now) / SMOOTHING_TIME)
-    pace.gap += weight * (gap - pace.gap)
+    pace.gap += weight * (elapsed / events - pace.gap)
     pace.measured_at = now
 
 
--- a/sycamorefall/direct/tests/test_stream_pace.py
+++ b/sycamorefall/direct/tests/test_stream_pace.py
@@ -130,6 +130,23 @@
     assert stream_pace.estimate_length(lengths) == 6
 
 
+def test_events_read_at_once_after_a_freeze_are_no_pace(state):
+    # Guards against a router that refuses requests after its VM was frozen: the
+    # events that came meanwhile are read at once, and the freeze was divided
+    # by their number before it was compared with the longest gap that counts.
+    numbers = []
+    for _ in range(2):
+        number, engine = start_stream(state, 0.0, FAST_GAP, 30)
+        numbers.append(number)
+        engine.own_load.running += 1  # The next stream runs at the other one.
+    for number in numbers:
+        for events in (5, 2):
+            outcomes.record_response(state, 3.9, number, True, events)
+    for one in state.table.by_service["engine"]:
+        gap = stream_pace.estimate_gap(one.pace, 3.9)
+        assert gap is None or gap == pytest.approx(FAST_GAP)
+
+
 def start_stream(state, now, gap, events):
     """Starts a stream and plays some events; returns its number and engine."""
     core.record_proof(state, now, now)
