Direct: split the exchange of origins; only delegates pass streams on

A router that isn't a delegate no longer passes on streams that another one took it for a delegate for: two routers with different views could have told each other the same streams until they expired.

--- a/benchmarks/stream_origins.py
+++ b/benchmarks/stream_origins.py
@@ -22,7 +22,7 @@
 import tracemalloc
 from unittest import mock
 
-from sycamorefall.direct import origin_exchange, stream_origins
+from sycamorefall.direct import stream_holders, stream_origins
 from sycamorefall.direct.tests import simulated_fleet
 
 WARM_UP = 4.0
@@ -40,7 +40,7 @@
 ROUND_TRIP = 0.0018
 """Seconds of a round trip between failure domains."""
 
-_HOLDERS = {"none": 0, "few": origin_exchange.HOLDERS, "domain": 10**6}
+_HOLDERS = {"none": 0, "few": stream_holders.HOLDERS, "domain": 10**6}
 
 
 @dataclasses.dataclass(slots=True, frozen=True)
@@ -93,7 +93,7 @@
 def simulate(scenario: Scenario) -> Outcome:
     """Begins streams, kills routers and takes their streams up elsewhere."""
     holders = _HOLDERS[scenario.way]
-    with mock.patch.object(origin_exchange, "HOLDERS", holders):
+    with mock.patch.object(stream_holders, "HOLDERS", holders):
         return _simulate(scenario)
 
 
--- a/sycamorefall/direct/daemon.py
+++ b/sycamorefall/direct/daemon.py
@@ -24,6 +24,7 @@
     crashes,
     dialects,
     metrics,
+    origin_queries,
     readers,
     relay,
     stopping,
@@ -369,17 +370,19 @@
         match envelope.message:
             case messages.StreamOrigins():
                 known = origin_exchange_module.handle_origins(
-                    daemon.origin_exchange, state, now, envelope
+                    daemon.origin_exchange,
+                    daemon.exchange,
+                    state,
+                    now,
+                    envelope,
                 )
             case messages.OriginQuery():
-                outbound = origin_exchange_module.handle_query(
+                outbound = origin_queries.handle_query(
                     daemon.exchange, state, now, envelope
                 )
                 _send_messages(daemon, outbound)
             case messages.OriginAnswer():
-                known = origin_exchange_module.handle_answer(
-                    state, now, envelope
-                )
+                known = origin_queries.handle_answer(state, now, envelope)
     except errors.MessageRefused as error:
         observation.write_rate_limited(
             observation.Level.WARNING,
--- a/sycamorefall/direct/tests/simulated_fleet.py
+++ b/sycamorefall/direct/tests/simulated_fleet.py
@@ -8,7 +8,7 @@
 import random
 
 from sycamorefall import messages, settings
-from sycamorefall.direct import core, exchange
+from sycamorefall.direct import core, exchange, origin_queries
 from sycamorefall.direct import crash_exchange as crash_exchange_module
 from sycamorefall.direct import origin_exchange as origin_exchange_module
 from sycamorefall.direct import state as state_module
@@ -191,19 +191,21 @@
         match envelope.message:
             case messages.StreamOrigins():
                 known = origin_exchange_module.handle_origins(
-                    receiver.origin_exchange, state, self.now, envelope
+                    receiver.origin_exchange,
+                    receiver.load_exchange,
+                    state,
+                    self.now,
+                    envelope,
                 )
             case messages.OriginQuery():
                 self._send(
                     receiver,
-                    origin_exchange_module.handle_query(
+                    origin_queries.handle_query(
                         receiver.load_exchange, state, self.now, envelope
                     ),
                 )
             case messages.OriginAnswer():
-                known = origin_exchange_module.handle_answer(
-                    state, self.now, envelope
-                )
+                known = origin_queries.handle_answer(state, self.now, envelope)
             case _:
                 return False
         for key in known:
--- a/sycamorefall/direct/tests/test_origin_exchange.py
+++ b/sycamorefall/direct/tests/test_origin_exchange.py
@@ -5,7 +5,13 @@
 import pytest
 
 from sycamorefall import errors, messages
-from sycamorefall.direct import core, effects, outcomes, stream_origins
+from sycamorefall.direct import (
+    core,
+    effects,
+    origin_queries,
+    outcomes,
+    stream_origins,
+)
 from sycamorefall.direct import origin_exchange as origin_exchange_module
 from sycamorefall.direct.tests import fakes, simulated_fleet
 
@@ -239,14 +245,16 @@
         match message:
             case messages.StreamOrigins():
                 origin_exchange_module.handle_origins(
-                    router.origin_exchange, router.state, fleet.now, envelope
+                    router.origin_exchange,
+                    router.load_exchange,
+                    router.state,
+                    fleet.now,
+                    envelope,
                 )
             case messages.OriginAnswer():
-                origin_exchange_module.handle_answer(
-                    router.state, fleet.now, envelope
-                )
+                origin_queries.handle_answer(router.state, fleet.now, envelope)
             case messages.OriginQuery():
-                origin_exchange_module.handle_query(
+                origin_queries.handle_query(
                     router.load_exchange, router.state, fleet.now, envelope
                 )
     assert router.state.origins == stream_origins.StreamOrigins(
