Observation: explain shows only the asked stream's attempts as taken up

Lines of other requests are told apart by the prefix of their kind, which stream.taken_up lacked, so those that were written while the asked request ran were shown as process-wide ones. The kind is request.taken_up now. The test asks for each of four streams, whose ends overlap: it fails with the old name, and no longer depends on which ends last.

--- a/sycamorefall/observation/recorder.py
+++ b/sycamorefall/observation/recorder.py
@@ -248,7 +248,7 @@
     count_event(recorder, "stream_taken_up", reason)
     if trace.action is not None:
         trace.action.log(
-            "stream.taken_up", level="info", reason=reason, **fields
+            "request.taken_up", level="info", reason=reason, **fields
         )
 
 
--- a/sycamorefall/platform/tests/test_resuming.py
+++ b/sycamorefall/platform/tests/test_resuming.py
@@ -175,14 +175,19 @@
     routers[1].process.terminate()
     routers[1].process.wait()
     logs = [str(site.folder / f"front-a-{number}.log") for number in (1, 2)]
-    explained = request_explanation.explain_request(
-        streams[0].attempts[1], logs
-    )
-    (taken_up,) = [
-        one for one in explained.records if one.kind == "stream.taken_up"
-    ]
-    assert taken_up.fields["source"] == "front-a-1"
-    assert taken_up.fields["resumes"] == streams[0].attempts[0]
-    assert {taken_up.fields["version"]} == streams[0].versions
-    starts = [one for one in explained.records if one.kind == "request started"]
-    assert [one.log for one in starts] == ["front-a-1.log", "front-a-2.log"]
+    # The last one to end overlaps with the ends of all others.
+    for stream in streams:
+        explained = request_explanation.explain_request(
+            stream.attempts[1], logs
+        )
+        (taken_up,) = [
+            one for one in explained.records if one.kind.endswith("taken_up")
+        ]
+        assert taken_up.fields["source"] == "front-a-1"
+        assert taken_up.fields["resumes"] == stream.attempts[0]
+        assert {taken_up.fields["version"]} == stream.versions
+        kinds = [(one.kind, one.log) for one in explained.records]
+        assert [log for kind, log in kinds if kind == "request started"] == [
+            "front-a-1.log",
+            "front-a-2.log",
+        ]
