Direct: log which responses ended with their connection

A response may have neither a length nor chunks; the end of its connection is then its end. The log didn't tell such a response from one with a length, so two hypotheses of broken streams that look complete could not be told apart. `answered` now has `ended_at_close` for these.

--- a/sycamorefall/direct/relay.py
+++ b/sycamorefall/direct/relay.py
@@ -61,6 +61,8 @@
         streamed: Whether events are forwarded as they arrive.
         splitter: Splits the response into events to forward.
         exchange: HTTP exchange of the current attempt; None between attempts.
+        ended_at_close: Whether the last response had neither a length nor
+            chunks and ended with its connection.
         head: Response head of the current attempt; None until it was received.
         first_head: Head of the first successful response, which the caller
             gets.
@@ -75,6 +77,7 @@
         "call",
         "incoming",
         "request",
+        "ended_at_close",
         "exchange",
         "first_head",
         "head",
@@ -95,6 +98,7 @@
         self.incoming = incoming
         self.request = request
         self.exchange: transport.Exchange | None = None
+        self.ended_at_close = False
         self.first_head: dialects.ResponseHead | None = None
         self.head: dialects.ResponseHead | None = None
         self.buffered: list[bytes] = []
@@ -333,7 +337,9 @@
     proxy: Proxy, proxied: _ProxiedRequest, number: int
 ) -> None:
     head = proxied.head
-    _finish_request(proxy, number, "answered", status=head.status)
+    _finish_request(
+        proxy, number, "answered", status=head.status, **_list_framing(proxied)
+    )
     body = b"".join(proxied.buffered)
     proxied.call.respond(head.status, body, head.headers)
 
@@ -494,6 +500,7 @@
 
 
 def _handle_end(proxy: Proxy, proxied: _ProxiedRequest, number: int) -> None:
+    proxied.ended_at_close = proxied.exchange.ended_at_close
     proxied.exchange = None
     end = _ATTEMPT_ENDS[proxied.head.outcome]
     if end is outcomes.AttemptEnd.COMPLETE:
@@ -510,7 +517,18 @@
     rest = streams.flush_rest(proxied.splitter)
     _forward_events(proxy, proxied, rest)
     proxied.call.end()
-    _finish_request(proxy, number, "answered", status=proxied.first_head.status)
+    _finish_request(
+        proxy,
+        number,
+        "answered",
+        status=proxied.first_head.status,
+        **_list_framing(proxied),
+    )
+
+
+def _list_framing(proxied: _ProxiedRequest) -> dict[str, bool]:
+    """Returns the field of a response that ended with its connection."""
+    return {"ended_at_close": True} if proxied.ended_at_close else {}
 
 
 def _handle_failure(
--- a/sycamorefall/transport/client.py
+++ b/sycamorefall/transport/client.py
@@ -149,6 +149,8 @@
     Attributes:
         address: Address of the server.
         connected: Whether the connection is established.
+        ended_at_close: Whether the last response had neither a length nor
+            chunks and ended with the connection.
         idle_since: Time at which the last response was complete.
         max_idle_time: Seconds that the connection may be idle.
         listener: Callbacks of the request in progress; None without one.
@@ -165,6 +167,7 @@
     __slots__ = (
         "address",
         "connected",
+        "ended_at_close",
         "idle_since",
         "max_idle_time",
         "listener",
@@ -182,6 +185,7 @@
         self.address = address
         self.listener: Listener | None = listener
         self.connected = False
+        self.ended_at_close = False
         self.idle_since = 0.0
         self.max_idle_time = MAX_IDLE_TIME
         self.connect_started_at = 0.0
@@ -492,6 +496,7 @@
             self._fail(exchange)
             return
         listener, exchange.listener = exchange.listener, None
+        exchange.ended_at_close = True
         self._discard(exchange)
         listener.on_end()
 
