--- a/standins/wire_upstream.py
+++ b/standins/wire_upstream.py
@@ -1,10 +1,26 @@
 """Fake model engines and plain services, with the platform's HTTP protocol."""
 
-__all__ = ["Upstream"]
+__all__ = ["Framing", "Upstream"]
 
 import asyncio
 import contextlib
 import dataclasses
+import enum
+import socket
+import struct
+
+
+class Framing(enum.Enum):
+    """How the end of a response is marked.
+
+    CHUNKS: A stream by a last chunk, a plain response by its length.
+    LENGTH: By its length.
+    CLOSE: By the end of its connection.
+    """
+
+    CHUNKS = "chunks"
+    LENGTH = "length"
+    CLOSE = "close"
 
 
 @dataclasses.dataclass
@@ -25,6 +41,11 @@
         fail: Whether it runs plain requests and sends 500.
         truncate_after: Number of events after which it closes the connection
             inside the next event; None sends all events.
+        framing: How it marks the end of its responses.
+        line_end: Line end of the events that it sends.
+        break_at: Number of bytes of a body after which it breaks a response
+            off; None sends all bytes.
+        reset: Whether it breaks a response off with a reset; in order if not.
         hang: Whether it runs requests and never responds.
         send_twice: Whether it sends every plain response twice.
         repeat_previous: Whether it sends the previous plain response of a
@@ -50,6 +71,10 @@
     refuse: bool = False
     fail: bool = False
     truncate_after: int | None = None
+    framing: Framing = Framing.CHUNKS
+    line_end: str = "\n"
+    break_at: int | None = None
+    reset: bool = False
     hang: bool = False
     send_twice: bool = False
     repeat_previous: bool = False
@@ -142,9 +167,12 @@
             return
         data = f"{line.split()[1]} {request_id} {len(body)}".encode()
         status = "500 Failed" if self.fail else "200 OK"
-        response = (
-            f"HTTP/1.1 {status}\r\n{stamp}Content-Length: {len(data)}\r\n\r\n"
-        ).encode() + data
+        closes = self.framing is Framing.CLOSE
+        length = "" if closes else f"Content-Length: {len(data)}\r\n"
+        response = f"HTTP/1.1 {status}\r\n{stamp}{length}\r\n".encode() + data
+        if self.break_at is not None and self.break_at < len(data):
+            writer.write(response[: self.break_at - len(data)])
+            await self._break_off(writer)
         if self.repeat_previous and self._last_responses[writer]:
             self.repeat_count += 1
             writer.write(self._last_responses[writer])
@@ -154,25 +182,65 @@
         writer.write(response)
         if self.send_twice:
             writer.write(response)
+        if closes:
+            await writer.drain()
+            raise ConnectionResetError
+
+    async def _break_off(self, writer) -> None:
+        """Ends a connection inside a response, in order or with a reset."""
+        await writer.drain()
+        if self.reset:
+            # Otherwise the bytes may not have left when the reset drops them.
+            await asyncio.sleep(0.02)
+            writer.get_extra_info("socket").setsockopt(
+                socket.SOL_SOCKET, socket.SO_LINGER, struct.pack("ii", 1, 0)
+            )
+            writer.transport.abort()
+        raise ConnectionResetError
 
     async def _stream(self, stamp, headers, reader, writer) -> None:
         count = int(headers["token-usage"].split(",")[1])
         first = int(headers.get("last-event-id", "0")) + 1
+        request_id = headers["attempt-id"]
+        events = [
+            self._format_event(request_id, number)
+            for number in range(first, count + 1)
+        ]
+        framing = {
+            Framing.CHUNKS: "Transfer-Encoding: chunked\r\n",
+            Framing.LENGTH: f"Content-Length: {sum(map(len, events))}\r\n",
+            Framing.CLOSE: "",
+        }[self.framing]
         writer.write(
             f"HTTP/1.1 200 OK\r\n{stamp}Content-Type: text/event-stream\r\n"
-            "Transfer-Encoding: chunked\r\n\r\n".encode()
+            f"{framing}\r\n".encode()
         )
-        request_id = headers["attempt-id"]
-        for number in range(first, count + 1):
-            event = (
-                f"id: {number}\ndata: {request_id}/{number}\n"
-                f"version: {self.version}\n\n"
-            ).encode()
+        chunked = self.framing is Framing.CHUNKS
+        sent = 0
+        for number, event in enumerate(events, first):
+            end = len(event)
             if self.truncate_after is not None and number > self.truncate_after:
-                writer.write(b"%x\r\n%b" % (len(event), event[:7]))
-                await writer.drain()
-                raise ConnectionResetError
-            writer.write(b"%x\r\n%b\r\n" % (len(event), event))
+                end = 7
+            if self.break_at is not None:
+                end = min(end, self.break_at - sent)
+            if end < len(event):
+                size = b"%x\r\n" % len(event) if chunked and end else b""
+                writer.write(size + event[:end])
+                await self._break_off(writer)
+            sent += end
+            writer.write(
+                b"%x\r\n%b\r\n" % (len(event), event) if chunked else event
+            )
             await writer.drain()
             await asyncio.sleep(self.event_interval)
-        writer.write(b"0\r\n\r\n")
+        if self.framing is Framing.CLOSE:
+            raise ConnectionResetError
+        writer.write(b"0\r\n\r\n" if chunked else b"")
+
+    def _format_event(self, request_id: str, number: int) -> bytes:
+        lines = (
+            f"id: {number}",
+            f"data: {request_id}/{number}",
+            f"version: {self.version}",
+        )
+        return (self.line_end.join(lines) + 2 * self.line_end).encode()
