Direct: a stream that ends inside an event was broken off

Callers got short answers that looked complete. An engine that sends neither a length nor chunks ends its answer with its connection, and the kernel closes the connections of a crashed process in order. The client took any orderly end for the answer's end, and the relay forwarded the rest of an event and ended its own response as complete.

Now the events say where a stream ends: inside an event it was broken off, whatever its framing, and without length and chunks also before its first event. Such an end is handled as a lost connection: the part of an event is dropped, the upstream is checked for a crash, and the stream goes on elsewhere or is broken off in a way that its caller sees. Streams with CR as line end are split into events too. Answers of another media type are as before.

The break is logged (`cut`), counted (stream_broken_off) and explained.

--- a/sycamorefall/direct/relay.py
+++ b/sycamorefall/direct/relay.py
@@ -64,6 +64,8 @@
         ended_at_close: Whether the last response had neither a length nor
             chunks and ended with its connection.
         head: Response head of the current attempt; None until it was received.
+        carries_events: Whether the response of the current attempt is an event
+            stream.
         first_head: Head of the first successful response, which the caller
             gets.
         buffered: Parts of a response that is forwarded only when complete.
@@ -75,6 +77,7 @@
 
     __slots__ = (
         "call",
+        "carries_events",
         "incoming",
         "request",
         "ended_at_close",
@@ -95,6 +98,7 @@
         trace: observation.RequestTrace,
     ):
         self.call = call
+        self.carries_events = False
         self.incoming = incoming
         self.request = request
         self.exchange: transport.Exchange | None = None
@@ -417,6 +421,7 @@
     headers: list[tuple[str, str]],
 ) -> None:
     proxied.head = proxy.dialect.read_response_head(status, headers)
+    proxied.carries_events = proxied.streamed and _is_event_stream(headers)
     _record_upstream_state(proxy, number, proxied.head)
     outcome = proxied.head.outcome
     if outcome is dialects.ResponseOutcome.INVALID:
@@ -432,6 +437,12 @@
     outcomes.record_response(proxy.state, now, number, first=False)
 
 
+def _is_event_stream(headers: list[tuple[str, str]]) -> bool:
+    """Returns whether a response with these headers consists of events."""
+    media_type = dict(headers).get("content-type", transport.EVENT_STREAM)
+    return media_type.lower().startswith(transport.EVENT_STREAM)
+
+
 def _record_upstream_state(
     proxy: Proxy, number: int, head: dialects.ResponseHead
 ) -> None:
@@ -504,10 +515,35 @@
     proxied.exchange = None
     end = _ATTEMPT_ENDS[proxied.head.outcome]
     if end is outcomes.AttemptEnd.COMPLETE:
+        cut = _find_cut(proxied)
+        if cut is not None:
+            observation.count_event(
+                proxy.recorder, "stream_broken_off", cut.value
+            )
+            _end_broken_attempt(proxy, proxied, number, cut=cut.value)
+            return
         _finish_response(proxy, proxied, number)
     _end_attempt(proxy, proxied, number, end)
 
 
+def _find_cut(proxied: _ProxiedRequest) -> streams.StreamEnd | None:
+    """Finds where a stream was broken off although its end seems in order.
+
+    The kernel closes the connections of a crashed process in order, so without
+    a length or chunks only the events tell a break from the end.
+
+    Returns:
+        The place; None if the response is complete.
+    """
+    if not proxied.carries_events:
+        return None
+    end = streams.classify_end(proxied.splitter)
+    if end is streams.StreamEnd.INSIDE_EVENT:
+        return end
+    is_empty = end is streams.StreamEnd.NO_EVENT
+    return end if is_empty and proxied.ended_at_close else None
+
+
 def _finish_response(
     proxy: Proxy, proxied: _ProxiedRequest, number: int
 ) -> None:
@@ -538,14 +574,29 @@
     stage: transport.SendStage,
 ) -> None:
     proxied.exchange = None
-    unsent = stage is transport.SendStage.NOT_SENT
-    end = outcomes.AttemptEnd.NOT_SENT if unsent else outcomes.AttemptEnd.BROKEN
-    if not unsent:
-        now = transport.read_clock()
-        perform_effects(
-            proxy, crashes.record_disconnect(proxy.state, now, number)
-        )
-    _end_attempt(proxy, proxied, number, end, lost_after_send=not unsent)
+    if stage is transport.SendStage.NOT_SENT:
+        _end_attempt(proxy, proxied, number, outcomes.AttemptEnd.NOT_SENT)
+    else:
+        _end_broken_attempt(proxy, proxied, number)
+
+
+def _end_broken_attempt(
+    proxy: Proxy, proxied: _ProxiedRequest, number: int, **fields: str
+) -> None:
+    """Ends an attempt whose connection was lost after its request was sent.
+
+    Args:
+        proxy: The proxy; changed.
+        proxied: The request.
+        number: Its number.
+        fields: Additional fields for the log record.
+    """
+    now = transport.read_clock()
+    perform_effects(proxy, crashes.record_disconnect(proxy.state, now, number))
+    request = proxy.state.requests.get(number)
+    if request is not None and request.attempt is not None:
+        fields["fingerprint"] = fingerprints.get_fingerprint(request).hex()
+    _end_attempt(proxy, proxied, number, outcomes.AttemptEnd.BROKEN, **fields)
 
 
 def _end_attempt(
@@ -553,15 +604,11 @@
     proxied: _ProxiedRequest,
     number: int,
     end: outcomes.AttemptEnd,
-    lost_after_send: bool = False,
+    **fields: str,
 ) -> None:
-    fields = {}
     request = proxy.state.requests.get(number)
     if request is not None and request.attempt is not None:
         fields["sidecar"] = request.attempt.upstream
-        if lost_after_send:
-            fingerprint = fingerprints.get_fingerprint(request)
-            fields["fingerprint"] = fingerprint.hex()
     observation.record_attempt_end(
         proxy.recorder, proxied.trace, end.value, **fields
     )
--- a/sycamorefall/direct/streams.py
+++ b/sycamorefall/direct/streams.py
@@ -1,17 +1,41 @@
-"""Splits an event stream into complete events and tracks the last event id."""
+"""Splits an event stream into complete events and tracks the last event id.
+
+Lines end with LF, CRLF or CR, and an empty line ends an event, as the HTML
+standard interprets event streams.
+"""
 
 __all__ = [
     "EventSplitter",
+    "StreamEnd",
+    "classify_end",
     "count_events",
     "flush_rest",
     "prepare_resume",
     "split_events",
 ]
 
+import enum
 import re
 
-_EVENT_END = re.compile(rb"\r?\n\r?\n")
-_EVENT_ID = re.compile(rb"^id: ?([^\r\n]*)", re.MULTILINE)
+_EVENT_END = re.compile(rb"\r?\n\r?\n|\r\r")
+_BYTE_ORDER_MARK = b"\xef\xbb\xbf"
+_EVENT_ID = re.compile(
+    rb"(?:\A(?:%b)?|[\r\n])id: ?([^\r\n]*)" % _BYTE_ORDER_MARK
+)
+_LINE_END = re.compile(rb"\r\n|\n|\r")
+
+
+class StreamEnd(enum.Enum):
+    """Where in a stream an upstream's response ends.
+
+    BETWEEN_EVENTS: After a complete event, or after comments that follow one.
+    INSIDE_EVENT: After some bytes of an event.
+    NO_EVENT: Before the first event.
+    """
+
+    BETWEEN_EVENTS = "between_events"
+    INSIDE_EVENT = "inside_event"
+    NO_EVENT = "no_event"
 
 
 class EventSplitter:
@@ -23,12 +47,22 @@
 
     Attributes:
         resumed: Whether another upstream resumes the stream.
+        has_event: Whether an event of the current upstream was complete.
     """
 
-    __slots__ = ("_last_id", "_unscanned", "_incomplete", "resumed")
+    __slots__ = (
+        "_ends_in_feed",
+        "_last_id",
+        "_unscanned",
+        "_incomplete",
+        "has_event",
+        "resumed",
+    )
 
     def __init__(self):
         self.resumed = False
+        self.has_event = False
+        self._ends_in_feed = True
         self._incomplete = b""
         self._unscanned = b""
         self._last_id = ""
@@ -71,12 +105,18 @@
         '1'
     """
     text = splitter._incomplete + data if splitter._incomplete else data
-    end = max(_find_last_end(text, b"\n\n"), _find_last_end(text, b"\n\r\n"))
+    end = max(
+        _find_last_end(text, b"\n\n"),
+        _find_last_end(text, b"\n\r\n"),
+        _find_last_end(text, b"\r\r"),
+    )
     if not end:
         splitter._incomplete = text
         return b""
+    splitter.has_event = True
     splitter._incomplete = text[end:]
     complete = text[:end]
+    splitter._ends_in_feed = complete.endswith(b"\n")
     if splitter.resumed:
         return _drop_known_events(splitter, complete)
     if b"id:" in complete:
@@ -91,7 +131,7 @@
         >>> count_events(b"id: 1\ndata: a\n\nid: 2\r\ndata: b\r\n\r\n")
         2
     """
-    return data.count(b"\n\n") + data.count(b"\n\r\n")
+    return sum(map(data.count, (b"\n\n", b"\n\r\n", b"\r\r")))
 
 
 def _find_last_end(text: bytes, ending: bytes) -> int:
@@ -124,6 +164,31 @@
     return True
 
 
+def classify_end(splitter: EventSplitter) -> StreamEnd:
+    r"""Classifies the end of the current upstream's response.
+
+    Example:
+        >>> splitter = EventSplitter()
+        >>> _ = split_events(splitter, b"data: a\n\ndata: b\n")
+        >>> classify_end(splitter)
+        <StreamEnd.INSIDE_EVENT: 'inside_event'>
+        >>> _ = split_events(splitter, b"\n: a comment\n")
+        >>> classify_end(splitter)
+        <StreamEnd.BETWEEN_EVENTS: 'between_events'>
+    """
+    rest = splitter._incomplete
+    if not splitter.has_event:
+        rest = rest.removeprefix(_BYTE_ORDER_MARK)
+    *lines, unfinished = _LINE_END.split(rest)
+    if rest.endswith(b"\r") and splitter._ends_in_feed:
+        return StreamEnd.INSIDE_EVENT  # Only half of a CRLF has arrived.
+    if unfinished or any(line and not line.startswith(b":") for line in lines):
+        return StreamEnd.INSIDE_EVENT
+    if not splitter.has_event:
+        return StreamEnd.NO_EVENT
+    return StreamEnd.BETWEEN_EVENTS
+
+
 def flush_rest(splitter: EventSplitter) -> bytes:
     """Removes and returns the bytes after the last complete event."""
     rest, splitter._incomplete = splitter._incomplete, b""
@@ -136,4 +201,5 @@
     The bytes of an incomplete event are dropped.
     """
     splitter._incomplete = b""
+    splitter.has_event = False
     splitter.resumed = bool(splitter.last_id)
--- a/sycamorefall/observation/request_explanation.py
+++ b/sycamorefall/observation/request_explanation.py
@@ -255,6 +255,12 @@
 }
 
 
+_CUT_TEXTS = {
+    "inside_event": "; its upstream's response ended inside an event",
+    "no_event": "; its upstream's response ended before its first event",
+}
+
+
 def _explain_task(records: Sequence[LogRecord], task: str) -> str:
     task_records = [record for record in records if record.task == task]
     sends = [
@@ -272,7 +278,8 @@
         return prefix + _explain_response(merged, len(sends))
     end = _RESULT_TEXTS.get(result) or _describe_result(result)
     sent = f"; sent {len(sends)} times, last to {receiver}" if sends else ""
-    return prefix + end + _explain_refusal(merged) + sent
+    cut = _CUT_TEXTS.get(merged.get("cut", ""), "")
+    return prefix + end + cut + _explain_refusal(merged) + sent
 
 
 def _describe_result(result: str) -> str:
