Transport: reset callers' connections whose unframed response breaks off

A caller of HTTP/1.0 gets neither a length nor chunks for a stream, so an orderly end of its connection is the end of the response. A response that was broken off was ended in order, and so are, by the kernel, the connections of a router that is killed: the caller saw a complete answer.

From the head of such a response until its end has been sent, closing the connection resets it (SO_LINGER), whoever closes it. Responses with chunks end as before: the last chunk is missing.

Whole responses end in order, also to callers that read 4 MB late or have closed their side.

--- a/sycamorefall/platform/tests/test_broken_off.py
+++ b/sycamorefall/platform/tests/test_broken_off.py
@@ -1,12 +1,15 @@
 """Responses that break off, as HTTP libraries of callers see them."""
 
+import concurrent.futures
 import contextlib
 import http.client
 import itertools
 import re
+import time
 
 import pytest
 
+from standins import site as site_module
 from standins import wire_upstream
 from sycamorefall.observation import request_explanation
 from sycamorefall.platform.tests.router_client import (
@@ -89,6 +92,30 @@
     assert list_faulty_cuts(router, engine) == []
 
 
+def test_caller_of_http_1_0_sees_that_a_stream_broke_off(router, engine):
+    # Guards against a short answer that looks complete to callers that get no
+    # chunks, so that only the end of their connection tells them of a break.
+    for framing, reset in itertools.product(
+        wire_upstream.Framing, (False, True)
+    ):
+        engine.framing, engine.reset = framing, reset
+        assert list_faulty_cuts(router, engine, version=10) == []
+
+
+def test_caller_of_http_1_0_sees_that_its_router_was_killed(router, engine):
+    # Guards against a short answer that looks complete because the kernel
+    # closes the connections of a process that ends in order.
+    engine.event_interval = 0.4
+    with concurrent.futures.ThreadPoolExecutor(1) as pool:
+        reading = pool.submit(read_response, router, version=10)
+        site_module.wait_until(lambda: engine.runs)
+        time.sleep(0.6)
+        router.process.kill()
+        status, body, whole = reading.result()
+    assert (status, whole) == (200, False)
+    assert body.endswith(b"\n\n")
+
+
 @pytest.mark.parametrize("number", [0, 3, 4, 11])
 def test_stream_that_ends_inside_an_event_goes_on_elsewhere(
     site, engine, number
--- a/sycamorefall/transport/incoming_call.py
+++ b/sycamorefall/transport/incoming_call.py
@@ -23,11 +23,14 @@
     def push(self, sock: socket.socket, data: bytes) -> None:
         """Sends bytes on a connection."""
 
+    def reset_unless_complete(self, sock: socket.socket) -> None:
+        """Makes a connection end with a reset unless its response ends."""
+
     def finish_call(self, call: "IncomingCall") -> None:
         """Schedules what follows a complete response on its connection."""
 
     def abort_response(self, call: "IncomingCall") -> None:
-        """Closes a call's connection after the bytes written to it are sent."""
+        """Closes a call's connection inside its response."""
 
     def count_unsent(self, sock: socket.socket) -> int:
         """Counts the bytes in a connection's send buffer."""
@@ -162,7 +165,12 @@
         self._response.body = ()
         self._response.stream = True
         self.response_started = True
-        self._server.push(self.sock, self._format_head(status, headers))
+        head = self._format_head(status, headers)
+        if not self._response.chunked:
+            # A caller of HTTP/1.0 gets no chunks, so an orderly end of its
+            # connection is the end of the response.
+            self._server.reset_unless_complete(self.sock)
+        self._server.push(self.sock, head)
 
     def write(self, data: bytes) -> None:
         """Sends a piece of the body."""
--- a/sycamorefall/transport/server.py
+++ b/sycamorefall/transport/server.py
@@ -9,6 +9,7 @@
 from collections.abc import Callable
 import contextlib
 import socket
+import struct
 
 import circuits
 
@@ -34,6 +35,13 @@
 """Maximum number of connections accepted before the loop handles other
 events."""
 
+_RESET_ON_CLOSE = struct.pack("ii", 1, 0)
+"""Value of SO_LINGER with which the kernel resets a connection that is closed,
+also when its process is killed."""
+
+_CLOSE_IN_ORDER = struct.pack("ii", 0, 0)
+"""Value of SO_LINGER with which the kernel sends what is left, then the end."""
+
 _CONTINUE = b"HTTP/1.1 100 Continue\r\n\r\n"
 
 
@@ -52,13 +60,18 @@
         drained_bytes: Number of bytes discarded since then.
         shutdown_after_send: Whether the sending side is shut down when all
             bytes were sent.
+        close_after_send: Whether the connection is closed in order when all
+            bytes were sent.
+        resets_on_close: Whether closing the connection resets it.
     """
 
     __slots__ = (
         "call",
+        "close_after_send",
         "drained_bytes",
         "reader",
         "refused",
+        "resets_on_close",
         "shutdown_after_send",
     )
 
@@ -68,6 +81,8 @@
         self.refused = False
         self.drained_bytes = 0
         self.shutdown_after_send = False
+        self.close_after_send = False
+        self.resets_on_close = False
 
 
 class HttpServer(circuits.BaseComponent):
@@ -315,6 +330,21 @@
             for sock, connection in self._connections.items()
         )
 
+    def reset_unless_complete(self, sock: socket.socket) -> None:
+        """Makes a connection end with a reset until its response is complete.
+
+        Guards against a response without length and chunks that breaks off and
+        looks complete, as the kernel closes the connections of a process that
+        ends in order.
+        """
+        connection = self._connections.get(sock)
+        if connection is not None:
+            connection.resets_on_close = True
+            with contextlib.suppress(OSError):
+                sock.setsockopt(
+                    socket.SOL_SOCKET, socket.SO_LINGER, _RESET_ON_CLOSE
+                )
+
     def finish_call(self, call: incoming_call_module.IncomingCall) -> None:
         """Schedules what follows a complete response on its connection."""
         connection = self._connections.get(call.sock)
@@ -325,11 +355,19 @@
             self.fire(_resume(call), self.channel)
 
     def abort_response(self, call: incoming_call_module.IncomingCall) -> None:
-        """Closes a call's connection after the bytes written to it are sent."""
+        """Closes a call's connection inside its response.
+
+        Bytes that were written are sent first, unless only a reset tells the
+        caller that the response isn't complete.
+        """
         connection = self._connections.get(call.sock)
-        if connection is not None:
-            connection.call = None
-            connection.refused = True
+        if connection is None:
+            return
+        connection.call = None
+        connection.refused = True
+        if connection.resets_on_close:
+            self._close(call.sock)
+        else:
             self._close_after_sending(call.sock)
 
     def count_unsent(self, sock: socket.socket) -> int:
@@ -372,7 +410,7 @@
         self._idle_timeouts.stop(sock)
         self._closing_timeouts.start(sock, self._read_clock())
         self.server._poller.removeReader(sock)
-        self.server.close(sock)
+        self._close_when_sent(sock)
 
     def _read_available(self, sock: socket.socket) -> None:
         """Reads all input of a connection before it is closed or timed out.
@@ -405,6 +443,12 @@
 
     def _close(self, sock: socket.socket) -> None:
         """Closes a connection at once."""
+        connection = self._connections.get(sock)
+        if connection is not None and connection.resets_on_close:
+            # circuits shuts a socket down before it closes it, which would
+            # send an orderly end ahead of the reset.
+            self.server._poller.discard(sock)
+            sock.close()
         self.server._close(sock)
         self._forget(sock)
 
@@ -544,7 +588,21 @@
         while sock in self._connections and self._read_once(sock):
             pass
         if sock in self._connections:
-            self.server.close(sock)
+            self._close_when_sent(sock)
+
+    def _close_when_sent(self, sock: socket.socket) -> None:
+        """Closes a connection in order when its unsent bytes were sent."""
+        connection = self._connections[sock]
+        if connection.resets_on_close and self.count_unsent(sock):
+            connection.close_after_send = True
+            return
+        if connection.resets_on_close:
+            connection.resets_on_close = False
+            with contextlib.suppress(OSError):
+                sock.setsockopt(
+                    socket.SOL_SOCKET, socket.SO_LINGER, _CLOSE_IN_ORDER
+                )
+        self.server.close(sock)
 
     def _refuse(
         self,
@@ -595,5 +653,7 @@
             # The caller sees the end of the response, and may still be sending.
             with contextlib.suppress(OSError):
                 sock.shutdown(socket.SHUT_WR)
+        elif connection.close_after_send:
+            self._close_when_sent(sock)
         elif connection.call is not None and connection.call.on_drained:
             connection.call.on_drained()
