Direct: log the shared parts of requests that lost their upstream

Requests of which no two are alike crashed engines one after the other, and the log told only their fingerprints. What they had in common could not be seen. `request.attempt_ended` of a lost connection now has the keys of the prompt's shared parts, eight at most, and whether the response had begun.

--- a/sycamorefall/direct/relay.py
+++ b/sycamorefall/direct/relay.py
@@ -33,6 +33,9 @@
 MAX_LOGGED_TEXT = 64
 """Characters of a text of callers or upstreams that a log record holds."""
 
+MAX_LOGGED_PARTS = 8
+"""Parts of a prompt that a log record holds."""
+
 
 _ATTEMPT_ENDS = {
     dialects.ResponseOutcome.SUCCESS: outcomes.AttemptEnd.COMPLETE,
@@ -581,7 +584,7 @@
 
 
 def _end_broken_attempt(
-    proxy: Proxy, proxied: _ProxiedRequest, number: int, **fields: str
+    proxy: Proxy, proxied: _ProxiedRequest, number: int, **fields: object
 ) -> None:
     """Ends an attempt whose connection was lost after its request was sent.
 
@@ -596,15 +599,24 @@
     request = proxy.state.requests.get(number)
     if request is not None and request.attempt is not None:
         fields["fingerprint"] = fingerprints.get_fingerprint(request).hex()
+        fields["begun"] = request.attempt.response_started
+        fields["parts"] = _list_logged_parts(request)
     _end_attempt(proxy, proxied, number, outcomes.AttemptEnd.BROKEN, **fields)
 
 
+def _list_logged_parts(request: state_module.Request) -> list[str]:
+    """Lists keys of the shared parts of a prompt, for a log record."""
+    prompt = request.incoming.prompt
+    shared = prompt.parts[:-1] if prompt is not None else ()
+    return [key[:MAX_LOGGED_TEXT] for key, _ in shared[:MAX_LOGGED_PARTS]]
+
+
 def _end_attempt(
     proxy: Proxy,
     proxied: _ProxiedRequest,
     number: int,
     end: outcomes.AttemptEnd,
-    **fields: str,
+    **fields: object,
 ) -> None:
     request = proxy.state.requests.get(number)
     if request is not None and request.attempt is not None:
