Tests: a part of prompts crashes engines one after the other (red)

Fake engines crash when they begin to answer a prompt with a certain part and start again under another name 1.5 s later.

--- a/standins/site.py
+++ b/standins/site.py
@@ -65,6 +65,7 @@
         self.upstreams: dict[str, wire_upstream.Upstream] = {}
         self.routers: list[Router] = []
         self._runner: web.AppRunner | None = None
+        self._tasks: set[asyncio.Task] = set()
         self._loop = asyncio.new_event_loop()
         self._thread = threading.Thread(
             target=self._loop.run_forever, daemon=True
@@ -135,6 +136,42 @@
         self.register_upstream(name, service, slots)
         return upstream
 
+    def restart_after_crash(self, name: str, delay: float) -> None:
+        """Makes an upstream start again some seconds after each crash.
+
+        The new process has another name at the same address, as on the
+        platform.
+
+        Args:
+            name: Name of the upstream.
+            delay: Seconds from a crash to the start.
+        """
+        crashed = self.upstreams[name]
+
+        async def restart() -> None:
+            await asyncio.sleep(delay)
+            fields = dataclasses.replace(
+                crashed,
+                name=f"{name}r",
+                runs=[],
+                refused=[],
+                cancelled=[],
+                crashed=False,
+                _last_responses={},
+                _streaming=set(),
+            )
+            fields.server = await asyncio.start_server(
+                fields.serve, "127.0.0.1", fields.port
+            )
+            self.upstreams[fields.name] = fields
+            self.store.delete(f"servers/{name}")
+            self.register_upstream(fields.name, "engine")
+            self.restart_after_crash(fields.name, delay)
+
+        crashed.on_crash = lambda: self._tasks.add(
+            self._loop.create_task(restart())
+        )
+
     def register_upstream(
         self,
         name: str,
--- a/standins/wire_upstream.py
+++ b/standins/wire_upstream.py
@@ -3,6 +3,7 @@
 __all__ = ["Framing", "Upstream"]
 
 import asyncio
+from collections.abc import Callable
 import contextlib
 import dataclasses
 import enum
@@ -23,6 +24,12 @@
     CLOSE = "close"
 
 
+def _list_shared_parts(headers: dict[str, str]) -> list[str]:
+    """Lists the keys of all parts of a prompt but the last."""
+    entries = headers.get("prompt-prefix", "").split(",")
+    return [entry.strip().partition(":")[0] for entry in entries[:-1]]
+
+
 @dataclasses.dataclass
 class Upstream:
     """A fake model engine or plain service, with fault injection.
@@ -53,7 +60,10 @@
         repeat_count: Number of responses that it sent again so.
         event_interval: Seconds between two events, and before a crash.
         crash_on_body: Body of the requests at which it crashes.
+        crash_on_part: Key of a shared part of prompts; it crashes when it
+            begins to write a response to a prompt with this part.
         crashed: Whether it has crashed.
+        on_crash: Called when it has crashed.
         server: The server that listens for its connections.
         leaving: Whether its responses, other than 421, have Server-Leaving.
         retry_after: Retry-After value of its 503 responses; None omits the
@@ -81,7 +91,9 @@
     repeat_count: int = 0
     event_interval: float = 0.01
     crash_on_body: bytes | None = None
+    crash_on_part: str | None = None
     crashed: bool = False
+    on_crash: Callable[[], None] = lambda: None
     server: asyncio.Server | None = None
     leaving: bool = False
     retry_after: str | None = None
@@ -119,6 +131,11 @@
         self.server.close()
         for writer in self._last_responses:
             writer.transport.abort()
+        self.on_crash()
+
+    def count_runs_with_part(self, part: str) -> int:
+        """Counts the requests that it ran whose prompt shares a part."""
+        return sum(part in _list_shared_parts(one) for _, one in self.runs)
 
     def break_streams(self) -> int:
         """Resets the connections of all streams; returns their number."""
@@ -146,7 +163,9 @@
             )
             return
         self.runs.append((request_id, headers))
-        if self.crash_on_body is not None and body == self.crash_on_body:
+        if self.crash_on_part in _list_shared_parts(headers) or (
+            self.crash_on_body is not None and body == self.crash_on_body
+        ):
             await asyncio.sleep(self.event_interval)
             self.crash()
             raise ConnectionResetError
--- a/sycamorefall/platform/tests/test_crashing.py
+++ b/sycamorefall/platform/tests/test_crashing.py
@@ -1,5 +1,6 @@
 """Requests that crash every upstream, tested with router processes."""
 
+import concurrent.futures
 import http.client
 import pathlib
 import re
@@ -34,6 +35,75 @@
     return routers
 
 
+CRASHING_PART = "dead"
+
+MAX_SENDS = 5 + 3
+"""Requests with a part that crashes engines that may reach engines: those of
+the five crashes that operators bear, and three after these."""
+
+
+@pytest.fixture
+def fleet_with_part(site):
+    """Three connected routers; eight engines that crash on a part."""
+    for number in range(8):
+        engine = site.add_upstream(f"e{number}", "engine")
+        engine.crash_on_part = CRASHING_PART
+        site.restart_after_crash(f"e{number}", 1.5)
+    started = test_whole_path.LONG_STARTED
+    first = site.add_router("front-a-1", extra_settings=started)
+    seeds = f"{started}[peers]\naddresses = 127.0.0.1:{first.control}\n"
+    routers = [first] + [
+        site.add_router(f"front-a-{number}", extra_settings=seeds)
+        for number in (2, 3)
+    ]
+    site_module.wait_until(
+        lambda: test_whole_path.read_router_counts(routers) == {3}
+    )
+    return routers
+
+
+def send_prompt(router, number, *parts):
+    """Sends a prompt of its own after shared parts; returns the status."""
+    prompt = ",".join(f"{part}:200" for part in (*parts, f"a{number:x}"))
+    try:
+        return send_request(
+            router,
+            f"/draft/{number}",
+            body=b"%d" % number,
+            **{"Token-Usage": "800,5", "Prompt-Prefix": prompt},
+        )[1]
+    except (OSError, http.client.HTTPException):
+        return 0
+
+
+def count_sends_of_part(site):
+    return sum(
+        one.count_runs_with_part(CRASHING_PART)
+        for one in list(site.upstreams.values())
+    )
+
+
+@pytest.mark.parametrize("parts", [("aa", CRASHING_PART), (CRASHING_PART,)])
+def test_part_that_crashes_engines_is_refused(site, fleet_with_part, parts):
+    # Guards against requests that have nothing but a part of their prompts in
+    # common and crash one engine after the other, and against refusing sound
+    # ones that share their caller and their other parts.
+    with concurrent.futures.ThreadPoolExecutor(16) as pool:
+        sent, served = [], []
+        for number in range(60):
+            router = fleet_with_part[number % 3]
+            sent.append(pool.submit(send_prompt, router, number, *parts))
+            sound = [
+                pool.submit(send_prompt, router, 1000 + 3 * number + k, "aa")
+                for k in range(3)
+            ]
+            time.sleep(0.1)
+            served += [one.result() == 200 for one in sound]
+    assert count_sends_of_part(site) <= MAX_SENDS
+    assert all(served[-90:])
+    assert [one.result() for one in sent[-10:]] == [503] * 10
+
+
 def count_crashed_upstreams(site):
     return sum(one.crashed for one in site.upstreams.values())
 
