Direct: quarantine parts of prompts that crash upstreams

The quarantine knew whole requests only, so that each was new to it; what they share, a part of their prompts, was never counted.

Now a shared part is a suspect like a request: present at three crashes without a success since, through two different requests at least, it is refused by all routers, with its name in the log (`explain`) and counters of its own. The last part of a prompt, teams and services are never accused.

What keeps sound parts in use, as all requests share some: - An upstream crashes when it begins to write. Parts of a response that has gone on for 0.25 s are no suspects, and are cleared. - A success up to 2 s before a crash clears a part of it, since several crashes within a second leave no time for one in between. Routers that know of one tell those that accuse the part, after a random delay unless another does. - Crashes at which a part was present through one request are that request's.

The model of crashes draws prompts of three first parts and 400 others, and counts sound parts that are wrongly quarantined.

--- a/benchmarks/crashes.py
+++ b/benchmarks/crashes.py
@@ -1,8 +1,8 @@
 """Simulates false quarantines and the cost of retries after crashes.
 
 Routers use the product's quarantine; the network is not simulated. Engines
-crash because of harmful requests or for unrelated reasons. Evidence reaches
-the other routers after a fixed delay.
+crash because of harmful requests, of harmful parts of prompts, or for unrelated
+reasons. Evidence reaches the other routers after a fixed delay.
 """
 
 __all__ = ["Outcome", "Scenario", "simulate", "main"]
@@ -14,6 +14,7 @@
 import random
 
 from sycamorefall.direct import quarantine as quarantine_module
+from sycamorefall.direct import suspects
 from sycamorefall.direct.quarantine import Crash, Evidence
 
 SLOTS = 32
@@ -34,6 +35,15 @@
 EXCHANGE_DELAY = 0.05
 """Seconds until evidence reaches the other routers."""
 
+BEGIN_DELAY = 0.15
+"""Seconds until an engine begins to answer a harmless request."""
+
+FIRST_PARTS = 3
+"""Number of parts at the head of prompts, each of a kind of request."""
+
+MIDDLE_PARTS = 400
+"""Number of other shared parts; the n-th one is used in proportion to 1/n."""
+
 CALLER_RETRIES = 1
 """Retries by the caller of a harmless request after a failure."""
 
@@ -49,6 +59,10 @@
         unrelated_crashes: Number of crashes that no request causes.
         harmful: Number of distinct harmful requests; each arrives once a
             second.
+        harmful_parts: Number of parts that crash engines; requests with each of
+            them, no two alike, arrive as often.
+        harmful_rate: Requests per second with each harmful part.
+        parts: Whether prompts have shared parts.
         popular_share: Fraction of harmless requests that are repeated ones.
         popular_requests: Number of distinct repeated requests.
         retries: Retries of a request by its router after crashes.
@@ -61,6 +75,9 @@
     seconds: float = 60.0
     unrelated_crashes: int = 0
     harmful: int = 0
+    harmful_parts: int = 0
+    harmful_rate: float = 1.0
+    parts: bool = False
     popular_share: float = 0.2
     popular_requests: int = 50
     retries: int = 1
@@ -78,6 +95,9 @@
         refused: Refusals of harmless requests as quarantined.
         quarantined: Fingerprints of harmless requests that were quarantined.
         crashes: Crashes that harmful requests caused.
+        parts: Harmless parts that were quarantined at some router.
+        refused_for_parts: Refusals of harmless requests for these parts.
+        sends: Requests with harmful parts that were sent to engines.
     """
 
     harmless: int = 0
@@ -85,6 +105,9 @@
     refused: int = 0
     quarantined: set[bytes] = dataclasses.field(default_factory=set)
     crashes: int = 0
+    parts: set[bytes] = dataclasses.field(default_factory=set)
+    refused_for_parts: int = 0
+    sends: int = 0
 
 
 @dataclasses.dataclass(slots=True, eq=False)
@@ -95,6 +118,8 @@
     sends: int
     caller_retries: int
     engine: int = -1
+    parts: tuple[bytes, ...] = ()
+    sent_at: float = 0.0
 
 
 class _Simulation:
@@ -103,6 +128,8 @@
     def __init__(self, scenario: Scenario):
         self.scenario = scenario
         self.random = random.Random(scenario.seed)
+        self.part_random = random.Random(scenario.seed + 1)
+        self.weights = [1 / n for n in range(1, MIDDLE_PARTS + 1)]
         self.events: list = []
         self.order = itertools.count()
         self.outcome = Outcome()
@@ -130,6 +157,13 @@
                 self.schedule(
                     when, self.send, self.create_run(b"harmful%d" % number, 1)
                 )
+        for part in range(scenario.harmful_parts):
+            when = self.part_random.expovariate(scenario.harmful_rate)
+            while when < scenario.seconds:
+                run = self.create_run(b"part%d/%f" % (part, when), True)
+                run.parts = (*self.draw_parts(), b"harmful%d" % part)
+                self.schedule(when, self.send, run)
+                when += self.part_random.expovariate(scenario.harmful_rate)
         for _ in range(scenario.unrelated_crashes):
             when = self.random.uniform(0, scenario.seconds)
             self.schedule(
@@ -147,6 +181,14 @@
             )
         return b"%d" % next(self.order)
 
+    def draw_parts(self) -> tuple[bytes, ...]:
+        """Draws the shared parts of a prompt."""
+        if not self.scenario.parts:
+            return ()
+        first = self.part_random.randrange(FIRST_PARTS)
+        (middle,) = self.part_random.choices(range(MIDDLE_PARTS), self.weights)
+        return b"first%d" % first, b"middle%d" % middle
+
     def create_run(
         self, request: bytes, harmful: bool, caller_retries: int = 0
     ) -> _Run:
@@ -155,7 +197,9 @@
 
     def arrive(self, request: bytes) -> None:
         self.outcome.harmless += 1
-        self.send(self.create_run(request, False))
+        run = self.create_run(request, False)
+        run.parts = self.draw_parts()
+        self.send(run)
 
     def send(self, run: _Run) -> None:
         quarantine = self.quarantines[run.router]
@@ -165,6 +209,9 @@
             )
             self.outcome.refused += not run.harmful
             return
+        if quarantine_module.find_quarantined(quarantine, run.parts):
+            self.outcome.refused_for_parts += not run.harmful
+            return
         live = [
             engine
             for engine in range(self.scenario.engines)
@@ -174,22 +221,38 @@
             return
         run.engine = min(live, key=lambda engine: len(self.running[engine]))
         run.sends += 1
+        run.sent_at = self.now
+        self.outcome.sends += run.harmful
         self.running[run.engine].add(run)
         if run.harmful:
             self.schedule(self.now + CRASH_DELAY, self.crash_by_request, run)
         else:
             run_time = self.random.expovariate(1 / MEAN_RUN_TIME)
             self.schedule(self.now + run_time, self.complete, run, run.sends)
+            proven = BEGIN_DELAY + suspects.PROOF_DELAY
+            if run.parts and run_time > proven:
+                self.schedule(self.now + proven, self.prove, run, run.sends)
 
     def complete(self, run: _Run, send_number: int) -> None:
         if run.sends != send_number or run not in self.running[run.engine]:
             return
         self.running[run.engine].discard(run)
         self.outcome.served += 1
+        self.clear_parts(run)
         quarantine = self.quarantines[run.router]
-        quarantine_module.clear_request(quarantine, self.now, run.request)
+        quarantine_module.clear_suspects(quarantine, self.now, [run.request])
         self.send_evidence(run.router)
 
+    def prove(self, run: _Run, send_number: int) -> None:
+        if run.sends == send_number and run in self.running[run.engine]:
+            self.clear_parts(run)
+            self.send_evidence(run.router)
+
+    def clear_parts(self, run: _Run) -> None:
+        quarantine = self.quarantines[run.router]
+        quarantine_module.record_proof(quarantine, self.now, run.parts)
+        quarantine_module.clear_suspects(quarantine, self.now, run.parts)
+
     def crash_by_request(self, run: _Run) -> None:
         if run in self.running[run.engine]:
             self.outcome.crashes += 1
@@ -205,14 +268,16 @@
         interrupted, self.running[engine] = self.running[engine], set()
         ordered = sorted(interrupted, key=lambda run: (run.router, run.request))
         retried = [run for run in ordered if self.may_retry(run)]
-        for router, runs in itertools.groupby(ordered, lambda run: run.router):
+        for router, group in itertools.groupby(ordered, lambda run: run.router):
+            runs = list(group)
             requests = sorted({run.request for run in runs})
             evidence = [
                 Evidence(crash, one, False, self.now) for one in requests
             ]
-            self.receive_evidence(router, evidence)
             quarantine = self.quarantines[router]
-            quarantine.unsent += ((crash, request) for request in requests)
+            evidence += self.list_part_evidence(quarantine, crash, runs)
+            self.receive_evidence(router, evidence)
+            quarantine.unsent += ((crash, one.fingerprint) for one in evidence)
             self.send_evidence(router)
         for run in ordered:
             if run in retried:
@@ -221,13 +286,38 @@
                 retry = self.create_run(
                     run.request, False, run.caller_retries + 1
                 )
+                retry.parts = run.parts
                 self.schedule(self.now + 0.1, self.send, retry)
 
+    def list_part_evidence(
+        self,
+        quarantine: quarantine_module.Quarantine,
+        crash: Crash,
+        runs: list[_Run],
+    ) -> list[Evidence]:
+        """Lists the evidence on parts, as `suspects` and `crashes` do."""
+        sources: dict[bytes, frozenset[bytes]] = {}
+        begun_before = self.now - BEGIN_DELAY - suspects.PROOF_DELAY
+        for run in runs:
+            if run.harmful or run.sent_at > begun_before:
+                for part in run.parts:
+                    known = sources.get(part, frozenset())
+                    sources[part] = known | {run.request}
+        return [
+            Evidence(crash, part, False, self.now, found)
+            for part, found in sorted(sources.items())
+            if not quarantine_module.is_proven(quarantine, part, self.now)
+        ]
+
     def may_retry(self, run: _Run) -> bool:
         if run.sends > self.scenario.retries:
             return False
         quarantine = self.quarantines[run.router]
-        count = quarantine_module.count_crashes(quarantine, run.request)
+        count = quarantine_module.count_crashes(quarantine, run.request) + sum(
+            quarantine_module.count_crashes(quarantine, part)
+            for part in run.parts
+            if not quarantine_module.is_proven(quarantine, part, self.now)
+        )
         return not self.scenario.limit_suspects or count == 0
 
     def send_evidence(self, router: int) -> None:
@@ -245,12 +335,20 @@
                     )
 
     def receive_evidence(self, router: int, evidence: list[Evidence]) -> None:
-        _, added = quarantine_module.add_evidence(
-            self.quarantines[router], self.now, evidence
+        quarantine = self.quarantines[router]
+        proven = quarantine_module.apply_proofs(quarantine, evidence)
+        new, added = quarantine_module.add_evidence(
+            quarantine, self.now, proven
         )
-        self.outcome.quarantined |= {
-            one for one in added if not one.startswith(b"harmful")
+        cleared = set(new) - set(evidence)
+        quarantine.unsent += ((one.crash, one.fingerprint) for one in cleared)
+        if cleared:
+            self.send_evidence(router)
+        wrong = {one for one in added if not one.startswith((b"harm", b"part"))}
+        self.outcome.parts |= {
+            one for one in wrong if one.startswith((b"first", b"middle"))
         }
+        self.outcome.quarantined |= wrong - self.outcome.parts
 
 
 def simulate(scenario: Scenario) -> Outcome:
@@ -267,11 +365,46 @@
 """Numbers of routers and engines of the compared fleets."""
 
 
+def print_parts(seeds: int) -> None:
+    """Prints the counts of prompts with shared parts, by fleet and cause."""
+    causes = {
+        "15 crash": {"unrelated_crashes": 15},
+        "1 part": {"harmful_parts": 1},
+        "1 part, 5/s": {"harmful_parts": 1, "harmful_rate": 5.0},
+        "2 parts": {"harmful_parts": 2},
+        "15, 2 parts": {"unrelated_crashes": 15, "harmful_parts": 2},
+    }
+    print("routers cause         served  wrong  refused  sends  crashes")
+    for (routers, engines), (name, cause) in itertools.product(
+        FLEETS, causes.items()
+    ):
+        outcomes = [
+            simulate(Scenario(routers, engines, parts=True, seed=seed, **cause))
+            for seed in range(seeds)
+        ]
+        harmless = sum(one.harmless for one in outcomes)
+        served = sum(one.served for one in outcomes) / harmless
+        wrong = sum(len(one.parts) for one in outcomes)
+        refused = sum(one.refused_for_parts for one in outcomes) / harmless
+        sends = max(one.sends for one in outcomes)
+        crashes = sum(one.crashes for one in outcomes) / len(outcomes)
+        print(
+            f"{routers:7} {name:12} {served:7.4f} {wrong:6} {refused:8.5f}"
+            f" {sends:6} {crashes:8.1f}"
+        )
+
+
 def main() -> None:
     """Prints the counts by fleet, cause of crashes and number of retries."""
     parser = argparse.ArgumentParser(description=__doc__)
     parser.add_argument("--seeds", type=int, default=3)
+    parser.add_argument(
+        "--parts", action="store_true", help="parts of prompts crash engines"
+    )
     options = parser.parse_args()
+    if options.parts:
+        print_parts(options.seeds)
+        return
     causes = {
         "15 crash": {"unrelated_crashes": 15},
         "2 harmful": {"harmful": 2},
--- a/sycamorefall/direct/core.py
+++ b/sycamorefall/direct/core.py
@@ -288,9 +288,14 @@
         return number, [effects.AnswerError(number, kind, retry_after)]
     route, team = admission.unwrap()
     if state.quarantine.quarantined:
-        fingerprint = fingerprints.compute_fingerprint(incoming, team)
-        if quarantine.is_quarantined(state.quarantine, fingerprint):
-            quarantine.extend_quarantine(state.quarantine, now, fingerprint)
+        parts = fingerprints.list_part_fingerprints(incoming.prompt)
+        whole = fingerprints.compute_fingerprint(incoming, team)
+        fingerprint = quarantine.find_quarantined(
+            state.quarantine, (*parts, whole)
+        )
+        if fingerprint:
+            if fingerprint == whole:
+                quarantine.extend_quarantine(state.quarantine, now, whole)
             kind = errors.ErrorKind.QUARANTINED
             return number, [
                 effects.AnswerError(number, kind, fingerprint=fingerprint)
--- a/sycamorefall/direct/crash_exchange.py
+++ b/sycamorefall/direct/crash_exchange.py
@@ -25,7 +25,11 @@
 from sycamorefall.direct import exchange as exchange_module
 from sycamorefall.direct import quarantine as quarantine_module
 from sycamorefall.direct import state as state_module
-from sycamorefall.direct.fingerprints import FINGERPRINT_SIZE
+from sycamorefall.direct.fingerprints import (
+    FINGERPRINT_SIZE,
+    PART_FINGERPRINT_SIZE,
+    SOURCE_SIZE,
+)
 from sycamorefall.direct.quarantine import Crash, Evidence
 
 SEND_COUNT = 3
@@ -45,6 +49,14 @@
 SUMMARY_INTERVAL = 1.0
 """Seconds between two summaries of a delegate."""
 
+CLEAR_DELAY_PER_ROUTER = 0.005
+"""Seconds by which the maximum delay of a clearing grows with each router. All
+routers at which a part succeeded may clear it of another router's crash; those
+that hear one of the others do so first say nothing."""
+
+MAX_CLEAR_DELAY = 1.0
+"""Maximum delay of a clearing, in seconds."""
+
 MAX_RECORDS = 64
 """Maximum number of records in a message: 1.3 KB at about 20 bytes each. The
 remaining records are sent with the next message."""
@@ -75,11 +87,14 @@
         local_outbox: Evidence for the routers of its failure domain.
         remote_outbox: Evidence for the delegates of the other failure domains.
         summary_due: Time of the next summary, if this router is a delegate.
+        clearings: When to tell the other routers that a part is cleared of a
+            crash, unless another one does before.
     """
 
     local_outbox: _Outbox = dataclasses.field(default_factory=_Outbox)
     remote_outbox: _Outbox = dataclasses.field(default_factory=_Outbox)
     summary_due: float = float("-inf")
+    clearings: dict[_Record, float] = dataclasses.field(default_factory=dict)
 
 
 def find_next_due(
@@ -98,7 +113,7 @@
     )
     if state.quarantine.suspects:
         due = min(due, pending.summary_due)
-    return due
+    return min(due, min(pending.clearings.values(), default=float("inf")))
 
 
 def build_due_messages(
@@ -119,6 +134,7 @@
         The messages with their receivers.
     """
     unsent, state.quarantine.unsent = state.quarantine.unsent, []
+    unsent += _pop_due_clearings(pending, now)
     _enqueue(pending.local_outbox, now, unsent, SEND_COUNT)
     local_receivers, remote_delegates = (
         exchange_module.list_local_receivers(exchange, state),
@@ -150,6 +166,13 @@
     return outbound
 
 
+def _pop_due_clearings(pending: CrashExchange, now: float) -> list[_Record]:
+    due = [one for one, when in pending.clearings.items() if when <= now]
+    for record in due:
+        del pending.clearings[record]
+    return due
+
+
 def _enqueue(
     outbox: _Outbox, now: float, records: Iterable[_Record], send_count: int
 ) -> None:
@@ -218,7 +241,9 @@
         # Rounding down would let two routers keep a record from expiring by
         # sending it to each other.
         age = math.ceil(max(0.0, now - one.seen_at))
-        record = messages.SuspectRecord(one.fingerprint, age, one.cleared)
+        record = messages.SuspectRecord(
+            one.fingerprint, age, one.cleared, b"".join(sorted(one.sources))
+        )
         by_crash.setdefault(one.crash, []).append(record)
     if not by_crash:
         return None
@@ -232,6 +257,27 @@
     )
 
 
+_FINGERPRINT_SIZES = frozenset({FINGERPRINT_SIZE, PART_FINGERPRINT_SIZE})
+
+
+def _split_sources(joined: bytes) -> frozenset[bytes]:
+    starts = range(0, len(joined) - SOURCE_SIZE + 1, SOURCE_SIZE)
+    return frozenset(joined[one : one + SOURCE_SIZE] for one in starts)
+
+
+def _delay_clearings(
+    pending: CrashExchange,
+    state: state_module.DirectState,
+    now: float,
+    cleared: Iterable[Evidence],
+) -> None:
+    """Schedules to tell the other routers what successes here clear."""
+    longest = min(MAX_CLEAR_DELAY, CLEAR_DELAY_PER_ROUTER * state.routers)
+    for one in sorted(cleared):
+        delay = state.random.uniform(0.0, longest)
+        pending.clearings.setdefault((one.crash, one.fingerprint), now + delay)
+
+
 def handle_reports(
     pending: CrashExchange,
     exchange: exchange_module.Exchange,
@@ -258,14 +304,20 @@
             record.fingerprint,
             record.cleared,
             now - record.age,
+            _split_sources(record.sources),
         )
         for report in reports.reports
         for record in report.suspects
-        if len(record.fingerprint) == FINGERPRINT_SIZE and record.age >= 0
+        if len(record.fingerprint) in _FINGERPRINT_SIZES and record.age >= 0
     ]
+    for one in evidence:
+        if one.cleared:
+            pending.clearings.pop((one.crash, one.fingerprint), None)
+    known_here = quarantine_module.apply_proofs(state.quarantine, evidence)
     new, quarantined = quarantine_module.add_evidence(
-        state.quarantine, now, evidence
+        state.quarantine, now, known_here
     )
+    _delay_clearings(pending, state, now, set(new) - set(evidence))
     records = [(one.crash, one.fingerprint) for one in new]
     if (
         exchange_module.classify_domain(exchange, state, envelope.sender)
--- a/sycamorefall/direct/crashes.py
+++ b/sycamorefall/direct/crashes.py
@@ -12,7 +12,7 @@
     "report_quarantined",
 ]
 
-from collections.abc import Iterable
+from collections.abc import Iterable, Mapping
 
 from sycamorefall import transport
 from sycamorefall.direct import (
@@ -25,6 +25,7 @@
     warmup,
 )
 from sycamorefall.direct import state as state_module
+from sycamorefall.direct import suspects as suspects_module
 from sycamorefall.direct.quarantine import Crash, Evidence
 
 MAX_CHECKS = 3
@@ -58,7 +59,7 @@
     if upstream is None or upstreams.is_leaving(upstream):
         return []
     crash = Crash(upstream.listed.name, upstream.listed.start_time)
-    fingerprint = fingerprints.get_fingerprint(request)
+    suspects = suspects_module.list_suspects(now, request)
     known = state.disconnects.get(crash)
     if known is None:
         state.disconnects = {
@@ -66,11 +67,13 @@
             for other, disconnect in state.disconnects.items()
             if now - disconnect.since < DISCONNECT_RETENTION
         }
-        state.disconnects[crash] = state_module.Disconnect(now, {fingerprint})
+        state.disconnects[crash] = state_module.Disconnect(now, suspects)
         return [effects.CheckUpstream(crash, upstream.listed.address)]
     if known.crashed:
-        return _add_suspects(state, now, crash, {fingerprint})
-    known.fingerprints.add(fingerprint)
+        return _add_suspects(state, now, crash, suspects)
+    for fingerprint, sources in suspects.items():
+        others = known.suspects.get(fingerprint, frozenset())
+        known.suspects[fingerprint] = others | sources
     return []
 
 
@@ -108,8 +111,8 @@
             upstreams.suspend_upstream(upstream, now)
             warmup.presume_cold(state, now, upstream)
         return [
-            effects.ReportCrash(check.crash, len(known.fingerprints)),
-            *_add_suspects(state, now, check.crash, known.fingerprints),
+            effects.ReportCrash(check.crash, _count_requests(known)),
+            *_add_suspects(state, now, check.crash, known.suspects),
         ]
     if (
         reachability is transport.Reachability.UNKNOWN
@@ -121,14 +124,22 @@
     return []
 
 
+def _count_requests(disconnect: state_module.Disconnect) -> int:
+    return sum(not fingerprints.is_part(one) for one in disconnect.suspects)
+
+
 def _add_suspects(
     state: state_module.DirectState,
     now: float,
     crash: Crash,
-    suspects: Iterable[bytes],
+    suspects: Mapping[bytes, frozenset[bytes]],
 ) -> list[effects.Effect]:
     """Adds the evidence of a crash and queues it for the other routers."""
-    evidence = [Evidence(crash, one, False, now) for one in sorted(suspects)]
+    evidence = [
+        Evidence(crash, one, False, now, sources)
+        for one, sources in sorted(suspects.items())
+        if not quarantine.is_proven(state.quarantine, one, now)
+    ]
     new, added = quarantine.add_evidence(state.quarantine, now, evidence)
     state.quarantine.unsent += ((one.crash, one.fingerprint) for one in new)
     return report_quarantined(state, now, added)
--- a/sycamorefall/direct/dispatching.py
+++ b/sycamorefall/direct/dispatching.py
@@ -25,11 +25,10 @@
     eligibility,
     fair_queue,
     fetching,
-    fingerprints,
     freshness,
     placement_constraints,
     prompts,
-    quarantine,
+    suspects,
     upstream_selection,
     upstreams,
 )
@@ -177,10 +176,7 @@
     state: state_module.DirectState, request: state_module.Request
 ) -> bool:
     """Returns whether a request is quarantined, so no upstream may get it."""
-    known = state.quarantine
-    return bool(known.quarantined) and quarantine.is_quarantined(
-        known, fingerprints.get_fingerprint(request)
-    )
+    return bool(suspects.find_quarantined(state, request))
 
 
 def explain_refusal(
--- a/sycamorefall/direct/effects.py
+++ b/sycamorefall/direct/effects.py
@@ -128,7 +128,8 @@
             is `NO_UPSTREAM`.
         ran: Whether the request ran, where more is known than
             `errors.ANSWERS` states for the kind; None otherwise.
-        fingerprint: Fingerprint of a quarantined request, for its log record.
+        fingerprint: Fingerprint of a quarantined request, or of the quarantined
+            part of its prompt, for its log record.
     """
 
     request: int
@@ -189,11 +190,11 @@
 
 @dataclasses.dataclass(slots=True, frozen=True)
 class ReportQuarantine:
-    """Log that a request is quarantined.
+    """Log that a request or a part of prompts is quarantined.
 
     Attributes:
-        fingerprint: Fingerprint of the request.
-        crashes: The crashes during which the request was in progress.
+        fingerprint: Fingerprint of the request or part.
+        crashes: The crashes at which it was present.
     """
 
     fingerprint: bytes
--- a/sycamorefall/direct/metrics.py
+++ b/sycamorefall/direct/metrics.py
@@ -7,7 +7,7 @@
 
 from prometheus_client import metrics_core
 
-from sycamorefall.direct import pacing
+from sycamorefall.direct import fingerprints, pacing
 from sycamorefall.direct import upstreams as upstreams_module
 from sycamorefall.observation import metrics
 
@@ -46,11 +46,18 @@
     yield gauge(
         "routers", "Routers heard, this one included.", (), {(): state.routers}
     )
+    parts = sum(map(fingerprints.is_part, state.quarantine.quarantined))
     yield gauge(
         "quarantined_requests",
         "Requests that are refused as upstreams that ran them crashed.",
         (),
-        {(): len(state.quarantine.quarantined)},
+        {(): len(state.quarantine.quarantined) - parts},
+    )
+    yield gauge(
+        "quarantined_parts",
+        "Parts of prompts that are refused as upstreams crashed on them.",
+        (),
+        {(): parts},
     )
     yield gauge(
         "stream_origins",
--- a/sycamorefall/direct/outcomes.py
+++ b/sycamorefall/direct/outcomes.py
@@ -27,10 +27,9 @@
     effects,
     eligibility,
     fair_queue,
-    fingerprints,
-    quarantine,
     stream_origins,
     stream_pace,
+    suspects,
     upstreams,
 )
 from sycamorefall.direct import (
@@ -277,6 +276,11 @@
         elapsed = now - attempt.last_event_at
         stream_pace.record_gap(upstream.pace, now, elapsed, events)
     attempt.last_event_at = now
+    if not attempt.response_started:
+        attempt.began_at = now
+    elif not attempt.proven and now - attempt.began_at >= suspects.PROOF_DELAY:
+        attempt.proven = True
+        suspects.record_answer(state, now, request)
     lengths = state_module.get_or_create_response_lengths(
         state, request.service, request.route.name
     )
@@ -444,8 +448,14 @@
     if end in _MAY_HAVE_RUN:
         request.possible_runs += 1
     if end is AttemptEnd.COMPLETE:
-        _clear_request(state, request, now)
-        if attempt.response_started and request.route.kind.streamed:
+        streamed = request.route.kind.streamed
+        suspects.record_success(
+            state,
+            now,
+            request,
+            has_answer=attempt.response_started or not streamed,
+        )
+        if attempt.response_started and streamed:
             stream_pace.record_end(
                 state_module.get_or_create_response_lengths(
                     state, request.service, request.route.name
@@ -454,7 +464,7 @@
             )
         discard_request(state, request)
         return []
-    if _may_retry(state, request, attempt, end):
+    if _may_retry(state, now, request, attempt, end):
         retry = dispatching.try_send(state, now, request)
         if retry:
             return retry
@@ -491,17 +501,9 @@
             upstreams.record_failure(upstream, now)
 
 
-def _clear_request(
-    state: state_module.DirectState, request: state_module.Request, now: float
-) -> None:
-    """Clears a request that succeeded of earlier crashes."""
-    if state.quarantine.suspects:
-        fingerprint = fingerprints.get_fingerprint(request)
-        quarantine.clear_request(state.quarantine, now, fingerprint)
-
-
 def _may_retry(
     state: state_module.DirectState,
+    now: float,
     request: state_module.Request,
     attempt: state_module.Attempt,
     end: AttemptEnd,
@@ -514,30 +516,15 @@
     kind = request.route.kind
     if end is AttemptEnd.FAILED and request.forwarding_started:
         return False
-    if end is AttemptEnd.BROKEN and _is_suspect(state, request, attempt):
+    if end is AttemptEnd.BROKEN and suspects.is_suspect(
+        state, now, request, attempt
+    ):
         return False
     return (
         kind.retryable and request.possible_runs < request.route.max_upstreams
     )
 
 
-def _is_suspect(
-    state: state_module.DirectState,
-    request: state_module.Request,
-    attempt: state_module.Attempt,
-) -> bool:
-    """Returns whether a request was in progress at a crash before this attempt.
-
-    Suspects are not retried, so each arrival of a request crashes at most two
-    upstreams.
-    """
-    if not state.quarantine.suspects:
-        return False
-    fingerprint = fingerprints.get_fingerprint(request)
-    present = quarantine.Crash(attempt.upstream, attempt.start_time)
-    return quarantine.count_crashes(state.quarantine, fingerprint, present) > 0
-
-
 def _end_unretried(
     state: state_module.DirectState,
     request: state_module.Request,
@@ -567,10 +554,10 @@
     discard_request(state, request)
     if request.forwarding_started:
         return [effects.AbortResponse(request.number)]
-    if not request.possible_runs and dispatching.is_quarantined(state, request):
+    fingerprint = suspects.find_quarantined(state, request)
+    if not request.possible_runs and fingerprint:
         # No Retry-After: a retry would be refused as well.
         kind = errors.ErrorKind.QUARANTINED
-        fingerprint = fingerprints.get_fingerprint(request)
         return [
             effects.AnswerError(request.number, kind, fingerprint=fingerprint)
         ]
--- a/sycamorefall/direct/relay.py
+++ b/sycamorefall/direct/relay.py
@@ -285,10 +285,13 @@
                 requests=effect.requests,
             )
         case effects.ReportQuarantine():
-            observation.count_event(proxy.recorder, "request", "quarantined")
+            is_part = fingerprints.is_part(effect.fingerprint)
+            accused = "part" if is_part else "request"
+            observation.count_event(proxy.recorder, accused, "quarantined")
             observation.write_record(
                 observation.Level.WARNING,
                 "quarantine.added",
+                accused=accused,
                 fingerprint=effect.fingerprint.hex(),
                 crashed=[crash.upstream for crash in effect.crashes],
             )
@@ -315,6 +318,7 @@
     details = _list_fields(effect.refusal) if effect.refusal else {}
     if effect.fingerprint:
         details["fingerprint"] = effect.fingerprint.hex()
+        details |= _list_quarantined_part(proxied, effect.fingerprint)
     ran = effect.ran or errors.ANSWERS[effect.kind].ran
     _finish_request(
         proxy,
@@ -329,6 +333,21 @@
     )
 
 
+def _list_quarantined_part(
+    proxied: _ProxiedRequest, fingerprint: bytes
+) -> dict[str, str]:
+    """Returns the part for which a request is refused, for its log record."""
+    prompt = proxied.incoming.prompt
+    if not fingerprints.is_part(fingerprint) or prompt is None:
+        return {}
+    keys = (
+        key
+        for key, _ in prompt.parts
+        if fingerprints.compute_part_fingerprint(key) == fingerprint
+    )
+    return {"part": next(keys, "")[:MAX_LOGGED_TEXT]}
+
+
 def _list_fields(refusal: effects.Refusal) -> dict[str, object]:
     """Returns the fields of a refusal, for its log record.
 
--- a/sycamorefall/direct/state.py
+++ b/sycamorefall/direct/state.py
@@ -90,6 +90,9 @@
         charged_at: Time of the charge.
         response_started: Whether the first part of the response has arrived.
         last_event_at: When the latest event of the response arrived.
+        began_at: When the first event of the response arrived.
+        proven: Whether the response has gone on for long enough to show that
+            the prompt doesn't crash the upstream.
         origin: Origin of the streams of the upstream's process; see
             `stream_origins`.
     """
@@ -105,6 +108,8 @@
     charged_at: float = 0.0
     response_started: bool = False
     last_event_at: float = 0.0
+    began_at: float = 0.0
+    proven: bool = False
     origin: int = 0
 
 
@@ -193,13 +198,17 @@
 
     Attributes:
         since: Time at which the first connection was lost.
-        fingerprints: Fingerprints of the requests.
+        suspects: Fingerprints of the requests, and of the shared parts of
+            prompts that the upstream had not begun to answer, each with its
+            sources; see `quarantine.Evidence`.
         checks: Number of reachability checks started so far.
         crashed: Whether a check found that the upstream has crashed.
     """
 
     since: float
-    fingerprints: set[bytes] = dataclasses.field(default_factory=set)
+    suspects: dict[bytes, frozenset[bytes]] = dataclasses.field(
+        default_factory=dict
+    )
     checks: int = 1
     crashed: bool = False
 
@@ -234,7 +243,8 @@
             engines for processing.
         placements: Prompts with long shared parts sent since the placements
             were last collected for a report to the other routers.
-        quarantine: Requests suspected of crashing upstreams.
+        quarantine: Requests and parts of prompts suspected of crashing
+            upstreams.
         origins: Origins of streams that callers may take up.
         disconnects: Lost connections, by the process that may have crashed.
         overload: Recent lateness of the event loop.
--- a/sycamorefall/direct/tests/test_quarantine.py
+++ b/sycamorefall/direct/tests/test_quarantine.py
@@ -58,7 +58,7 @@
     # Guards against quarantining a popular request that was in progress at
     # several unrelated crashes.
     known = create(("e1", HARMLESS), ("e2", HARMLESS))
-    quarantine.clear_request(known, 1.0, HARMLESS)
+    quarantine.clear_suspects(known, 1.0, [HARMLESS])
     assert quarantine.count_crashes(known, HARMLESS) == 0
     add(known, "e3", HARMLESS)
     add(known, "e4", HARMLESS)
@@ -69,7 +69,7 @@
     # Guards against a false quarantine that lasts although an attempt that was
     # still in progress succeeded.
     known = create(("e1", HARMLESS), ("e2", HARMLESS), ("e3", HARMLESS))
-    quarantine.clear_request(known, 1.0, HARMLESS)
+    quarantine.clear_suspects(known, 1.0, [HARMLESS])
     assert not quarantine.is_quarantined(known, HARMLESS)
 
 
@@ -157,5 +157,5 @@
         others = draws.sample(harmless, 12)
         add(known, f"e{number}", HARMFUL, *others)
         for request in draws.sample(harmless, 150):
-            quarantine.clear_request(known, float(number), request)
+            quarantine.clear_suspects(known, float(number), [request])
     assert known.quarantined == {HARMFUL}
--- /dev/null
+++ b/sycamorefall/direct/tests/test_suspects.py
@@ -0,0 +1,203 @@
+"""Parts of prompts that crash upstreams, and sound requests beside them."""
+
+import dataclasses
+
+from hypothesis import given, strategies
+import pytest
+
+from sycamorefall import errors
+from sycamorefall.direct import (
+    core,
+    crashes,
+    fingerprints,
+    outcomes,
+    prompts,
+    quarantine,
+    suspects,
+)
+from sycamorefall.direct.outcomes import AttemptEnd
+from sycamorefall.direct.tests import fakes
+from sycamorefall.transport import Reachability
+
+LISTING = [
+    fakes.create_upstream_entry(f"e{number}", port=number)
+    for number in range(1, 10)
+]
+
+FIRST, DEAD = ("f0", 400), ("dead", 200)
+
+
+@pytest.fixture
+def state():
+    return fakes.create_state(listing=LISTING)
+
+
+def submit_prompt(state, now, number, *parts, team="mill"):
+    """Submits a request of its own; returns its number and its effect."""
+    path = f"/draft/{number}"
+    request = dataclasses.replace(
+        fakes.create_request("draft", team, parts=parts),
+        path=path,
+        target=path,
+    )
+    core.record_proof(state, now, now)
+    request_number, pending = core.handle_request(state, now, request)
+    return request_number, pending[0] if pending else None
+
+
+def crash(state, now, number):
+    """Ends an attempt by the crash of its upstream, which starts again.
+
+    Returns:
+        The effects.
+    """
+    name = state.requests[number].attempt.upstream
+    (check,) = crashes.record_disconnect(state, now, number)
+    done = outcomes.end_attempt(state, now, number, AttemptEnd.BROKEN)
+    done += crashes.handle_check_result(state, now, check, Reachability.REFUSED)
+    listed = {
+        one.listed.name: one.listed for one in state.table.by_name.values()
+    }
+    crashed = listed.pop(name)
+    restarted = dataclasses.replace(crashed, start_time=crashed.start_time + 1)
+    core.apply_listing(state, now, [*listed.values(), restarted])
+    return done
+
+
+def crash_times(state, times, *parts, start=0.0):
+    for count in range(times):
+        number, sent = submit_prompt(state, start + count, f"x{count}", *parts)
+        assert sent.upstream
+        crash(state, start + count + 0.1, number)
+
+
+def test_part_of_three_crashed_requests_is_refused_with_its_name(state):
+    # Guards against requests, no two alike, that crash one upstream after the
+    # other by a part that they share.
+    crash_times(state, 3, FIRST, DEAD)
+    _, refused = submit_prompt(state, 4.0, "new", ("f9", 10), DEAD, ("z", 1))
+    assert refused.kind is errors.ErrorKind.QUARANTINED
+    assert refused.retry_after is None
+    assert refused.fingerprint == fingerprints.compute_part_fingerprint("dead")
+    assert submit_prompt(state, 4.0, "new", DEAD, team="trader")[1].kind
+    assert submit_prompt(state, 4.0, "sound", ("other", 100))[1].upstream
+
+
+def test_part_that_is_answered_beside_crashes_is_not_refused(state):
+    # Guards against refusing what all requests have in common, as a popular
+    # first part is present at each crash.
+    for count in range(5):
+        now = float(count)
+        sound, _ = submit_prompt(state, now, f"s{count}", FIRST)
+        outcomes.record_response(state, now + 0.1, sound, first=True)
+        number, sent = submit_prompt(state, now + 0.2, f"x{count}", FIRST, DEAD)
+        if count < 3:
+            crash(state, now + 0.3, number)
+        outcomes.record_response(state, now + 0.5, sound, first=True)
+        outcomes.end_attempt(state, now + 0.6, sound, AttemptEnd.COMPLETE)
+    assert sent.kind is errors.ErrorKind.QUARANTINED
+    assert submit_prompt(state, 6.0, "sound", FIRST)[1].upstream
+
+
+def test_part_of_one_request_that_comes_again_is_not_refused(state):
+    # Guards against refusing a part because one request with it crashes
+    # upstreams by what is its own.
+    for count in range(3):
+        number, _ = submit_prompt(state, float(count), "same", FIRST)
+        crash(state, count + 0.1, number)
+    assert submit_prompt(state, 4.0, "same", FIRST)[1].kind
+    assert submit_prompt(state, 4.0, "sound", FIRST)[1].upstream
+
+
+def test_parts_of_responses_that_go_on_are_no_suspects(state):
+    # Guards against refusing parts of long streams that were cut by crashes of
+    # other causes.
+    for count in range(4):
+        now = 10.0 * count
+        number, _ = submit_prompt(state, now, f"x{count}", FIRST)
+        outcomes.record_response(state, now + 0.1, number, first=True)
+        outcomes.record_response(state, now + 0.2, number, first=True)
+        crash(state, now + 0.2 + suspects.PROOF_DELAY, number)
+    known = fingerprints.compute_part_fingerprint("f0")
+    assert quarantine.count_crashes(state.quarantine, known) == 0
+    # Events that arrive just before the crash prove nothing.
+    number, _ = submit_prompt(state, 50.0, "new", FIRST)
+    outcomes.record_response(state, 50.1, number, first=True)
+    crash(state, 50.2, number)
+    assert quarantine.count_crashes(state.quarantine, known) == 1
+
+
+def test_success_just_before_a_crash_clears_its_parts(state):
+    # Guards against refusing a popular part after several crashes within a
+    # second, which leave no time for a success in between.
+    fingerprint = fingerprints.compute_part_fingerprint("f0")
+    sound, _ = submit_prompt(state, 0.0, "s", FIRST)
+    outcomes.record_response(state, 0.1, sound, first=True)
+    outcomes.end_attempt(state, 0.2, sound, AttemptEnd.COMPLETE)
+    crash_times(state, 1, FIRST, start=0.3)
+    assert quarantine.count_crashes(state.quarantine, fingerprint) == 0
+    crash_times(state, 1, FIRST, start=0.3 + quarantine.PROOF_LEAD)
+    assert quarantine.count_crashes(state.quarantine, fingerprint) == 1
+
+
+def test_response_without_an_event_proves_nothing(state):
+    # Guards against clearing a part by a response in which nothing was written.
+    number, _ = submit_prompt(state, 0.0, "s", DEAD)
+    outcomes.end_attempt(state, 0.2, number, AttemptEnd.COMPLETE)
+    crash_times(state, 3, DEAD, start=0.3)
+    assert submit_prompt(state, 4.0, "new", DEAD)[1].kind
+
+
+def test_waiting_request_is_refused_when_its_part_is_quarantined():
+    # Guards against a request that waits for an upstream and crashes it after
+    # the part is known.
+    state = fakes.create_state(listing=[])
+    number, sent = submit_prompt(state, 0.0, "w", FIRST, DEAD)
+    assert sent is None
+    part = fingerprints.compute_part_fingerprint("dead")
+    evidence = [
+        quarantine.Evidence(
+            quarantine.Crash(name, 0), part, False, 0.0, frozenset({name})
+        )
+        for name in (b"a", b"b", b"c")
+    ]
+    _, added = quarantine.add_evidence(state.quarantine, 0.0, evidence)
+    done = crashes.report_quarantined(state, 0.1, added)
+    assert fakes.list_error_kinds(done) == [errors.ErrorKind.QUARANTINED]
+
+
+def test_suspect_with_a_suspected_part_is_not_retried(state):
+    # Guards against a second crash by the router's own retry of a request whose
+    # part was present at a crash elsewhere.
+    crash_times(state, 1, DEAD)
+    request = fakes.create_request("answer", parts=(DEAD,))
+    number, _ = core.handle_request(state, 1.0, request)
+    assert not fakes.list_sends(crash(state, 1.1, number))
+
+
+def test_last_part_and_team_are_no_suspects(state):
+    # Guards against refusing a session or a caller for a part of its prompts.
+    crash_times(state, 3, DEAD)
+    known = state.quarantine.quarantined
+    assert known == {fingerprints.compute_part_fingerprint("dead")}
+    own = fingerprints.compute_part_fingerprint("own")
+    assert own not in state.quarantine.suspects
+
+
+@given(
+    strategies.lists(
+        strategies.tuples(strategies.text(max_size=40), strategies.integers()),
+        max_size=100,
+    )
+)
+def test_part_fingerprints_depend_on_keys_only(parts):
+    # Guards against a part that isn't recognized in another order, with another
+    # count of tokens or repeated, and against prompts with very many parts.
+    prompt = prompts.Prompt(1, 1, (*parts, ("own", 1)))
+    known = fingerprints.list_part_fingerprints(prompt)
+    assert len(set(known)) == len(known) <= fingerprints.MAX_PARTS
+    if len(parts) <= fingerprints.MAX_PARTS:
+        changed = [(key.lower(), size + 1) for key, size in reversed(parts)]
+        other = prompts.Prompt(1, 1, (*changed, *changed, ("o", 1)))
+        if 2 * len(parts) <= fingerprints.MAX_PARTS:
+            assert set(fingerprints.list_part_fingerprints(other)) == set(known)
--- a/sycamorefall/messages/loads.py
+++ b/sycamorefall/messages/loads.py
@@ -179,18 +179,21 @@
 
 
 class SuspectRecord(msgspec.Struct, frozen=True, array_like=True):
-    """A request that was in progress at a crash.
+    """A request, or a part of a prompt, that was present at a crash.
 
     Attributes:
-        fingerprint: The request's fingerprint.
-        age: Seconds since the last crash during which it was in progress, or
-            since its last arrival while quarantined, rounded up.
+        fingerprint: Fingerprint of the request or part.
+        age: Seconds since the last crash at which it was present, or since a
+            request's last arrival while quarantined, rounded up.
         cleared: Whether it has succeeded since then.
+        sources: For a part, digests of requests through which it was present,
+            joined.
     """
 
     fingerprint: bytes
     age: int
     cleared: bool = False
+    sources: bytes = b""
 
 
 class CrashReport(msgspec.Struct, frozen=True, array_like=True):
--- a/sycamorefall/observation/request_explanation.py
+++ b/sycamorefall/observation/request_explanation.py
@@ -278,6 +278,12 @@
         return prefix + _explain_response(merged, len(sends))
     end = _RESULT_TEXTS.get(result) or _describe_result(result)
     sent = f"; sent {len(sends)} times, last to {receiver}" if sends else ""
+    if "part" in merged:
+        end = (
+            "refused, it has not run: upstreams crashed when they began to "
+            f"answer prompts with its part {merged['part']}, see "
+            "`quarantine.added`"
+        )
     cut = _CUT_TEXTS.get(merged.get("cut", ""), "")
     return prefix + end + cut + _explain_refusal(merged) + sent
 
