--- a/sycamorefall/direct/fingerprints.py
+++ b/sycamorefall/direct/fingerprints.py
@@ -36,7 +36,7 @@
 """Maximum number of shared parts of a prompt that have fingerprints."""
 
 _CACHED_PARTS = 16_384
-"""Parts whose fingerprints are kept; they take about 4 MB."""
+"""Parts whose fingerprints are kept; they take 3 MB."""
 
 
 def compute_fingerprint(
--- a/sycamorefall/direct/tests/test_crash_exchange.py
+++ b/sycamorefall/direct/tests/test_crash_exchange.py
@@ -1,10 +1,12 @@
 """Exchange of crash evidence between routers, in simulated time."""
 
+import collections
+
 import pytest
 
 from sycamorefall import messages, names
 from sycamorefall.direct import crash_exchange as crash_exchange_module
-from sycamorefall.direct import quarantine
+from sycamorefall.direct import exchange, fingerprints, quarantine
 from sycamorefall.direct.quarantine import Crash, Evidence
 from sycamorefall.direct.tests import simulated_fleet
 
@@ -186,3 +188,89 @@
         record_crash(fleet, "router-0-3", crash)
     fleet.run(0.2)
     assert list_unquarantined(fleet) == []
+
+
+PART = fingerprints.compute_part_fingerprint("dead")
+
+
+def record_part_crash(fleet, name, crash, request, part=PART):
+    """Records a crash at one router whose request had a part in its prompt."""
+    known = fleet.routers[name].state.quarantine
+    evidence = [
+        Evidence(Crash(crash, 1), part, False, fleet.now, frozenset({request}))
+    ]
+    new, _ = quarantine.add_evidence(known, fleet.now, evidence)
+    known.unsent += ((one.crash, one.fingerprint) for one in new)
+
+
+def test_part_at_crashes_of_three_routers_is_refused_by_all(fleet):
+    # Guards against a part whose crashes are seen by different routers, and
+    # against counting one request that several routers sent.
+    for number, name in enumerate(("router-0-0", "router-1-2", "router-2-3")):
+        record_part_crash(fleet, name, f"e{number}", b"same")
+        fleet.run(0.02)
+    fleet.run(0.3)
+    assert len(list_unquarantined(fleet, PART)) == len(fleet.routers)
+    record_part_crash(fleet, "router-1-0", "e2", b"diff")
+    fleet.run(0.1)
+    assert list_unquarantined(fleet, PART) == []
+
+
+def test_restarted_router_learns_of_a_part(fleet):
+    # Guards against a router that has just started and sends a part that the
+    # others refuse.
+    for number in range(3):
+        record_part_crash(fleet, "router-0-1", f"e{number}", b"req%d" % number)
+    fleet.run(20.0)
+    fleet.restart("router-1-1")
+    fleet.run(2.0)
+    assert list_unquarantined(fleet, PART) == []
+
+
+@pytest.mark.parametrize("seed", range(4))
+def test_success_at_one_router_keeps_a_part_in_use_at_all(seed):
+    # Guards against refusing a part that one router only knows to be sound,
+    # while crashes of several upstreams are reported at once.
+    fleet = simulated_fleet.Fleet(seed=seed)
+    fleet.run(4.0)
+    # Delegates forward what they know; the others have to tell it themselves.
+    sound = next(
+        one
+        for one in fleet.list_live()
+        if not exchange.is_delegate(one.load_exchange, one.state, fleet.now)
+        and not one.name.endswith("-0")
+    )
+    quarantine.record_proof(sound.state.quarantine, fleet.now, [PART])
+    for number in range(3):
+        name = f"router-{number}-0"
+        record_part_crash(fleet, name, f"e{number}", b"req%d" % number)
+    fleet.run(1.0)
+    assert len(list_unquarantined(fleet, PART)) == len(fleet.routers)
+
+
+def test_one_router_tells_of_a_success_that_all_know(fleet):
+    # Guards against messages of all routers about a part that all of them know
+    # to be sound, each time that one router accuses it.
+    for router in fleet.list_live():
+        quarantine.record_proof(router.state.quarantine, fleet.now, [PART])
+    fleet.restart("router-0-1")
+    fleet.run(1.0)
+    sent = count_crash_messages(fleet)
+    record_part_crash(fleet, "router-0-1", "e1", b"req1")
+    fleet.run(0.5)
+    tellers = {name for name in sent if name != "router-0-1"}
+    assert 1 <= len(tellers) < len(fleet.routers) - 1
+
+
+def count_crash_messages(fleet):
+    """Counts messages about crashes from now on, by their sender."""
+    counts = collections.Counter()
+    deliver = fleet._deliver
+
+    def count(router, to, envelope, size):
+        if isinstance(envelope.message, messages.CrashReports):
+            counts[router.name] += 1
+        deliver(router, to, envelope, size)
+
+    fleet._deliver = count
+    return counts
--- a/sycamorefall/errors.py
+++ b/sycamorefall/errors.py
@@ -174,8 +174,9 @@
     ErrorKind.NOT_READY: "The router has no configuration yet.",
     ErrorKind.OVERLOADED: "The router is given more than it can do; another "
     "one may have time.",
-    ErrorKind.QUARANTINED: "Upstreams that ran this request crashed several "
-    "times in a row; it is not sent to another one.",
+    ErrorKind.QUARANTINED: "Upstreams that ran this request, or others with a "
+    "part of its prompt, crashed several times in a row; it is not sent to "
+    "another one.",
     ErrorKind.STREAM_NOT_RESUMABLE: "The request goes on with a stream, which "
     "its route doesn't allow.",
     ErrorKind.STREAM_UNKNOWN: "The request goes on with a stream, and this "
