--- a/sycamorefall/transport/tests/test_unframed.py
+++ b/sycamorefall/transport/tests/test_unframed.py
@@ -55,6 +55,7 @@
     for _ in range(20):
         site.loop.tick(0.001)
     assert read_to_end(site, caller) == (LARGE[:size], True)
+    assert site.exceptions == []
 
 
 @pytest.mark.parametrize("size", [0, 10, len(LARGE)])
@@ -66,6 +67,7 @@
     call.write(LARGE[:size])
     call.abort()
     assert not read_to_end(site, caller)[1]
+    assert site.exceptions == []
 
 
 def test_response_that_is_not_received_in_time_ends_with_a_reset():
@@ -80,3 +82,4 @@
     body, in_order = read_to_end(site, caller)
     assert len(body) < len(LARGE)
     assert not in_order
+    assert site.exceptions == []
