Direct: sums that routers share, limit on pauses, upstreams' own load

Interfaces for parts that are built side by side. Routers add up tables of integers with the messages about their load (shared_sums, sum_parts); a full update carries them, delegates add them up between failure domains. No part contributes yet, so a message grows by one byte.

The choice of reported prompts moves out of exchange.

--- a/benchmarks/placing.py
+++ b/benchmarks/placing.py
@@ -25,7 +25,12 @@
 import unittest.mock
 
 from benchmarks import results, site
-from sycamorefall.direct import eligibility, exchange, fetching, patience
+from sycamorefall.direct import (
+    eligibility,
+    fetching,
+    patience,
+    prompt_reports,
+)
 
 KINDS = (
     site.RequestKind("report", 20, 0.6, 8.0, 120, 12_000, 3500, 100),
@@ -55,7 +60,7 @@
         fetching, "choose_source", lambda *_: None
     ),
     "no prompts told": lambda: unittest.mock.patch.object(
-        exchange, "MAX_PROMPTS_PER_SECOND", 1e-9
+        prompt_reports, "MAX_PROMPTS_PER_SECOND", 1e-9
     ),
     "queues not bounded": lambda: unittest.mock.patch.object(
         eligibility, "QUEUE_SHARE", float("inf")
--- a/sycamorefall/direct/catalog.py
+++ b/sycamorefall/direct/catalog.py
@@ -19,6 +19,7 @@
 from collections.abc import Iterable
 import dataclasses
 import enum
+import math
 
 
 class RouteKind(enum.Enum):
@@ -75,6 +76,8 @@
             event, is on time.
         max_upstreams: Maximum number of upstreams that may run one request.
         public: Whether requests need no key.
+        max_pause: Longest seconds between two events of a stream with which its
+            response is on time; infinity if the route states none.
     """
 
     name: str
@@ -86,6 +89,7 @@
     target_latency: float
     max_upstreams: int = 1
     public: bool = False
+    max_pause: float = math.inf
 
 
 @dataclasses.dataclass(slots=True, frozen=True)
--- a/sycamorefall/direct/exchange.py
+++ b/sycamorefall/direct/exchange.py
@@ -45,8 +45,11 @@
 from sycamorefall.direct import (
     caches,
     overload,
+    prompt_reports,
     receiver_groups,
     service_floors,
+    shared_sums,
+    sum_parts,
     warmup,
 )
 from sycamorefall.direct import own_load as own_load_module
@@ -84,14 +87,6 @@
 receives at most 250 messages a second. Applying one takes 0.012 ms with three
 upstreams, so at most 0.3% of the router's time."""
 
-MAX_PROMPTS_PER_SECOND = 110.0
-"""Prompts that a router reports per second, counted once for each receiver. At
-16 to 25 bytes each, this is 2 to 3 KB/s sent and as much received, out of the
-7 KB/s allowed for control traffic. Each of five routers may report 27 prompts a
-second. On a day at full load, one of the five sent 48 or more long prompts in
-one of 20 seconds, and never more than 70. Above the limit, only the prompts
-with the most newly cached tokens are reported."""
-
 DISCOVERY_TIME = 1.2
 """Seconds after its start within which a router has heard from every live
 router: idle routers send a message each second."""
@@ -158,9 +153,7 @@
         unread_covered: Total increase so far of the unread prompt tokens that
             covered routers reported.
         unread_remote: The same for the other failure domains.
-        prompt_budget: Prompts that could be reported when the budget was last
-            updated.
-        budget_updated_at: When `prompt_budget` was last updated.
+        prompt_budget: Prompts that may be reported.
     """
 
     vm: str
@@ -187,8 +180,9 @@
     )
     unread_covered: int = 0
     unread_remote: int = 0
-    prompt_budget: float = 0.0
-    budget_updated_at: float = float("-inf")
+    prompt_budget: prompt_reports.PromptBudget = dataclasses.field(
+        default_factory=prompt_reports.PromptBudget
+    )
 
 
 def find_next_due(exchange: Exchange, state: state_module.DirectState) -> float:
@@ -467,6 +461,8 @@
         totals_module.drop_sources(totals, superseded)
         changed = state.table.by_name.keys()
     totals_module.apply_totals(totals, state, changed, load.whole)
+    if load.whole:
+        sum_parts.apply_sums(state, now, totals.sums)
     _apply_prompts(state, load)
     increase = max(0, _count_unread(totals, key) - unread)
     if load.scope is LoadScope.ROUTER:
@@ -589,7 +585,8 @@
     """
     group = exchange.own_group
     whole = now >= group.due
-    receiver_groups.queue_prompts(group, _choose_prompts(exchange, state, now))
+    chosen = prompt_reports.choose_prompts(exchange.prompt_budget, state, now)
+    receiver_groups.queue_prompts(group, chosen)
     prompts = receiver_groups.start_message(group, now, state.total_unread_sent)
     receiver_groups.queue_prompts(exchange.domain_group, prompts)
     if not whole:
@@ -615,6 +612,7 @@
         upstreams=tuple(group.sent_loads.values()),
         services=own_load_module.collect_own_services(state, now),
         prompts=prompts,
+        tables=sum_parts.collect_tables(state, now),
     )
 
 
@@ -713,6 +711,12 @@
         upstreams=tuple(loads.values()),
         services=services,
         prompts=prompts,
+        tables=shared_sums.sum_tables(
+            [
+                sum_parts.collect_tables(state, now),
+                *(source.tables for source in sources),
+            ]
+        ),
         **fields,
     )
 
@@ -752,6 +756,7 @@
             totals_module.list_services(source) for source in sources
         ),
         prompts=prompts,
+        tables=shared_sums.sum_tables(source.tables for source in sources),
         **fields,
     )
 
@@ -764,6 +769,7 @@
     if totals_module.drop_silent_sources(exchange.totals, now):
         names = state.table.by_name.keys()
         totals_module.apply_totals(exchange.totals, state, names, True)
+        sum_parts.apply_sums(state, now, exchange.totals.sums)
     exchange.role = _compute_role(exchange, state, now)
     warmup.update_senders(
         state, now, exchange.vm, _list_domain_routers(exchange, state, now)
@@ -866,33 +872,6 @@
     return zlib.crc32(name.encode()) % parts
 
 
-def _choose_prompts(
-    exchange: Exchange, state: state_module.DirectState, now: float
-) -> list[messages.SentPrompt]:
-    """Takes the prompts to be reported, as many as the budget allows.
-
-    Prompts with the most tokens that the engine wasn't known to have cached go
-    first: a prompt without such tokens only reports that cached parts were used
-    again. Prompts beyond the budget are dropped.
-    """
-    rate = MAX_PROMPTS_PER_SECOND / max(1, state.routers - 1)
-    earned = rate * (now - exchange.budget_updated_at)
-    allowed = min(exchange.prompt_budget + earned, max(1.0, rate))
-    exchange.budget_updated_at = now
-    placements, state.placements = state.placements, []
-    placements.sort(key=lambda placement: placement.new_tokens, reverse=True)
-    reported = placements[: int(allowed)]
-    exchange.prompt_budget = allowed - len(reported)
-    return [
-        messages.SentPrompt(
-            placement.upstream,
-            placement.prompt.digests[:-1],
-            placement.prompt.tokens - placement.prompt.shared,
-        )
-        for placement in reported
-    ]
-
-
 def _compute_update_interval(
     exchange: Exchange, state: state_module.DirectState
 ) -> float:
--- a/sycamorefall/direct/outcomes.py
+++ b/sycamorefall/direct/outcomes.py
@@ -9,6 +9,7 @@
     "expire_request",
     "fail_request",
     "record_leaving",
+    "record_reported_load",
     "record_response",
     "record_retry_delay",
     "record_sent",
@@ -320,6 +321,28 @@
     return upstreams.record_leaving(state.table, now, upstream)
 
 
+def record_reported_load(
+    state: state_module.DirectState,
+    now: float,
+    number: int,
+    head: dialects.ResponseHead,
+) -> None:
+    """Records what an upstream tells of its load in the head of a response.
+
+    Args:
+        state: The router's state; changed.
+        now: Current time of this process's clock.
+        number: Number of the request that is answered; its attempt has not
+            ended.
+        head: The head of the response.
+    """
+    upstream = state_module.find_upstream(state, state.requests[number].attempt)
+    if upstream is None or head.load is None:
+        return
+    if head.outcome is not dialects.ResponseOutcome.OTHER_INCARNATION:
+        upstream.reported, upstream.reported_at = head.load, now
+
+
 def record_retry_delay(
     state: state_module.DirectState,
     now: float,
--- a/sycamorefall/direct/relay.py
+++ b/sycamorefall/direct/relay.py
@@ -468,11 +468,12 @@
 def _record_upstream_state(
     proxy: Proxy, number: int, head: dialects.ResponseHead
 ) -> None:
-    """Records a shutdown notice or retry delay from an upstream's response."""
+    """Records what the head of a response tells of its upstream."""
     request = proxy.state.requests.get(number)
     if request is None or request.attempt is None:
         return
     upstream, now = request.attempt.upstream, transport.read_clock()
+    outcomes.record_reported_load(proxy.state, now, number, head)
     if outcomes.record_leaving(proxy.state, now, number, head):
         observation.write_record(
             observation.Level.INFO, "upstream.leaving", upstream=upstream
--- a/sycamorefall/direct/tests/test_fetching.py
+++ b/sycamorefall/direct/tests/test_fetching.py
@@ -12,6 +12,7 @@
     core,
     exchange,
     homes,
+    prompt_reports,
     prompts,
     upstreams,
 )
@@ -215,7 +216,7 @@
     # is sent a paper for the first time while other papers are used again. If
     # the new one is not reported, no engine fetches it from there.
     state, load_exchange = create_state(), fakes.create_exchange()
-    state.routers = int(exchange.MAX_PROMPTS_PER_SECOND) + 1
+    state.routers = int(prompt_reports.MAX_PROMPTS_PER_SECOND) + 1
     first, second, *_ = rank(state)
     send_to(state, first)
     exchange.build_load_message(load_exchange, state, 0.0)
--- a/sycamorefall/direct/tests/test_totals.py
+++ b/sycamorefall/direct/tests/test_totals.py
@@ -1,5 +1,7 @@
 """Incremental totals, compared with sums recomputed from all reports."""
 
+import collections
+import itertools
 import math
 import random
 
@@ -30,12 +32,18 @@
         messages.TeamService(team, rng.randrange(3) * 100)
         for team in rng.sample(TEAMS, rng.randrange(len(TEAMS)))
     )
+    rows = tuple(
+        messages.SumRow(name, tuple(rng.choices((0, 2, 5), k=2)))
+        for name in rng.sample(ENGINES, rng.randrange(len(ENGINES)))
+    )
+    table = messages.SumTable(messages.SumKind.UPSTREAM_SPEED, "engine", rows)
     return messages.RouterLoad(
         sequence,
         "127.0.0.1:2",
         upstreams=loads,
         services=(messages.ServiceDemand("engine", teams),) if whole else (),
         whole=whole,
+        tables=(table,) if whole else (),
     )
 
 
@@ -63,7 +71,20 @@
     )
 
 
+def sum_reported_rows(load_exchange):
+    """Adds up the values of all sources by row; rows of zeros are left out."""
+    values = collections.defaultdict(lambda: [0, 0])
+    for source in load_exchange.totals.sources.values():
+        for row in itertools.chain(*(table.rows for table in source.tables)):
+            for index, value in enumerate(row.values):
+                values[row.name][index] += value
+    return {name: tuple(row) for name, row in values.items() if any(row)}
+
+
 def check_totals(load_exchange, state, names):
+    key = (messages.SumKind.UPSTREAM_SPEED, "engine")
+    sums = load_exchange.totals.sums.get(key, {})
+    assert sums == sum_reported_rows(load_exchange)
     for name in names & state.table.by_name.keys():
         upstream = state.table.by_name[name]
         floors = upstream.floor, upstream.short_floor
@@ -119,6 +140,7 @@
     assert not load_exchange.totals.loads
     assert not load_exchange.totals.floors
     assert not load_exchange.totals.short_floors
+    assert not load_exchange.totals.sums
 
 
 def test_report_without_an_incarnation_is_ignored():
--- a/sycamorefall/direct/totals.py
+++ b/sycamorefall/direct/totals.py
@@ -23,7 +23,7 @@
 import operator
 
 from sycamorefall import messages
-from sycamorefall.direct import peers, upstreams
+from sycamorefall.direct import peers, shared_sums, upstreams
 from sycamorefall.direct import state as state_module
 
 SourceKey = tuple[messages.LoadScope, str, int]
@@ -47,6 +47,7 @@
         covers: Number of routers whose load is included.
         loads: Load of these routers at upstreams, by upstream name.
         services: Service that these routers gave to teams, by service.
+        tables: Further sums of these routers.
     """
 
     reporter: str
@@ -61,6 +62,7 @@
     services: dict[str, tuple[messages.TeamService, ...]] = dataclasses.field(
         default_factory=dict
     )
+    tables: tuple[messages.SumTable, ...] = ()
 
 
 @dataclasses.dataclass(slots=True)
@@ -82,6 +84,7 @@
             left out.
         short_floors: The same for teams that had a request refused recently.
         services: Service received by teams, by service.
+        sums: Sums of the sources' tables.
     """
 
     sources: dict[SourceKey, LoadSource] = dataclasses.field(
@@ -93,6 +96,7 @@
     services: dict[str, collections.Counter[str]] = dataclasses.field(
         default_factory=dict
     )
+    sums: shared_sums.Sums = dataclasses.field(default_factory=dict)
 
 
 _FloorGetter = Callable[[messages.UpstreamLoad], int]
@@ -139,6 +143,7 @@
     if load.whole:
         source.loads = reported
         _replace_services(totals, source, load.services)
+        _replace_tables(totals, source, load.tables)
     else:
         source.loads |= reported
     for name, old in before.items():
@@ -252,6 +257,17 @@
             received[entry.team] += entry.amount
 
 
+def _replace_tables(
+    totals: Totals,
+    source: LoadSource,
+    tables: tuple[messages.SumTable, ...],
+) -> None:
+    """Replaces a source's tables and updates the sums."""
+    shared_sums.add_tables(totals.sums, source.tables, sign=-1)
+    source.tables = tables
+    shared_sums.add_tables(totals.sums, tables)
+
+
 def compute_ages(totals: Totals, now: float) -> dict[messages.LoadScope, float]:
     """Computes the age of the oldest report of each scope, in seconds.
 
@@ -299,6 +315,7 @@
     ]
     for source in dropped:
         _replace_services(totals, source, ())
+        _replace_tables(totals, source, ())
     for entry in entries:
         _update_load(totals, entry.upstream, entry, _NO_LOAD)
     for floors, get_floor in _list_floor_kinds(totals):
--- a/sycamorefall/direct/upstreams.py
+++ b/sycamorefall/direct/upstreams.py
@@ -38,6 +38,7 @@
 from sycamorefall import settings
 from sycamorefall.direct import (
     caches,
+    reported_load,
     revisions,
     stream_origins,
     stream_pace,
@@ -203,6 +204,8 @@
         evacuated: Whether its failure domain is evacuated.
         pacing: Limit on the requests that it gets while it is cold.
         pace: Observed pace of its streams.
+        reported: What its process last told of its load; None if nothing.
+        reported_at: When it told so.
         origin: Origin of the streams that it begins; see `stream_origins`.
     """
 
@@ -226,6 +229,8 @@
     pace: stream_pace.StreamPace = dataclasses.field(
         default_factory=stream_pace.StreamPace
     )
+    reported: reported_load.ReportedLoad | None = None
+    reported_at: float = float("-inf")
     _health: _Health = _Health.USABLE
     _consecutive_failures: int = 0
     _failure_rate: float = 0.0
--- a/sycamorefall/messages/loads.py
+++ b/sycamorefall/messages/loads.py
@@ -12,6 +12,9 @@
     "RouterLoad",
     "SentPrompt",
     "ServiceDemand",
+    "SumKind",
+    "SumRow",
+    "SumTable",
     "SuspectRecord",
     "TeamService",
     "UpstreamLoad",
@@ -131,6 +134,46 @@
     own: int
 
 
+class SumKind(enum.IntEnum):
+    """What the values of a table of sums count.
+
+    UPSTREAM_SPEED: observed speed of upstreams; rows are upstreams.
+    TEAM_DEMAND: what teams ask for; rows are teams.
+    FREED_ROOM: room that comes free, and callers that return; rows are teams.
+    """
+
+    UPSTREAM_SPEED = 0
+    TEAM_DEMAND = 1
+    FREED_ROOM = 2
+
+
+class SumRow(msgspec.Struct, frozen=True, array_like=True):
+    """One row of a table of sums.
+
+    Attributes:
+        name: Name of an upstream or team.
+        values: The row's values. Those of several routers are added up.
+    """
+
+    name: Name
+    values: tuple[int, ...]
+
+
+class SumTable(msgspec.Struct, frozen=True, array_like=True):
+    """Values of one or more routers about one service, added up by row.
+
+    Attributes:
+        kind: A `SumKind`. A receiver ignores a kind that it doesn't know, so
+            the field isn't decoded as an enumeration.
+        service: Name of the service.
+        rows: The rows; a row that is missing has zeros only.
+    """
+
+    kind: int
+    service: Name
+    rows: tuple[SumRow, ...]
+
+
 class RouterLoad(msgspec.Struct, frozen=True, array_like=True, tag="l"):
     """Load and team usage of one or more routers: a full update or a delta.
 
@@ -160,6 +203,7 @@
         part: Number of the reported part of a failure domain, from 0.
         parts: Number of parts in which the failure domain is reported.
         covers: Number of routers whose load is included.
+        tables: Further sums of these routers; only in full updates.
     """
 
     sequence: int
@@ -176,6 +220,7 @@
     part: int = 0
     parts: int = 1
     covers: int = 1
+    tables: tuple[SumTable, ...] = ()
 
 
 class SuspectRecord(msgspec.Struct, frozen=True, array_like=True):
--- a/sycamorefall/names.py
+++ b/sycamorefall/names.py
@@ -377,11 +377,23 @@
         msgspec.structs.replace(prompt, upstream=map_name(prompt.upstream))
         for prompt in message.prompts
     )
+    tables = tuple(
+        messages.SumTable(
+            table.kind,
+            map_name(table.service),
+            tuple(
+                messages.SumRow(map_name(row.name), row.values)
+                for row in table.rows
+            ),
+        )
+        for table in message.tables
+    )
     domain = map_name(message.failure_domain) if message.whole else ""
     return msgspec.structs.replace(
         message,
         upstreams=upstreams,
         services=services,
         prompts=prompts,
+        tables=tables,
         failure_domain=domain,
     )
--- a/sycamorefall/platform/documents.py
+++ b/sycamorefall/platform/documents.py
@@ -11,6 +11,7 @@
 
 import base64
 from collections.abc import Iterable
+import math
 from typing import Annotated, Literal
 
 import msgspec
@@ -96,6 +97,7 @@
     public: bool = False
     stream_resume: bool = False
     service: str = ""
+    gap_aim_ms: float = 0.0
     traffic_split: list[_Share] = []
 
 
@@ -245,6 +247,7 @@
         route.target_latency_ms / 1000,
         max(1, route.max_attempts),
         route.public,
+        route.gap_aim_ms / 1000 if route.gap_aim_ms > 0 else math.inf,
     )
 
 
