--- a/sycamorefall/direct/exchange.py
+++ b/sycamorefall/direct/exchange.py
@@ -45,6 +45,7 @@
 from sycamorefall.direct import (
     caches,
     overload,
+    parts,
     prompt_reports,
     receiver_groups,
     service_floors,
@@ -462,7 +463,7 @@
         changed = state.table.by_name.keys()
     totals_module.apply_totals(totals, state, changed, load.whole)
     if load.whole:
-        sum_parts.apply_sums(state, now, totals.sums)
+        sum_parts.apply_sums(parts.SUM_PARTS, state, now, totals.sums)
     _apply_prompts(state, load)
     increase = max(0, _count_unread(totals, key) - unread)
     if load.scope is LoadScope.ROUTER:
@@ -612,7 +613,7 @@
         upstreams=tuple(group.sent_loads.values()),
         services=own_load_module.collect_own_services(state, now),
         prompts=prompts,
-        tables=sum_parts.collect_tables(state, now),
+        tables=sum_parts.collect_tables(parts.SUM_PARTS, state, now),
     )
 
 
@@ -713,7 +714,7 @@
         prompts=prompts,
         tables=shared_sums.sum_tables(
             [
-                sum_parts.collect_tables(state, now),
+                sum_parts.collect_tables(parts.SUM_PARTS, state, now),
                 *(source.tables for source in sources),
             ]
         ),
@@ -769,7 +770,7 @@
     if totals_module.drop_silent_sources(exchange.totals, now):
         names = state.table.by_name.keys()
         totals_module.apply_totals(exchange.totals, state, names, True)
-        sum_parts.apply_sums(state, now, exchange.totals.sums)
+        sum_parts.apply_sums(parts.SUM_PARTS, state, now, exchange.totals.sums)
     exchange.role = _compute_role(exchange, state, now)
     warmup.update_senders(
         state, now, exchange.vm, _list_domain_routers(exchange, state, now)
--- a/sycamorefall/direct/sum_parts.py
+++ b/sycamorefall/direct/sum_parts.py
@@ -1,6 +1,6 @@
-"""The parts of the decisions that share sums between routers."""
+"""Interface of the parts of the decisions that share sums between routers."""
 
-__all__ = ["PARTS", "SumPart", "apply_sums", "collect_tables"]
+__all__ = ["SumPart", "apply_sums", "collect_tables"]
 
 from collections.abc import Callable, Iterable
 import dataclasses
@@ -31,16 +31,10 @@
     ]
 
 
-PARTS: tuple[SumPart, ...] = ()
-"""All parts."""
-
-
 def collect_tables(
-    state: state_module.DirectState,
-    now: float,
-    parts: Iterable[SumPart] = PARTS,
+    parts: Iterable[SumPart], state: state_module.DirectState, now: float
 ) -> tuple[messages.SumTable, ...]:
-    """Collects this router's own tables of all parts."""
+    """Collects this router's own tables of some parts."""
     return tuple(
         messages.SumTable(
             part.kind,
@@ -54,10 +48,10 @@
 
 
 def apply_sums(
+    parts: Iterable[SumPart],
     state: state_module.DirectState,
     now: float,
     sums: shared_sums.Sums,
-    parts: Iterable[SumPart] = PARTS,
 ) -> None:
     """Passes the sums of all other routers to the parts that they belong to."""
     for part in parts:
