Direct: scale of engines, and prompts that leave room for streams

Callers saw answers that paused: an answer with a pause over its route's limit is late. Nothing read the limit of a route, nor what an engine tells of its speed.

A router now keeps a reference per service (seconds between events, prompt tokens read a second) and a scale per engine's process, from the engine's own word, from other routers or from gaps. Estimates of when a response starts follow the scale, and an engine is sent prompts only as far as its streams keep their pauses, at the scale that it would have if it became slow now. A prompt that exceeds that starts where nothing else is pending.

A prompt whose shared part no engine is known to hold may start at any idle engine: the limit on computing parts again kept it at a home that nobody had sent it to. The old estimate of the rate could be driven down without bound by a crowd.

--- a/sycamorefall/direct/core.py
+++ b/sycamorefall/direct/core.py
@@ -28,6 +28,7 @@
     effects,
     fingerprints,
     freshness,
+    known_parts,
     latency_targets,
     outcomes,
     overload,
@@ -35,6 +36,7 @@
     prompts,
     quarantine,
     resumption,
+    speed,
     stalls,
     stopping,
     stream_origins,
@@ -392,6 +394,11 @@
 ) -> list[effects.Effect]:
     """Sends a request whose service is known, or enqueues or refuses it."""
     incoming = request.incoming
+    service = state.catalog.services.get(request.service)
+    if incoming.prompt is not None and service is not None:
+        request.part_known = known_parts.is_part_known(
+            state.table, service, incoming.prompt, now - state.started_at
+        )
     if incoming.prompt is not None:
         key = incoming.prompt.home_key
         request.part_uses = prompts.record_use(state.part_usage, now, key)
@@ -401,6 +408,13 @@
         latency_targets.record_target(
             recent_targets, now, request.route.target_latency
         )
+        speed.record_max_pause(
+            state.table.speeds.setdefault(
+                request.service, speed.ServiceSpeed()
+            ),
+            now,
+            request.route.max_pause,
+        )
     budget.count_request(
         dispatching.get_or_create_budget(state, request.service), now
     )
--- a/sycamorefall/direct/dispatching.py
+++ b/sycamorefall/direct/dispatching.py
@@ -28,6 +28,7 @@
     freshness,
     placement_constraints,
     prompts,
+    speed,
     suspects,
     upstream_selection,
     upstreams,
@@ -212,7 +213,7 @@
         _compute_cost(request),
         int(fair_queue.compute_received(accounts, now, request.team)),
         int(accounts.max_received),
-        _encode_floor(floor),
+        _encode_limit(floor),
         state.routers,
         state.catalog.version,
         None if proven_at is None else round(now - proven_at, 3),
@@ -295,8 +296,10 @@
         fetches=fetch.tokens if fetch else 0,
         cost=cost,
         received=int(received),
-        floor=_encode_floor(chosen.floor),
+        floor=_encode_limit(chosen.floor),
         idle=idle,
+        scale=round(speed.compute_scale(chosen.speed, now), 2),
+        pending_limit=_encode_limit(chosen.speed.pending_limit),
         software_version=chosen.listed.software_version,
     )
 
@@ -309,8 +312,8 @@
     return prompt.tokens + prompts.OUTPUT_WEIGHT * prompt.output
 
 
-def _encode_floor(floor: float) -> int | None:
-    return None if floor == math.inf else int(floor)
+def _encode_limit(limit: float) -> int | None:
+    return None if limit == math.inf else int(limit)
 
 
 def _limit_idle_connections(
--- a/sycamorefall/direct/effects.py
+++ b/sycamorefall/direct/effects.py
@@ -53,6 +53,10 @@
         floor: Fewest cost units recently received by a team that waits for the
             upstream at another router; None if no team does.
         idle: Whether the upstream had almost nothing to do.
+        scale: Time that work takes at the upstream at this moment, relative to
+            one of scale 1.
+        pending_limit: Prompt tokens that may be pending there without too long
+            a pause of its streams; None if there is no limit.
         software_version: Version of the upstream's software.
     """
 
@@ -74,6 +78,8 @@
     received: int = 0
     floor: int | None = None
     idle: bool = False
+    scale: float = 1.0
+    pending_limit: int | None = None
     software_version: str = ""
 
 
--- a/sycamorefall/direct/eligibility.py
+++ b/sycamorefall/direct/eligibility.py
@@ -24,8 +24,8 @@
 import math
 import statistics
 
-from sycamorefall.direct import caches, catalog, prompts, stream_pace
-from sycamorefall.direct.upstreams import Upstream
+from sycamorefall.direct import caches, catalog, prompts, speed, stream_pace
+from sycamorefall.direct.upstreams import INITIAL_PREFILL_RATE, Upstream
 
 MAX_REREAD_SHARE = 0.2
 """Maximum number of shared tokens that a request may have computed again on an
@@ -72,6 +72,10 @@
 Beyond it, the engine preempts running requests and computes them again."""
 
 
+SPEED_INTERVAL = 0.02
+"""Seconds between two estimates of what an engine's speed allows."""
+
+
 class Obstacle(enum.Enum):
     """Why an upstream can't take a request now.
 
@@ -86,6 +90,8 @@
     YIELDS: The engine is left to a waiting team that received less service.
     VERSION: The upstream has another software version than the one that began
         the stream.
+    PAUSE: The engine would read prompts for so long between two events of its
+        streams that their responses would be late.
     PACE: Streams run so slowly there that long ones would not end in time.
     QUEUE: The prefill queue is so long that urgent requests would be late.
     LATE: The response would start after its target latency.
@@ -99,6 +105,7 @@
     MEMORY = "memory"
     YIELDS = "yields"
     VERSION = "version"
+    PAUSE = "pause"
     PACE = "pace"
     QUEUE = "queue"
     LATE = "late"
@@ -129,6 +136,8 @@
         max_queue_seconds: Longest acceptable prefill queue of an engine.
         max_gap: Longest acceptable seconds between two events of an engine's
             streams.
+        keep_pauses: Whether the streams of an engine have to keep the limits on
+            their pauses.
         origin: Origin of the stream that the request goes on with; None if any
             upstream may run it.
     """
@@ -143,6 +152,7 @@
     allow_reread_if_idle: bool = False
     max_queue_seconds: float = float("inf")
     max_gap: float = float("inf")
+    keep_pauses: bool = False
     origin: int | None = None
 
 
@@ -169,6 +179,9 @@
             another team waits for it at another router.
         gap: Average seconds between two events of its streams; None if unknown,
             0 if most slots are free and few prompts are pending.
+        pending_limit: Prompt tokens that may be pending without too long a
+            pause of its streams.
+        single_limit: Tokens of a prompt that may be the only one pending.
     """
 
     upstream: Upstream
@@ -180,6 +193,8 @@
     idle: bool
     unreserved: bool
     gap: float | None = None
+    pending_limit: float = math.inf
+    single_limit: float = math.inf
 
 
 @dataclasses.dataclass(slots=True)
@@ -258,13 +273,15 @@
     """Sums up the load of an engine from this and the other routers.
 
     Args:
-        upstream: The engine; its `idle_since` is updated.
+        upstream: The engine; its `idle_since` and `prefill_rate` are updated.
         engine: Engine parameters of its service.
         now: Current time of this process's clock.
     """
     # Not by the properties of Upstream: three calls would double the time.
     own_load, peer_load = upstream.own_load, upstream.peer_load
     running = own_load.running + peer_load.running
+    if now - upstream.speed.measured_at >= SPEED_INTERVAL:
+        _measure_speed(upstream, running, now)
     unread = own_load.unread + peer_load.unread
     has_short_queue = unread <= IDLE_QUEUE_SECONDS * upstream.prefill_rate
     idle = has_short_queue and running <= IDLE_SLOT_SHARE * engine.slots
@@ -281,6 +298,36 @@
         idle,
         idle and (not reserved or is_spare),
         0.0 if is_spare else stream_pace.estimate_gap(upstream.pace, now),
+        upstream.speed.pending_limit if running else math.inf,
+        upstream.speed.single_limit if running else math.inf,
+    )
+
+
+def _measure_speed(upstream: Upstream, running: int, now: float) -> None:
+    """Updates what follows from an engine's speed at this moment.
+
+    Without a limit on pauses, the rate follows single responses (see
+    `outcomes`).
+    """
+    engine, reference = upstream.speed, upstream.service_speed
+    engine.measured_at = now
+    max_pause = speed.find_max_pause(reference, now)
+    if max_pause == math.inf:
+        engine.pending_limit = engine.single_limit = math.inf
+        return
+    scale = speed.compute_scale(engine, now)
+    rates = [
+        speed.estimate_read_rate(reference, safe) or INITIAL_PREFILL_RATE
+        for safe in (True, False)
+    ]
+    upstream.prefill_rate = rates[0] / scale
+    expected = speed.get_expected_slowdown(reference)
+    expected_scale = max(scale, expected * speed.compute_usual_scale(engine))
+    engine.pending_limit, engine.single_limit = (
+        speed.compute_pending_limit(
+            reference, rates[1], one, running, max_pause
+        )
+        for one in (expected_scale, scale)
     )
 
 
@@ -387,14 +434,37 @@
     ):
         return Obstacle.READS_AGAIN
     obstacle = find_load_obstacle(engine_load, engine, constraints)
-    if obstacle is not None or engine_load.idle:
+    if obstacle is not None:
         return obstacle
+    if constraints.keep_pauses and _breaks_pauses(
+        engine_load, constraints.prompt, is_home
+    ):
+        return Obstacle.PAUSE
+    if engine_load.idle:
+        return None
     begins_in = _estimate_response_start(
         engine_load.upstream, constraints.prompt, is_home, engine_load.unread
     )
     return Obstacle.LATE if begins_in > constraints.time_left else None
 
 
+def _breaks_pauses(
+    engine_load: EngineLoad, prompt: prompts.Prompt, is_home: bool
+) -> bool:
+    """Returns whether a prompt makes the streams of an engine pause too long.
+
+    A prompt that exceeds the limit may start where no other is pending, unless
+    the engine is slow at this moment. Otherwise long prompts would start
+    nowhere, and engines would idle while they wait.
+    """
+    if engine_load.pending_limit == math.inf:
+        return False
+    reads = count_uncached_tokens(engine_load.upstream, prompt, is_home)
+    if not engine_load.unread:
+        return reads > engine_load.single_limit
+    return engine_load.unread + reads > engine_load.pending_limit
+
+
 def find_load_obstacle(
     engine_load: EngineLoad,
     engine: catalog.Engine,
@@ -428,6 +498,11 @@
         return Obstacle.MEMORY
     if engine_load.gap is not None and engine_load.gap > constraints.max_gap:
         return Obstacle.PACE
+    if (
+        constraints.keep_pauses
+        and engine_load.unread > engine_load.pending_limit
+    ):
+        return Obstacle.PAUSE
     if engine_load.idle:
         reserved = not engine_load.unreserved and (
             engine_load.upstream.short_floor < constraints.yield_idle_below
--- a/sycamorefall/direct/metrics.py
+++ b/sycamorefall/direct/metrics.py
@@ -7,7 +7,7 @@
 
 from prometheus_client import metrics_core
 
-from sycamorefall.direct import fingerprints, pacing
+from sycamorefall.direct import fingerprints, pacing, speed
 from sycamorefall.direct import upstreams as upstreams_module
 from sycamorefall.observation import metrics
 
@@ -83,6 +83,22 @@
         ("service", "reason"),
         _count_restricted(state.table, now),
     )
+    yield gauge(
+        "engine_scale",
+        "How long work takes at an engine now, relative to one of scale 1.",
+        ("upstream",),
+        _list_scales(state.table, now),
+    )
+    yield gauge(
+        "engine_read_rate",
+        "Prompt tokens a second that an engine of scale 1 reads.",
+        ("service",),
+        {
+            (service,): rate
+            for service, reference in state.table.speeds.items()
+            if (rate := speed.estimate_read_rate(reference)) is not None
+        },
+    )
     yield count(
         "retries",
         "Sends of a request after one that may have reached an upstream, by "
@@ -157,6 +173,17 @@
     return counts
 
 
+def _list_scales(
+    table: upstreams_module.UpstreamTable, now: float
+) -> dict[tuple[str], float]:
+    """Lists the scales of the engines that have one other than usual."""
+    return {
+        (name,): scale
+        for name, one in table.by_name.items()
+        if (scale := speed.compute_scale(one.speed, now)) != 1.0
+    }
+
+
 def _count_restricted(
     table: upstreams_module.UpstreamTable, now: float
 ) -> dict[tuple[str, str], int]:
--- a/sycamorefall/direct/outcomes.py
+++ b/sycamorefall/direct/outcomes.py
@@ -28,6 +28,7 @@
     effects,
     eligibility,
     fair_queue,
+    speed,
     stream_origins,
     stream_pace,
     suspects,
@@ -276,6 +277,14 @@
     if attempt.response_started and upstream is not None:
         elapsed = now - attempt.last_event_at
         stream_pace.record_gap(upstream.pace, now, elapsed, events)
+        speed.record_gap(
+            upstream.speed,
+            upstream.service_speed,
+            now,
+            elapsed / events,
+            upstream.running,
+            upstream.unread,
+        )
     attempt.last_event_at = now
     if not attempt.response_started:
         attempt.began_at = now
@@ -341,6 +350,9 @@
         return
     if head.outcome is not dialects.ResponseOutcome.OTHER_INCARNATION:
         upstream.reported, upstream.reported_at = head.load, now
+        speed.record_reported(
+            upstream.speed, upstream.service_speed, now, head.load.slowdown
+        )
 
 
 def record_retry_delay(
@@ -402,9 +414,19 @@
 ) -> None:
     """Records a processed prompt and adjusts the engine's prefill rate."""
     upstreams.record_success(upstream, now)
+    elapsed = now - attempt.sent_at
+    speed.record_prefill(
+        upstream.speed,
+        upstream.service_speed,
+        now,
+        attempt.unread,
+        attempt.queued,
+        elapsed - eligibility.FIRST_TOKEN_OVERHEAD,
+    )
     upstream.own_load.unread -= attempt.unread
     attempt.unread = 0
-    _adjust_prefill_rate(upstream, attempt, now - attempt.sent_at)
+    if speed.find_max_pause(upstream.service_speed, now) == math.inf:
+        _adjust_prefill_rate(upstream, attempt, elapsed)
 
 
 def _adjust_prefill_rate(
--- a/sycamorefall/direct/parts.py
+++ b/sycamorefall/direct/parts.py
@@ -3,6 +3,7 @@
 __all__ = ["SUM_PARTS"]
 
 from sycamorefall.direct import sum_parts
+from sycamorefall.direct.speed import exchange as speed_exchange
 
-SUM_PARTS: tuple[sum_parts.SumPart, ...] = ()
+SUM_PARTS: tuple[sum_parts.SumPart, ...] = (speed_exchange.PART,)
 """All parts that share sums."""
--- a/sycamorefall/direct/placement_constraints.py
+++ b/sycamorefall/direct/placement_constraints.py
@@ -54,12 +54,13 @@
         yield_idle_below=fair_queue.IDLE_UNDERSERVED_SHARE * received,
         recent_part_uses=request.part_uses * state.routers,
         allow_reread=has_waited_long and share < fair_queue.UNDERSERVED_SHARE,
-        allow_reread_if_idle=has_waited_long
-        and share < fair_queue.IDLE_UNDERSERVED_SHARE,
+        allow_reread_if_idle=not request.part_known
+        or (has_waited_long and share < fair_queue.IDLE_UNDERSERVED_SHARE),
         max_queue_seconds=_compute_max_queue_seconds(state, now, request),
         max_gap=math.inf
         if is_behind
         else _find_max_gap(state, now, request.service),
+        keep_pauses=not has_waited_long,
         origin=request.origin,
     )
 
--- a/sycamorefall/direct/relay.py
+++ b/sycamorefall/direct/relay.py
@@ -395,6 +395,8 @@
         received=send.received,
         floor=send.floor,
         idle=send.idle,
+        scale=send.scale,
+        pending_limit=send.pending_limit,
         version=send.software_version[:MAX_LOGGED_TEXT],
         time_left=round(send.time_left, 3),
     )
--- a/sycamorefall/direct/state.py
+++ b/sycamorefall/direct/state.py
@@ -140,6 +140,7 @@
         events: Number of events of the response after its first one.
         part_uses: Decayed number of recent requests with the same last shared
             prompt part.
+        part_known: Whether an engine may hold that part.
         fingerprint: Fingerprint of the request; empty until it is computed.
         origin: Origin of the stream that the request goes on with; None as long
             as any upstream may run it.
@@ -168,6 +169,7 @@
     forwarding_started: bool = False
     events: int = 0
     part_uses: float = 0.0
+    part_known: bool = True
     fingerprint: bytes = b""
     origin: int | None = None
     stream_key: int | None = None
--- a/sycamorefall/direct/upstream_selection.py
+++ b/sycamorefall/direct/upstream_selection.py
@@ -18,7 +18,7 @@
 from collections.abc import Iterable
 
 from sycamorefall.direct import catalog as catalog_module
-from sycamorefall.direct import eligibility, pacing, prompts
+from sycamorefall.direct import eligibility, pacing, prompts, speed
 from sycamorefall.direct import homes as homes_module
 from sycamorefall.direct import upstreams as upstreams_module
 from sycamorefall.direct.upstreams import Upstream
@@ -298,6 +298,7 @@
     prefill = (
         upstream.unread + own_tokens + REREAD_WEIGHT * reread
     ) / upstream.prefill_rate
-    batch = BATCH_COST * upstream.running / engine.slots
+    scale = speed.compute_usual_scale(upstream.speed)
+    batch = BATCH_COST * scale * upstream.running / engine.slots
     failing = upstreams_module.compute_failure_rate(upstream, now)
     return prefill + batch + FAILURE_COST * failing
--- a/sycamorefall/direct/upstreams.py
+++ b/sycamorefall/direct/upstreams.py
@@ -1,6 +1,7 @@
 """A router's view of the upstreams: listing, load and health."""
 
 __all__ = [
+    "INITIAL_PREFILL_RATE",
     "Load",
     "Notice",
     "ProcessKey",
@@ -44,6 +45,7 @@
     stream_pace,
 )
 from sycamorefall.direct import pacing as pacing_module
+from sycamorefall.direct import speed as speed_module
 
 MISSING_ENTRY_GRACE = 2.3
 """Seconds after a platform outage during which upstreams that are missing from
@@ -206,6 +208,8 @@
         pace: Observed pace of its streams.
         reported: What its process last told of its load; None if nothing.
         reported_at: When it told so.
+        speed: Observed speed of its process.
+        service_speed: Speed of the upstreams of its service on average.
         origin: Origin of the streams that it begins; see `stream_origins`.
     """
 
@@ -231,6 +235,12 @@
     )
     reported: reported_load.ReportedLoad | None = None
     reported_at: float = float("-inf")
+    speed: speed_module.EngineSpeed = dataclasses.field(
+        default_factory=speed_module.EngineSpeed
+    )
+    service_speed: speed_module.ServiceSpeed = dataclasses.field(
+        default_factory=speed_module.ServiceSpeed
+    )
     _health: _Health = _Health.USABLE
     _consecutive_failures: int = 0
     _failure_rate: float = 0.0
@@ -281,6 +291,7 @@
             not listed.
         rankings: Upstreams of a service in the order of preference for caching
             a prompt part, by service and part; see `homes`.
+        speeds: Speed of the upstreams on average, by service.
     """
 
     by_name: dict[str, Upstream] = dataclasses.field(default_factory=dict)
@@ -295,6 +306,9 @@
     rankings: dict[tuple[str, str], list[Upstream]] = dataclasses.field(
         default_factory=dict
     )
+    speeds: dict[str, speed_module.ServiceSpeed] = dataclasses.field(
+        default_factory=dict
+    )
 
 
 def replace_listing(
@@ -334,7 +348,14 @@
                 table.notices.get(ProcessKey(name, entry.start_time))
                 or Notice()
             )
-            upstream = Upstream(entry, last_byte_at=now, notice=notice)
+            upstream = Upstream(
+                entry,
+                last_byte_at=now,
+                notice=notice,
+                service_speed=table.speeds.setdefault(
+                    entry.service, speed_module.ServiceSpeed()
+                ),
+            )
             upstream.pacing.listed_until = now + entry.cold_remaining
             table.by_name[name] = upstream
             table.replaced.discard(name)
