--- a/sycamorefall/direct/eligibility.py
+++ b/sycamorefall/direct/eligibility.py
@@ -306,15 +306,15 @@
 def _measure_speed(upstream: Upstream, running: int, now: float) -> None:
     """Updates what follows from an engine's speed at this moment.
 
-    Without a limit on pauses, the rate follows single responses (see
-    `outcomes`).
+    Of engines that don't tell their scale, or without a limit on pauses, the
+    rate follows single responses (see `outcomes`).
     """
     engine, reference = upstream.speed, upstream.service_speed
     engine.measured_at = now
-    max_pause = speed.find_max_pause(reference, now)
-    if max_pause == math.inf:
+    if not speed.is_in_effect(reference, now):
         engine.pending_limit = engine.single_limit = math.inf
         return
+    max_pause = speed.find_max_pause(reference, now)
     scale = speed.compute_scale(engine, now)
     rates = [
         speed.estimate_read_rate(reference, safe) or INITIAL_PREFILL_RATE
--- a/sycamorefall/direct/outcomes.py
+++ b/sycamorefall/direct/outcomes.py
@@ -425,7 +425,7 @@
     )
     upstream.own_load.unread -= attempt.unread
     attempt.unread = 0
-    if speed.find_max_pause(upstream.service_speed, now) == math.inf:
+    if not speed.is_in_effect(upstream.service_speed, now):
         _adjust_prefill_rate(upstream, attempt, elapsed)
 
 
--- a/sycamorefall/direct/speed/__init__.py
+++ b/sycamorefall/direct/speed/__init__.py
@@ -17,6 +17,7 @@
 from sycamorefall.direct.speed.pauses import (
     compute_pending_limit,
     find_max_pause,
+    is_in_effect,
     record_max_pause,
 )
 from sycamorefall.direct.speed.reference import (
@@ -34,6 +35,7 @@
     "estimate_read_rate",
     "find_max_pause",
     "get_expected_slowdown",
+    "is_in_effect",
     "record_gap",
     "record_max_pause",
     "record_prefill",
--- a/sycamorefall/direct/speed/estimates.py
+++ b/sycamorefall/direct/speed/estimates.py
@@ -3,8 +3,7 @@
 Two things make an engine slow: its machine, for as long as its process lives,
 and other work on that machine, for fractions of a second. An engine may tell in
 its responses how long work takes there at this moment; the median of what it
-tells is its usual figure. Of an engine that doesn't tell, the usual figure
-follows from the gaps between the events of its streams.
+tells is its usual scale. Engines that don't tell are taken to be alike.
 """
 
 __all__ = [
@@ -28,11 +27,10 @@
 """Range of the scales that engines are believed to tell."""
 
 PRIOR_WEIGHT = 2
-"""Observations for which the assumption counts that an engine is an average
-one."""
+"""Scales for which the assumption counts that an engine is like the others."""
 
 MAX_WEIGHT = 32
-"""Observations over which the usual level of an engine extends."""
+"""Scales over which the usual level of an engine extends."""
 
 FRESH_SECONDS = 0.15
 """Seconds for which what an engine told this router goes before what it told
@@ -68,9 +66,7 @@
     Attributes:
         told: Number of scales that it told this router, up to `MAX_WEIGHT`.
         told_level: Their median logarithm (to base 2).
-        gaps: Number of gaps between events that count, up to `MAX_WEIGHT`.
-        gap_level: Their average logarithm, relative to the reference.
-        peer_weight: Number of observations of the other routers.
+        peer_weight: Number of scales that it told the other routers.
         peer_levels: Sum of their logarithms.
         reported: Scale that the engine last told this router.
         reported_at: When it did so.
@@ -83,8 +79,6 @@
 
     told: int = 0
     told_level: float = 0.0
-    gaps: int = 0
-    gap_level: float = 0.0
     peer_weight: int = 0
     peer_levels: float = 0.0
     reported: float = 1.0
@@ -95,13 +89,6 @@
     single_limit: float = math.inf
 
 
-def get_own_level(speed: EngineSpeed) -> tuple[int, float]:
-    """Returns the weight and the level of this router's own observations."""
-    if speed.told:
-        return speed.told, speed.told_level
-    return speed.gaps, speed.gap_level
-
-
 def compute_usual_scale(speed: EngineSpeed) -> float:
     """Computes how long work usually takes at an engine.
 
@@ -114,9 +101,8 @@
         >>> round(compute_usual_scale(EngineSpeed(told=30, told_level=1.0)), 1)
         1.9
     """
-    weight, level = get_own_level(speed)
-    total = weight * level + speed.peer_levels
-    level = total / (PRIOR_WEIGHT + weight + speed.peer_weight)
+    total = speed.told * speed.told_level + speed.peer_levels
+    level = total / (PRIOR_WEIGHT + speed.told + speed.peer_weight)
     return 2.0 ** max(-MAX_LEVEL, min(MAX_LEVEL, level))
 
 
@@ -149,6 +135,7 @@
     """Records how long work takes by an engine's own word; None is ignored."""
     if scale is None:
         return
+    reference.is_told = True
     speed.reported = max(MIN_SCALE, min(MAX_SCALE, scale))
     speed.reported_at = now
     speed.measured_at = _NEVER
@@ -175,7 +162,7 @@
     """Records the seconds between two events of a stream at an engine.
 
     Args:
-        speed: Speed of the engine; changed.
+        speed: Speed of the engine.
         reference: Reference of its service; changed.
         now: Current time of this process's clock.
         gap: Seconds since the last event. Above `MAX_GAP` they say nothing of
@@ -183,7 +170,7 @@
         running: Requests that the engine runs.
         pending: Prompt tokens that it has yet to read.
     """
-    if not 0.0 < gap <= MAX_GAP:
+    if not reference.is_told or not 0.0 < gap <= MAX_GAP:
         return
     scale = compute_scale(speed, now)
     rate = reference_module.estimate_read_rate(reference)
@@ -193,12 +180,7 @@
         load = reference_module.GapLoad.READING
         if is_steady:
             load = reference_module.GapLoad.STEADY
-    expected = reference_module.estimate_gap(reference, running, load)
     reference_module.record_gap(reference, running, load, gap / scale)
-    if expected and not speed.told:
-        speed.gaps = min(speed.gaps + 1, MAX_WEIGHT)
-        level = max(-MAX_LEVEL, min(MAX_LEVEL, math.log2(gap / expected)))
-        speed.gap_level += (level - speed.gap_level) / speed.gaps
 
 
 def record_prefill(
--- a/sycamorefall/direct/speed/exchange.py
+++ b/sycamorefall/direct/speed/exchange.py
@@ -1,8 +1,8 @@
 """Shares what routers observe of engines' speeds.
 
-A row of the table is an engine: the number of observations of a router and the
-sum of their levels, and if the engine told a slowdown a moment ago, one and the
-slowdown in percent.
+A row of the table is an engine: how many scales it told a router, the sum of
+their levels, and if it told a slowdown a moment ago, one and the slowdown in
+percent. Of engines that tell nothing there are no rows.
 """
 
 __all__ = ["PART"]
@@ -15,10 +15,6 @@
 from sycamorefall.direct import upstreams as upstreams_module
 from sycamorefall.direct.speed import estimates, reference
 
-MIN_SHARED_GAPS = 8
-"""Observed gaps below which a router tells nothing of an engine that doesn't
-tell its scale."""
-
 ROW_SIZE = 4
 """Values of a row."""
 
@@ -43,15 +39,12 @@
     upstream: upstreams_module.Upstream, now: float
 ) -> tuple[int, ...]:
     speed = upstream.speed
-    weight, level = estimates.get_own_level(speed)
-    if not speed.told and weight < MIN_SHARED_GAPS:
-        weight = 0
-    levels = round(weight * level * LEVEL_SCALE)
+    levels = round(speed.told * speed.told_level * LEVEL_SCALE)
     slowdown = speed.reported / estimates.compute_usual_scale(speed)
     is_fresh = now - speed.reported_at <= estimates.REPORT_LIFETIME
     if is_fresh and slowdown >= reference.MIN_SLOWDOWN:
-        return weight, levels, 1, round(100 * slowdown)
-    return (weight, levels) if weight else ()
+        return speed.told, levels, 1, round(100 * slowdown)
+    return (speed.told, levels) if speed.told else ()
 
 
 def apply_rows(
@@ -74,6 +67,7 @@
         )
         speed.peer_weight = weight if is_valid else 0
         speed.peer_levels = levels / LEVEL_SCALE if is_valid else 0.0
+        upstream.service_speed.is_told |= is_valid
         slowdown = percent / 100 / slow if slow > 0 else 1.0
         speed.peer_slowdown = max(1.0, min(estimates.MAX_SCALE, slowdown))
 
--- a/sycamorefall/direct/speed/pauses.py
+++ b/sycamorefall/direct/speed/pauses.py
@@ -8,7 +8,12 @@
 the engine reads between two events that are still close enough.
 """
 
-__all__ = ["compute_pending_limit", "find_max_pause", "record_max_pause"]
+__all__ = [
+    "compute_pending_limit",
+    "find_max_pause",
+    "is_in_effect",
+    "record_max_pause",
+]
 
 import math
 
@@ -39,6 +44,14 @@
     return latency_targets.find_shortest_target(reference.max_pauses, now)
 
 
+def is_in_effect(reference: reference_module.ServiceSpeed, now: float) -> bool:
+    """Returns whether engines' scales and limits on pauses are decided by.
+
+    They are if engines tell their scales and routes limit pauses.
+    """
+    return reference.is_told and find_max_pause(reference, now) < math.inf
+
+
 def compute_pending_limit(
     reference: reference_module.ServiceSpeed,
     read_rate: float,
--- a/sycamorefall/direct/speed/reference.py
+++ b/sycamorefall/direct/speed/reference.py
@@ -86,6 +86,7 @@
     """Speed of an engine of scale 1; the scale of others is relative to it.
 
     Attributes:
+        is_told: Whether an engine has told how long work takes there.
         gaps: Average seconds between two events and the number of samples, by
             group of running requests and what the engine does meanwhile.
         longest: Seconds between two events during steady reading that one gap
@@ -99,6 +100,7 @@
         slowdown: Their average, relative to the engines' usual scales.
     """
 
+    is_told: bool = False
     gaps: dict[tuple[int, GapLoad], tuple[float, int]] = dataclasses.field(
         default_factory=dict
     )
