--- a/sycamorefall/direct/core.py
+++ b/sycamorefall/direct/core.py
@@ -394,12 +394,10 @@
 ) -> list[effects.Effect]:
     """Sends a request whose service is known, or enqueues or refuses it."""
     incoming = request.incoming
-    service = state.catalog.services.get(request.service)
-    if incoming.prompt is not None and service is not None:
+    if incoming.prompt is not None:
         request.part_known = known_parts.is_part_known(
-            state.table, service, incoming.prompt, now - state.started_at
+            state.known_parts, incoming.prompt, now - state.started_at
         )
-    if incoming.prompt is not None:
         key = incoming.prompt.home_key
         request.part_uses = prompts.record_use(state.part_usage, now, key)
         recent_targets = state_module.get_or_create_recent_targets(
--- a/sycamorefall/direct/dispatching.py
+++ b/sycamorefall/direct/dispatching.py
@@ -26,6 +26,7 @@
     fair_queue,
     fetching,
     freshness,
+    known_parts,
     placement_constraints,
     prompts,
     speed,
@@ -343,6 +344,7 @@
             chosen.listed.name, prompt, new_tokens
         )
         state.placements.append(placement)
+    known_parts.record_parts(state.known_parts, prompt.digests[:-1])
     caches.record_parts(chosen.cache, prompt.digests, engine.kv_capacity_tokens)
 
 
--- a/sycamorefall/direct/exchange.py
+++ b/sycamorefall/direct/exchange.py
@@ -44,6 +44,7 @@
 from sycamorefall import messages
 from sycamorefall.direct import (
     caches,
+    known_parts,
     overload,
     parts,
     prompt_reports,
@@ -520,6 +521,7 @@
         service = state.catalog.services.get(upstream.listed.service)
         if service is not None and service.engine is not None:
             limit = service.engine.kv_capacity_tokens
+            known_parts.record_parts(state.known_parts, prompt.parts)
             caches.record_parts(upstream.cache, prompt.parts, limit, prompt.own)
 
 
--- a/sycamorefall/direct/state.py
+++ b/sycamorefall/direct/state.py
@@ -29,6 +29,7 @@
 )
 from sycamorefall.direct import catalog as catalog_module
 from sycamorefall.direct import freshness as freshness_module
+from sycamorefall.direct import known_parts as known_parts_module
 from sycamorefall.direct import latency_targets as latency_targets_module
 from sycamorefall.direct import overload as overload_module
 from sycamorefall.direct import patience as patience_module
@@ -140,7 +141,7 @@
         events: Number of events of the response after its first one.
         part_uses: Decayed number of recent requests with the same last shared
             prompt part.
-        part_known: Whether an engine may hold that part.
+        part_known: Whether an engine may have been sent that part.
         fingerprint: Fingerprint of the request; empty until it is computed.
         origin: Origin of the stream that the request goes on with; None as long
             as any upstream may run it.
@@ -240,6 +241,7 @@
         response_lengths: Lengths of streamed responses, by service and route.
         deadlines: Heap of (time, request number).
         part_usage: Decayed numbers of recent requests by shared prompt part.
+        known_parts: Shared parts of prompts that engines were sent.
         patience: Times that callers are willing to wait, by route.
         total_unread_sent: Prompt tokens that this process has ever sent to
             engines for processing.
@@ -296,6 +298,9 @@
     part_usage: prompts.PartUsage = dataclasses.field(
         default_factory=prompts.PartUsage
     )
+    known_parts: known_parts_module.KnownParts = dataclasses.field(
+        default_factory=known_parts_module.KnownParts
+    )
     patience: dict[str, patience_module.Patience] = dataclasses.field(
         default_factory=dict
     )
