--- a/standins/wire_upstream.py
+++ b/standins/wire_upstream.py
@@ -58,6 +58,7 @@
         repeat_previous: Whether it sends the previous plain response of a
             connection again before the next one.
         repeat_count: Number of responses that it sent again so.
+        begin_delay: Seconds before it begins to respond to a request it ran.
         event_interval: Seconds between two events, and before a crash.
         crash_on_body: Body of the requests at which it crashes.
         crash_on_part: Key of a shared part of prompts; it crashes when it
@@ -89,6 +90,7 @@
     send_twice: bool = False
     repeat_previous: bool = False
     repeat_count: int = 0
+    begin_delay: float = 0.0
     event_interval: float = 0.01
     crash_on_body: bytes | None = None
     crash_on_part: str | None = None
@@ -173,6 +175,8 @@
             if not await reader.read(1):
                 self.cancelled.append(request_id)
             return
+        if self.begin_delay:
+            await asyncio.sleep(self.begin_delay)
         stamp = (
             f"Attempt-Id: {request_id}\r\nServer-Stamp: s.{self.name}\r\n"
             f"{extra_headers}"
