--- a/sycamorefall/direct/daemon.py
+++ b/sycamorefall/direct/daemon.py
@@ -18,25 +18,25 @@
     settings,
     transport,
 )
+from sycamorefall.direct import catalog as catalog_module
 from sycamorefall.direct import (
-    backlog,
     core,
     crashes,
+    descriptors,
     dialects,
     metrics,
     origin_queries,
     readers,
     relay,
     stopping,
+    timers,
 )
-from sycamorefall.direct import catalog as catalog_module
 from sycamorefall.direct import crash_exchange as crash_exchange_module
 from sycamorefall.direct import exchange as exchange_module
 from sycamorefall.direct import origin_exchange as origin_exchange_module
 from sycamorefall.direct import overload as overload_module
 from sycamorefall.direct import replicator as replicator_module
 from sycamorefall.direct import state as state_module
-from sycamorefall.direct import totals as totals_module
 from sycamorefall.direct import upstreams as upstreams_module
 from sycamorefall.observation import metrics as metrics_module
 
@@ -74,6 +74,9 @@
         origin_exchange: Exchange of streams' origins with the other routers.
         unknown_domains: Names in the platform's evacuations that are not those
             of failure domains.
+        division: Highest numbers of connections by use.
+        next_division_at: Time from which on they are computed again.
+        timers_resume_at: Time before which no timer runs, after a fault.
     """
 
     config: settings.DirectSettings
@@ -97,6 +100,9 @@
         default_factory=origin_exchange_module.OriginExchange
     )
     unknown_domains: set[str] = dataclasses.field(default_factory=set)
+    division: descriptors.Division | None = None
+    next_division_at: float = 0.0
+    timers_resume_at: float = float("-inf")
 
     def handle_catalog(self, new: catalog_module.Catalog) -> None:
         """Applies a configuration, and logs it if it is newer."""
@@ -292,7 +298,7 @@
         load_exchange,
         incarnation,
     )
-    proxy.on_stream_begun = lambda: _send_origins(
+    proxy.on_stream_begun = lambda: timers.send_origins(
         daemon, transport.read_clock()
     )
     daemon.replicator = replicator_module.create_replicator(
@@ -307,12 +313,35 @@
         daemon.handle_proof,
         daemon.handle_settling,
     )
+    descriptors.apply_limits(daemon)
+    servers[0].acceptor.on_exhausted = lambda: _free_descriptor(daemon)
+    client.free_descriptor = lambda: _free_descriptor(daemon)
     daemon.ticker = transport.Ticker(
-        lambda: _find_next_due(daemon), lambda now: _run_timers(daemon, now)
+        lambda: timers.find_next_due(daemon),
+        lambda now: timers.run(daemon, now, _continue_stop),
     ).register(loop)
     return daemon
 
 
+def _free_descriptor(daemon: Daemon) -> bool:
+    """Closes idle connections, since the kernel has no descriptor left.
+
+    Returns:
+        Whether there was one to close.
+    """
+    descriptors.apply_limits(daemon)
+    freed = daemon.client.close_one_idle(), daemon.servers[0].close_one_idle()
+    observation.write_rate_limited(
+        observation.Level.WARNING,
+        "descriptors.exhausted",
+        callers=daemon.servers[0].open_count,
+        upstreams=daemon.client.open_count,
+        peers=daemon.control.link_count,
+        in_progress=len(daemon.state.requests),
+    )
+    return any(freed)
+
+
 def _handle_envelope(daemon: Daemon, envelope: messages.Envelope) -> None:
     now, message = transport.read_clock(), envelope.message
     exchange = daemon.exchange
@@ -346,21 +375,6 @@
             daemon.replicator.receive(envelope)
 
 
-def _send_loads(daemon: Daemon, now: float) -> None:
-    outbound = exchange_module.build_due_messages(
-        daemon.exchange, daemon.state, now
-    )
-    daemon.control.retain_peers(exchange_module.list_addresses(daemon.exchange))
-    _send_messages(daemon, outbound)
-
-
-def _send_crash_reports(daemon: Daemon, now: float) -> None:
-    outbound = crash_exchange_module.build_due_messages(
-        daemon.crash_exchange, daemon.exchange, daemon.state, now
-    )
-    _send_messages(daemon, outbound)
-
-
 def _handle_origin_message(
     daemon: Daemon, now: float, envelope: messages.Envelope
 ) -> None:
@@ -380,7 +394,7 @@
                 outbound = origin_queries.handle_query(
                     daemon.exchange, state, now, envelope
                 )
-                _send_messages(daemon, outbound)
+                timers.send_messages(daemon, outbound)
             case messages.OriginAnswer():
                 known = origin_queries.handle_answer(state, now, envelope)
     except errors.MessageRefused as error:
@@ -395,20 +409,6 @@
         relay.perform_effects(daemon.proxy, pending)
 
 
-def _send_origins(daemon: Daemon, now: float) -> None:
-    outbound = origin_exchange_module.build_due_messages(
-        daemon.origin_exchange, daemon.exchange, daemon.state, now
-    )
-    _send_messages(daemon, outbound)
-
-
-def _send_messages(
-    daemon: Daemon, outbound: list[exchange_module.OutboundMessage]
-) -> None:
-    for one in outbound:
-        daemon.send_message(one.receivers, one.message)
-
-
 def _log_fault(trace: str) -> None:
     observation.write_record(
         observation.Level.ERROR, "process.fault", traceback=trace
@@ -432,92 +432,6 @@
             call.fail(errors.ErrorKind.UNKNOWN_SERVICE)
 
 
-def _find_next_due(daemon: Daemon) -> float:
-    return min(
-        core.find_next_due(daemon.state),
-        daemon.client.find_next_due(),
-        daemon.replicator.find_next_due(),
-        upstreams_module.find_grace_end(daemon.state.table),
-        exchange_module.find_next_due(daemon.exchange, daemon.state),
-        crash_exchange_module.find_next_due(
-            daemon.crash_exchange, daemon.state
-        ),
-        origin_exchange_module.find_next_due(
-            daemon.origin_exchange, daemon.state
-        ),
-        daemon.next_stop_check_at,
-        *(server.find_next_due() for server in daemon.servers),
-    )
-
-
-def _run_timers(daemon: Daemon, now: float) -> None:
-    _record_lateness(daemon, now)
-    daemon.client.expire(now)
-    for server in daemon.servers:
-        server.expire(now)
-    if now >= exchange_module.find_next_due(daemon.exchange, daemon.state):
-        _send_loads(daemon, now)
-    if now >= crash_exchange_module.find_next_due(
-        daemon.crash_exchange, daemon.state
-    ):
-        _send_crash_reports(daemon, now)
-    if now >= origin_exchange_module.find_next_due(
-        daemon.origin_exchange, daemon.state
-    ):
-        _send_origins(daemon, now)
-    daemon.replicator.run(now)
-    _drop_missing_upstreams(daemon, now)
-    daemon.log.flush()
-    relay.perform_effects(daemon.proxy, core.run_timers(daemon.state, now))
-    if now >= daemon.next_backlog_log_at:
-        _log_backlog(daemon, now)
-    if now >= daemon.next_stop_check_at:
-        _continue_stop(daemon, now)
-
-
-def _log_backlog(daemon: Daemon, now: float) -> None:
-    """Logs the backlogs of waiting requests, if any.
-
-    The log interval is no timer of its own, so an idle process doesn't wake up
-    for it.
-    """
-    daemon.next_backlog_log_at = now + backlog.LOG_INTERVAL
-    backlogs = backlog.list_backlogs(daemon.state, now)
-    if backlogs:
-        ages = totals_module.compute_ages(daemon.exchange.totals, now)
-        observation.write_record(
-            observation.Level.INFO,
-            "teams.waiting",
-            teams=[dataclasses.asdict(one) for one in backlogs],
-            heard={scope.name.lower(): age for scope, age in ages.items()},
-        )
-
-
-def _drop_missing_upstreams(daemon: Daemon, now: float) -> None:
-    gone = upstreams_module.drop_missing(daemon.state.table, now)
-    if gone:
-        observation.write_record(
-            observation.Level.INFO,
-            "upstreams.changed",
-            gone=gone,
-            new=[],
-            restarted=[],
-        )
-
-
-def _record_lateness(daemon: Daemon, now: float) -> None:
-    overload = daemon.state.overload
-    was_overloaded = overload_module.is_overloaded(overload, now)
-    overload_module.record_lateness(overload, now, daemon.ticker.late)
-    if overload_module.is_overloaded(overload, now) and not was_overloaded:
-        observation.write_record(
-            observation.Level.WARNING,
-            "process.overloaded",
-            late=round(overload.lateness, 3),
-            in_progress=len(daemon.state.requests),
-        )
-
-
 def _begin_stop(daemon: Daemon) -> None:
     """Begins a graceful stop.
 
--- a/sycamorefall/direct/metrics.py
+++ b/sycamorefall/direct/metrics.py
@@ -7,7 +7,7 @@
 
 from prometheus_client import metrics_core
 
-from sycamorefall.direct import fingerprints, pacing
+from sycamorefall.direct import descriptors, fingerprints, pacing
 from sycamorefall.direct import upstreams as upstreams_module
 from sycamorefall.observation import metrics
 
@@ -134,6 +134,7 @@
         ("cause",),
         {("dropped",): control.dropped, ("refused",): control.refused},
     )
+    yield from descriptors.list_metrics(daemon)
     yield count(
         "shed",
         "Requests refused unread, as the process was behind.",
--- a/sycamorefall/direct/outcomes.py
+++ b/sycamorefall/direct/outcomes.py
@@ -15,6 +15,7 @@
     "record_sent",
     "refund_attempt",
     "refuse_delayed_requests",
+    "release_attempt",
 ]
 
 import enum
@@ -108,7 +109,7 @@
     return round(end - now + state.random.uniform(0.0, RETRY_JITTER), 2)
 
 
-def _release_attempt(
+def release_attempt(
     state: state_module.DirectState, request: state_module.Request
 ) -> upstreams.Upstream | None:
     """Ends a request's attempt and subtracts its load from the upstream.
@@ -146,7 +147,7 @@
         return []
     request.arrivals += 1
     request.possible_runs += 1
-    upstream = _release_attempt(state, request)
+    upstream = release_attempt(state, request)
     if upstream is not None:
         upstreams.end_probe(upstream)
     return [effects.AbortAttempt(request.number)]
@@ -172,10 +173,9 @@
 ) -> float:
     """Records the time at which a request is actually sent to its upstream.
 
-    This process may freeze between choosing the upstream and sending the
-    request. With the earlier time, the upstream would be taken for stalled at
-    once and the request retried elsewhere, and the upstream would be granted
-    time that has already passed.
+    This process may freeze between choosing the upstream and sending. With the
+    earlier time, the upstream would be taken for stalled at once, the request
+    retried elsewhere, and time granted that has already passed.
 
     Args:
         state: The router's state; changed.
@@ -462,7 +462,7 @@
     if request is None or request.attempt is None:
         return []
     attempt = request.attempt
-    upstream = _release_attempt(state, request)
+    upstream = release_attempt(state, request)
     _update_upstream_health(state, now, attempt.upstream, upstream, end)
     if end is not AttemptEnd.COMPLETE:
         refund_attempt(state, now, request, attempt)
@@ -571,8 +571,8 @@
 ) -> list[effects.Effect]:
     """Ends a request that gets no further attempt with an error.
 
-    The error says that the request did not run only if no upstream may have
-    run it. If forwarding of a response has started, the response is aborted.
+    It says that the request did not run only if no upstream may have run it.
+    If forwarding of a response has started, the response is aborted.
     """
     discard_request(state, request)
     if request.forwarding_started:
--- a/sycamorefall/direct/relay.py
+++ b/sycamorefall/direct/relay.py
@@ -2,6 +2,8 @@
 
 __all__ = [
     "Proxy",
+    "drop_orphans",
+    "drop_request",
     "handle_call",
     "perform_effects",
     "record_dropped_call",
@@ -15,13 +17,16 @@
 from sycamorefall import errors, observation, transport
 from sycamorefall.direct import (
     core,
+    crash_log,
     crashes,
     dialects,
     dispatching,
     effects,
+    faults,
     fingerprints,
+    local_failures,
     outcomes,
-    resumption,
+    proxied_requests,
     streams,
 )
 from sycamorefall.direct import state as state_module
@@ -30,13 +35,6 @@
 """Unsent bytes for a slow caller above which reading its upstream is paused."""
 
 
-MAX_LOGGED_TEXT = 64
-"""Characters of a text of callers or upstreams that a log record holds."""
-
-MAX_LOGGED_PARTS = 8
-"""Parts of a prompt that a log record holds."""
-
-
 _ATTEMPT_ENDS = {
     dialects.ResponseOutcome.SUCCESS: outcomes.AttemptEnd.COMPLETE,
     dialects.ResponseOutcome.FAILURE: outcomes.AttemptEnd.FAILED,
@@ -56,64 +54,6 @@
 """Effects that concern an upstream instead of a request in progress."""
 
 
-class _ProxiedRequest:
-    """A caller's request and the forwarding of its response.
-
-    Attributes:
-        call: The caller's HTTP request.
-        streamed: Whether events are forwarded as they arrive.
-        splitter: Splits the response into events to forward.
-        exchange: HTTP exchange of the current attempt; None between attempts.
-        ended_at_close: Whether the last response had neither a length nor
-            chunks and ended with its connection.
-        head: Response head of the current attempt; None until it was received.
-        carries_events: Whether the response of the current attempt is an event
-            stream.
-        first_head: Head of the first successful response, which the caller
-            gets.
-        buffered: Parts of a response that is forwarded only when complete.
-        trace: Log and metric data of the request.
-        request: The request as the decision logic knows it; None if it was
-            refused at once.
-        incoming: The request as received.
-    """
-
-    __slots__ = (
-        "call",
-        "carries_events",
-        "incoming",
-        "request",
-        "ended_at_close",
-        "exchange",
-        "first_head",
-        "head",
-        "buffered",
-        "splitter",
-        "streamed",
-        "trace",
-    )
-
-    def __init__(
-        self,
-        call: transport.IncomingCall,
-        incoming: state_module.IncomingRequest,
-        request: state_module.Request | None,
-        trace: observation.RequestTrace,
-    ):
-        self.call = call
-        self.carries_events = False
-        self.incoming = incoming
-        self.request = request
-        self.exchange: transport.Exchange | None = None
-        self.ended_at_close = False
-        self.first_head: dialects.ResponseHead | None = None
-        self.head: dialects.ResponseHead | None = None
-        self.buffered: list[bytes] = []
-        self.splitter = streams.EventSplitter()
-        self.streamed = request is not None and request.route.kind.streamed
-        self.trace = trace
-
-
 @dataclasses.dataclass(slots=True)
 class Proxy:
     """The I/O side of request forwarding, driven by the decision logic.
@@ -133,7 +73,7 @@
     recorder: observation.Recorder = dataclasses.field(
         default_factory=observation.Recorder
     )
-    in_flight: dict[int, _ProxiedRequest] = dataclasses.field(
+    in_flight: dict[int, proxied_requests.ProxiedRequest] = dataclasses.field(
         default_factory=dict
     )
     on_stream_begun: Callable[[], None] = lambda: None
@@ -169,6 +109,21 @@
 ) -> None:
     now = transport.read_clock()
     number, pending = core.handle_request(proxy.state, now, incoming)
+    try:
+        _begin_request(proxy, call, incoming, number, now)
+    except Exception:
+        core.cancel_request(proxy.state, number, now)
+        raise
+    perform_effects(proxy, pending)
+
+
+def _begin_request(
+    proxy: Proxy,
+    call: transport.IncomingCall,
+    incoming: state_module.IncomingRequest,
+    number: int,
+    now: float,
+) -> None:
     request = proxy.state.requests.get(number)
     trace = observation.record_request_start(
         proxy.recorder,
@@ -178,23 +133,12 @@
         request_id=proxy.dialect.read_request_id(call),
         route=request.route.name if request else "",
         target=round(request.target_at - now, 3) if request else None,
-        **_list_resume_fields(incoming),
+        **proxied_requests.list_resume_fields(incoming),
+    )
+    proxy.in_flight[number] = proxied_requests.ProxiedRequest(
+        call, incoming, request, trace
     )
-    proxy.in_flight[number] = _ProxiedRequest(call, incoming, request, trace)
     call.on_hangup = lambda: _cancel(proxy, number)
-    perform_effects(proxy, pending)
-
-
-def _list_resume_fields(
-    incoming: state_module.IncomingRequest,
-) -> dict[str, str]:
-    """Returns which stream a request goes on with, for its log record."""
-    if incoming.resumes is None and not incoming.last_event_id:
-        return {}
-    return {
-        "resumes": (incoming.resumes or "")[:MAX_LOGGED_TEXT],
-        "last_event": incoming.last_event_id[:MAX_LOGGED_TEXT],
-    }
 
 
 def _cancel(proxy: Proxy, number: int) -> None:
@@ -210,62 +154,111 @@
     proxied = proxy.in_flight.pop(number, None)
     if proxied is not None:
         now = transport.read_clock()
-        _record_resumption(proxy, proxied, now, end)
+        proxied_requests.record_resumption(
+            proxy.state, proxy.recorder, proxied, now, end
+        )
         observation.record_request_end(
             proxy.recorder, proxied.trace, now, end, **fields
         )
 
 
-def _record_resumption(
-    proxy: Proxy, proxied: _ProxiedRequest, now: float, end: str
+def perform_effects(proxy: Proxy, pending: Iterable[effects.Effect]) -> None:
+    """Performs effects; those of requests that have ended are ignored.
+
+    Guards against an effect that raises: the others of its batch would be lost
+    while the decisions count their requests as running, and their callers would
+    be held until their deadlines.
+    """
+    for effect in pending:
+        number = getattr(effect, "request", None)
+        proxied = proxy.in_flight.get(number)
+        try:
+            if isinstance(effect, _UPSTREAM_EFFECTS):
+                _perform_upstream_effect(proxy, effect)
+            elif proxied is not None:
+                _perform_effect(proxy, proxied, effect)
+        except Exception as error:
+            faults.log_fault(error)
+            if proxied is not None:
+                _end_failed_effect(proxy, proxied, effect)
+
+
+def _perform_effect(
+    proxy: Proxy,
+    proxied: proxied_requests.ProxiedRequest,
+    effect: effects.Effect,
+) -> None:
+    """Performs an effect of a request in progress."""
+    match effect:
+        case effects.SendRequest():
+            _send_request(proxy, proxied, effect)
+        case effects.AbortAttempt():
+            _abort_exchange(proxy, proxied)
+        case effects.AnswerError():
+            _answer_error(proxy, proxied, effect)
+        case effects.AbortResponse():
+            _finish_request(proxy, effect.request, "broken_off")
+            proxied.call.abort()
+        case effects.ForwardResponse():
+            _forward_response(proxy, proxied, effect.request)
+
+
+def _end_failed_effect(
+    proxy: Proxy,
+    proxied: proxied_requests.ProxiedRequest,
+    effect: effects.Effect,
 ) -> None:
-    """Logs and counts how a request ended that went on with a stream."""
-    stream = _list_resume_fields(proxied.incoming)
-    if not stream or (proxied.request and not proxied.request.resumes):
+    """Ends the request of an effect that raised, as truly as is known."""
+    number, exchange = effect.request, proxied.exchange
+    if not isinstance(effect, effects.SendRequest):
+        ran = getattr(effect, "ran", None)
+        kind = getattr(effect, "kind", errors.ErrorKind.INTERNAL)
+        drop_request(proxy, proxied, number, ran or errors.ANSWERS[kind].ran)
         return
-    known = proxied.request and proxied.request.known_origin
-    fields = {"source": "unknown"}
-    if known:
-        fields = {
-            "source": known.source or "own",
-            "age": round(now - known.learned_at, 3),
-            "version": resumption.find_version(proxy.state, known)[
-                :MAX_LOGGED_TEXT
-            ],
-        }
-    reason = resumption.classify_resumption(proxied.request)
-    observation.record_resumption(
-        proxy.recorder,
-        proxied.trace,
-        reason,
-        result=end,
-        attempt=proxied.incoming.attempt_id[:MAX_LOGGED_TEXT],
-        **stream,
-        **fields,
-    )
+    if exchange is not None and exchange.sent_any:
+        end = lambda: _end_broken_attempt(proxy, proxied, number)  # noqa: E731
+    else:
+        end = lambda: _end_unopened(proxy, proxied, number)  # noqa: E731
+    aborted = faults.contain(lambda: _abort_exchange(proxy, proxied))
+    if not (aborted and faults.contain(end)):
+        drop_request(proxy, proxied, number)
 
 
-def perform_effects(proxy: Proxy, pending: Iterable[effects.Effect]) -> None:
-    """Performs effects; those of requests that have ended are ignored."""
-    for effect in pending:
-        if isinstance(effect, _UPSTREAM_EFFECTS):
-            _perform_upstream_effect(proxy, effect)
-            continue
-        proxied = proxy.in_flight.get(effect.request)
-        if proxied is None:
-            continue
-        match effect:
-            case effects.SendRequest():
-                _send_request(proxy, proxied, effect)
-            case effects.AbortAttempt():
-                _abort_exchange(proxy, proxied)
-            case effects.AnswerError():
-                _answer_error(proxy, proxied, effect)
-            case effects.AbortResponse():
-                _finish_request(proxy, effect.request, "broken_off")
-                proxied.call.abort()
-            case effects.ForwardResponse():
-                _forward_response(proxy, proxied, effect.request)
+def drop_request(
+    proxy: Proxy,
+    proxied: proxied_requests.ProxiedRequest,
+    number: int,
+    ran: errors.Ran | None = None,
+) -> None:
+    """Ends a request after a fault, whatever is known of it.
+
+    Each step is taken although another one raises: what was counted is
+    released, the connection to the upstream closed and the caller told.
+    """
+    now, call = transport.read_clock(), proxied.call
+    faults.contain(lambda: core.cancel_request(proxy.state, number, now))
+    faults.contain(lambda: _abort_exchange(proxy, proxied))
+    kind = errors.ErrorKind.INTERNAL
+    faults.contain(lambda: _finish_request(proxy, number, kind.value))
+    proxy.in_flight.pop(number, None)
+    if call.response_started or not faults.contain(
+        lambda: call.fail(kind, ran=ran)
+    ):
+        faults.contain(call.abort)
+
+
+def drop_orphans(proxy: Proxy) -> None:
+    """Ends the requests that the decisions no longer know, or only they know.
+
+    Guards against an exception between a decision and its effects: the caller
+    of a request that has ended by the decisions would wait forever, and a
+    request without a caller would take its slot.
+    """
+    now = transport.read_clock()
+    for number in proxy.in_flight.keys() - proxy.state.requests.keys():
+        drop_request(proxy, proxy.in_flight[number], number)
+    for number in proxy.state.requests.keys() - proxy.in_flight.keys():
+        core.cancel_request(proxy.state, number, now)
 
 
 def _perform_upstream_effect(proxy: Proxy, effect: effects.Effect) -> None:
@@ -276,25 +269,8 @@
                 effect.address,
                 lambda found: _handle_check_result(proxy, effect, found),
             )
-        case effects.ReportCrash():
-            observation.count_event(proxy.recorder, "upstream", "crashed")
-            observation.write_record(
-                observation.Level.WARNING,
-                "upstream.crashed",
-                upstream=effect.crash.upstream,
-                requests=effect.requests,
-            )
-        case effects.ReportQuarantine():
-            is_part = fingerprints.is_part(effect.fingerprint)
-            accused = "part" if is_part else "request"
-            observation.count_event(proxy.recorder, accused, "quarantined")
-            observation.write_record(
-                observation.Level.WARNING,
-                "quarantine.added",
-                accused=accused,
-                fingerprint=effect.fingerprint.hex(),
-                crashed=[crash.upstream for crash in effect.crashes],
-            )
+        case effects.ReportCrash() | effects.ReportQuarantine():
+            crash_log.record_report(proxy.recorder, effect)
 
 
 def _handle_check_result(
@@ -306,19 +282,27 @@
     )
 
 
-def _abort_exchange(proxy: Proxy, proxied: _ProxiedRequest) -> None:
+def _abort_exchange(
+    proxy: Proxy, proxied: proxied_requests.ProxiedRequest
+) -> None:
     if proxied.exchange is not None:
         proxy.client.abort(proxied.exchange)
         proxied.exchange = None
 
 
 def _answer_error(
-    proxy: Proxy, proxied: _ProxiedRequest, effect: effects.AnswerError
+    proxy: Proxy,
+    proxied: proxied_requests.ProxiedRequest,
+    effect: effects.AnswerError,
 ) -> None:
-    details = _list_fields(effect.refusal) if effect.refusal else {}
+    details = (
+        proxied_requests.list_fields(effect.refusal) if effect.refusal else {}
+    )
     if effect.fingerprint:
         details["fingerprint"] = effect.fingerprint.hex()
-        details |= _list_quarantined_part(proxied, effect.fingerprint)
+        details |= proxied_requests.list_quarantined_part(
+            proxied, effect.fingerprint
+        )
     ran = effect.ran or errors.ANSWERS[effect.kind].ran
     _finish_request(
         proxy,
@@ -333,45 +317,25 @@
     )
 
 
-def _list_quarantined_part(
-    proxied: _ProxiedRequest, fingerprint: bytes
-) -> dict[str, str]:
-    """Returns the part for which a request is refused, for its log record."""
-    prompt = proxied.incoming.prompt
-    if not fingerprints.is_part(fingerprint) or prompt is None:
-        return {}
-    keys = (
-        key
-        for key, _ in prompt.parts
-        if fingerprints.compute_part_fingerprint(key) == fingerprint
-    )
-    return {"part": next(keys, "")[:MAX_LOGGED_TEXT]}
-
-
-def _list_fields(refusal: effects.Refusal) -> dict[str, object]:
-    """Returns the fields of a refusal, for its log record.
-
-    Under overload, refusals are most of a small router's work. `asdict` makes
-    deep copies of the values and takes 14 us of processor time, this function
-    2 us, each timed in isolation.
-    """
-    names = (field.name for field in dataclasses.fields(refusal))
-    return {name: getattr(refusal, name) for name in names}
-
-
 def _forward_response(
-    proxy: Proxy, proxied: _ProxiedRequest, number: int
+    proxy: Proxy, proxied: proxied_requests.ProxiedRequest, number: int
 ) -> None:
     head = proxied.head
     _finish_request(
-        proxy, number, "answered", status=head.status, **_list_framing(proxied)
+        proxy,
+        number,
+        "answered",
+        status=head.status,
+        **proxied_requests.list_framing(proxied),
     )
     body = b"".join(proxied.buffered)
     proxied.call.respond(head.status, body, head.headers)
 
 
 def _send_request(
-    proxy: Proxy, proxied: _ProxiedRequest, send: effects.SendRequest
+    proxy: Proxy,
+    proxied: proxied_requests.ProxiedRequest,
+    send: effects.SendRequest,
 ) -> None:
     call, number = proxied.call, send.request
     now = transport.read_clock()
@@ -395,7 +359,7 @@
         received=send.received,
         floor=send.floor,
         idle=send.idle,
-        version=send.software_version[:MAX_LOGGED_TEXT],
+        version=send.software_version[: proxied_requests.MAX_LOGGED_TEXT],
         time_left=round(send.time_left, 3),
     )
     streams.prepare_resume(proxied.splitter)
@@ -411,17 +375,23 @@
         host=call.headers.get("host", ""),
         max_idle_connections=send.max_idle_connections,
     )
+
+    def contained(handle: Callable[..., None], *arguments: object) -> None:
+        try:
+            handle(proxy, proxied, number, *arguments)
+        except Exception as error:
+            faults.log_fault(error)
+            drop_request(proxy, proxied, number)
+
     proxied.exchange = proxy.client.send(
         request,
         transport.Listener(
-            on_head=lambda status, headers: _handle_head(
-                proxy, proxied, number, status, headers
-            ),
-            on_data=lambda data: _handle_data(proxy, proxied, number, data),
-            on_end=lambda: _handle_end(proxy, proxied, number),
-            on_failure=lambda stage: _handle_failure(
-                proxy, proxied, number, stage
+            on_head=lambda status, headers: contained(
+                _handle_head, status, headers
             ),
+            on_data=lambda data: contained(_handle_data, data),
+            on_end=lambda: contained(_handle_end),
+            on_failure=lambda stage: contained(_handle_failure, stage),
             is_matching_response=lambda headers: (
                 proxy.dialect.is_matching_response(call, headers)
             ),
@@ -437,7 +407,7 @@
 
 def _handle_head(
     proxy: Proxy,
-    proxied: _ProxiedRequest,
+    proxied: proxied_requests.ProxiedRequest,
     number: int,
     status: int,
     headers: list[tuple[str, str]],
@@ -492,7 +462,10 @@
 
 
 def _handle_data(
-    proxy: Proxy, proxied: _ProxiedRequest, number: int, data: bytes
+    proxy: Proxy,
+    proxied: proxied_requests.ProxiedRequest,
+    number: int,
+    data: bytes,
 ) -> None:
     if (
         not proxied.streamed
@@ -517,7 +490,7 @@
 
 
 def _forward_events(
-    proxy: Proxy, proxied: _ProxiedRequest, data: bytes
+    proxy: Proxy, proxied: proxied_requests.ProxiedRequest, data: bytes
 ) -> None:
     call = proxied.call
     if not call.response_started:
@@ -528,12 +501,16 @@
         proxy.client.pause(proxied.exchange, True)
 
 
-def _resume_reading(proxy: Proxy, proxied: _ProxiedRequest) -> None:
+def _resume_reading(
+    proxy: Proxy, proxied: proxied_requests.ProxiedRequest
+) -> None:
     if proxied.exchange is not None:
         proxy.client.pause(proxied.exchange, False)
 
 
-def _handle_end(proxy: Proxy, proxied: _ProxiedRequest, number: int) -> None:
+def _handle_end(
+    proxy: Proxy, proxied: proxied_requests.ProxiedRequest, number: int
+) -> None:
     proxied.ended_at_close = proxied.exchange.ended_at_close
     proxied.exchange = None
     end = _ATTEMPT_ENDS[proxied.head.outcome]
@@ -549,7 +526,9 @@
     _end_attempt(proxy, proxied, number, end)
 
 
-def _find_cut(proxied: _ProxiedRequest) -> streams.StreamEnd | None:
+def _find_cut(
+    proxied: proxied_requests.ProxiedRequest,
+) -> streams.StreamEnd | None:
     """Finds where a stream was broken off although its end seems in order.
 
     The kernel closes the connections of a crashed process in order, so without
@@ -568,7 +547,7 @@
 
 
 def _finish_response(
-    proxy: Proxy, proxied: _ProxiedRequest, number: int
+    proxy: Proxy, proxied: proxied_requests.ProxiedRequest, number: int
 ) -> None:
     if not proxied.streamed:
         _forward_response(proxy, proxied, number)
@@ -581,30 +560,30 @@
         number,
         "answered",
         status=proxied.first_head.status,
-        **_list_framing(proxied),
+        **proxied_requests.list_framing(proxied),
     )
 
 
-def _list_framing(proxied: _ProxiedRequest) -> dict[str, bool]:
-    """Returns the field of a response that ended with its connection."""
-    return {"ended_at_close": True} if proxied.ended_at_close else {}
-
-
 def _handle_failure(
     proxy: Proxy,
-    proxied: _ProxiedRequest,
+    proxied: proxied_requests.ProxiedRequest,
     number: int,
     stage: transport.SendStage,
 ) -> None:
     proxied.exchange = None
-    if stage is transport.SendStage.NOT_SENT:
+    if stage is transport.SendStage.NOT_OPENED:
+        _end_unopened(proxy, proxied, number)
+    elif stage is transport.SendStage.NOT_SENT:
         _end_attempt(proxy, proxied, number, outcomes.AttemptEnd.NOT_SENT)
     else:
         _end_broken_attempt(proxy, proxied, number)
 
 
 def _end_broken_attempt(
-    proxy: Proxy, proxied: _ProxiedRequest, number: int, **fields: object
+    proxy: Proxy,
+    proxied: proxied_requests.ProxiedRequest,
+    number: int,
+    **fields: object,
 ) -> None:
     """Ends an attempt whose connection was lost after its request was sent.
 
@@ -620,20 +599,13 @@
     if request is not None and request.attempt is not None:
         fields["fingerprint"] = fingerprints.get_fingerprint(request).hex()
         fields["begun"] = request.attempt.response_started
-        fields["parts"] = _list_logged_parts(request)
+        fields["parts"] = proxied_requests.list_logged_parts(request)
     _end_attempt(proxy, proxied, number, outcomes.AttemptEnd.BROKEN, **fields)
 
 
-def _list_logged_parts(request: state_module.Request) -> list[str]:
-    """Lists keys of the shared parts of a prompt, for a log record."""
-    prompt = request.incoming.prompt
-    shared = prompt.parts[:-1] if prompt is not None else ()
-    return [key[:MAX_LOGGED_TEXT] for key, _ in shared[:MAX_LOGGED_PARTS]]
-
-
 def _end_attempt(
     proxy: Proxy,
-    proxied: _ProxiedRequest,
+    proxied: proxied_requests.ProxiedRequest,
     number: int,
     end: outcomes.AttemptEnd,
     **fields: object,
@@ -646,3 +618,15 @@
     )
     now = transport.read_clock()
     perform_effects(proxy, outcomes.end_attempt(proxy.state, now, number, end))
+
+
+def _end_unopened(
+    proxy: Proxy, proxied: proxied_requests.ProxiedRequest, number: int
+) -> None:
+    """Ends an attempt for which this VM could not open a connection."""
+    now = transport.read_clock()
+    end = transport.SendStage.NOT_OPENED.value
+    observation.record_attempt_end(proxy.recorder, proxied.trace, end)
+    perform_effects(
+        proxy, local_failures.end_unopened_attempt(proxy.state, now, number)
+    )
--- a/sycamorefall/settings.py
+++ b/sycamorefall/settings.py
@@ -25,46 +25,21 @@
 ]
 
 import configparser
-import ipaddress
 import pathlib
 from typing import Annotated, Literal, TypeVar
 
 import msgspec
 
 from sycamorefall import errors, ini
+from sycamorefall.addresses import Address, parse_address
 
 Positive = Annotated[float, msgspec.Meta(gt=0)]
 NonNegative = Annotated[float, msgspec.Meta(ge=0)]
 Count = Annotated[int, msgspec.Meta(ge=1)]
+NonNegativeCount = Annotated[int, msgspec.Meta(ge=0)]
 Name = Annotated[str, msgspec.Meta(pattern=r"^[A-Za-z0-9][A-Za-z0-9._-]*$")]
 
 
-class Address:
-    """An IP address and a port."""
-
-    __slots__ = ("host", "port")
-
-    def __init__(self, host: str, port: int):
-        self.host = host
-        self.port = port
-
-    def __str__(self) -> str:
-        return f"{self.host}:{self.port}"
-
-    def __eq__(self, other: object) -> bool:
-        if not isinstance(other, Address):
-            return NotImplemented
-        return self.pair == other.pair
-
-    def __hash__(self) -> int:
-        return hash(self.pair)
-
-    @property
-    def pair(self) -> tuple[str, int]:
-        """Tuple of host and port, as socket functions expect it."""
-        return self.host, self.port
-
-
 def _split_list(text: str) -> tuple[str, ...]:
     """Splits a comma-separated list; empty items are dropped."""
     parts = (part.strip() for part in text.split(","))
@@ -169,6 +144,15 @@
         max_body_bytes: Maximum size of a request body in bytes.
         max_header_bytes: Maximum size of a request head in bytes.
         max_connections: Maximum number of open connections of callers.
+        max_descriptors: Number of descriptors that the VM grants the process; 0
+            if only the kernel's limit counts. A router that sends directly
+            divides the lower one of both between callers, upstreams and other
+            routers.
+        reserved_descriptors: How many of `max_descriptors` connections can't
+            use.
+        max_memory_mb: Memory in MB that the VM grants the process; 0 if
+            unknown. A router that sends directly takes fewer callers at a VM
+            with little memory.
         header_timeout: Seconds within which a caller must send a complete
             request, and receive the rest of a response on a connection that is
             being closed.
@@ -181,6 +165,9 @@
     max_body_bytes: Count = 1 << 20
     max_header_bytes: Count = 1 << 15
     max_connections: Count = 4096
+    max_descriptors: NonNegativeCount = 0
+    reserved_descriptors: NonNegativeCount = 0
+    max_memory_mb: NonNegative = 0.0
     header_timeout: Positive = 20.0
     idle_timeout: Positive = 120.0
     default_timeout: Positive = 120.0
@@ -280,29 +267,6 @@
 Settings = TypeVar("Settings", RouterSettings, SidecarSettings, DirectSettings)
 
 
-def parse_address(text: str) -> Address:
-    """Parses `IP:port`.
-
-    Args:
-        text: An IP address and a port, such as `127.0.0.1:7400`.
-
-    Returns:
-        The address.
-
-    Raises:
-        ValueError: The text does not have this format.
-
-    Example:
-        >>> parse_address("127.0.0.1:7400").port
-        7400
-    """
-    host, separator, port = text.strip().rpartition(":")
-    if not separator or not port.isdecimal() or not 0 < int(port) < 65536:
-        raise ValueError(f"expected IP:port, got {text!r}")
-    ipaddress.ip_address(host)
-    return Address(host, int(port))
-
-
 def _decode_hook(expected: type, value: object) -> object:
     if expected is Address:
         return parse_address(str(value))
--- a/sycamorefall/transport/__init__.py
+++ b/sycamorefall/transport/__init__.py
@@ -19,15 +19,15 @@
     "read_clock",
 ]
 
-from sycamorefall.transport.client import (
+from sycamorefall.transport.client import HttpClient
+from sycamorefall.transport.control import ControlLinks
+from sycamorefall.transport.exchanges import (
     Exchange,
-    HttpClient,
     Listener,
     OutgoingRequest,
     Reachability,
     SendStage,
 )
-from sycamorefall.transport.control import ControlLinks
 from sycamorefall.transport.incoming_call import EVENT_STREAM, IncomingCall
 from sycamorefall.transport.loop import Loop, Ticker, create_loop, read_clock
 from sycamorefall.transport.request_reader import RequestHeaders
--- a/sycamorefall/transport/client.py
+++ b/sycamorefall/transport/client.py
@@ -5,18 +5,11 @@
 complete response from one that broke off.
 """
 
-__all__ = [
-    "Exchange",
-    "HttpClient",
-    "Listener",
-    "OutgoingRequest",
-    "Reachability",
-    "SendStage",
-]
+__all__ = ["HttpClient"]
 
 from collections.abc import Callable
+import contextlib
 import dataclasses
-import enum
 import errno
 import itertools
 import socket
@@ -26,6 +19,14 @@
 from sycamorefall import settings
 from sycamorefall.transport import poller as poller_module
 from sycamorefall.transport import request_writer, response_reader
+from sycamorefall.transport.exchanges import (
+    MAX_IDLE_TIME,
+    Exchange,
+    Listener,
+    OutgoingRequest,
+    Reachability,
+    SendStage,
+)
 
 READ_SIZE = 1 << 16
 """Maximum number of bytes read from a socket at once."""
@@ -36,11 +37,6 @@
 MAX_IDLE_PER_ADDRESS = 32
 """Maximum number of idle connections kept to one address."""
 
-
-MAX_IDLE_TIME = 4.0
-"""Seconds that an idle connection is kept. A typical server closes one after 5
-s, and a request sent at that moment is lost without a trace."""
-
 SWEEP_INTERVAL = 0.5
 """Minimum seconds between two searches for idle connections to close."""
 
@@ -48,29 +44,18 @@
 """Share of the idle timeout announced by a server after which its connection
 isn't used any more. The rest covers the network latency and late timers."""
 
-
-class SendStage(enum.Enum):
-    """How much of a request had been sent when its connection failed.
-
-    NOT_SENT: No byte of it was sent, so the server can't have received it.
-    SENT: At least part of it was sent.
-    """
-
-    NOT_SENT = "not_sent"
-    SENT = "sent"
-
-
-class Reachability(enum.Enum):
-    """Whether a process accepts connections.
-
-    ACCEPTED: A connection was established.
-    REFUSED: The VM refused the connection: no process listens there.
-    UNKNOWN: Neither; the VM may be down or unreachable.
-    """
-
-    ACCEPTED = "accepted"
-    REFUSED = "refused"
-    UNKNOWN = "unknown"
+LOCAL_ERRORS = frozenset(
+    {
+        errno.EADDRNOTAVAIL,
+        errno.EAGAIN,
+        errno.EMFILE,
+        errno.ENFILE,
+        errno.ENOBUFS,
+        errno.ENOMEM,
+    }
+)
+"""Errors of connecting that tell of this VM, not of the server: no descriptor,
+no port or no memory is left."""
 
 
 @dataclasses.dataclass(slots=True)
@@ -88,119 +73,18 @@
     on_result: Callable[[Reachability], None]
 
 
-@dataclasses.dataclass(slots=True, frozen=True)
-class OutgoingRequest:
-    """A request to send.
-
-    Attributes:
-        address: Address of the server.
-        method: HTTP method.
-        path: Path and query.
-        headers: Headers without `Host` and `Content-Length`.
-        body: The body.
-        requires_new_connection: Whether to use a new connection. The server may
-            close a kept connection while the request is in transit; whether the
-            request arrived is unknown then.
-        host: `Host` header; the address if empty.
-        max_idle_connections: Maximum number of idle connections to the address
-            that may be kept after the request, at most `MAX_IDLE_PER_ADDRESS`;
-            None for `MAX_IDLE_PER_ADDRESS`.
-    """
-
-    address: settings.Address
-    method: str
-    path: str
-    headers: tuple[tuple[str, str], ...] = ()
-    body: bytes = b""
-    requires_new_connection: bool = False
-    host: str = ""
-    max_idle_connections: int | None = None
-
-
-@dataclasses.dataclass(slots=True, frozen=True)
-class Listener:
-    """Callbacks for the response to a request.
-
-    Attributes:
-        on_head: Called with status and headers; names are in lower case.
-        on_data: Called with each piece of the body.
-        on_end: Called when the response is complete.
-        on_failure: Called instead of `on_end` if the connection failed.
-        on_sent: Called when a request that had to wait for its connection
-            starts being sent.
-        is_matching_response: Returns whether a response belongs to this
-            request, given the response's headers. One that doesn't is skipped,
-            and the next response on the connection is read: an upstream may
-            send a second response to an earlier request late, before the
-            response to this one.
-    """
-
-    on_head: Callable[[int, list[tuple[str, str]]], None]
-    on_data: Callable[[bytes], None]
-    on_end: Callable[[], None]
-    on_failure: Callable[[SendStage], None]
-    is_matching_response: Callable[[dict[str, str]], bool] | None = None
-    on_sent: Callable[[], None] | None = None
-
-
-class Exchange:
-    """A connection, and the request and response in progress on it.
+class HttpClient(circuits.BaseComponent):
+    """Sends requests over a pool of connections.
 
     Attributes:
-        address: Address of the server.
-        connected: Whether the connection is established.
-        ended_at_close: Whether the last response had neither a length nor
-            chunks and ended with the connection.
-        idle_since: Time at which the last response was complete.
-        max_idle_time: Seconds that the connection may be idle.
-        listener: Callbacks of the request in progress; None without one.
-        connect_started_at: Time at which the attempt to connect started.
-        paused: Whether reading the response is paused.
-        reader: Parser of the responses.
-        request: The last request.
-        sent_any: Whether a byte of the last request was sent.
-        skipping: Whether the response being read belongs to another request.
-        socket: The socket.
-        unsent: Bytes of the request that were not sent yet.
+        free_descriptor: Closes a connection of another part of the process that
+            nobody needs now; returns whether there was one.
+        max_connections: Number of open connections from which on idle ones are
+            closed; None without a limit.
+        unopened: Number of connections that could not be opened, for want of a
+            descriptor, a port or memory.
     """
 
-    __slots__ = (
-        "address",
-        "connected",
-        "ended_at_close",
-        "idle_since",
-        "max_idle_time",
-        "listener",
-        "connect_started_at",
-        "paused",
-        "reader",
-        "request",
-        "sent_any",
-        "skipping",
-        "socket",
-        "unsent",
-    )
-
-    def __init__(self, address: settings.Address, listener: Listener):
-        self.address = address
-        self.listener: Listener | None = listener
-        self.connected = False
-        self.ended_at_close = False
-        self.idle_since = 0.0
-        self.max_idle_time = MAX_IDLE_TIME
-        self.connect_started_at = 0.0
-        self.reader = response_reader.ResponseReader()
-        self.request: OutgoingRequest | None = None
-        self.skipping = False
-        self.paused = False
-        self.sent_any = False
-        self.socket: socket.socket | None = None
-        self.unsent = bytearray()
-
-
-class HttpClient(circuits.BaseComponent):
-    """Sends requests over a pool of connections."""
-
     channel = "http-client"
 
     def __init__(
@@ -224,7 +108,16 @@
         self._idle: dict[settings.Address, list[Exchange]] = {}
         self._connecting: dict[socket.socket, Exchange] = {}
         self._checks: dict[socket.socket, _ReachabilityCheck] = {}
+        self._failed: list[Callable[[], None]] = []
         self._last_swept_at = float("-inf")
+        self.free_descriptor: Callable[[], bool] = lambda: False
+        self.max_connections: int | None = None
+        self.unopened = 0
+
+    @property
+    def open_count(self) -> int:
+        """Number of open connections, idle ones included."""
+        return len(self._by_socket) + len(self._checks)
 
     def send(self, request: OutgoingRequest, listener: Listener) -> Exchange:
         """Sends a request.
@@ -237,6 +130,13 @@
         Returns:
             A handle with which the request can be paused or aborted.
         """
+        data = request_writer.format_request(
+            request.method,
+            request.path,
+            request.host or str(request.address),
+            request.headers,
+            request.body,
+        )
         exchange = (
             None
             if request.requires_new_connection
@@ -252,17 +152,20 @@
         exchange.reader = response_reader.ResponseReader(
             request.method == "HEAD"
         )
-        exchange.unsent += request_writer.format_request(
-            request.method,
-            request.path,
-            request.host or str(request.address),
-            request.headers,
-            request.body,
-        )
+        exchange.unsent += data
+        if exchange.socket is None:
+            self._failed.append(lambda: self._fail(exchange))
+            return exchange
         # A kept connection usually accepts a request at once. Bytes that it
         # doesn't accept, and its failure, are handled when it becomes writable.
         if not exchange.connected or not _push_unsent(exchange):
-            self._poller.addWriter(self, exchange.socket)
+            try:
+                self._poller.addWriter(self, exchange.socket)
+            except OSError:
+                if not exchange.sent_any:
+                    self._discard(exchange)
+                    exchange.socket = None
+                self._failed.append(lambda: self._fail(exchange))
         return exchange
 
     def _reuse_connection(self, address: settings.Address) -> Exchange | None:
@@ -289,18 +192,63 @@
         self, address: settings.Address, listener: Listener
     ) -> Exchange:
         exchange = Exchange(address, listener)
-        exchange.socket = socket.socket(socket.AF_INET, socket.SOCK_STREAM)
-        exchange.socket.setblocking(False)
-        exchange.socket.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
+        if (
+            self.max_connections is not None
+            and self.open_count >= self.max_connections
+        ):
+            self.close_one_idle()
+        sock, error = self._connect(address)
+        if sock is None or error in LOCAL_ERRORS:
+            self.unopened += 1
+            if sock is not None:
+                sock.close()
+            return exchange
+        exchange.socket = sock
         exchange.connect_started_at = self._read_clock()
-        self._by_socket[exchange.socket] = exchange
-        self._connecting[exchange.socket] = exchange
-        # A failure is reported at once or when the socket becomes writable. In
-        # both cases it is handled when the socket is writable, so that no
-        # callback is called before `send` returns.
-        exchange.socket.connect_ex(address.pair)
+        self._by_socket[sock] = exchange
+        self._connecting[sock] = exchange
         return exchange
 
+    def _connect(
+        self, address: settings.Address
+    ) -> tuple[socket.socket | None, int]:
+        """Opens a socket and starts to connect it.
+
+        Without a free descriptor, an idle connection is closed and the socket
+        opened in its place.
+
+        Returns:
+            The socket, None if there is none to be had, and the error number
+            with which connecting failed at once. Any other failure is handled
+            when the socket becomes writable, so that no callback is called
+            before `send` returns.
+        """
+        try:
+            sock = socket.socket(socket.AF_INET, socket.SOCK_STREAM)
+        except OSError:
+            if not self.close_one_idle() and not self.free_descriptor():
+                return None, errno.EMFILE
+            try:
+                sock = socket.socket(socket.AF_INET, socket.SOCK_STREAM)
+            except OSError:
+                return None, errno.EMFILE
+        sock.setblocking(False)
+        with contextlib.suppress(OSError):
+            sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
+        return sock, sock.connect_ex(address.pair)
+
+    def close_one_idle(self) -> bool:
+        """Closes the longest idle connection; returns whether there was one."""
+        oldest = min(
+            (kept[0] for kept in self._idle.values() if kept),
+            key=lambda one: one.idle_since,
+            default=None,
+        )
+        if oldest is None:
+            return False
+        self._discard(oldest)
+        return True
+
     def check_reachable(
         self,
         address: settings.Address,
@@ -312,9 +260,11 @@
             address: Address at which the process listens.
             on_result: Called with the result, never before this method returns.
         """
-        sock = socket.socket(socket.AF_INET, socket.SOCK_STREAM)
-        sock.setblocking(False)
-        failure = sock.connect_ex(address.pair)
+        sock, failure = self._connect(address)
+        if sock is None:
+            self.unopened += 1
+            self._failed.append(lambda: on_result(Reachability.UNKNOWN))
+            return
         if failure == errno.EINPROGRESS:
             failure = 0
         self._checks[sock] = _ReachabilityCheck(
@@ -358,7 +308,12 @@
             self._begin_reading(exchange)
 
     def find_next_due(self) -> float:
-        """Returns when the oldest pending attempt to connect times out."""
+        """Returns when the oldest pending attempt to connect times out.
+
+        It is in the past while a failure is to be reported.
+        """
+        if self._failed:
+            return float("-inf")
         oldest = (
             next(iter(pending.values()), None)
             for pending in (self._connecting, self._checks)
@@ -379,7 +334,14 @@
         a timeout a request would wait for minutes until the kernel gives up.
         Idle connections are closed once their maximum idle time is over; they
         are checked every `SWEEP_INTERVAL` seconds.
+
+        Requests whose connections could not be opened are reported here. Those
+        that their listeners send now are reported in the next call, so a
+        process without descriptors doesn't retry in a tight loop.
         """
+        for _ in range(len(self._failed)):
+            # Removed first: the others are reported although one raises.
+            self._failed.pop(0)()
         overdue = [
             exchange
             for exchange in self._connecting.values()
@@ -545,12 +507,17 @@
         limit = (
             min(limit, 1) if exchange.request.requires_new_connection else limit
         )
-        if reusable and len(kept) < limit:
+        if reusable and len(kept) < limit and not self._is_full():
             exchange.idle_since = self._read_clock()
             kept.append(exchange)
         else:
             self._discard(exchange)
 
+    def _is_full(self) -> bool:
+        """Returns whether connections in use leave no room for idle ones."""
+        limit = self.max_connections
+        return limit is not None and self.open_count > limit
+
     @circuits.handler("_disconnect")
     def _on_disconnect(self, sock: socket.socket) -> None:
         if sock in self._checks:
@@ -565,12 +532,17 @@
         exchange.listener = None
         self._discard(exchange)
         if listener is not None:
-            stage = SendStage.SENT if exchange.sent_any else SendStage.NOT_SENT
+            if exchange.socket is None:
+                stage = SendStage.NOT_OPENED
+            elif exchange.sent_any:
+                stage = SendStage.SENT
+            else:
+                stage = SendStage.NOT_SENT
             listener.on_failure(stage)
 
     def _discard(self, exchange: Exchange) -> None:
         sock = exchange.socket
-        if self._by_socket.pop(sock, None) is None:
+        if sock is None or self._by_socket.pop(sock, None) is None:
             return
         self._connecting.pop(sock, None)
         kept = self._idle.get(exchange.address, [])
--- a/sycamorefall/transport/control.py
+++ b/sycamorefall/transport/control.py
@@ -63,6 +63,7 @@
         dropped: Number of messages dropped because a link was full.
         refused: Number of received messages that could not be verified or
             decoded.
+        unopened: Number of links that could not be opened.
         unknown_names_dropped: Number of received messages dropped because they
             used names that are not defined here.
     """
@@ -108,6 +109,7 @@
         self.dropped = 0
         self.refused = 0
         self.unknown_names_dropped = 0
+        self.unopened = 0
         self._names = names.NameTable()
         self._last_sent: messages.Envelope | None = None
         self._inbox = pynng.Pull0(recv_buffer_size=RECEIVE_BUFFER)
@@ -116,6 +118,11 @@
         except pynng.NNGException as error:
             raise errors.AddressInUse(f"control {listen}: {error}") from error
 
+    @property
+    def link_count(self) -> int:
+        """Number of links to peers."""
+        return len(self._links)
+
     def attach(self, poller: pollers.BasePoller) -> None:
         """Registers the receiving socket with the loop's poller."""
         poller.addReader(self, self._inbox.recv_fd)
@@ -157,7 +164,14 @@
         link = self._links.get(to)
         if link is None or link.address != address:
             self._close_link(to)
-            link = self._links[to] = _Link(address)
+            try:
+                link = self._links[to] = _Link(address)
+            except pynng.NNGException:
+                # No descriptor or no memory is left for a socket. Messages may
+                # be lost, and the next one tries again.
+                self.unopened += 1
+                self.dropped += 1
+                return None
         return link
 
     def _push(
--- a/sycamorefall/transport/deadlines.py
+++ b/sycamorefall/transport/deadlines.py
@@ -35,6 +35,10 @@
         """Returns whether the time limit of a socket is running."""
         return sock in self._expiry_times
 
+    def __len__(self) -> int:
+        """Returns the number of sockets whose time limit is running."""
+        return len(self._expiry_times)
+
     def __iter__(self) -> Iterator[socket.socket]:
         """Iterates over the sockets in the order of expiry."""
         return iter(self._expiry_times)
--- a/sycamorefall/transport/server.py
+++ b/sycamorefall/transport/server.py
@@ -9,11 +9,11 @@
 from collections.abc import Callable
 import contextlib
 import socket
-import struct
 
 import circuits
 
 from sycamorefall import errors, observation, settings
+from sycamorefall.transport import connections as connections_module
 from sycamorefall.transport import (
     deadlines,
     loop,
@@ -35,13 +35,6 @@
 """Maximum number of connections accepted before the loop handles other
 events."""
 
-_RESET_ON_CLOSE = struct.pack("ii", 1, 0)
-"""Value of SO_LINGER with which the kernel resets a connection that is closed,
-also when its process is killed."""
-
-_CLOSE_IN_ORDER = struct.pack("ii", 0, 0)
-"""Value of SO_LINGER with which the kernel sends what is left, then the end."""
-
 _CONTINUE = b"HTTP/1.1 100 Continue\r\n\r\n"
 
 
@@ -49,42 +42,6 @@
     """Starts the next request of a connection."""
 
 
-class _Connection:
-    """A caller's connection.
-
-    Attributes:
-        reader: Parser of its requests.
-        call: The request in progress, if there is one.
-        refused: Whether no further request is accepted, as after a refusal;
-            bytes that are read are discarded.
-        drained_bytes: Number of bytes discarded since then.
-        shutdown_after_send: Whether the sending side is shut down when all
-            bytes were sent.
-        close_after_send: Whether the connection is closed in order when all
-            bytes were sent.
-        resets_on_close: Whether closing the connection resets it.
-    """
-
-    __slots__ = (
-        "call",
-        "close_after_send",
-        "drained_bytes",
-        "reader",
-        "refused",
-        "resets_on_close",
-        "shutdown_after_send",
-    )
-
-    def __init__(self, limits: settings.LimitSettings):
-        self.reader = request_reader.RequestReader(limits)
-        self.call: incoming_call_module.IncomingCall | None = None
-        self.refused = False
-        self.drained_bytes = 0
-        self.shutdown_after_send = False
-        self.close_after_send = False
-        self.resets_on_close = False
-
-
 class HttpServer(circuits.BaseComponent):
     """Listens for HTTP requests and passes each to a function.
 
@@ -104,6 +61,7 @@
         last_request_at: Time at which the last request was read or refused
             unread.
         shed: Number of requests refused unread.
+        acceptor: Accepts connections, as many as there may be.
     """
 
     channel = "web"
@@ -144,7 +102,9 @@
         self._shedding = shedding
         self._loop_pass = shedding_module.LoopPass()
         self.shed = 0
-        self._connections: dict[socket.socket, _Connection] = {}
+        self._connections: dict[
+            socket.socket, connections_module.Connection
+        ] = {}
         self.stopping = False
         self.last_request_at = float("-inf")
         self._listening_address: tuple[str, int] | None = None
@@ -156,6 +116,9 @@
         except OSError as error:
             raise errors.AddressInUse(f"{listen}: {error}") from error
         self.server.register(self)
+        self.acceptor = connections_module.Acceptor(
+            self.server, limits.max_connections, read_clock
+        )
 
     @property
     def host(self) -> str | None:
@@ -175,6 +138,11 @@
             else self.server.port
         )
 
+    @property
+    def open_count(self) -> int:
+        """Number of open connections."""
+        return len(self._connections)
+
     @property
     def listening(self) -> bool:
         """Whether new connections are accepted."""
@@ -187,7 +155,10 @@
             self._idle_timeouts,
             self._closing_timeouts,
         )
-        return min(limit.get_next_expiry() for limit in limits)
+        return min(
+            self.acceptor.find_next_due(),
+            *(limit.get_next_expiry() for limit in limits),
+        )
 
     def expire(self, now: float) -> None:
         """Refuses or closes the connections whose time limit has expired."""
@@ -201,6 +172,9 @@
             # A `close` event would wait until the unsent bytes are sent, but
             # this caller receives nothing.
             self._close(sock)
+        for sock in self.acceptor.excess_timeouts.pop_expired(now):
+            self._close(sock)
+        self.acceptor.resume(now)
 
     def push(self, sock: socket.socket, data: bytes) -> None:
         """Sends bytes on a connection."""
@@ -287,39 +261,60 @@
         deadlines.
         """
         for accepted in range(MAX_ACCEPTS_PER_EVENT):
-            try:
-                sock, _ = self.server._sock.accept()
-            except OSError:
+            if not self._may_accept():
+                self.acceptor.pause()
+                return accepted
+            sock = self.acceptor.accept()
+            if sock is None:
                 return accepted
             self._add_connection(sock)
         return MAX_ACCEPTS_PER_EVENT
 
+    def _may_accept(self) -> bool:
+        """Returns whether a new connection could be served or refused."""
+        return (
+            not self.acceptor.is_full(len(self._connections))
+            or self._find_idle() is not None
+            or self.acceptor.may_refuse()
+        )
+
     def _add_connection(self, sock: socket.socket) -> None:
-        if not self._ensure_capacity():
-            sock.close()
-            return
+        now = self._read_clock()
+        connection = connections_module.Connection(self._limits, now)
+        connection.excess = not self._ensure_capacity()
+        timeouts = self._idle_timeouts
+        if connection.excess:
+            timeouts = self.acceptor.excess_timeouts
         self.server._on_accept_done(sock, fire_connect_event=False)
-        self._connections[sock] = _Connection(self._limits)
-        self._idle_timeouts.start(sock, self._read_clock())
+        self._connections[sock] = connection
+        timeouts.start(sock, now)
 
     def _ensure_capacity(self) -> bool:
-        """Closes the longest idle connections while the server is at its limit.
-
-        Connections with an unsent response are closed last.
+        """Closes idle connections while the server is at its limit.
 
         Returns:
-            Whether another connection can be accepted.
+            Whether another connection can be served.
         """
-        while len(self._connections) >= self._limits.max_connections:
-            sent = (
-                one for one in self._idle_timeouts if not self.count_unsent(one)
-            )
-            candidate = next(sent, self._idle_timeouts.get_first())
-            if candidate is None:
+        while self.acceptor.is_full(len(self._connections)):
+            if not self.close_one_idle():
                 return False
-            self._close_idle(candidate)
         return True
 
+    def close_one_idle(self) -> bool:
+        """Closes the longest idle connection; returns whether there was one."""
+        candidate = self._find_idle()
+        if candidate is not None:
+            self._close_idle(candidate)
+        return candidate is not None
+
+    def _find_idle(self) -> socket.socket | None:
+        """Finds the longest idle connection, with no unsent response if any."""
+        known = self.acceptor.list_evictable(
+            self._idle_timeouts, self._connections
+        )
+        sent = (one for one in known if not self.count_unsent(one))
+        return next(sent, known[0] if known else None)
+
     def is_drained(self) -> bool:
         """Returns whether no request and no response is in progress."""
         return not any(
@@ -340,10 +335,7 @@
         connection = self._connections.get(sock)
         if connection is not None:
             connection.resets_on_close = True
-            with contextlib.suppress(OSError):
-                sock.setsockopt(
-                    socket.SOL_SOCKET, socket.SO_LINGER, _RESET_ON_CLOSE
-                )
+            connections_module.set_close(sock, resets=True)
 
     def finish_call(self, call: incoming_call_module.IncomingCall) -> None:
         """Schedules what follows a complete response on its connection."""
@@ -463,6 +455,14 @@
             connection.call is None
             and not self._request_timeouts.is_running(sock)
         )
+        if connection.excess:
+            self.last_request_at = self._read_clock()
+            self.acceptor.record_refusal(len(self._connections))
+            retry_after = connections_module.EXCESS_RETRY_AFTER
+            if self._shedding is not None:
+                retry_after = self._shedding.retry_after
+            self._refuse(sock, errors.ErrorKind.OVERLOADED, retry_after)
+            return
         if is_new and shedding_module.should_shed(
             self._shedding, self._loop_pass
         ):
@@ -520,7 +520,7 @@
         self._refuse(sock, kind, self._shedding.retry_after)
 
     def _handle_request(
-        self, sock: socket.socket, connection: _Connection
+        self, sock: socket.socket, connection: connections_module.Connection
     ) -> None:
         self._idle_timeouts.stop(sock)
         parsed = connection.reader.parse_request()
@@ -537,7 +537,7 @@
     def _start_call(
         self,
         sock: socket.socket,
-        connection: _Connection,
+        connection: connections_module.Connection,
         request: request_reader.InboundRequest,
     ) -> None:
         try:
@@ -598,10 +598,7 @@
             return
         if connection.resets_on_close:
             connection.resets_on_close = False
-            with contextlib.suppress(OSError):
-                sock.setsockopt(
-                    socket.SOL_SOCKET, socket.SO_LINGER, _CLOSE_IN_ORDER
-                )
+            connections_module.set_close(sock, resets=False)
         self.server.close(sock)
 
     def _refuse(
@@ -628,10 +625,12 @@
 
     def _forget(self, sock: socket.socket) -> None:
         connection = self._connections.pop(sock, None)
+        self.acceptor.hurry()
         for limit in (
             self._request_timeouts,
             self._idle_timeouts,
             self._closing_timeouts,
+            self.acceptor.excess_timeouts,
         ):
             limit.stop(sock)
         if connection is not None and connection.call is not None:
--- /dev/null
+++ b/sycamorefall/transport/tests/test_exhaustion.py
@@ -0,0 +1,333 @@
+"""Client and server of a process that has no descriptor left."""
+
+import errno
+import socket
+
+import pytest
+
+from sycamorefall import settings, transport
+from sycamorefall.transport import client as client_module
+from sycamorefall.transport import connections
+from sycamorefall.transport.tests import test_client, test_server
+
+KEPT_ANSWERS = 3
+
+
+@pytest.fixture
+def site():
+    created = test_client.Site()
+    yield created
+    created.upstream.close()
+
+
+def exhaust(monkeypatch, failures=None, error=errno.EMFILE):
+    """Makes opening a socket fail, at most `failures` times if given."""
+    opened = socket.socket
+    counts = [0]
+
+    def open_socket(*arguments, **options):
+        # Sockets that are accepted are created with their descriptor.
+        is_new = "fileno" not in options
+        if is_new and (failures is None or counts[0] < failures):
+            counts[0] += 1
+            raise OSError(error, "a test error")
+        return opened(*arguments, **options)
+
+    monkeypatch.setattr(client_module.socket, "socket", open_socket)
+
+
+def send(site, stages, requires_new_connection=True):
+    listener = transport.Listener(
+        on_head=lambda *_: None,
+        on_data=lambda _: None,
+        on_end=site.count_response,
+        on_failure=stages.append,
+    )
+    request = transport.OutgoingRequest(
+        site.upstream.address,
+        "POST",
+        "/x",
+        requires_new_connection=requires_new_connection,
+    )
+    return site.client.send(request, listener)
+
+
+@pytest.mark.parametrize("error", [errno.EMFILE, errno.ENFILE, errno.ENOBUFS])
+def test_unopened_connection_is_reported_later(site, monkeypatch, error):
+    # Guards against an exception out of `send` for want of a descriptor, and
+    # against a report from inside of it, on which the decisions would act in
+    # the middle of another one.
+    exhaust(monkeypatch, error=error)
+    stages = []
+    sent = [send(site, stages) for _ in range(3)]
+    assert stages == []
+    assert site.client.find_next_due() <= site.now
+    site.client.abort(sent[1])
+    site.client.pause(sent[2], True)
+    site.client.expire(site.now)
+    assert stages == [transport.SendStage.NOT_OPENED] * 2
+    assert site.client.find_next_due() == float("inf")
+    assert site.client.unopened == 3
+    assert site.client.open_count == 0
+
+
+def test_requests_sent_on_a_report_wait_for_the_next_pass(site, monkeypatch):
+    # Guards against a tight loop: a request that is sent again on the report
+    # of its failure fails again at once.
+    exhaust(monkeypatch)
+    stages = []
+
+    class Retrying(list):
+        def append(self, stage):
+            stages.append(stage)
+            send(site, self)
+
+    send(site, Retrying())
+    site.client.expire(site.now)
+    assert len(stages) == 1
+
+
+def test_report_that_raises_leaves_the_others(site, monkeypatch):
+    # Guards against a listener that raises: the requests after it would never
+    # be told that they weren't sent.
+    exhaust(monkeypatch)
+    stages = []
+
+    class Raising(list):
+        def append(self, _):
+            raise RuntimeError("a test exception")
+
+    send(site, Raising())
+    send(site, stages)
+    with pytest.raises(RuntimeError):
+        site.client.expire(site.now)
+    site.client.expire(site.now)
+    assert stages == [transport.SendStage.NOT_OPENED]
+
+
+def test_idle_connection_makes_room_for_a_new_one(site, monkeypatch):
+    # Guards against idle connections that keep their descriptors while a
+    # request can't be sent for want of one.
+    for _ in range(KEPT_ANSWERS):
+        send(site, [], requires_new_connection=False)
+    site.run_until(lambda: site.response_count == KEPT_ANSWERS)
+    assert site.client.open_count == KEPT_ANSWERS
+    exhaust(monkeypatch, failures=1)
+    stages = []
+    send(site, stages)
+    site.run_until(lambda: site.response_count == KEPT_ANSWERS + 1)
+    assert stages == []
+    assert site.client.unopened == 0
+
+
+def test_other_connections_are_closed_when_none_of_its_own_is_idle(
+    site, monkeypatch
+):
+    # Guards against a request that isn't sent although callers' connections
+    # are idle.
+    exhaust(monkeypatch, failures=1)
+    freed = []
+    site.client.free_descriptor = lambda: not freed.append(True)
+    stages = []
+    send(site, stages)
+    site.run_until(lambda: site.response_count == 1)
+    assert (freed, stages) == ([True], [])
+
+
+def test_idle_connections_stay_within_the_limit(site):
+    # Guards against idle connections to upstreams that fill what is left for
+    # requests in progress.
+    site.client.max_connections = 2
+    for _ in range(4):
+        send(site, [], requires_new_connection=False)
+    assert site.client.open_count == 4, "requests in progress are not held"
+    site.run_until(lambda: site.response_count == 4)
+    assert site.client.open_count == 2
+    send(site, [], requires_new_connection=True)
+    site.run_until(lambda: site.response_count == 5)
+    assert site.client.open_count <= 2
+
+
+def test_check_without_a_descriptor_finds_nothing_out(site, monkeypatch):
+    # Guards against a check of a suspected crash that raises, or that takes
+    # its own lack of descriptors for a crash of the upstream.
+    exhaust(monkeypatch)
+    found = []
+    site.client.check_reachable(site.upstream.address, found.append)
+    assert found == []
+    site.client.expire(site.now)
+    assert found == [transport.Reachability.UNKNOWN]
+
+
+def test_lack_of_ports_is_no_failure_of_the_upstream(site, monkeypatch):
+    # Guards against an upstream that is taken for dead as this VM has no port
+    # left for a connection.
+    class Portless(socket.socket):
+        def connect_ex(self, _):
+            return errno.EADDRNOTAVAIL
+
+    monkeypatch.setattr(client_module.socket, "socket", Portless)
+    stages = []
+    send(site, stages)
+    site.client.expire(site.now)
+    assert stages == [transport.SendStage.NOT_OPENED]
+    assert site.client.open_count == 0
+
+
+def test_request_that_cannot_be_written_opens_no_connection(site):
+    # Guards against a connection that stays open for a request whose head
+    # can't be formatted.
+    request = transport.OutgoingRequest(
+        settings.Address("127.0.0.1", 1), "GET", "/", (("a", "x\r\nb: y"),)
+    )
+    with pytest.raises(ValueError):
+        site.client.send(request, None)
+    assert site.client.open_count == 0
+
+
+def fill_server(site, count):
+    """Opens connections with a request in progress each."""
+    callers = [site.connect() for _ in range(count)]
+    for caller in callers:
+        caller.send(test_server.GET % b"later")
+    site.run_until(lambda: len(site.calls) == count)
+    return callers
+
+
+def test_caller_too_many_is_told_to_return_elsewhere():
+    # Guards against connections that are closed without a word when a router
+    # is full: their callers can't tell that another router has room.
+    shedding = transport.Shedding(10.0, retry_after=0.1)
+    site = test_server.Site(shedding, max_connections=2)
+    served = fill_server(site, 2)
+    late = site.connect()
+    late.send(test_server.GET % b"now")
+    response = site.read(late, b"}}")
+    assert response.startswith(b"HTTP/1.1 503")
+    assert b"Retry-After: 0.1\r\n" in response
+    assert b"Connection: close" in response
+    assert b'"ran":"no"' in response
+    late.close()
+    site.run_until(lambda: site.server.open_count == 2)
+    for call in site.calls:
+        call.respond(200, b"served")
+    for caller in served:
+        assert b"served" in site.read(caller, b"served")
+    assert site.server.acceptor.refused == 1
+    again = site.connect()
+    again.send(test_server.GET % b"now")
+    assert b"200 OK" in site.read(again, b"\r\n\r\nnow")
+
+
+def test_callers_beyond_the_reserve_wait_in_the_kernel():
+    # Guards against refusals that take the descriptors which are kept for
+    # requests in progress, and against a loop that spins meanwhile.
+    site = test_server.Site(max_connections=1)
+    site.server.acceptor.max_excess = 2
+    served = fill_server(site, 1)
+    callers = [site.connect() for _ in range(6)]
+    for _ in range(50):
+        site.loop.tick(0.001)
+    assert site.server.open_count == 3
+    listening = site.server.server._sock
+    assert not site.server.server._poller.isReading(listening)
+    refused = 0
+    for caller in callers:
+        caller.send(test_server.GET % b"now")
+        site.advance(connections.ACCEPT_PAUSE)
+        assert b"503" in site.read(caller, b"}}")
+        caller.close()
+        refused += 1
+        site.run_until(lambda: site.server.open_count <= 3)
+        site.advance(connections.ACCEPT_PAUSE)
+    assert site.server.acceptor.refused == refused == 6
+    assert served[0].fileno() >= 0
+
+
+def test_silent_caller_too_many_is_closed_soon():
+    # Guards against callers that connect and send nothing: they would hold the
+    # few connections on which others are refused.
+    site = test_server.Site(max_connections=1)
+    served = fill_server(site, 1)
+    silent = site.connect()
+    site.run_until(lambda: site.server.open_count == 2)
+    site.advance(connections.EXCESS_TIME)
+    assert site.read(silent, b"nothing") == b""
+    assert site.server.open_count == len(served)
+
+
+def test_accepting_pauses_without_a_descriptor():
+    # Guards against a loop that spins: without a descriptor the listening
+    # socket stays readable, and accepting fails each time.
+    site = test_server.Site()
+    idle = site.connect()
+    site.run_until(lambda: site.server.open_count == 1)
+
+    class Exhausted:
+        attempts = 0
+
+        def __init__(self, sock):
+            self.sock = sock
+
+        def accept(self):
+            self.attempts += 1
+            raise OSError(errno.EMFILE, "a test error")
+
+        def fileno(self):
+            return self.sock.fileno()
+
+    listening = site.server.server._sock
+    exhausted = Exhausted(listening)
+    told = []
+    site.server.acceptor.on_exhausted = lambda: told.append(True)
+    caller = site.connect()
+    caller.send(test_server.GET % b"now")
+    site.server.server._sock = exhausted
+    site.server._accept_pending()
+    site.server.server._sock = listening
+    assert (exhausted.attempts, told) == (1, [True])
+    assert site.server.acceptor.exhausted == 1
+    assert site.server.find_next_due() == connections.ACCEPT_PAUSE
+    site.advance(connections.ACCEPT_PAUSE)
+    assert b"200 OK" in site.read(caller, b"\r\n\r\nnow")
+    idle.close()
+
+
+def test_new_caller_is_not_closed_before_its_request_arrives():
+    # Guards against a crowd whose callers close each other's connections: one
+    # whose request is on its way is no idle one, and a caller that finds a new
+    # connection closed can't tell whether its request ran.
+    site = test_server.Site(max_connections=2)
+    site.server.acceptor.fresh_time = 0.25
+    new = [site.connect(), site.connect()]
+    site.run_until(lambda: site.server.open_count == 2)
+    site.now = 0.2
+    late = site.connect()
+    late.send(test_server.GET % b"now")
+    assert b"503" in site.read(late, b"}}")
+    late.close()
+    for caller in new:
+        caller.send(test_server.GET % b"now")
+        assert b"200 OK" in site.read(caller, b"\r\n\r\nnow")
+    site.now = 0.25
+    later = site.connect()
+    later.send(test_server.GET % b"now")
+    assert b"200 OK" in site.read(later, b"\r\n\r\nnow")
+    assert site.read(new[0], b"nothing") == b"", "the longest idle one"
+
+
+def test_accepting_goes_on_as_soon_as_a_connection_closes():
+    # Guards against refusals that are held up by the pause: callers beyond the
+    # reserve would wait in the kernel for longer than a refusal takes.
+    site = test_server.Site(max_connections=1)
+    site.server.acceptor.max_excess = 1
+    served = fill_server(site, 1)
+    callers = [site.connect() for _ in range(4)]
+    for caller in callers:
+        caller.send(test_server.GET % b"now")
+        assert b"503" in site.read(caller, b"}}")
+        caller.close()
+        for _ in range(20):
+            site.loop.tick(0.001)
+        site.advance(0.0)
+    assert site.server.open_count == len(served)
