--- a/sycamorefall/direct/descriptors/applying.py
+++ b/sycamorefall/direct/descriptors/applying.py
@@ -43,7 +43,7 @@
     divided = division.divide(vm, peers)
     if divided == daemon.division:
         return
-    daemon.division = divided
+    before, daemon.division = daemon.division, divided
     acceptor = daemon.servers[0].acceptor
     acceptor.max_connections = divided.callers
     acceptor.max_excess = divided.refusals
@@ -52,6 +52,11 @@
     for server in daemon.servers[1:]:
         server.acceptor.max_connections = division.OPERATOR_CONNECTIONS
         server.acceptor.max_excess = 0
+    if before and (before.callers, before.refusals) == (
+        divided.callers,
+        divided.refusals,
+    ):
+        return  # Peers come and go; what is left for callers is the same.
     observation.write_record(
         observation.Level.INFO,
         "connections.divided",
--- a/sycamorefall/transport/deadlines.py
+++ b/sycamorefall/transport/deadlines.py
@@ -3,7 +3,6 @@
 __all__ = ["Deadlines"]
 
 from collections.abc import Iterator
-import itertools
 import socket
 
 
@@ -51,12 +50,13 @@
         """Returns the socket whose time limit expires next."""
         return next(iter(self._expiry_times), None)
 
-    def pop_expired(self, now: float) -> list[socket.socket]:
-        """Removes and returns the sockets whose time limit has expired."""
-        late = itertools.takewhile(
-            lambda item: item[1] <= now, self._expiry_times.items()
-        )
-        expired = [sock for sock, _ in late]
-        for sock in expired:
+    def pop_expired(self, now: float) -> Iterator[socket.socket]:
+        """Removes and yields the sockets whose time limit has expired.
+
+        Each is removed as it is yielded, so an exception while one is handled
+        doesn't lose the time limits of the others.
+        """
+        while self.get_next_expiry() <= now:
+            sock = self.get_first()
             del self._expiry_times[sock]
-        return expired
+            yield sock
--- a/sycamorefall/transport/tests/test_exhaustion.py
+++ b/sycamorefall/transport/tests/test_exhaustion.py
@@ -331,3 +331,21 @@
             site.loop.tick(0.001)
         site.advance(0.0)
     assert site.server.open_count == len(served)
+
+
+def test_time_limit_survives_a_fault_of_another_connection():
+    # Guards against connections that stay open forever: a fault while one
+    # expired connection was handled lost the time limits of the others.
+    site = test_server.Site(header_timeout=20.0)
+    faulty, slow = site.connect(), site.connect()
+    for count, caller in enumerate((faulty, slow), 1):
+        caller.send(b"GET /fault HTTP/1.1\r\nHost: a\r\n")
+        site.run_until(
+            lambda count=count: len(site.server._request_timeouts) == count
+        )
+    faulty.send(b"\r\n")
+    with pytest.raises(RuntimeError):
+        site.advance(20.0)
+    site.server.expire(site.now)
+    assert b"408" in site.read(slow, b"}}")
+    assert b"500" in site.read(faulty, b"}}")
