Requests that a fault outside the timers has orphaned are ended

An exception that the loop reported left requests that only the decisions or only the relay knew. The next timers end them, as after a fault of their own.

--- a/sycamorefall/direct/daemon.py
+++ b/sycamorefall/direct/daemon.py
@@ -231,7 +231,9 @@
     config: settings.DirectSettings, dialect: dialects.Dialect
 ) -> Daemon:
     log = observation.open_log(config.log)
-    loop = transport.create_loop(lambda: _begin_stop(daemon), _log_fault)
+    loop = transport.create_loop(
+        lambda: _begin_stop(daemon), lambda trace: _record_fault(proxy, trace)
+    )
     poller = next(
         part for part in loop.components if isinstance(part, pollers.BasePoller)
     )
@@ -409,7 +411,8 @@
         relay.perform_effects(daemon.proxy, pending)
 
 
-def _log_fault(trace: str) -> None:
+def _record_fault(proxy: relay.Proxy, trace: str) -> None:
+    proxy.faulted = True
     observation.write_record(
         observation.Level.ERROR, "process.fault", traceback=trace
     )
--- a/sycamorefall/direct/relay.py
+++ b/sycamorefall/direct/relay.py
@@ -65,6 +65,7 @@
         recorder: Records requests for logs and metrics.
         in_flight: Requests in progress by number.
         on_stream_begun: Called before the first event of a stream is forwarded.
+        faulted: Whether something raised since orphans were last ended.
     """
 
     state: state_module.DirectState
@@ -77,6 +78,7 @@
         default_factory=dict
     )
     on_stream_begun: Callable[[], None] = lambda: None
+    faulted: bool = False
 
 
 def handle_call(proxy: Proxy, call: transport.IncomingCall) -> None:
@@ -178,6 +180,7 @@
             elif proxied is not None:
                 _perform_effect(proxy, proxied, effect)
         except Exception as error:
+            proxy.faulted = True
             faults.log_fault(error)
             if proxied is not None:
                 _end_failed_effect(proxy, proxied, effect)
@@ -254,6 +257,7 @@
     of a request that has ended by the decisions would wait forever, and a
     request without a caller would take its slot.
     """
+    proxy.faulted = False
     now = transport.read_clock()
     for number in proxy.in_flight.keys() - proxy.state.requests.keys():
         drop_request(proxy, proxy.in_flight[number], number)
--- a/sycamorefall/direct/tests/test_failing_effects.py
+++ b/sycamorefall/direct/tests/test_failing_effects.py
@@ -396,3 +396,25 @@
     timers.run(daemon, 0.1, lambda *_: None)
     assert [len(call.ends) for call in router.calls] == [1, 0]
     router.assert_consistent()
+
+
+def test_request_without_a_caller_frees_its_slot_after_a_fault(
+    create_router, monkeypatch
+):
+    # Guards against a request that only the decisions know, since something
+    # raised as its caller left: it would keep its slot until its deadline.
+    router = create_router()
+    router.handle_calls(["look", "look"])
+    del router.proxy.in_flight[next(iter(router.proxy.in_flight))]
+    router.proxy.faulted = True  # The loop has reported the exception.
+    daemon, _ = create_daemon(router, ())
+    for name in (
+        "_record_lateness",
+        "_send_due_messages",
+        "_drop_missing_upstreams",
+    ):
+        monkeypatch.setattr(timers, name, lambda *_: None)
+    timers.run(daemon, 0.1, lambda *_: None)
+    assert router.state.running == 1
+    router.assert_consistent()
+    assert not router.proxy.faulted
--- a/sycamorefall/direct/timers.py
+++ b/sycamorefall/direct/timers.py
@@ -81,6 +81,7 @@
     failed = sum(not faults.contain(step) for step in steps)
     if failed:
         daemon.timers_resume_at = now + FAULT_PAUSE
+    if failed or daemon.proxy.faulted:
         faults.contain(lambda: relay.drop_orphans(daemon.proxy))
     if now >= daemon.next_stop_check_at:
         continue_stop(daemon, now)
