--- a/sycamorefall/direct/tests/test_failing_effects.py
+++ b/sycamorefall/direct/tests/test_failing_effects.py
@@ -5,21 +5,18 @@
 from hypothesis import given
 from hypothesis import strategies as st
 import pytest
-from returns import result
 
 from sycamorefall import errors, transport
 from sycamorefall.direct import (
     core,
-    dialects,
     effects,
     fair_queue,
     local_failures,
     outcomes,
     relay,
-    timers,
     upstreams,
 )
-from sycamorefall.direct.tests import fakes
+from sycamorefall.direct.tests import failing_router
 
 EXCEPTIONS = (
     OSError(24, "Too many open files"),
@@ -32,115 +29,9 @@
 """Requests that run at an upstream which takes no more."""
 
 
-class Call:
-    """A caller's request that records how it ended.
-
-    Attributes:
-        ends: Ends that its caller has seen.
-        raises: Exception that its next response raises.
-    """
-
-    def __init__(self, path):
-        self.method, self.target, self.path = "POST", path, path
-        self.headers, self.body = {}, b""
-        self.response_started = False
-        self.ends = []
-        self.raises = None
-
-    def fail(self, kind, message="", ran=None, retry_after=None):
-        if self.raises is not None:
-            raised, self.raises = self.raises, None
-            raise raised
-        self.ends.append(("fail", kind, ran, retry_after))
-
-    def abort(self):
-        self.ends.append(("abort", None, None, None))
-
-
-class Exchange:
-    def __init__(self, listener):
-        self.listener = listener
-        self.sent_any = True
-        self.ended_at_close = False
-
-
-class Router:
-    """A router whose HTTP client fails as a test says.
-
-    Attributes:
-        now: Time of its clock.
-        calls: All calls, by the order of their arrival.
-        sent: Exchanges of the requests that were sent, by target.
-        plan: What `send` does for a target: `raise`, `raise_later` (by the
-            listener), `unopened` or nothing.
-        error: Exception that `raise` raises.
-    """
-
-    def __init__(self, monkeypatch, listing=fakes.STANDARD_LISTING):
-        self.now = 0.0
-        self.calls, self.sent, self.aborted = [], {}, []
-        self.plan, self.error = {}, None
-        monkeypatch.setattr(transport, "read_clock", lambda: self.now)
-        self.state = fakes.create_state(listing=listing)
-        dialect = dialects.Dialect(
-            read_request=lambda call: result.Success(
-                fakes.create_request(call.path.split("/")[1])
-            ),
-            read_request_id=lambda _: "1",
-            write_headers=lambda *_: (),
-            is_matching_response=lambda *_: True,
-            read_response_head=lambda *_: self.read_head(),
-        )
-        self.proxy = relay.Proxy(self.state, self, dialect)
-
-    def read_head(self):
-        raise self.error
-
-    def send(self, request, listener):
-        planned = self.plan.get(request.path)
-        if planned == "raise":
-            raise self.error
-        exchange = Exchange(listener)
-        if planned == "unopened":
-            exchange.sent_any = False
-        self.sent[request.path] = exchange
-        return exchange
-
-    def abort(self, exchange):
-        self.aborted.append(exchange)
-
-    def check_reachable(self, address, on_result):
-        """Finds nothing out."""
-
-    def handle_calls(self, routes):
-        for number, route in enumerate(routes):
-            call = Call(f"/{route}/{number}")
-            self.calls.append(call)
-            relay.handle_call(self.proxy, call)
-
-    def report_unopened(self):
-        for path, exchange in list(self.sent.items()):
-            if self.plan.get(path) == "unopened":
-                exchange.listener.on_failure(transport.SendStage.NOT_OPENED)
-                del self.sent[path]
-
-    def count_load(self):
-        by_name = self.state.table.by_name.values()
-        return sum(one.own_load.running for one in by_name)
-
-    def assert_consistent(self):
-        state = self.state
-        assert self.proxy.in_flight.keys() == state.requests.keys()
-        assert state.running == self.count_load()
-        attempts = sum(
-            one.attempt is not None for one in state.requests.values()
-        )
-        assert state.running == attempts
-
-
 @pytest.fixture
 def create_router(monkeypatch):
-    return lambda **arguments: Router(monkeypatch, **arguments)
+    return lambda **arguments: failing_router.Router(monkeypatch, **arguments)
 
 
 def fill_upstreams(router, count):
@@ -174,7 +65,7 @@
     # Guards against a send that raises for want of a descriptor: the rest of
     # its batch was dropped while the decisions counted it as running.
     with pytest.MonkeyPatch.context() as patch:
-        router = Router(patch)
+        router = failing_router.Router(patch)
         router.error = error
         routes = [route for route, _ in planned]
         batch = create_full_batch(router, routes)
@@ -211,7 +102,7 @@
     # Guards against an answer that raises and takes with it the answers of the
     # other requests that expire at the same time.
     with pytest.MonkeyPatch.context() as patch:
-        router = Router(patch)
+        router = failing_router.Router(patch)
         fill_upstreams(router, FULL)
         router.handle_calls(["look"] * len(fails))
         for call, failing in zip(router.calls, fails, strict=True):
@@ -313,108 +204,3 @@
     accounts = router.state.accounts["engine"]
     received = fair_queue.compute_received(accounts, router.now, "mill")
     assert received == pytest.approx(0.0, abs=1e-6)
-
-
-class Daemon(types.SimpleNamespace):
-    """What the timers of a router need, with steps that a test breaks."""
-
-
-def create_daemon(router, breaks):
-    calls = []
-
-    def make(name, value=None):
-        def step(*_):
-            calls.append(name)
-            if name in breaks:
-                raise OSError(24, name) if value is None else value
-
-        return step
-
-    daemon = Daemon(
-        state=router.state,
-        proxy=router.proxy,
-        client=types.SimpleNamespace(expire=make("client")),
-        servers=[
-            types.SimpleNamespace(expire=make("callers")),
-            types.SimpleNamespace(expire=make("operators")),
-        ],
-        replicator=types.SimpleNamespace(run=make("replicator")),
-        log=types.SimpleNamespace(flush=make("log")),
-        next_division_at=float("inf"),
-        next_backlog_log_at=float("inf"),
-        next_stop_check_at=0.0,
-        timers_resume_at=float("-inf"),
-    )
-    return daemon, calls
-
-
-STEPS = ("client", "callers", "operators", "replicator", "log")
-
-
-@given(st.sets(st.sampled_from(STEPS)))
-def test_timer_that_raises_leaves_the_others_to_run(breaks):
-    # Guards against a link or a read that can't be opened: the timers after it
-    # were left out, so requests were neither sent nor expired.
-    with pytest.MonkeyPatch.context() as patch:
-        router = Router(patch)
-        router.handle_calls(["look"])
-        daemon, calls = create_daemon(router, breaks)
-        for name in (
-            "_record_lateness",
-            "_send_due_messages",
-            "_drop_missing_upstreams",
-        ):
-            patch.setattr(timers, name, lambda *_: None)
-        router.now = 10.0
-        timers.run(daemon, router.now, lambda *_: calls.append("stop"))
-        assert calls == [*STEPS, "stop"]
-        assert [one[1] for one in router.calls[0].ends] == [
-            errors.ErrorKind.DEADLINE_EXCEEDED
-        ]
-        router.assert_consistent()
-        assert (daemon.timers_resume_at > router.now) == bool(breaks)
-
-
-def test_requests_that_a_fault_has_orphaned_end(create_router, monkeypatch):
-    # Guards against an exception between ending a request by the decisions and
-    # telling its caller, who would wait until it gives up by itself.
-    router = create_router()
-    router.handle_calls(["look", "look"])
-    daemon, _ = create_daemon(router, ())
-    for name in (
-        "_record_lateness",
-        "_send_due_messages",
-        "_drop_missing_upstreams",
-    ):
-        monkeypatch.setattr(timers, name, lambda *_: None)
-
-    def end_one_and_raise(state, now):
-        core.cancel_request(state, next(iter(state.requests)), now)
-        raise RuntimeError("a test exception")
-
-    monkeypatch.setattr(core, "run_timers", end_one_and_raise)
-    timers.run(daemon, 0.1, lambda *_: None)
-    assert [len(call.ends) for call in router.calls] == [1, 0]
-    router.assert_consistent()
-
-
-def test_request_without_a_caller_frees_its_slot_after_a_fault(
-    create_router, monkeypatch
-):
-    # Guards against a request that only the decisions know, since something
-    # raised as its caller left: it would keep its slot until its deadline.
-    router = create_router()
-    router.handle_calls(["look", "look"])
-    del router.proxy.in_flight[next(iter(router.proxy.in_flight))]
-    router.proxy.faulted = True  # The loop has reported the exception.
-    daemon, _ = create_daemon(router, ())
-    for name in (
-        "_record_lateness",
-        "_send_due_messages",
-        "_drop_missing_upstreams",
-    ):
-        monkeypatch.setattr(timers, name, lambda *_: None)
-    timers.run(daemon, 0.1, lambda *_: None)
-    assert router.state.running == 1
-    router.assert_consistent()
-    assert not router.proxy.faulted
