--- a/benchmarks/tests/test_direct.py
+++ b/benchmarks/tests/test_direct.py
@@ -12,6 +12,7 @@
 from sycamorefall.direct import (
     dispatching,
     eligibility,
+    engine_measurement,
     fair_queue,
     homes,
     placement_constraints,
@@ -75,7 +76,7 @@
             )
             for one in list_usable(state, constraints):
                 is_home = one in home_engines
-                engine_load = eligibility.measure_engine_load(
+                engine_load = engine_measurement.measure_engine_load(
                     one, service.engine, direct.NOW
                 )
                 if eligibility.is_awaited(
@@ -183,7 +184,7 @@
         usable = list_usable(state, constraints)
         expected = collections.Counter(
             eligibility.find_obstacle(
-                eligibility.measure_engine_load(
+                engine_measurement.measure_engine_load(
                     one, service.engine, direct.NOW
                 ),
                 service.engine,
--- a/sycamorefall/direct/dispatching.py
+++ b/sycamorefall/direct/dispatching.py
@@ -23,6 +23,7 @@
     catalog,
     effects,
     eligibility,
+    engine_measurement,
     fair_queue,
     fetching,
     freshness,
@@ -118,7 +119,7 @@
     state: state_module.DirectState,
     now: float,
     request: state_module.Request,
-    group: eligibility.EngineGroup | None = None,
+    group: engine_measurement.EngineGroup | None = None,
 ) -> list[effects.Effect]:
     """Sends a request if an upstream can take it now.
 
@@ -230,7 +231,7 @@
 ) -> effects.SendRequest:
     """Starts an attempt at an upstream; updates its load and the accounts."""
     idle = service.engine is not None and (
-        eligibility.measure_engine_load(chosen, service.engine, now).idle
+        engine_measurement.measure_engine_load(chosen, service.engine, now).idle
     )
     request.sends += 1
     request.tried.add(chosen.listed.name)
@@ -417,7 +418,7 @@
 
 def _measure_free_engines(
     state: state_module.DirectState, now: float, service: str
-) -> eligibility.EngineGroup:
+) -> engine_measurement.EngineGroup:
     """Measures the engines of a service that have a free slot."""
     known = state.catalog.services.get(service)
     engine_loads = (
@@ -425,4 +426,4 @@
         if known
         else []
     )
-    return eligibility.summarize_group(engine_loads)
+    return engine_measurement.summarize_group(engine_loads)
--- a/sycamorefall/direct/speed/tests/test_speed.py
+++ b/sycamorefall/direct/speed/tests/test_speed.py
@@ -8,7 +8,7 @@
 from hypothesis import given, strategies
 
 from sycamorefall import messages
-from sycamorefall.direct import core, eligibility, speed
+from sycamorefall.direct import core, engine_measurement, speed
 from sycamorefall.direct.speed import estimates, exchange, pauses, reference
 from sycamorefall.direct.speed.tests import uneven_engines
 from sycamorefall.direct.tests import fakes, simulated_fleet
@@ -87,10 +87,10 @@
     upstream.own_load.running = 2
     speed.record_max_pause(upstream.service_speed, 0.0, 0.25)
     speed.record_reported(upstream.speed, upstream.service_speed, 0.0, 1.0)
-    usual = eligibility.measure_engine_load(upstream, engine, 0.1)
+    usual = engine_measurement.measure_engine_load(upstream, engine, 0.1)
     speed.record_reported(upstream.speed, upstream.service_speed, 0.2, 5.0)
-    slow = eligibility.measure_engine_load(upstream, engine, 0.25)
-    later = eligibility.measure_engine_load(upstream, engine, 1.2)
+    slow = engine_measurement.measure_engine_load(upstream, engine, 0.25)
+    later = engine_measurement.measure_engine_load(upstream, engine, 1.2)
     assert slow.pending_limit < 0.25 * usual.pending_limit
     assert later.pending_limit > 0.4 * usual.pending_limit
 
--- a/sycamorefall/direct/tests/test_patience.py
+++ b/sycamorefall/direct/tests/test_patience.py
@@ -6,7 +6,7 @@
 import pytest
 
 from sycamorefall import errors
-from sycamorefall.direct import core, eligibility, patience
+from sycamorefall.direct import core, engine_measurement, patience
 from sycamorefall.direct.tests import fakes
 
 TARGET = 0.5
@@ -86,7 +86,7 @@
         core.cancel_request(state, number, 0.0)
     engine = state.table.by_name["e1"]
     engine.peer_load.unread = int(
-        2 * eligibility.IDLE_QUEUE_SECONDS * engine.prefill_rate
+        2 * engine_measurement.IDLE_QUEUE_SECONDS * engine.prefill_rate
     )
     _, sent = fakes.submit_request(
         state, 0.0, "draft", time_left=2.6, tokens=9000
--- a/sycamorefall/direct/tests/test_stream_pace.py
+++ b/sycamorefall/direct/tests/test_stream_pace.py
@@ -12,7 +12,7 @@
 
 from sycamorefall.direct import (
     core,
-    eligibility,
+    engine_measurement,
     fair_queue,
     outcomes,
     stream_pace,
@@ -236,8 +236,8 @@
     slow = state.table.by_service["engine"][0]
     stream_pace.record_gap(slow.pace, 1.0, 0.9)
     engine = state.catalog.services["engine"].engine
-    load = eligibility.measure_engine_load(slow, engine, 1.0)
+    load = engine_measurement.measure_engine_load(slow, engine, 1.0)
     assert load.gap == 0.0
     slow.own_load.running = 2
-    load = eligibility.measure_engine_load(slow, engine, 1.0)
+    load = engine_measurement.measure_engine_load(slow, engine, 1.0)
     assert load.gap == pytest.approx(0.9)
--- a/sycamorefall/direct/upstream_selection.py
+++ b/sycamorefall/direct/upstream_selection.py
@@ -18,7 +18,13 @@
 from collections.abc import Iterable
 
 from sycamorefall.direct import catalog as catalog_module
-from sycamorefall.direct import eligibility, pacing, prompts, speed
+from sycamorefall.direct import (
+    eligibility,
+    engine_measurement,
+    pacing,
+    prompts,
+    speed,
+)
 from sycamorefall.direct import homes as homes_module
 from sycamorefall.direct import upstreams as upstreams_module
 from sycamorefall.direct.upstreams import Upstream
@@ -58,7 +64,7 @@
     service: catalog_module.Service,
     constraints: eligibility.PlacementConstraints,
     failure_domain: str,
-    group: eligibility.EngineGroup,
+    group: engine_measurement.EngineGroup,
 ) -> Upstream | None:
     """Chooses the upstream with the lowest estimated cost for a request.
 
@@ -105,7 +111,7 @@
     now: float,
     service: catalog_module.Service,
     full: bool = False,
-) -> list[eligibility.EngineLoad]:
+) -> list[engine_measurement.EngineLoad]:
     """Measures the loads of a service's usable engines.
 
     Args:
@@ -121,12 +127,12 @@
     if engine is None:
         return []
     engine_loads = [
-        eligibility.measure_engine_load(one, engine, now)
+        engine_measurement.measure_engine_load(one, engine, now)
         for one in upstreams_module.list_upstreams(table, service.name)
         if (full or one.running < engine.slots)
         and upstreams_module.is_usable(one, now)
     ]
-    eligibility.fill_unknown_gaps(engine_loads)
+    engine_measurement.fill_unknown_gaps(engine_loads)
     return engine_loads
 
 
@@ -214,7 +220,7 @@
         and eligibility.exceeds_reread_limit(upstream, constraints, is_home)
     ):
         return eligibility.Obstacle.READS_AGAIN
-    engine_load = eligibility.measure_engine_load(upstream, engine, now)
+    engine_load = engine_measurement.measure_engine_load(upstream, engine, now)
     return eligibility.find_obstacle(engine_load, engine, constraints, is_home)
 
 
@@ -223,7 +229,7 @@
     now: float,
     service: catalog_module.Service,
     constraints: eligibility.PlacementConstraints,
-    engine_loads: Iterable[eligibility.EngineLoad],
+    engine_loads: Iterable[engine_measurement.EngineLoad],
 ) -> list[Upstream]:
     """Lists the engines that could take a request if their load were lower.
 
