Direct: names of what routers add up; words that nothing reads leave

The registry of the parts that share sums was called parts, which prompts have. The window of shares and upstreams' last report were read in and decided nothing since the parts that needed them are left out.

--- a/sycamorefall/direct/exchange.py
+++ b/sycamorefall/direct/exchange.py
@@ -44,14 +44,13 @@
 from sycamorefall import messages
 from sycamorefall.direct import (
     caches,
+    contributors,
     known_parts,
     overload,
-    parts,
     prompt_reports,
     receiver_groups,
     service_floors,
     shared_sums,
-    sum_parts,
     warmup,
 )
 from sycamorefall.direct import own_load as own_load_module
@@ -464,7 +463,7 @@
         changed = state.table.by_name.keys()
     totals_module.apply_totals(totals, state, changed, load.whole)
     if load.whole:
-        sum_parts.apply_sums(parts.SUM_PARTS, state, now, totals.sums)
+        contributors.apply_sums(state, now, totals.sums)
     _apply_prompts(state, load)
     increase = max(0, _count_unread(totals, key) - unread)
     if load.scope is LoadScope.ROUTER:
@@ -615,7 +614,7 @@
         upstreams=tuple(group.sent_loads.values()),
         services=own_load_module.collect_own_services(state, now),
         prompts=prompts,
-        tables=sum_parts.collect_tables(parts.SUM_PARTS, state, now),
+        tables=contributors.collect_tables(state, now),
     )
 
 
@@ -716,7 +715,7 @@
         prompts=prompts,
         tables=shared_sums.sum_tables(
             [
-                sum_parts.collect_tables(parts.SUM_PARTS, state, now),
+                contributors.collect_tables(state, now),
                 *(source.tables for source in sources),
             ]
         ),
@@ -772,7 +771,7 @@
     if totals_module.drop_silent_sources(exchange.totals, now):
         names = state.table.by_name.keys()
         totals_module.apply_totals(exchange.totals, state, names, True)
-        sum_parts.apply_sums(parts.SUM_PARTS, state, now, exchange.totals.sums)
+        contributors.apply_sums(state, now, exchange.totals.sums)
     exchange.role = _compute_role(exchange, state, now)
     warmup.update_senders(
         state, now, exchange.vm, _list_domain_routers(exchange, state, now)
--- a/sycamorefall/direct/outcomes.py
+++ b/sycamorefall/direct/outcomes.py
@@ -349,7 +349,6 @@
     if upstream is None or head.load is None:
         return
     if head.outcome is not dialects.ResponseOutcome.OTHER_INCARNATION:
-        upstream.reported, upstream.reported_at = head.load, now
         speed.record_reported(
             upstream.speed, upstream.service_speed, now, head.load.slowdown
         )
--- a/sycamorefall/direct/shared_sums.py
+++ b/sycamorefall/direct/shared_sums.py
@@ -43,12 +43,13 @@
         sign: 1 to add, -1 to subtract.
 
     Example:
-        >>> row = messages.SumRow("mill", (3, 4))
-        >>> table = messages.SumTable(messages.SumKind.TEAM_DEMAND, "s", (row,))
+        >>> row = messages.SumRow("e1", (3, 4))
+        >>> kind = messages.SumKind.UPSTREAM_SPEED
+        >>> table = messages.SumTable(kind, "s", (row,))
         >>> sums = {}
         >>> add_tables(sums, [table, table])
-        >>> sums[messages.SumKind.TEAM_DEMAND, "s"]
-        {'mill': (6, 8)}
+        >>> sums[kind, "s"]
+        {'e1': (6, 8)}
         >>> add_tables(sums, [table, table], sign=-1)
         >>> sums
         {}
--- a/sycamorefall/direct/speed/exchange.py
+++ b/sycamorefall/direct/speed/exchange.py
@@ -5,12 +5,12 @@
 percent. Of engines that tell nothing there are no rows.
 """
 
-__all__ = ["PART"]
+__all__ = ["CONTRIBUTOR"]
 
 import itertools
 
 from sycamorefall import messages
-from sycamorefall.direct import shared_sums, sum_parts
+from sycamorefall.direct import contributor, shared_sums
 from sycamorefall.direct import state as state_module
 from sycamorefall.direct import upstreams as upstreams_module
 from sycamorefall.direct.speed import estimates, reference
@@ -72,6 +72,6 @@
         speed.peer_slowdown = max(1.0, min(estimates.MAX_SCALE, slowdown))
 
 
-PART = sum_parts.SumPart(
+CONTRIBUTOR = contributor.Contributor(
     messages.SumKind.UPSTREAM_SPEED, collect_rows, apply_rows
 )
--- a/sycamorefall/direct/upstreams.py
+++ b/sycamorefall/direct/upstreams.py
@@ -39,7 +39,6 @@
 from sycamorefall import settings
 from sycamorefall.direct import (
     caches,
-    reported_load,
     revisions,
     stream_origins,
     stream_pace,
@@ -206,8 +205,6 @@
         evacuated: Whether its failure domain is evacuated.
         pacing: Limit on the requests that it gets while it is cold.
         pace: Observed pace of its streams.
-        reported: What its process last told of its load; None if nothing.
-        reported_at: When it told so.
         speed: Observed speed of its process.
         service_speed: Speed of the upstreams of its service on average.
         origin: Origin of the streams that it begins; see `stream_origins`.
@@ -233,8 +230,6 @@
     pace: stream_pace.StreamPace = dataclasses.field(
         default_factory=stream_pace.StreamPace
     )
-    reported: reported_load.ReportedLoad | None = None
-    reported_at: float = float("-inf")
     speed: speed_module.EngineSpeed = dataclasses.field(
         default_factory=speed_module.EngineSpeed
     )
--- a/sycamorefall/messages/loads.py
+++ b/sycamorefall/messages/loads.py
@@ -137,21 +137,17 @@
 class SumKind(enum.IntEnum):
     """What the values of a table of sums count.
 
-    UPSTREAM_SPEED: observed speed of upstreams; rows are upstreams.
-    TEAM_DEMAND: what teams ask for; rows are teams.
-    FREED_ROOM: room that comes free, and callers that return; rows are teams.
+    UPSTREAM_SPEED: how long work takes at upstreams; rows are upstreams.
     """
 
     UPSTREAM_SPEED = 0
-    TEAM_DEMAND = 1
-    FREED_ROOM = 2
 
 
 class SumRow(msgspec.Struct, frozen=True, array_like=True):
     """One row of a table of sums.
 
     Attributes:
-        name: Name of an upstream or team.
+        name: Name of what the row is about, such as an upstream.
         values: The row's values. Those of several routers are added up.
     """
 
--- a/sycamorefall/settings.py
+++ b/sycamorefall/settings.py
@@ -214,8 +214,6 @@
         retry_window: Length in seconds of the window over which requests and
             retries are counted.
         grace: Seconds between SIGTERM and SIGKILL when a process is stopped.
-        share_window: Length in seconds of the window over which teams are due
-            their shares of the engines' capacity; 0 if none is agreed on.
     """
 
     revocation: Positive = 5.0
@@ -223,7 +221,6 @@
     retry_extra: NonNegative = 50.0
     retry_window: Positive = 10.0
     grace: Positive = 8.0
-    share_window: NonNegative = 0.0
 
 
 class DirectSettings(msgspec.Struct, frozen=True, forbid_unknown_fields=True):
