Direct: bound the rows about engines' scales in load messages

Rows of all engines in each full update would be 26 KB/s to each router with 46 routers in a failure domain and 48 engines of a service (reckoned, 7 bytes a row). What one router was told of an engine is enough, so each tells of a few at a time.

--- a/sycamorefall/direct/speed/estimates.py
+++ b/sycamorefall/direct/speed/estimates.py
@@ -72,6 +72,7 @@
         reported_at: When it did so.
         peer_slowdown: Average time that work takes at this moment, relative to
             usual, as the engine told other routers; 1 if none was told more.
+        shared_at: When other routers were last told of it.
         measured_at: When the limits were computed.
         pending_limit: Prompt tokens that may be pending there; see `pauses`.
         single_limit: Tokens of a prompt that may be the only one pending.
@@ -84,6 +85,7 @@
     reported: float = 1.0
     reported_at: float = _NEVER
     peer_slowdown: float = 1.0
+    shared_at: float = _NEVER
     measured_at: float = _NEVER
     pending_limit: float = math.inf
     single_limit: float = math.inf
--- a/sycamorefall/direct/speed/exchange.py
+++ b/sycamorefall/direct/speed/exchange.py
@@ -18,6 +18,15 @@
 ROW_SIZE = 4
 """Values of a row."""
 
+MAX_ROWS_PER_SECOND = 150.0
+"""Rows that a router receives from its failure domain: 1.1 to 1.7 KB/s. What
+one router was told of an engine is enough, so each router tells of a few at a
+time: those that are slow at this moment, then those that it has not told of for
+longest."""
+
+MAX_UPDATES_PER_SECOND, UPDATES_PER_ROUTER = 80.0, 6.7
+"""Full updates that a router receives at most, and from each other router."""
+
 LEVEL_SCALE = 8
 """Steps in which a doubling of the time is told."""
 
@@ -25,26 +34,37 @@
 def collect_rows(
     state: state_module.DirectState, now: float
 ) -> dict[str, shared_sums.Rows]:
-    """Collects what this router observed, by service and engine."""
+    """Collects what this router was told, by service and engine."""
+    told = [one for one in state.table.by_name.values() if one.speed.told]
+    slowdowns = {one: _find_slowdown(one, now) for one in told}
+    told.sort(key=lambda one: (-slowdowns[one], one.speed.shared_at))
     by_service: dict[str, shared_sums.Rows] = {}
-    for name, upstream in state.table.by_name.items():
-        values = _build_values(upstream, now)
-        if values:
-            service = upstream.listed.service
-            by_service.setdefault(service, {})[name] = values
+    for upstream in told[: count_rows(state)]:
+        speed = upstream.speed
+        speed.shared_at = now
+        values = speed.told, round(speed.told * speed.told_level * LEVEL_SCALE)
+        slowdown = slowdowns[upstream]
+        if slowdown:
+            values = (*values, 1, round(100 * slowdown))
+        rows = by_service.setdefault(upstream.listed.service, {})
+        rows[upstream.listed.name] = values
     return by_service
 
 
-def _build_values(
-    upstream: upstreams_module.Upstream, now: float
-) -> tuple[int, ...]:
+def count_rows(state: state_module.DirectState) -> int:
+    """Counts the engines of which a full update may tell."""
+    neighbors = max(1, len(state.domain_routers) or state.routers)
+    updates = min(MAX_UPDATES_PER_SECOND, UPDATES_PER_ROUTER * neighbors)
+    return max(1, int(MAX_ROWS_PER_SECOND / updates))
+
+
+def _find_slowdown(upstream: upstreams_module.Upstream, now: float) -> float:
+    """Finds the slowdown that an engine told a moment ago; 0 if none."""
     speed = upstream.speed
-    levels = round(speed.told * speed.told_level * LEVEL_SCALE)
+    if now - speed.reported_at > estimates.REPORT_LIFETIME:
+        return 0.0
     slowdown = speed.reported / estimates.compute_usual_scale(speed)
-    is_fresh = now - speed.reported_at <= estimates.REPORT_LIFETIME
-    if is_fresh and slowdown >= reference.MIN_SLOWDOWN:
-        return speed.told, levels, 1, round(100 * slowdown)
-    return (speed.told, levels) if speed.told else ()
+    return slowdown if slowdown >= reference.MIN_SLOWDOWN else 0.0
 
 
 def apply_rows(
