--- a/sycamorefall/direct/dialects.py
+++ b/sycamorefall/direct/dialects.py
@@ -9,7 +9,7 @@
 from returns import result
 
 from sycamorefall import transport
-from sycamorefall.direct import effects, reported_load
+from sycamorefall.direct import effects
 from sycamorefall.direct import state as state_module
 
 
@@ -42,8 +42,8 @@
         leaving: Whether the upstream announces that it is shutting down.
         retry_after: Seconds for which the upstream asks this router to send
             no further requests; None if it doesn't.
-        load: What the upstream tells of its load; None if it doesn't, or not
-            readably.
+        scale: How long work takes at the upstream at this moment, relative to
+            the usual time; None if it doesn't tell, or not readably.
     """
 
     outcome: ResponseOutcome
@@ -51,7 +51,7 @@
     headers: tuple[tuple[str, str], ...]
     leaving: bool = False
     retry_after: float | None = None
-    load: reported_load.ReportedLoad | None = None
+    scale: float | None = None
 
 
 @dataclasses.dataclass(slots=True, frozen=True)
--- a/sycamorefall/direct/outcomes.py
+++ b/sycamorefall/direct/outcomes.py
@@ -9,7 +9,7 @@
     "expire_request",
     "fail_request",
     "record_leaving",
-    "record_reported_load",
+    "record_scale",
     "record_response",
     "record_retry_delay",
     "record_sent",
@@ -330,13 +330,13 @@
     return upstreams.record_leaving(state.table, now, upstream)
 
 
-def record_reported_load(
+def record_scale(
     state: state_module.DirectState,
     now: float,
     number: int,
     head: dialects.ResponseHead,
 ) -> None:
-    """Records what an upstream tells of its load in the head of a response.
+    """Records how long work takes at an upstream, from the head of a response.
 
     Args:
         state: The router's state; changed.
@@ -346,11 +346,11 @@
         head: The head of the response.
     """
     upstream = state_module.find_upstream(state, state.requests[number].attempt)
-    if upstream is None or head.load is None:
+    if upstream is None or head.scale is None:
         return
     if head.outcome is not dialects.ResponseOutcome.OTHER_INCARNATION:
         speed.record_reported(
-            upstream.speed, upstream.service_speed, now, head.load.slowdown
+            upstream.speed, upstream.service_speed, now, head.scale
         )
 
 
--- a/sycamorefall/direct/relay.py
+++ b/sycamorefall/direct/relay.py
@@ -449,7 +449,7 @@
     if request is None or request.attempt is None:
         return
     upstream, now = request.attempt.upstream, transport.read_clock()
-    outcomes.record_reported_load(proxy.state, now, number, head)
+    outcomes.record_scale(proxy.state, now, number, head)
     if outcomes.record_leaving(proxy.state, now, number, head):
         observation.write_record(
             observation.Level.INFO, "upstream.leaving", upstream=upstream
--- a/sycamorefall/direct/speed/tests/uneven_engines.py
+++ b/sycamorefall/direct/speed/tests/uneven_engines.py
@@ -9,7 +9,6 @@
 import math
 
 from sycamorefall.direct import catalog, core, dialects, effects, outcomes
-from sycamorefall.direct import reported_load as reported_load_module
 from sycamorefall.direct.tests import fakes
 
 STEP_SECONDS = 0.004
@@ -149,13 +148,13 @@
 
     def _deliver_event(self, engine, stream, now):
         if stream.made == 1:
-            load = reported_load_module.ReportedLoad(
-                1, 0, 64, engine.compute_scale(now)
-            )
             head = dialects.ResponseHead(
-                dialects.ResponseOutcome.SUCCESS, 200, (), load=load
+                dialects.ResponseOutcome.SUCCESS,
+                200,
+                (),
+                scale=engine.compute_scale(now),
             )
-            outcomes.record_reported_load(self.state, now, stream.number, head)
+            outcomes.record_scale(self.state, now, stream.number, head)
         else:
             pause = now - stream.last_event_at
             stream.longest_pause = max(stream.longest_pause, pause)
--- a/sycamorefall/platform/headers.py
+++ b/sycamorefall/platform/headers.py
@@ -7,7 +7,7 @@
 from returns import result
 
 from sycamorefall import observation, transport
-from sycamorefall.direct import dialects, effects, prompts, reported_load
+from sycamorefall.direct import dialects, effects, prompts
 from sycamorefall.direct import state as state_module
 
 _ATTEMPT_ID_HEADER = "Attempt-Id"
@@ -30,10 +30,11 @@
 _RETRY_AFTER_HEADER = "Retry-After"
 _LOAD_HEADER = "Server-Load"
 """Header with the requests that run and wait at an upstream, its slots, and the
-time that work takes at this moment, in percent of the usual time."""
+time that work takes at this moment, in percent of the usual time. Only the last
+figure is read: routers tell each other the others."""
 
 _MAX_LOAD_DIGITS = 6
-"""Digits of a figure of the load header; a longer one is ignored."""
+"""Digits of that figure; a longer one is ignored."""
 
 _CONNECTION_HEADERS = frozenset(
     {
@@ -207,7 +208,7 @@
         forwarded,
         leaving,
         retry_after,
-        _read_load(headers_by_name.get(_LOAD_HEADER.lower())),
+        _read_scale(headers_by_name.get(_LOAD_HEADER.lower())),
     )
 
 
@@ -231,25 +232,23 @@
     return None
 
 
-def _read_load(text: str | None) -> reported_load.ReportedLoad | None:
-    """Parses the load that an upstream tells; None if it isn't readable.
+def _read_scale(text: str | None) -> float | None:
+    """Parses how long work takes at an upstream; None if it isn't readable.
 
     Example:
-        >>> _read_load("3,0,8,250").slowdown, _read_load("3,0,8").slowdown
-        (2.5, None)
-        >>> _read_load("3,0,8,0").slowdown, _read_load("3,-1,8"), _read_load("")
-        (None, None, None)
+        >>> _read_scale("3,0,8,250"), _read_scale("3,0,8"), _read_scale(None)
+        (2.5, None, None)
+        >>> _read_scale("3,0,8,0"), _read_scale("3,0,8,-1")
+        (None, None)
     """
-    figures = [one.strip() for one in (text or "").split(",")]
-    is_readable = len(figures) >= 3 and all(
-        one.isascii() and one.isdecimal() and len(one) <= _MAX_LOAD_DIGITS
-        for one in figures[:4]
+    _, _, _, percent, *_ = [*(text or "").split(","), "", "", "", ""]
+    percent = percent.strip()
+    is_readable = (
+        percent.isascii()
+        and percent.isdecimal()
+        and len(percent) <= _MAX_LOAD_DIGITS
     )
-    if not is_readable:
-        return None
-    running, waiting, slots, *percent = map(int, figures[:4])
-    slowdown = percent[0] / 100 if percent and percent[0] else None
-    return reported_load.ReportedLoad(running, waiting, slots, slowdown)
+    return int(percent) / 100 or None if is_readable else None
 
 
 def _classify_response(
