Sharing: figures too large to be sent on are ignored

The fuzz test of unusual values found it in a whole run of the tests (hypothesis draws from the constants of all modules, so new modules change its examples; the run hung while it shrank the example): an account whose offset is 2.6e133 rounds to an integer that no message holds, so each later update of the accounts raises. The same would have held for the sums that routers add up. Entries beyond 2^53 units and rows beyond 2^40 are dropped where they come in.

The fuzz test with the constants of all modules failed before and passes now; the new tests failed before.

--- a/sycamorefall/direct/shared_sums.py
+++ b/sycamorefall/direct/shared_sums.py
@@ -11,6 +11,7 @@
     "Sums",
     "TableKey",
     "add_tables",
+    "drop_absurd_rows",
     "list_tables",
     "sum_tables",
 ]
@@ -28,6 +29,9 @@
 
 Sums = dict[TableKey, Rows]
 
+MAX_VALUE = 1 << 40
+"""Largest value of a row; the sums of thousands of routers fit into 63 bits."""
+
 
 def add_tables(
     sums: Sums, tables: Iterable[messages.SumTable], sign: int = 1
@@ -73,6 +77,24 @@
             del sums[key]
 
 
+def drop_absurd_rows(
+    tables: Iterable[messages.SumTable],
+) -> tuple[messages.SumTable, ...]:
+    """Drops rows with values so large that their sums could not be sent on."""
+    return tuple(
+        messages.SumTable(
+            table.kind,
+            table.service,
+            tuple(
+                row
+                for row in table.rows
+                if all(abs(value) <= MAX_VALUE for value in row.values)
+            ),
+        )
+        for table in tables
+    )
+
+
 def list_tables(sums: Sums) -> tuple[messages.SumTable, ...]:
     """Lists sums as the tables of a message."""
     return tuple(
--- a/sycamorefall/direct/tests/test_totals.py
+++ b/sycamorefall/direct/tests/test_totals.py
@@ -153,3 +153,16 @@
     exchange.handle_load(load_exchange, state, 0.0, envelope)
     assert state.table.by_name["e1"].running == 0
     assert not load_exchange.totals.loads
+
+
+def test_absurd_sums_are_not_sent_on():
+    # Guards against values that fit into a message while their sum doesn't: a
+    # delegate could not send the loads of its failure domain any more.
+    state, load_exchange = fakes.create_state(), fakes.create_exchange()
+    row = messages.SumRow("e1", ((1 << 63) - 1, 3))
+    table = messages.SumTable(messages.SumKind.UPSTREAM_SPEED, "engine", (row,))
+    load = messages.RouterLoad(1, "127.0.0.1:2", tables=(table,))
+    for sender in ("front-2", "front-3"):
+        envelope = messages.Envelope(sender, 1, 1, load)
+        exchange.handle_load(load_exchange, state, 0.0, envelope)
+    assert not load_exchange.totals.sums
--- a/sycamorefall/direct/totals.py
+++ b/sycamorefall/direct/totals.py
@@ -264,7 +264,8 @@
 ) -> None:
     """Replaces a source's tables and updates the sums."""
     shared_sums.add_tables(totals.sums, source.tables, sign=-1)
-    source.tables = tables
+    source.tables = shared_sums.drop_absurd_rows(tables)
+    tables = source.tables
     shared_sums.add_tables(totals.sums, tables)
 
 
--- a/sycamorefall/sharing/accounts.py
+++ b/sycamorefall/sharing/accounts.py
@@ -29,6 +29,10 @@
 
 from sycamorefall import messages
 
+MAX_UNITS = 2.0**53
+"""Largest number of cost units that is believed: below it, sums of units are
+exact."""
+
 
 @dataclasses.dataclass(slots=True)
 class Entry:
@@ -213,13 +217,17 @@
 ) -> None:
     """Merges received entries, where they are newer than the known ones.
 
-    Entries that this process owns are skipped, but for their offset.
+    Entries that this process owns are skipped, but for their offset. An entry
+    with absurd figures is ignored: its sums could not be sent on.
 
     Args:
         accounts: The accounts; changed.
         entries: Received entries, in any order.
     """
     for received in entries:
+        figures = received.served, received.reserved, received.offset
+        if not all(abs(figure) <= MAX_UNITS for figure in figures):
+            continue
         account = accounts.teams.setdefault(received.team, Account())
         _discard_entries_below(accounts, received.team, received.offset)
         outdated = received.offset < account.offset
--- a/sycamorefall/sharing/tests/test_accounts.py
+++ b/sycamorefall/sharing/tests/test_accounts.py
@@ -4,7 +4,7 @@
 from hypothesis import strategies as st
 import pytest
 
-from sycamorefall import sharing
+from sycamorefall import messages, sharing
 from sycamorefall.sharing import accounts as accounts_module
 
 TEAMS = ("mill-a", "mill-b")
@@ -160,3 +160,16 @@
     sharing.charge_team(own, "mill-a", 70.0)
     sharing.merge_entries(other, sharing.list_entries(own, ["mill-a"]))
     assert sharing.compute_order_key(other, "mill-a", 1.0) == 70.0
+
+
+@pytest.mark.parametrize(
+    "absurd", [2.6e133, -1e300, float("inf"), float("nan")]
+)
+def test_entries_with_absurd_figures_are_ignored(absurd):
+    # Guards against one message whose figures are too large to be sent on: each
+    # later update of the accounts would raise, and none would be sent.
+    accounts = accounts_module.ServiceAccounts("engine-1/1")
+    for figures in ((absurd, 0.0, 0.0), (0.0, absurd, 0.0), (0.0, 0.0, absurd)):
+        entry = messages.AccountEntry("mill-a", "engine-2/1", 1, *figures)
+        accounts_module.merge_entries(accounts, [entry])
+    assert not accounts.teams
