Stopping: a router ends only when no connection can bring a request

Cause: the stop was decided in a timer, by what had been read until then. `loop.stop()` lets circuits finish the pass, whose poller handler still waits for input and dispatches it, so a request that came within that wait was sent to an upstream by a process that then ended. Callers whose response had begun before SIGTERM were never told of a close and rightly used their connections again.

Change: once nothing has been in progress for the quiet period, the servers read what has arrived and close each connection without a request, before the loop is told to stop. If a request was found, or any connection can still bring one, the process goes on and serves or refuses it, and looks again. A request that crosses the close stays unread in the kernel and is passed on by nobody. `connections.closed` logs these closes too.

--- a/sycamorefall/direct/daemon.py
+++ b/sycamorefall/direct/daemon.py
@@ -477,12 +477,15 @@
             in_progress=len(daemon.state.requests),
             late=round(daemon.ticker.late, 3),
         )
-        # Closes idle connections only once: a connection that becomes idle
-        # later stays open until the process ends, as its caller may not have
-        # been told that it closes.
+        # A connection that becomes idle later stays open until the process
+        # ends, as its caller may not have been told that it closes.
         for server in daemon.servers:
             server.begin_stop()
             server.end_listening()
     quiet = all(server.is_drained() for server in daemon.servers)
-    if stopping.may_exit(stop, now, quiet):
+    # The loop reads input once more after it was told to stop, so it may be
+    # told so only when no connection can bring a request any more.
+    if stopping.may_exit(stop, now, quiet) and all(
+        server.end_input() for server in daemon.servers
+    ):
         daemon.loop.stop()
--- a/sycamorefall/direct/tests/test_stopping.py
+++ b/sycamorefall/direct/tests/test_stopping.py
@@ -7,7 +7,7 @@
 from sycamorefall import errors
 from sycamorefall.direct import core, daemon, stopping
 from sycamorefall.direct.tests import fakes
-from sycamorefall.transport.tests import test_server
+from sycamorefall.transport.tests import last_passes, test_server
 
 
 def create_stopping_router(grace):
@@ -128,3 +128,32 @@
     caller.sendall(test_server.GET % b"now")
     assert not site.server.is_drained()
     assert b"Connection: close" in site.read(caller, b"\r\n\r\nnow")
+
+
+@pytest.mark.parametrize("pass_time", [last_passes.PASS_TIME, 0.4])
+def test_request_in_the_last_moment_of_a_stop_is_not_lost(pass_time):
+    # A caller that was not told that its connection closes uses it again while
+    # the process ends. The loop read the request after the last check, sent it
+    # to an upstream and ended.
+    def create_last_passes(step):
+        router = StoppingRouter()
+        site = router.site
+        caller = site.connect()
+        caller.sendall(test_server.GET % b"long")
+        call = site.run_until(lambda: site.calls)[0]
+        call.begin(200)
+        router.stop()
+        router.check_stop(3.0)
+        call.end()
+        site.read(caller, b"0\r\n\r\n")
+        return last_passes.LastPasses(
+            site,
+            caller,
+            lambda now: daemon._continue_stop(router.daemon, now),
+            step,
+            pass_time,
+        )
+
+    quiet_until = 3.0 + pass_time + stopping.QUIET_PERIOD
+    losing = last_passes.list_losing_steps(create_last_passes, quiet_until)
+    assert losing == []
--- a/sycamorefall/transport/server.py
+++ b/sycamorefall/transport/server.py
@@ -195,24 +195,34 @@
         to. A connection with an unsent response isn't idle.
         """
         self.stopping = True
-        closed = unread = 0
-        for sock, connection in list(self._connections.items()):
+        for connection in self._connections.values():
             if connection.call is not None:
                 connection.call.close_after_response()
-            elif self._idle_timeouts.is_running(sock) and not self.count_unsent(
+        self._close_all_idle(
+            [sock for sock in self._connections if self._is_idle(sock)]
+        )
+
+    def end_input(self) -> bool:
+        """Closes idle connections, as the process is about to end.
+
+        Guards against a request that is read, and passed on, by a process that
+        has decided to end.
+
+        Returns:
+            Whether no connection is left on which a request may arrive or is
+            in progress. If not, the process has to go on.
+        """
+        self._close_all_idle(
+            [
                 sock
-            ):
-                self._close_idle(sock)
-                closed += sock not in self._connections
-                unread += sock in self._connections
-        if closed or unread:
-            observation.write_record(
-                observation.Level.INFO,
-                "connections.closed",
-                closed=closed,
-                unread=unread,
-                open=len(self._connections),
-            )
+                for sock in self._connections
+                if self._is_idle(sock) or self._is_excess(sock)
+            ]
+        )
+        return not self.listening and all(
+            connection.call is None and connection.refused
+            for connection in self._connections.values()
+        )
 
     def read_pending_input(self) -> None:
         """Accepts all pending connections and reads all input that has arrived.
@@ -424,6 +434,32 @@
             and not connection.refused
         )
 
+    def _is_idle(self, sock: socket.socket) -> bool:
+        """Returns whether a connection has no request and no response."""
+        return self._idle_timeouts.is_running(sock) and not self.count_unsent(
+            sock
+        )
+
+    def _is_excess(self, sock: socket.socket) -> bool:
+        """Returns whether a connection's first request will be refused."""
+        return self.acceptor.excess_timeouts.is_running(
+            sock
+        ) and self._awaits_request(sock)
+
+    def _close_all_idle(self, idle: list[socket.socket]) -> None:
+        """Closes connections on which no request has arrived, and logs it."""
+        for sock in idle:
+            self._close_idle(sock)
+        if idle:
+            unread = sum(sock in self._connections for sock in idle)
+            observation.write_record(
+                observation.Level.INFO,
+                "connections.closed",
+                closed=len(idle) - unread,
+                unread=unread,
+                open=len(self._connections),
+            )
+
     def _close_idle(self, sock: socket.socket) -> None:
         """Closes an idle connection, unless bytes of a request have arrived."""
         self._idle_timeouts.stop(sock)
