Node: a router or sidecar ends only when no connection can bring a request

`_check_stop` told the loop to stop in a timer, and the loop read once more after it: a caller, or a router with an attempt for a sidecar, that used a kept connection then had its request run and got no answer.

Change: the servers end their input first, as in the direct router.

--- a/sycamorefall/node.py
+++ b/sycamorefall/node.py
@@ -320,6 +320,9 @@
     It waits another `QUIET_PERIOD` for the last control messages, which the
     messaging library sends on threads of its own. A sidecar's last account
     entries are among them.
+
+    The loop reads input once more after it was told to stop, so it is told so
+    only when no connection can bring a request any more.
     """
     node.next_stop_check_at = now + STOP_CHECK_INTERVAL
     if not node.core.is_idle():
@@ -332,7 +335,7 @@
         node.exit_at = None
     elif node.exit_at is None:
         node.exit_at = now + QUIET_PERIOD
-    elif now >= node.exit_at:
+    elif now >= node.exit_at and all(server.end_input() for server in servers):
         node.loop.stop()
 
 
