Node: a process that was busy again waits anew before it ends

Found by reading, beside the end of a process: `exit_at` was kept while the core was busy, so a process that got a request within its last 0.3 s ended as soon as that was answered, without the wait in which the messaging library sends the last control messages; a sidecar's last account entries are among them. The test failed before.

--- a/sycamorefall/node.py
+++ b/sycamorefall/node.py
@@ -326,6 +326,7 @@
     """
     node.next_stop_check_at = now + STOP_CHECK_INTERVAL
     if not node.core.is_idle():
+        node.exit_at = None
         return
     _stop_servers(node)
     servers = _list_servers(node)
--- a/sycamorefall/tests/test_node.py
+++ b/sycamorefall/tests/test_node.py
@@ -53,3 +53,24 @@
     quiet_until = 1.0 + node.QUIET_PERIOD
     losing = last_passes.list_losing_steps(create_last_passes, quiet_until)
     assert losing == []
+
+
+def test_process_waits_for_control_messages_of_its_last_request():
+    # Guards against a sidecar whose last account entries are lost: a request
+    # came while it waited to end, and it ended as soon as that was answered,
+    # without waiting again.
+    process = StoppingProcess()
+    caller, call = process.begin_call()
+    process.site.server.begin_stop()
+    call.end()
+    process.site.read(caller, b"0\r\n\r\n")
+    process.check_stop(1.0)
+    caller.sendall(test_server.GET % b"again")
+    process.site.run_until(lambda: len(process.site.calls) == 2)
+    process.check_stop(1.1)
+    process.site.calls[1].respond(200, b"done")
+    assert process.site.read(caller, b"done").endswith(b"done")
+    process.check_stop(1.0 + node.QUIET_PERIOD)
+    assert process.site.loop.running
+    process.check_stop(1.0 + 2 * node.QUIET_PERIOD)
+    assert not process.site.loop.running
