Server: a caller too many is refused, though its time is over, if it has asked

A connection beyond the limit was closed without a word when its time was over, though its request had arrived while the loop was late. Now the input is read first, and the request is refused as not run. The test failed before.

--- a/sycamorefall/transport/server.py
+++ b/sycamorefall/transport/server.py
@@ -173,7 +173,10 @@
             # this caller receives nothing.
             self._close(sock)
         for sock in self.acceptor.excess_timeouts.pop_expired(now):
-            self._close(sock)
+            was_refused = not self._awaits_request(sock)
+            self._read_available(sock)
+            if was_refused or self._awaits_request(sock):
+                self._close(sock)
         self.acceptor.resume(now)
 
     def push(self, sock: socket.socket, data: bytes) -> None:
--- a/sycamorefall/transport/tests/test_crowded_server.py
+++ b/sycamorefall/transport/tests/test_crowded_server.py
@@ -157,6 +157,19 @@
     assert site.server.open_count == len(served)
 
 
+def test_caller_too_many_is_refused_though_the_loop_is_late():
+    # Guards against a caller whose connection is closed without a word: its
+    # request had arrived in time, but a late loop hadn't read it.
+    site = test_server.Site(max_connections=1)
+    served = fill_server(site, 1)
+    caller = site.connect()
+    site.run_until(lambda: site.server.open_count == 2)
+    caller.send(test_server.GET % b"now")
+    site.advance(connections.EXCESS_TIME)
+    assert b"503" in site.read(caller, b"}}")
+    assert served[0].fileno() >= 0
+
+
 def test_time_limit_survives_a_fault_of_another_connection():
     # Guards against connections that stay open forever: a fault while one
     # expired connection was handled lost the time limits of the others.
