Quarantine: a part that was answered before is excused from others' crashes

Cause: guilt by presence. A crash was counted in full against each part that was there, also once one of them was convicted by these very crashes. What spoke for a sound part was only a success within 2 s of each crash, so one that is asked for every 8 s was convicted with the harmful one.

Change: evidence now says whether upstreams have ever answered on a part; the routers that know tell the others as they tell of clearings. Such a part is excused from crashes at which a convicted suspect without an answer was present. It is convicted by three crashes that nothing else explains, as before, and by the seventh crash whatever explains them, since operators bear five crashes and three requests more. Verdicts are made anew from all evidence whenever it grows, so they can be taken back, and are the same at all routers whatever the order in which it came (a property). A retry is no longer forbidden by crashes that are excused.

--- a/sycamorefall/direct/crash_exchange.py
+++ b/sycamorefall/direct/crash_exchange.py
@@ -88,7 +88,7 @@
         remote_outbox: Evidence for the delegates of the other failure domains.
         summary_due: Time of the next summary, if this router is a delegate.
         clearings: When to tell the other routers that a part is cleared of a
-            crash, unless another one does before.
+            crash, or was answered before it, unless another one does before.
     """
 
     local_outbox: _Outbox = dataclasses.field(default_factory=_Outbox)
@@ -242,7 +242,11 @@
         # sending it to each other.
         age = math.ceil(max(0.0, now - one.seen_at))
         record = messages.SuspectRecord(
-            one.fingerprint, age, one.cleared, b"".join(sorted(one.sources))
+            one.fingerprint,
+            age,
+            one.cleared,
+            b"".join(sorted(one.sources)),
+            one.answered,
         )
         by_crash.setdefault(one.crash, []).append(record)
     if not by_crash:
@@ -271,13 +275,18 @@
     now: float,
     cleared: Iterable[Evidence],
 ) -> None:
-    """Schedules to tell the other routers what successes here clear."""
+    """Schedules to tell the other routers what successes here show."""
     longest = min(MAX_CLEAR_DELAY, CLEAR_DELAY_PER_ROUTER * state.routers)
     for one in sorted(cleared):
         delay = state.random.uniform(0.0, longest)
         pending.clearings.setdefault((one.crash, one.fingerprint), now + delay)
 
 
+def _is_cleared(state: state_module.DirectState, piece: Evidence) -> bool:
+    suspect = state.quarantine.suspects.get(piece.fingerprint)
+    return suspect is not None and piece.crash in suspect.cleared
+
+
 def handle_reports(
     pending: CrashExchange,
     exchange: exchange_module.Exchange,
@@ -305,13 +314,14 @@
             record.cleared,
             now - record.age,
             _split_sources(record.sources),
+            record.answered,
         )
         for report in reports.reports
         for record in report.suspects
         if len(record.fingerprint) in _FINGERPRINT_SIZES and record.age >= 0
     ]
     for one in evidence:
-        if one.cleared:
+        if one.cleared or (one.answered and not _is_cleared(state, one)):
             pending.clearings.pop((one.crash, one.fingerprint), None)
     known_here = quarantine_module.apply_proofs(state.quarantine, evidence)
     new, quarantined = quarantine_module.add_evidence(
--- a/sycamorefall/direct/crashes.py
+++ b/sycamorefall/direct/crashes.py
@@ -26,7 +26,7 @@
 )
 from sycamorefall.direct import state as state_module
 from sycamorefall.direct import suspects as suspects_module
-from sycamorefall.direct.quarantine import Crash, Evidence
+from sycamorefall.direct.quarantine import Crash
 
 MAX_CHECKS = 3
 """Maximum reachability checks of an upstream that does not respond. More than
@@ -135,13 +135,7 @@
     suspects: Mapping[bytes, frozenset[bytes]],
 ) -> list[effects.Effect]:
     """Adds the evidence of a crash and queues it for the other routers."""
-    evidence = [
-        Evidence(crash, one, False, now, sources)
-        for one, sources in sorted(suspects.items())
-        if not quarantine.is_proven(state.quarantine, one, now)
-    ]
-    new, added = quarantine.add_evidence(state.quarantine, now, evidence)
-    state.quarantine.unsent += ((one.crash, one.fingerprint) for one in new)
+    added = quarantine.record_crash(state.quarantine, now, crash, suspects)
     return report_quarantined(state, now, added)
 
 
--- a/sycamorefall/direct/quarantine.py
+++ b/sycamorefall/direct/quarantine.py
@@ -1,10 +1,10 @@
 """Quarantine of what crashes upstreams: requests, and parts of prompts.
 
 All requests in progress at a crashed upstream are suspects, and so are the
-shared parts of the prompts that it had not begun to answer. A suspect with
-several crashes and no success since is quarantined: the router refuses requests
-that contain it and sends them to no upstream. Evidence is kept in sets that
-only grow until suspects expire, so routers may exchange it in any order and
+shared parts of the prompts that it had not begun to answer. A suspect that is
+convicted (see `verdicts`) is quarantined: the router refuses requests that
+contain it and sends them to no upstream. Evidence is kept in sets that only
+grow until suspects expire, so routers may exchange it in any order and
 repeatedly.
 """
 
@@ -17,6 +17,7 @@
     "apply_proofs",
     "clear_suspects",
     "count_crashes",
+    "count_unexplained",
     "drop_expired",
     "extend_quarantine",
     "find_next_scan",
@@ -24,25 +25,23 @@
     "is_proven",
     "is_quarantined",
     "list_evidence",
+    "record_crash",
     "record_proof",
 ]
 
 import collections
-from collections.abc import Iterable, Iterator, Set
+from collections.abc import Iterable, Iterator, Mapping, Set
 import dataclasses
 import heapq
-from typing import NamedTuple
 
-CRASH_LIMIT = 3
-"""Crashes without a success in between after which a request is quarantined.
-Operators set a limit on the cost of a request after its third crash."""
-
-MIN_SOURCES = 2
-"""Different requests through which a part must have been present at crashes to
-be quarantined."""
-
-MAX_SOURCES = 2
-"""Maximum number of requests kept for a part and a crash."""
+from sycamorefall.direct import verdicts
+from sycamorefall.direct.evidence import (
+    MAX_SOURCES,
+    Crash,
+    Evidence,
+    Suspect,
+    list_uncleared,
+)
 
 SUSPECT_RETENTION = 300.0
 """Seconds after its last crash until a suspect expires."""
@@ -69,60 +68,6 @@
 """Seconds between two scans for expired suspects."""
 
 
-class Crash(NamedTuple):
-    """A crashed process of an upstream.
-
-    Attributes:
-        upstream: The upstream's name.
-        start_time: When the process started; see `upstreams.UpstreamEntry`.
-    """
-
-    upstream: str
-    start_time: int
-
-
-class Evidence(NamedTuple):
-    """The fact that a request, or a prompt's part, was present at a crash.
-
-    Attributes:
-        crash: The crash.
-        fingerprint: Fingerprint of the request or part.
-        cleared: Whether it has succeeded since.
-        seen_at: Time of its last crash, or of a request's last arrival while
-            quarantined.
-        sources: For a part, digests of requests through which it was present.
-    """
-
-    crash: Crash
-    fingerprint: bytes
-    cleared: bool
-    seen_at: float
-    sources: frozenset[bytes] = frozenset()
-
-
-@dataclasses.dataclass(slots=True)
-class Suspect:
-    """A request or a part of prompts that was present at one or more crashes.
-
-    Attributes:
-        crashes: Crashes at which it was present.
-        cleared: The crashes after which it succeeded.
-        seen_at: Time of its last crash, or of a request's last arrival while
-            quarantined.
-        quarantined: Whether it is refused.
-        sources: For a part, digests of requests through which it was present,
-            by crash; at most `MAX_SOURCES` for each.
-    """
-
-    crashes: set[Crash] = dataclasses.field(default_factory=set)
-    sources: dict[Crash, frozenset[bytes]] = dataclasses.field(
-        default_factory=dict
-    )
-    cleared: set[Crash] = dataclasses.field(default_factory=set)
-    seen_at: float = float("-inf")
-    quarantined: bool = False
-
-
 @dataclasses.dataclass(slots=True)
 class Quarantine:
     """Suspects by fingerprint.
@@ -194,11 +139,69 @@
         The number of its crashes that no success has cleared.
     """
     suspect = quarantine.suspects.get(fingerprint)
-    return len(_list_uncleared(suspect) - {excluded}) if suspect else 0
+    return len(list_uncleared(suspect) - {excluded}) if suspect else 0
+
+
+def count_unexplained(
+    quarantine: Quarantine, fingerprint: bytes, excluded: Crash | None = None
+) -> int:
+    """Counts the crashes of a request or part that nothing else explains.
+
+    Args:
+        quarantine: The suspects.
+        fingerprint: Fingerprint of the request or part.
+        excluded: A crash that is not counted.
+    """
+    suspect = quarantine.suspects.get(fingerprint)
+    if suspect is None:
+        return 0
+    crashes = list_uncleared(suspect) - {excluded}
+    if suspect.answered and crashes:
+        crashes = crashes - _list_explained(quarantine)
+    return len(crashes)
 
 
-def _list_uncleared(suspect: Suspect) -> Set[Crash]:
-    return suspect.crashes - suspect.cleared
+def _list_explained(quarantine: Quarantine) -> Set[Crash]:
+    """Lists the crashes that convicted suspects without an answer explain."""
+    suspects = quarantine.suspects
+    return verdicts.list_explained(
+        suspects,
+        (one for one in quarantine.quarantined if not suspects[one].answered),
+    )
+
+
+def record_crash(
+    quarantine: Quarantine,
+    now: float,
+    crash: Crash,
+    sources: Mapping[bytes, frozenset[bytes]],
+) -> list[bytes]:
+    """Records what was present at a crash, and queues it for other routers.
+
+    Args:
+        quarantine: The suspects; changed.
+        now: Current time of this process's clock.
+        crash: The crash.
+        sources: Sources by fingerprint of a suspect; see `Evidence`.
+
+    Returns:
+        Fingerprints that are newly quarantined.
+    """
+    evidence = [
+        Evidence(
+            crash,
+            one,
+            False,
+            now,
+            found,
+            answered=one in quarantine.proofs,
+        )
+        for one, found in sorted(sources.items())
+        if not is_proven(quarantine, one, now)
+    ]
+    new, added = add_evidence(quarantine, now, evidence)
+    quarantine.unsent += ((one.crash, one.fingerprint) for one in new)
+    return added
 
 
 def add_evidence(
@@ -232,10 +235,12 @@
     if suspect is None:
         suspect = quarantine.suspects[piece.fingerprint] = Suspect()
     suspect.seen_at = max(suspect.seen_at, piece.seen_at)
-    has_new_source = _add_sources(suspect, piece)
+    is_news = _add_sources(suspect, piece)
+    is_news |= piece.answered > suspect.answered
+    suspect.answered |= piece.answered
     known = suspect.cleared if piece.cleared else suspect.crashes
     if piece.crash in known:
-        return has_new_source
+        return is_news
     suspect.crashes.add(piece.crash)
     if piece.cleared:
         suspect.cleared.add(piece.crash)
@@ -252,36 +257,41 @@
     return True
 
 
-def _is_convicted(suspect: Suspect) -> bool:
-    """Returns whether a suspect's crashes suffice to refuse it.
+def _update_quarantined(
+    quarantine: Quarantine, new: Iterable[Evidence]
+) -> list[bytes]:
+    """Updates what is quarantined after new evidence.
 
-    Crashes at which a part was present through one request only are that
-    request's: others with the same part may be sound.
+    Verdicts on parts that have been answered depend on the other verdicts, so
+    they are made anew each time, and last.
+
+    Returns:
+        Fingerprints that are newly quarantined.
     """
-    crashes = _list_uncleared(suspect)
-    if len(crashes) < CRASH_LIMIT:
-        return False
-    if not suspect.sources:
-        return True  # It is a request.
-    sources = (suspect.sources.get(one, frozenset()) for one in crashes)
-    return len(frozenset().union(*sources)) >= MIN_SOURCES
+    suspects = quarantine.suspects
+    before = set(quarantine.quarantined)
+    for fingerprint in {one.fingerprint for one in new}:
+        _set_quarantined(
+            quarantine,
+            fingerprint,
+            verdicts.is_convicted(suspects[fingerprint]),
+        )
+    answered = [one for one, suspect in suspects.items() if suspect.answered]
+    explained = _list_explained(quarantine) if answered else frozenset()
+    for fingerprint in answered:
+        convicted = verdicts.is_convicted(suspects[fingerprint], explained)
+        _set_quarantined(quarantine, fingerprint, convicted)
+    return sorted(quarantine.quarantined - before)
 
 
-def _update_quarantined(
-    quarantine: Quarantine, new: Iterable[Evidence]
-) -> list[bytes]:
-    """Updates quarantined requests; returns the newly quarantined ones."""
-    added = []
-    for fingerprint in dict.fromkeys(one.fingerprint for one in new):
-        suspect = quarantine.suspects[fingerprint]
-        before = suspect.quarantined
-        suspect.quarantined = _is_convicted(suspect)
-        if suspect.quarantined and not before:
-            quarantine.quarantined.add(fingerprint)
-            added.append(fingerprint)
-        elif before and not suspect.quarantined:
-            quarantine.quarantined.discard(fingerprint)
-    return added
+def _set_quarantined(
+    quarantine: Quarantine, fingerprint: bytes, quarantined: bool
+) -> None:
+    quarantine.suspects[fingerprint].quarantined = quarantined
+    if quarantined:
+        quarantine.quarantined.add(fingerprint)
+    else:
+        quarantine.quarantined.discard(fingerprint)
 
 
 def clear_suspects(
@@ -293,7 +303,7 @@
         Evidence(crash, one, True, suspects[one].seen_at)
         for one in fingerprints
         if one in suspects
-        for crash in _list_uncleared(suspects[one])
+        for crash in list_uncleared(suspects[one])
     ]
     new, _ = add_evidence(quarantine, now, evidence)
     quarantine.unsent += ((one.crash, one.fingerprint) for one in new)
@@ -302,21 +312,31 @@
 def apply_proofs(
     quarantine: Quarantine, evidence: Iterable[Evidence]
 ) -> list[Evidence]:
-    """Marks evidence of other routers as cleared if successes here clear it.
+    """Marks evidence of other routers by the successes at this router.
 
     Returns:
         The evidence, with `cleared` set for each part that succeeded at this
-        router since the crash or just before it.
+        router since the crash or just before it, and `answered` for each that
+        is not known to have been answered but was here.
     """
     return [
         one._replace(
             cleared=one.cleared
-            or is_proven(quarantine, one.fingerprint, one.seen_at)
+            or is_proven(quarantine, one.fingerprint, one.seen_at),
+            answered=one.answered or _is_answered_here(quarantine, one),
         )
         for one in evidence
     ]
 
 
+def _is_answered_here(quarantine: Quarantine, piece: Evidence) -> bool:
+    """Returns whether only this router knows that a part was answered."""
+    suspect = quarantine.suspects.get(piece.fingerprint)
+    return piece.fingerprint in quarantine.proofs and not (
+        suspect is not None and suspect.answered
+    )
+
+
 def extend_quarantine(
     quarantine: Quarantine, now: float, fingerprint: bytes
 ) -> None:
@@ -337,6 +357,7 @@
                 crash in suspect.cleared,
                 suspect.seen_at,
                 suspect.sources.get(crash, frozenset()),
+                suspect.answered,
             )
 
 
@@ -376,7 +397,7 @@
         ranked = heapq.nsmallest(
             excess,
             (
-                (len(_list_uncleared(suspect)), suspect.seen_at, fingerprint)
+                (len(list_uncleared(suspect)), suspect.seen_at, fingerprint)
                 for fingerprint, suspect in suspects.items()
                 if not suspect.quarantined
             ),
--- a/sycamorefall/direct/suspects.py
+++ b/sycamorefall/direct/suspects.py
@@ -36,7 +36,7 @@
         request: A request whose attempt has lost its upstream.
 
     Returns:
-        Sources by fingerprint of a suspect; see `quarantine.Evidence`.
+        Sources by fingerprint of a suspect; see `evidence.Evidence`.
     """
     attempt = request.attempt
     whole = fingerprints.get_fingerprint(request)
@@ -115,7 +115,7 @@
         return False
     present = quarantine.Crash(attempt.upstream, attempt.start_time)
     return any(
-        quarantine.count_crashes(known, one, present) > 0
+        quarantine.count_unexplained(known, one, present) > 0
         and not quarantine.is_proven(known, one, now)
         for one in fingerprints.list_fingerprints(request)
     )
--- a/sycamorefall/direct/tests/test_crash_exchange.py
+++ b/sycamorefall/direct/tests/test_crash_exchange.py
@@ -274,3 +274,31 @@
 
     fleet._deliver = count
     return counts
+
+
+def record_crash_of_parts(fleet, name, crash, *parts):
+    """Records a crash at one router, by a request of its own."""
+    known = fleet.routers[name].state.quarantine
+    source = crash.encode().ljust(fingerprints.SOURCE_SIZE)
+    sources = dict.fromkeys(parts, frozenset({source}))
+    quarantine.record_crash(known, fleet.now, Crash(crash, 1), sources)
+
+
+@pytest.mark.parametrize("loss", [0.0, 0.3])
+def test_all_routers_learn_that_a_part_was_answered_before(fleet, loss):
+    # Guards against routers that refuse the sound part of a caller's prompts,
+    # as only another router has served them.
+    first, dead = map(fingerprints.compute_part_fingerprint, ("f0", "dead"))
+    known = fleet.routers["router-2-3"].state.quarantine
+    quarantine.record_proof(known, fleet.now, [first])
+    fleet.run(5.0)
+    fleet.loss = loss
+    for number in range(3):
+        record_crash_of_parts(
+            fleet, f"router-{number}-{number}", f"e{number}", first, dead
+        )
+        fleet.run(0.6)
+    fleet.run(SPREAD_BOUND)
+    names = {one.name for one in fleet.list_live()}
+    assert list_unquarantined(fleet, dead) == []
+    assert set(list_unquarantined(fleet, first)) == names
--- a/sycamorefall/direct/tests/test_quarantine.py
+++ b/sycamorefall/direct/tests/test_quarantine.py
@@ -159,3 +159,65 @@
         for request in draws.sample(harmless, 150):
             quarantine.clear_suspects(known, float(number), [request])
     assert known.quarantined == {HARMFUL}
+
+
+PARTS = (b"first", b"second", b"third")
+
+
+@strategies.composite
+def draw_pieces(draw):
+    """Draws evidence of parts and of a request, mostly of crashes."""
+    name = draw(strategies.sampled_from("abcdefgh"))
+    fingerprint = draw(strategies.sampled_from((*PARTS, HARMFUL)))
+    is_part = fingerprint in PARTS
+    return Evidence(
+        Crash(name, 1),
+        fingerprint,
+        draw(strategies.integers(0, 9)) == 0,
+        0.0,
+        frozenset({name.encode()}) if is_part else frozenset(),
+        answered=is_part and draw(strategies.integers(0, 5)) == 0,
+    )
+
+
+@given(
+    strategies.lists(draw_pieces(), max_size=40),
+    strategies.randoms(use_true_random=False),
+)
+def test_verdicts_do_not_depend_on_the_order_of_evidence(pieces, order):
+    # Guards against routers that refuse different parts by the same evidence:
+    # whether one is convicted depends on the verdicts on others.
+    def collect(found):
+        known = quarantine.Quarantine()
+        for size in order.choices(range(1, 5), k=len(found)):
+            quarantine.add_evidence(known, 0.0, found[:size])
+            found = found[size:]
+        quarantine.add_evidence(known, 0.0, found)
+        return known.quarantined
+
+    shuffled = pieces * 2
+    order.shuffle(shuffled)
+    assert collect(shuffled) == collect(pieces)
+
+
+def test_verdict_is_taken_back_when_another_one_explains_its_crashes():
+    # Guards against a verdict on a sound part that outlasts the evidence
+    # against the harmful one, or the news that the sound one was answered.
+    known = quarantine.Quarantine()
+
+    def add_part(crash, part, answered=False):
+        sources = frozenset({crash.encode()})
+        piece = Evidence(Crash(crash, 1), part, False, 0.0, sources, answered)
+        quarantine.add_evidence(known, 0.0, [piece])
+
+    for crash in "abc":
+        add_part(crash, PARTS[0], answered=True)
+    assert known.quarantined == {PARTS[0]}
+    for crash in "abc":
+        add_part(crash, PARTS[1])
+    assert known.quarantined == {PARTS[1]}
+    for crash in "abc":
+        add_part(crash, PARTS[2])
+    assert known.quarantined == {PARTS[1], PARTS[2]}
+    add_part("a", PARTS[2], answered=True)
+    assert known.quarantined == {PARTS[1]}
--- /dev/null
+++ b/sycamorefall/direct/verdicts.py
@@ -0,0 +1,73 @@
+"""Which suspects are refused, by the crashes at which they were present.
+
+One suspect explains a crash whole, so the others that were present need not be
+at fault. A part on which upstreams have answered before is therefore excused
+from crashes at which a convicted suspect without an answer was present. Without
+this, the first part that all prompts of a caller share would be convicted
+together with a part that crashes engines.
+
+A verdict depends on the evidence alone, not on the order in which it came, so
+all routers come to the same one.
+"""
+
+__all__ = [
+    "CRASH_LIMIT",
+    "MAX_EXCUSED",
+    "MIN_SOURCES",
+    "is_convicted",
+    "list_explained",
+]
+
+from collections.abc import Collection, Iterable, Mapping, Set
+
+from sycamorefall.direct.evidence import Crash, Suspect, list_uncleared
+
+CRASH_LIMIT = 3
+"""Crashes without a success in between after which a suspect is convicted.
+Operators set a limit on the cost of a request after its third crash."""
+
+MIN_SOURCES = 2
+"""Different requests through which a part must have been present at crashes to
+be convicted."""
+
+MAX_EXCUSED = 6
+"""Maximum number of crashes, excused ones included, after which a part still
+isn't convicted. Operators bear five crashes by a part and three requests more:
+with the seventh crash one of these is left for what is in progress then."""
+
+
+def list_explained(
+    suspects: Mapping[bytes, Suspect], explaining: Iterable[bytes]
+) -> Set[Crash]:
+    """Lists the crashes at which any of some suspects was present."""
+    return frozenset().union(
+        *(list_uncleared(suspects[one]) for one in explaining)
+    )
+
+
+def is_convicted(
+    suspect: Suspect, explained: Collection[Crash] = frozenset()
+) -> bool:
+    """Returns whether a suspect's crashes suffice to refuse it.
+
+    Crashes at which a part was present through one request only are that
+    request's: others with the same part may be sound.
+
+    Args:
+        suspect: A request or part.
+        explained: Crashes that other convicted suspects explain. They excuse
+            only a part that has been answered.
+    """
+    crashes = list_uncleared(suspect)
+    if suspect.answered and len(crashes) <= MAX_EXCUSED:
+        crashes = crashes.difference(explained)
+    return _suffice(suspect, crashes)
+
+
+def _suffice(suspect: Suspect, crashes: Set[Crash]) -> bool:
+    if len(crashes) < CRASH_LIMIT:
+        return False
+    if not suspect.sources:
+        return True  # It is a request.
+    sources = (suspect.sources.get(one, frozenset()) for one in crashes)
+    return len(frozenset().union(*sources)) >= MIN_SOURCES
--- a/sycamorefall/messages/loads.py
+++ b/sycamorefall/messages/loads.py
@@ -229,12 +229,14 @@
         cleared: Whether it has succeeded since then.
         sources: For a part, digests of requests through which it was present,
             joined.
+        answered: For a part, whether an upstream has ever answered on it.
     """
 
     fingerprint: bytes
     age: int
     cleared: bool = False
     sources: bytes = b""
+    answered: bool = False
 
 
 class CrashReport(msgspec.Struct, frozen=True, array_like=True):
