Quarantine: trials clear convicted parts that may be sound

Cause: a verdict that stops what could refute it. A convicted part is refused on arrival at all routers, so no answer can clear it, and where no upstream has answered on it before, nothing tells it from the harmful part that it came with.

Change: a convicted part that may be sound, since upstreams have answered on it or other convicted parts were at all of its crashes, gets single requests from 3 s after its last crash on: at about one router first, then at twice as many each second, one at a time at each. An answer clears it at all routers. A crash is told as a failed trial and ends its trials at all routers. Parts that always come together are tried together, by requests that leave out another suspect; if that fails each may still be tried alone. Refusals that a trial may end have Retry-After. `quarantine.trial` logs each trial.

Tests that failed before: sound parts with no record, alone and together; two harmful parts in turn; real routers, whose sound prompts weren't served again. New besides: a harmful part is tried once; a trial without a result; at most few of 368 routers try at once; failed trials reach all routers.

--- a/benchmarks/crashes.py
+++ b/benchmarks/crashes.py
@@ -14,7 +14,7 @@
 import random
 
 from sycamorefall.direct import quarantine as quarantine_module
-from sycamorefall.direct import suspects
+from sycamorefall.direct import suspects, trials
 from sycamorefall.direct.quarantine import Crash, Evidence
 
 SLOTS = 32
@@ -44,6 +44,9 @@
 MIDDLE_PARTS = 400
 """Number of other shared parts; the n-th one is used in proportion to 1/n."""
 
+BATCH_SIZE = 6
+"""Harmless requests in a batch of the caller whose prompts may be harmful."""
+
 CALLER_RETRIES = 1
 """Retries by the caller of a harmless request after a failure."""
 
@@ -62,6 +65,11 @@
         harmful_parts: Number of parts that crash engines; requests with each of
             them, no two alike, arrive as often.
         harmful_rate: Requests per second with each harmful part.
+        harmful_from: Time in seconds from which on they arrive.
+        batch_interval: Seconds between two batches of harmless requests of the
+            caller who sends the harmful parts, and whose prompts all begin with
+            parts of their own; 0 if harmful parts come with those of others.
+        batch_parts: Number of these parts.
         parts: Whether prompts have shared parts.
         popular_share: Fraction of harmless requests that are repeated ones.
         popular_requests: Number of distinct repeated requests.
@@ -77,6 +85,9 @@
     harmful: int = 0
     harmful_parts: int = 0
     harmful_rate: float = 1.0
+    harmful_from: float = 0.0
+    batch_interval: float = 0.0
+    batch_parts: int = 1
     parts: bool = False
     popular_share: float = 0.2
     popular_requests: int = 50
@@ -98,6 +109,8 @@
         parts: Harmless parts that were quarantined at some router.
         refused_for_parts: Refusals of harmless requests for these parts.
         sends: Requests with harmful parts that were sent to engines.
+        batched: Requests in batches.
+        batched_served: Those of them that succeeded.
     """
 
     harmless: int = 0
@@ -108,6 +121,8 @@
     parts: set[bytes] = dataclasses.field(default_factory=set)
     refused_for_parts: int = 0
     sends: int = 0
+    batched: int = 0
+    batched_served: int = 0
 
 
 @dataclasses.dataclass(slots=True, eq=False)
@@ -120,6 +135,8 @@
     engine: int = -1
     parts: tuple[bytes, ...] = ()
     sent_at: float = 0.0
+    batched: bool = False
+    tried: frozenset[bytes] = frozenset()
 
 
 class _Simulation:
@@ -158,12 +175,20 @@
                     when, self.send, self.create_run(b"harmful%d" % number, 1)
                 )
         for part in range(scenario.harmful_parts):
-            when = self.part_random.expovariate(scenario.harmful_rate)
+            when = scenario.harmful_from + self.part_random.expovariate(
+                scenario.harmful_rate
+            )
             while when < scenario.seconds:
                 run = self.create_run(b"part%d/%f" % (part, when), True)
                 run.parts = (*self.draw_parts(), b"harmful%d" % part)
+                if scenario.batch_interval:
+                    run.parts = (
+                        *self.list_batch_parts(),
+                        b"harmful%d" % part,
+                    )
                 self.schedule(when, self.send, run)
                 when += self.part_random.expovariate(scenario.harmful_rate)
+        self.schedule_batches()
         for _ in range(scenario.unrelated_crashes):
             when = self.random.uniform(0, scenario.seconds)
             self.schedule(
@@ -174,6 +199,22 @@
             action(*arguments)
         return self.outcome
 
+    def list_batch_parts(self) -> tuple[bytes, ...]:
+        return tuple(
+            b"batched%d" % number for number in range(self.scenario.batch_parts)
+        )
+
+    def schedule_batches(self) -> None:
+        interval = self.scenario.batch_interval
+        if not interval:
+            return
+        for number in range(int(self.scenario.seconds / interval)):
+            for _ in range(BATCH_SIZE):
+                run = self.create_run(b"batch%d" % next(self.order), False)
+                run.parts, run.batched = self.list_batch_parts(), True
+                self.outcome.batched += 1
+                self.schedule((number + 0.5) * interval, self.send, run)
+
     def draw_request(self) -> bytes:
         if self.random.random() < self.scenario.popular_share:
             return b"popular%d" % self.random.randrange(
@@ -209,7 +250,16 @@
             )
             self.outcome.refused += not run.harmful
             return
-        if quarantine_module.find_quarantined(quarantine, run.parts):
+        run.tried = trials.choose_trial(
+            quarantine,
+            self.now,
+            run.parts,
+            f"router{run.router}",
+            self.scenario.routers,
+        )
+        if not run.tried and quarantine_module.find_quarantined(
+            quarantine, run.parts
+        ):
             self.outcome.refused_for_parts += not run.harmful
             return
         live = [
@@ -237,7 +287,8 @@
         if run.sends != send_number or run not in self.running[run.engine]:
             return
         self.running[run.engine].discard(run)
-        self.outcome.served += 1
+        self.outcome.served += not run.batched
+        self.outcome.batched_served += run.batched
         self.clear_parts(run)
         quarantine = self.quarantines[run.router]
         quarantine_module.clear_suspects(quarantine, self.now, [run.request])
@@ -270,14 +321,14 @@
         retried = [run for run in ordered if self.may_retry(run)]
         for router, group in itertools.groupby(ordered, lambda run: run.router):
             runs = list(group)
-            requests = sorted({run.request for run in runs})
-            evidence = [
-                Evidence(crash, one, False, self.now) for one in requests
-            ]
             quarantine = self.quarantines[router]
-            evidence += self.list_part_evidence(quarantine, crash, runs)
-            self.receive_evidence(router, evidence)
-            quarantine.unsent += ((crash, one.fingerprint) for one in evidence)
+            sources = dict.fromkeys((run.request for run in runs), frozenset())
+            sources |= self.list_part_sources(runs)
+            tried = {one for run in runs for one in run.tried}
+            added = quarantine_module.record_crash(
+                quarantine, self.now, crash, sources, tried
+            )
+            self.count_wrong(added)
             self.send_evidence(router)
         for run in ordered:
             if run in retried:
@@ -289,13 +340,10 @@
                 retry.parts = run.parts
                 self.schedule(self.now + 0.1, self.send, retry)
 
-    def list_part_evidence(
-        self,
-        quarantine: quarantine_module.Quarantine,
-        crash: Crash,
-        runs: list[_Run],
-    ) -> list[Evidence]:
-        """Lists the evidence on parts, as `suspects` and `crashes` do."""
+    def list_part_sources(
+        self, runs: list[_Run]
+    ) -> dict[bytes, frozenset[bytes]]:
+        """Lists sources by accused part, as `suspects` does."""
         sources: dict[bytes, frozenset[bytes]] = {}
         begun_before = self.now - BEGIN_DELAY - suspects.PROOF_DELAY
         for run in runs:
@@ -303,18 +351,14 @@
                 for part in run.parts:
                     known = sources.get(part, frozenset())
                     sources[part] = known | {run.request}
-        return [
-            Evidence(crash, part, False, self.now, found)
-            for part, found in sorted(sources.items())
-            if not quarantine_module.is_proven(quarantine, part, self.now)
-        ]
+        return sources
 
     def may_retry(self, run: _Run) -> bool:
-        if run.sends > self.scenario.retries:
+        if run.sends > self.scenario.retries or run.tried:
             return False
         quarantine = self.quarantines[run.router]
         count = quarantine_module.count_crashes(quarantine, run.request) + sum(
-            quarantine_module.count_crashes(quarantine, part)
+            quarantine_module.count_unexplained(quarantine, part)
             for part in run.parts
             if not quarantine_module.is_proven(quarantine, part, self.now)
         )
@@ -344,9 +388,15 @@
         quarantine.unsent += ((one.crash, one.fingerprint) for one in cleared)
         if cleared:
             self.send_evidence(router)
+        self.count_wrong(added)
+
+    def count_wrong(self, added: list[bytes]) -> None:
+        """Counts what is harmless of what was newly quarantined."""
         wrong = {one for one in added if not one.startswith((b"harm", b"part"))}
         self.outcome.parts |= {
-            one for one in wrong if one.startswith((b"first", b"middle"))
+            one
+            for one in wrong
+            if one.startswith((b"first", b"middle", b"batched"))
         }
         self.outcome.quarantined |= wrong - self.outcome.parts
 
@@ -373,8 +423,25 @@
         "1 part, 5/s": {"harmful_parts": 1, "harmful_rate": 5.0},
         "2 parts": {"harmful_parts": 2},
         "15, 2 parts": {"unrelated_crashes": 15, "harmful_parts": 2},
+        **{
+            f"batch {interval:g} s{name}": {
+                "harmful_parts": 1,
+                "batch_interval": interval,
+                **options,
+            }
+            for interval in (4.0, 8.0, 20.0)
+            for name, options in {
+                "": {"harmful_from": 25.0},
+                ", new": {},
+                ", new, both": {"batch_parts": 2},
+                ", 5/s": {"harmful_from": 25.0, "harmful_rate": 5.0},
+                ", 2": {"harmful_from": 25.0, "harmful_parts": 2},
+            }.items()
+        },
     }
-    print("routers cause         served  wrong  refused  sends  crashes")
+    print(
+        "routers cause           served  wrong  refused batched  sends crashes"
+    )
     for (routers, engines), (name, cause) in itertools.product(
         FLEETS, causes.items()
     ):
@@ -386,11 +453,14 @@
         served = sum(one.served for one in outcomes) / harmless
         wrong = sum(len(one.parts) for one in outcomes)
         refused = sum(one.refused_for_parts for one in outcomes) / harmless
+        batched = sum(one.batched for one in outcomes)
+        batched_served = sum(one.batched_served for one in outcomes)
+        share = batched_served / batched if batched else float("nan")
         sends = max(one.sends for one in outcomes)
         crashes = sum(one.crashes for one in outcomes) / len(outcomes)
         print(
-            f"{routers:7} {name:12} {served:7.4f} {wrong:6} {refused:8.5f}"
-            f" {sends:6} {crashes:8.1f}"
+            f"{routers:7} {name:18} {served:7.4f} {wrong:6} {refused:8.5f}"
+            f" {share:7.4f} {sends:6} {crashes:7.1f}"
         )
 
 
@@ -431,7 +501,7 @@
         refused = sum(one.refused for one in outcomes)
         crashes = sum(one.crashes for one in outcomes) / len(outcomes)
         print(
-            f"{routers:7} {name:14} {mode:12} {served / harmless:7.4f}"
+            f"{routers:7} {name:18} {mode:12} {served / harmless:7.4f}"
             f" {wrong:6} {refused:8} {crashes:8.1f}"
         )
 
--- a/sycamorefall/direct/core.py
+++ b/sycamorefall/direct/core.py
@@ -40,6 +40,7 @@
     stalls,
     stopping,
     stream_origins,
+    trials,
     upstreams,
     warmup,
 )
@@ -289,18 +290,27 @@
         retry_after = _choose_retry_after(state, kind)
         return number, [effects.AnswerError(number, kind, retry_after)]
     route, team = admission.unwrap()
+    tried_parts: frozenset[bytes] = frozenset()
     if state.quarantine.quarantined:
         parts = fingerprints.list_part_fingerprints(incoming.prompt)
         whole = fingerprints.compute_fingerprint(incoming, team)
         fingerprint = quarantine.find_quarantined(
             state.quarantine, (*parts, whole)
         )
-        if fingerprint:
+        tried_parts = trials.choose_trial(
+            state.quarantine, now, (*parts, whole), state.vm, state.routers
+        )
+        if fingerprint and not tried_parts:
             if fingerprint == whole:
                 quarantine.extend_quarantine(state.quarantine, now, whole)
             kind = errors.ErrorKind.QUARANTINED
+            retry_after = outcomes.draw_quarantine_delay(
+                state, now, (*parts, whole)
+            )
             return number, [
-                effects.AnswerError(number, kind, fingerprint=fingerprint)
+                effects.AnswerError(
+                    number, kind, retry_after, fingerprint=fingerprint
+                )
             ]
     remaining = route.timeout
     if incoming.time_left is not None:
@@ -332,16 +342,20 @@
         give_up_at=now + wait,
         stream_key=_compute_stream_key(team, stream or incoming.attempt_id),
         resumes=bool(stream),
+        tried_parts=tried_parts,
     )
     state.requests[number] = request
     heapq.heappush(state.deadlines, (request.deadline, number))
     heapq.heappush(state.deadlines, (request.give_up_at, number))
+    reports = [effects.ReportTrial(one) for one in sorted(tried_parts)]
     if not request.resumes:
-        return number, _dispatch_request(state, now, request)
+        return number, [*_dispatch_request(state, now, request), *reports]
     known = stream_origins.find_origin(state.origins, now, request.stream_key)
     if known is None:
-        return number, resumption.look_up_origin(state, now, request)
-    return number, _resume_stream(state, now, request, known)
+        pending = resumption.look_up_origin(state, now, request)
+    else:
+        pending = _resume_stream(state, now, request, known)
+    return number, [*pending, *reports]
 
 
 def _compute_stream_key(team: str, attempt_id: str) -> int | None:
--- a/sycamorefall/direct/crash_exchange.py
+++ b/sycamorefall/direct/crash_exchange.py
@@ -247,6 +247,7 @@
             one.cleared,
             b"".join(sorted(one.sources)),
             one.answered,
+            one.tried,
         )
         by_crash.setdefault(one.crash, []).append(record)
     if not by_crash:
@@ -315,6 +316,7 @@
             now - record.age,
             _split_sources(record.sources),
             record.answered,
+            record.tried,
         )
         for report in reports.reports
         for record in report.suspects
--- a/sycamorefall/direct/crash_log.py
+++ b/sycamorefall/direct/crash_log.py
@@ -8,9 +8,11 @@
 
 def record_report(
     recorder: observation.Recorder,
-    effect: effects.ReportCrash | effects.ReportQuarantine,
+    effect: effects.ReportCrash
+    | effects.ReportQuarantine
+    | effects.ReportTrial,
 ) -> None:
-    """Logs and counts a crash or a quarantine."""
+    """Logs and counts a crash, a quarantine or a trial."""
     match effect:
         case effects.ReportCrash():
             observation.count_event(recorder, "upstream", "crashed")
@@ -31,3 +33,10 @@
                 fingerprint=effect.fingerprint.hex(),
                 crashed=[crash.upstream for crash in effect.crashes],
             )
+        case effects.ReportTrial():
+            observation.count_event(recorder, "part", "tried")
+            observation.write_record(
+                observation.Level.INFO,
+                "quarantine.trial",
+                fingerprint=effect.fingerprint.hex(),
+            )
--- a/sycamorefall/direct/crashes.py
+++ b/sycamorefall/direct/crashes.py
@@ -12,7 +12,7 @@
     "report_quarantined",
 ]
 
-from collections.abc import Iterable, Mapping
+from collections.abc import Iterable, Mapping, Set
 
 from sycamorefall import transport
 from sycamorefall.direct import (
@@ -60,6 +60,7 @@
         return []
     crash = Crash(upstream.listed.name, upstream.listed.start_time)
     suspects = suspects_module.list_suspects(now, request)
+    tried = request.tried_parts & suspects.keys()
     known = state.disconnects.get(crash)
     if known is None:
         state.disconnects = {
@@ -67,10 +68,11 @@
             for other, disconnect in state.disconnects.items()
             if now - disconnect.since < DISCONNECT_RETENTION
         }
-        state.disconnects[crash] = state_module.Disconnect(now, suspects)
+        state.disconnects[crash] = state_module.Disconnect(now, suspects, tried)
         return [effects.CheckUpstream(crash, upstream.listed.address)]
     if known.crashed:
-        return _add_suspects(state, now, crash, suspects)
+        return _add_suspects(state, now, crash, suspects, tried)
+    known.tried |= tried
     for fingerprint, sources in suspects.items():
         others = known.suspects.get(fingerprint, frozenset())
         known.suspects[fingerprint] = others | sources
@@ -112,7 +114,9 @@
             warmup.presume_cold(state, now, upstream)
         return [
             effects.ReportCrash(check.crash, _count_requests(known)),
-            *_add_suspects(state, now, check.crash, known.suspects),
+            *_add_suspects(
+                state, now, check.crash, known.suspects, known.tried
+            ),
         ]
     if (
         reachability is transport.Reachability.UNKNOWN
@@ -133,9 +137,12 @@
     now: float,
     crash: Crash,
     suspects: Mapping[bytes, frozenset[bytes]],
+    tried: Set[bytes],
 ) -> list[effects.Effect]:
     """Adds the evidence of a crash and queues it for the other routers."""
-    added = quarantine.record_crash(state.quarantine, now, crash, suspects)
+    added = quarantine.record_crash(
+        state.quarantine, now, crash, suspects, tried
+    )
     return report_quarantined(state, now, added)
 
 
--- a/sycamorefall/direct/effects.py
+++ b/sycamorefall/direct/effects.py
@@ -10,6 +10,7 @@
     "Refusal",
     "ReportCrash",
     "ReportQuarantine",
+    "ReportTrial",
     "SendRequest",
 ]
 
@@ -207,6 +208,17 @@
     crashes: tuple[quarantine.Crash, ...]
 
 
+@dataclasses.dataclass(slots=True, frozen=True)
+class ReportTrial:
+    """Log that a request is let through to try a quarantined part.
+
+    Attributes:
+        fingerprint: Fingerprint of the part.
+    """
+
+    fingerprint: bytes
+
+
 Effect = (
     SendRequest
     | AbortAttempt
@@ -216,4 +228,5 @@
     | CheckUpstream
     | ReportCrash
     | ReportQuarantine
+    | ReportTrial
 )
--- a/sycamorefall/direct/evidence.py
+++ b/sycamorefall/direct/evidence.py
@@ -1,11 +1,25 @@
 """Evidence of what was present at crashes of upstreams."""
 
-__all__ = ["MAX_SOURCES", "Crash", "Evidence", "Suspect", "list_uncleared"]
+__all__ = [
+    "MAX_SOURCES",
+    "TRIED_ALONE",
+    "TRIED_TOGETHER",
+    "Crash",
+    "Evidence",
+    "Suspect",
+    "list_uncleared",
+]
 
 from collections.abc import Set
 import dataclasses
 from typing import NamedTuple
 
+TRIED_TOGETHER = 1
+"""A trial of several parts ended with a crash, so one of them is harmful."""
+
+TRIED_ALONE = 2
+"""A trial of this part only ended with a crash."""
+
 MAX_SOURCES = 2
 """Maximum number of requests kept for a part and a crash."""
 
@@ -33,6 +47,8 @@
             quarantined.
         sources: For a part, digests of requests through which it was present.
         answered: For a part, whether an upstream has ever answered on it.
+        tried: For a part, whether a trial of it ended with a crash: 0, or
+            `TRIED_TOGETHER` or `TRIED_ALONE`.
     """
 
     crash: Crash
@@ -41,6 +57,7 @@
     seen_at: float
     sources: frozenset[bytes] = frozenset()
     answered: bool = False
+    tried: int = 0
 
 
 @dataclasses.dataclass(slots=True)
@@ -56,6 +73,8 @@
             quarantined.
         quarantined: Whether it is refused.
         answered: For a part, whether an upstream has ever answered on it.
+        tried: For a part, whether a trial of it ended with a crash: 0, or
+            `TRIED_TOGETHER` or `TRIED_ALONE`.
     """
 
     crashes: set[Crash] = dataclasses.field(default_factory=set)
@@ -66,6 +85,7 @@
     seen_at: float = float("-inf")
     quarantined: bool = False
     answered: bool = False
+    tried: int = 0
 
 
 def list_uncleared(suspect: Suspect) -> Set[Crash]:
--- a/sycamorefall/direct/outcomes.py
+++ b/sycamorefall/direct/outcomes.py
@@ -4,6 +4,7 @@
     "AttemptEnd",
     "abort_attempt",
     "discard_request",
+    "draw_quarantine_delay",
     "draw_retry_after",
     "end_attempt",
     "expire_request",
@@ -18,6 +19,7 @@
     "release_attempt",
 ]
 
+from collections.abc import Iterable
 import enum
 import math
 
@@ -29,10 +31,12 @@
     effects,
     eligibility,
     fair_queue,
+    fingerprints,
     speed,
     stream_origins,
     stream_pace,
     suspects,
+    trials,
     upstreams,
 )
 from sycamorefall.direct import (
@@ -600,10 +604,14 @@
         return [effects.AbortResponse(request.number)]
     fingerprint = suspects.find_quarantined(state, request)
     if not request.possible_runs and fingerprint:
-        # No Retry-After: a retry would be refused as well.
         kind = errors.ErrorKind.QUARANTINED
+        retry_after = draw_quarantine_delay(
+            state, now, fingerprints.list_fingerprints(request)
+        )
         return [
-            effects.AnswerError(request.number, kind, fingerprint=fingerprint)
+            effects.AnswerError(
+                request.number, kind, retry_after, fingerprint=fingerprint
+            )
         ]
     if not request.possible_runs:
         kind = errors.ErrorKind.NO_UPSTREAM
@@ -622,6 +630,25 @@
     return [effects.AnswerError(request.number, kind)]
 
 
+def draw_quarantine_delay(
+    state: state_module.DirectState, now: float, accused: Iterable[bytes]
+) -> float | None:
+    """Draws the Retry-After of a request that is refused as quarantined.
+
+    Args:
+        state: The router's state.
+        now: Current time of this process's clock.
+        accused: Fingerprints of the request and of its prompt's parts.
+
+    Returns:
+        Seconds; None if the request would be refused then too.
+    """
+    delay = trials.estimate_retry_after(state.quarantine, now, accused)
+    if delay is None:
+        return None
+    return delay + state.random.uniform(0.0, RETRY_JITTER)
+
+
 def expire_request(
     state: state_module.DirectState,
     request: state_module.Request,
--- a/sycamorefall/direct/quarantine.py
+++ b/sycamorefall/direct/quarantine.py
@@ -30,13 +30,15 @@
 ]
 
 import collections
-from collections.abc import Iterable, Iterator, Mapping, Set
+from collections.abc import Collection, Iterable, Iterator, Mapping, Set
 import dataclasses
 import heapq
 
 from sycamorefall.direct import verdicts
 from sycamorefall.direct.evidence import (
     MAX_SOURCES,
+    TRIED_ALONE,
+    TRIED_TOGETHER,
     Crash,
     Evidence,
     Suspect,
@@ -80,6 +82,8 @@
         unsent: New evidence of this router that other routers have yet to be
             sent, as pairs of a crash and a fingerprint.
         next_scan_at: Time of the next scan for expired suspects.
+        trials: When this router last let a request through to try a quarantined
+            part, by the part's fingerprint; see `trials`.
     """
 
     suspects: dict[bytes, Suspect] = dataclasses.field(default_factory=dict)
@@ -89,6 +93,7 @@
     )
     unsent: list[tuple[Crash, bytes]] = dataclasses.field(default_factory=list)
     next_scan_at: float = float("inf")
+    trials: dict[bytes, float] = dataclasses.field(default_factory=dict)
 
 
 def is_quarantined(quarantine: Quarantine, fingerprint: bytes) -> bool:
@@ -175,6 +180,7 @@
     now: float,
     crash: Crash,
     sources: Mapping[bytes, frozenset[bytes]],
+    tried: Collection[bytes] = (),
 ) -> list[bytes]:
     """Records what was present at a crash, and queues it for other routers.
 
@@ -183,10 +189,12 @@
         now: Current time of this process's clock.
         crash: The crash.
         sources: Sources by fingerprint of a suspect; see `Evidence`.
+        tried: Fingerprints of the parts that a request tried there.
 
     Returns:
         Fingerprints that are newly quarantined.
     """
+    level = TRIED_ALONE if len(tried) == 1 else TRIED_TOGETHER
     evidence = [
         Evidence(
             crash,
@@ -195,6 +203,7 @@
             now,
             found,
             answered=one in quarantine.proofs,
+            tried=level if one in tried else 0,
         )
         for one, found in sorted(sources.items())
         if not is_proven(quarantine, one, now)
@@ -236,8 +245,9 @@
         suspect = quarantine.suspects[piece.fingerprint] = Suspect()
     suspect.seen_at = max(suspect.seen_at, piece.seen_at)
     is_news = _add_sources(suspect, piece)
-    is_news |= piece.answered > suspect.answered
+    is_news |= piece.answered > suspect.answered or piece.tried > suspect.tried
     suspect.answered |= piece.answered
+    suspect.tried = max(suspect.tried, piece.tried)
     known = suspect.cleared if piece.cleared else suspect.crashes
     if piece.crash in known:
         return is_news
@@ -292,6 +302,7 @@
         quarantine.quarantined.add(fingerprint)
     else:
         quarantine.quarantined.discard(fingerprint)
+        quarantine.trials.pop(fingerprint, None)
 
 
 def clear_suspects(
@@ -358,6 +369,7 @@
                 suspect.seen_at,
                 suspect.sources.get(crash, frozenset()),
                 suspect.answered,
+                suspect.tried,
             )
 
 
@@ -383,6 +395,7 @@
     for fingerprint in expired:
         del quarantine.suspects[fingerprint]
         quarantine.quarantined.discard(fingerprint)
+        quarantine.trials.pop(fingerprint, None)
 
 
 def _drop_excess(quarantine: Quarantine) -> None:
--- a/sycamorefall/direct/relay.py
+++ b/sycamorefall/direct/relay.py
@@ -50,6 +50,7 @@
     effects.CheckUpstream,
     effects.ReportCrash,
     effects.ReportQuarantine,
+    effects.ReportTrial,
 )
 """Effects that concern an upstream instead of a request in progress."""
 
@@ -273,7 +274,11 @@
                 effect.address,
                 lambda found: _handle_check_result(proxy, effect, found),
             )
-        case effects.ReportCrash() | effects.ReportQuarantine():
+        case (
+            effects.ReportCrash()
+            | effects.ReportQuarantine()
+            | effects.ReportTrial()
+        ):
             crash_log.record_report(proxy.recorder, effect)
 
 
--- a/sycamorefall/direct/state.py
+++ b/sycamorefall/direct/state.py
@@ -151,6 +151,8 @@
         awaits_origin: Whether the request waits for the origin of its stream.
         known_origin: What was known of the stream when it was taken up; None
             if it wasn't, or nothing was known.
+        tried_parts: Fingerprints of the quarantined parts that the request is
+            let through to try; see `trials`.
     """
 
     number: int
@@ -177,6 +179,7 @@
     resumes: bool = False
     awaits_origin: bool = False
     known_origin: stream_origins.KnownOrigin | None = None
+    tried_parts: frozenset[bytes] = frozenset()
 
 
 @dataclasses.dataclass(slots=True, frozen=True)
@@ -203,7 +206,8 @@
         since: Time at which the first connection was lost.
         suspects: Fingerprints of the requests, and of the shared parts of
             prompts that the upstream had not begun to answer, each with its
-            sources; see `quarantine.Evidence`.
+            sources; see `evidence.Evidence`.
+        tried: Fingerprints of the parts that were tried there.
         checks: Number of reachability checks started so far.
         crashed: Whether a check found that the upstream has crashed.
     """
@@ -212,6 +216,7 @@
     suspects: dict[bytes, frozenset[bytes]] = dataclasses.field(
         default_factory=dict
     )
+    tried: set[bytes] = dataclasses.field(default_factory=set)
     checks: int = 1
     crashed: bool = False
 
--- a/sycamorefall/direct/suspects.py
+++ b/sycamorefall/direct/suspects.py
@@ -89,7 +89,12 @@
     if not known.quarantined:
         return b""
     return quarantine.find_quarantined(
-        known, fingerprints.list_fingerprints(request)
+        known,
+        (
+            one
+            for one in fingerprints.list_fingerprints(request)
+            if one not in request.tried_parts
+        ),
     )
 
 
@@ -102,7 +107,7 @@
     """Returns whether a request may have crashed an upstream before an attempt.
 
     Suspects are not retried, so each arrival of a request crashes at most two
-    upstreams.
+    upstreams, and a trial at most one.
 
     Args:
         state: The router's state.
@@ -111,6 +116,8 @@
         attempt: Its attempt that has lost its upstream.
     """
     known = state.quarantine
+    if request.tried_parts:
+        return True
     if not known.suspects:
         return False
     present = quarantine.Crash(attempt.upstream, attempt.start_time)
--- a/sycamorefall/direct/tests/test_crash_exchange.py
+++ b/sycamorefall/direct/tests/test_crash_exchange.py
@@ -6,7 +6,13 @@
 
 from sycamorefall import messages, names
 from sycamorefall.direct import crash_exchange as crash_exchange_module
-from sycamorefall.direct import exchange, fingerprints, quarantine
+from sycamorefall.direct import (
+    evidence,
+    exchange,
+    fingerprints,
+    quarantine,
+    trials,
+)
 from sycamorefall.direct.quarantine import Crash, Evidence
 from sycamorefall.direct.tests import simulated_fleet
 
@@ -276,12 +282,12 @@
     return counts
 
 
-def record_crash_of_parts(fleet, name, crash, *parts):
+def record_crash_of_parts(fleet, name, crash, *parts, tried=frozenset()):
     """Records a crash at one router, by a request of its own."""
     known = fleet.routers[name].state.quarantine
     source = crash.encode().ljust(fingerprints.SOURCE_SIZE)
     sources = dict.fromkeys(parts, frozenset({source}))
-    quarantine.record_crash(known, fleet.now, Crash(crash, 1), sources)
+    quarantine.record_crash(known, fleet.now, Crash(crash, 1), sources, tried)
 
 
 @pytest.mark.parametrize("loss", [0.0, 0.3])
@@ -302,3 +308,40 @@
     names = {one.name for one in fleet.list_live()}
     assert list_unquarantined(fleet, dead) == []
     assert set(list_unquarantined(fleet, first)) == names
+
+
+def test_all_routers_learn_of_a_failed_trial(fleet):
+    # Guards against a harmful part that is tried by one router after the other.
+    first, dead = map(fingerprints.compute_part_fingerprint, ("f0", "dead"))
+    for number in range(3):
+        record_crash_of_parts(fleet, "router-0-1", f"e{number}", first, dead)
+    fleet.run(SPREAD_BOUND)
+    record_crash_of_parts(fleet, "router-1-2", "e4", dead, tried={dead})
+    fleet.run(SPREAD_BOUND)
+    assert all(
+        one.state.quarantine.suspects[dead].tried == evidence.TRIED_ALONE
+        for one in fleet.list_live()
+    )
+
+
+def test_few_routers_try_a_part_at_the_same_time():
+    # Guards against a harmful part that all routers of a large fleet try at the
+    # same time, each once.
+    part = fingerprints.compute_part_fingerprint("f0")
+    known = quarantine.Quarantine()
+    for crash in "abc":
+        sources = dict.fromkeys((part, b"other"), frozenset({crash.encode()}))
+        quarantine.record_crash(known, 0.0, Crash(crash, 1), sources)
+
+    def may_try(router, now):
+        known.trials.clear()
+        return bool(trials.choose_trial(known, now, [part], router, 368))
+
+    def count_triers(now):
+        return sum(may_try(f"router-{number}", now) for number in range(368))
+
+    due = trials.TRIAL_DELAY
+    assert count_triers(due - 0.1) == 0
+    assert count_triers(due) <= 3
+    assert count_triers(due + trials.TRIAL_STEP) <= 5
+    assert count_triers(due + 12 * trials.TRIAL_STEP) == 368
--- a/sycamorefall/direct/tests/test_quarantine.py
+++ b/sycamorefall/direct/tests/test_quarantine.py
@@ -177,6 +177,7 @@
         0.0,
         frozenset({name.encode()}) if is_part else frozenset(),
         answered=is_part and draw(strategies.integers(0, 5)) == 0,
+        tried=draw(strategies.integers(0, 9 if is_part else 0)) // 8,
     )
 
 
--- a/sycamorefall/direct/tests/test_suspects.py
+++ b/sycamorefall/direct/tests/test_suspects.py
@@ -14,6 +14,7 @@
     prompts,
     quarantine,
     suspects,
+    trials,
     verdicts,
 )
 from sycamorefall.direct.outcomes import AttemptEnd
@@ -247,6 +248,96 @@
     assert submit_prompt(state, 12.0, "sound", FIRST)[1].upstream
 
 
+def test_sound_part_beside_two_harmful_ones_in_turn_is_served_after_a_trial(
+    state,
+):
+    # Guards against refusing for long what two harmful parts have in common: it
+    # is at three crashes before either of them is.
+    answer(state, 0.0, FIRST)
+    for now, key in ((5.0, "dead1"), (6.0, "dead2"), (7.0, "dead1")):
+        crash_times(state, 1, FIRST, (key, 9), start=now)
+    assert list_quarantined_keys(state, "f0", "dead1", "dead2") == ["f0"]
+    answer(state, 7.1 + trials.TRIAL_DELAY + trials.TRIAL_STEP, FIRST)
+    assert list_quarantined_keys(state, "f0") == []
+    crash_times(state, 1, FIRST, ("dead1", 9), start=14.0)
+    crash_times(state, 2, FIRST, ("dead2", 9), start=15.0)
+    accused = list_quarantined_keys(state, "f0", "dead1", "dead2")
+    assert accused == ["dead1", "dead2"]
+
+
+def test_part_that_may_be_sound_is_tried_by_one_request_at_a_time(state):
+    # Guards against a sound part that nothing can clear, as all its requests
+    # are refused: it has never been seen without a harmful part.
+    crash_times(state, 3, FIRST, DEAD)
+    assert list_quarantined_keys(state, "f0", "dead") == ["f0", "dead"]
+    _, early = submit_prompt(state, 3.0, "early", FIRST)
+    assert early.kind is errors.ErrorKind.QUARANTINED
+    assert early.retry_after >= 2.1 + trials.TRIAL_DELAY - 3.0
+    now = 2.1 + trials.TRIAL_DELAY + trials.TRIAL_STEP
+    assert submit_prompt(state, now, "both", FIRST, DEAD)[1].kind
+    number, sent = submit_prompt(state, now, "trial", FIRST)
+    assert sent.upstream
+    _, other = submit_prompt(state, now, "other", FIRST)
+    assert other.retry_after >= trials.MIN_RETRY_AFTER
+    outcomes.record_response(state, now + 0.1, number, first=True)
+    outcomes.end_attempt(state, now + 0.2, number, AttemptEnd.COMPLETE)
+    assert submit_prompt(state, now + 0.3, "sound", FIRST)[1].upstream
+    _, refused = submit_prompt(state, now + 0.3, "new", DEAD)
+    assert refused.kind is errors.ErrorKind.QUARANTINED
+    assert refused.retry_after is None
+
+
+def test_harmful_part_is_tried_once_and_not_retried(state):
+    # Guards against a harmful part that crashes one upstream after the other by
+    # trials.
+    crash_times(state, 3, FIRST, DEAD)
+    now = 2.1 + trials.TRIAL_DELAY + trials.TRIAL_STEP
+    number, sent = submit_prompt(state, now, "trial", DEAD)
+    assert sent.upstream
+    assert not fakes.list_sends(crash(state, now + 0.1, number))
+    for later in range(1, 60):
+        _, refused = submit_prompt(state, now + later, f"r{later}", DEAD)
+        assert refused.kind is errors.ErrorKind.QUARANTINED
+        assert refused.retry_after is None
+
+
+def test_parts_that_always_come_together_are_tried_together(state):
+    # Guards against two sound parts that no trial clears, as none of their
+    # prompts has but one of them.
+    both = (FIRST, ("tools", 90))
+    crash_times(state, 3, *both, DEAD)
+    now = 2.1 + trials.TRIAL_DELAY + trials.TRIAL_STEP
+    assert submit_prompt(state, now, "harmful", *both, DEAD)[1].kind
+    answer(state, now, *both)
+    assert list_quarantined_keys(state, "f0", "tools", "dead") == ["dead"]
+
+
+def test_part_of_a_failed_trial_of_several_is_tried_alone(state):
+    # Guards against a sound part that stays refused as a trial of it and a
+    # harmful one has crashed an upstream.
+    both = (FIRST, DEAD)
+    crash_times(state, 3, *both, ("tools", 90))
+    now = 2.1 + trials.TRIAL_DELAY + trials.TRIAL_STEP
+    number, _ = submit_prompt(state, now, "trial", *both)
+    crash(state, now + 0.1, number)
+    later = now + 0.1 + trials.TRIAL_DELAY + trials.TRIAL_STEP
+    assert submit_prompt(state, later, "again", *both)[1].kind
+    answer(state, later, FIRST)
+    assert submit_prompt(state, later + 0.3, "sound", FIRST)[1].upstream
+    assert submit_prompt(state, later + 30.0, "new", *both)[1].kind
+
+
+def test_trial_without_a_result_is_repeated(state):
+    # Guards against a part that stays refused as the request that tried it was
+    # cancelled by its caller.
+    crash_times(state, 3, FIRST, DEAD)
+    now = 2.1 + trials.TRIAL_DELAY + trials.TRIAL_STEP
+    number, _ = submit_prompt(state, now, "trial", FIRST)
+    core.cancel_request(state, now + 0.1, number)
+    later = now + trials.TRIAL_INTERVAL
+    assert submit_prompt(state, later, "again", FIRST)[1].upstream
+
+
 def test_request_with_an_excused_part_is_retried(state):
     # Guards against retries that are forbidden by crashes which a harmful part
     # explains.
--- a/sycamorefall/direct/verdicts.py
+++ b/sycamorefall/direct/verdicts.py
@@ -16,11 +16,17 @@
     "MIN_SOURCES",
     "is_convicted",
     "list_explained",
+    "may_be_sound",
 ]
 
 from collections.abc import Collection, Iterable, Mapping, Set
 
-from sycamorefall.direct.evidence import Crash, Suspect, list_uncleared
+from sycamorefall.direct.evidence import (
+    TRIED_TOGETHER,
+    Crash,
+    Suspect,
+    list_uncleared,
+)
 
 CRASH_LIMIT = 3
 """Crashes without a success in between after which a suspect is convicted.
@@ -33,7 +39,7 @@
 MAX_EXCUSED = 6
 """Maximum number of crashes, excused ones included, after which a part still
 isn't convicted. Operators bear five crashes by a part and three requests more:
-with the seventh crash one of these is left for what is in progress then."""
+with the seventh crash and a trial the part has reached engines eight times."""
 
 
 def list_explained(
@@ -71,3 +77,32 @@
         return True  # It is a request.
     sources = (suspect.sources.get(one, frozenset()) for one in crashes)
     return len(frozenset().union(*sources)) >= MIN_SOURCES
+
+
+def may_be_sound(
+    suspects: Mapping[bytes, Suspect],
+    convicted: Set[bytes],
+    accused: Collection[bytes],
+) -> bool:
+    """Returns whether the convicted parts of a request may all be sound.
+
+    They may if other convicted parts, which the request doesn't contain, were
+    present at all of their crashes. A single part may also if upstreams have
+    answered on it before. Trials that ended with a crash settle it.
+
+    Args:
+        suspects: All suspects by fingerprint.
+        convicted: Fingerprints of all convicted suspects.
+        accused: Fingerprints of the convicted ones that the request contains.
+    """
+    parts = [suspects[one] for one in accused]
+    max_tried = 0 if len(parts) > 1 else TRIED_TOGETHER
+    if any(not one.sources or one.tried > max_tried for one in parts):
+        return False
+    if len(parts) == 1 and parts[0].answered:
+        return True
+    others = (
+        one for one in convicted.difference(accused) if suspects[one].sources
+    )
+    explained = list_explained(suspects, others)
+    return all(list_uncleared(one) <= explained for one in parts)
--- a/sycamorefall/errors.py
+++ b/sycamorefall/errors.py
@@ -136,7 +136,7 @@
     ErrorKind.OUTCOME_UNKNOWN: ErrorAnswer(502, Ran.UNKNOWN),
     ErrorKind.NOT_READY: ErrorAnswer(503, Ran.NO, retry=True),
     ErrorKind.OVERLOADED: ErrorAnswer(503, Ran.NO, retry=True),
-    ErrorKind.QUARANTINED: ErrorAnswer(503, Ran.NO),
+    ErrorKind.QUARANTINED: ErrorAnswer(503, Ran.NO, retry=True),
     ErrorKind.STREAM_NOT_RESUMABLE: ErrorAnswer(400, Ran.NO),
     ErrorKind.STREAM_UNKNOWN: ErrorAnswer(503, Ran.NO, retry=True),
     ErrorKind.STREAM_VERSION_GONE: ErrorAnswer(503, Ran.NO),
@@ -176,7 +176,7 @@
     "one may have time.",
     ErrorKind.QUARANTINED: "Upstreams that ran this request, or others with a "
     "part of its prompt, crashed several times in a row; it is not sent to "
-    "another one.",
+    "another one. With Retry-After the part may prove to be sound by then.",
     ErrorKind.STREAM_NOT_RESUMABLE: "The request goes on with a stream, which "
     "its route doesn't allow.",
     ErrorKind.STREAM_UNKNOWN: "The request goes on with a stream, and this "
--- a/sycamorefall/messages/loads.py
+++ b/sycamorefall/messages/loads.py
@@ -230,6 +230,8 @@
         sources: For a part, digests of requests through which it was present,
             joined.
         answered: For a part, whether an upstream has ever answered on it.
+        tried: For a part, whether a trial of it ended with a crash; see
+            `direct.evidence`.
     """
 
     fingerprint: bytes
@@ -237,6 +239,7 @@
     cleared: bool = False
     sources: bytes = b""
     answered: bool = False
+    tried: int = 0
 
 
 class CrashReport(msgspec.Struct, frozen=True, array_like=True):
--- a/sycamorefall/platform/tests/test_crashing.py
+++ b/sycamorefall/platform/tests/test_crashing.py
@@ -2,6 +2,7 @@
 
 import concurrent.futures
 import http.client
+import itertools
 import pathlib
 import re
 import time
@@ -10,6 +11,7 @@
 
 from standins import site as site_module
 from sycamorefall import command
+from sycamorefall.direct import quarantine
 from sycamorefall.platform.tests import test_whole_path
 from sycamorefall.platform.tests.router_client import send_request
 
@@ -104,6 +106,56 @@
     assert [one.result() for one in sent[-10:]] == [503] * 10
 
 
+MAX_REFUSED_TIME = 2 * 3.0
+"""Seconds after the last crash from which on sound prompts must be served: two
+of the times in which routers learn of each other's news."""
+
+
+def crash_by_part(routers, *parts):
+    """Sends prompts with the crashing part until all routers refuse them."""
+    number = itertools.count(5000)
+    for router in routers:
+        site_module.wait_until(
+            lambda one=router: (
+                send_prompt(one, next(number), *parts, CRASHING_PART) == 503
+            )
+        )
+
+
+def test_sound_prompts_of_the_caller_are_served_beside_a_harmful_part(
+    site, fleet_with_part
+):
+    # Guards against refusing all prompts of a caller: they begin with one part,
+    # which one router has served, but not just before the crashes.
+    assert send_prompt(fleet_with_part[0], 1, "aa") == 200
+    time.sleep(1.1 * quarantine.PROOF_LEAD)
+    crash_by_part(fleet_with_part, "aa")
+    for number, router in enumerate(fleet_with_part * 4, 10):
+        assert send_prompt(router, number, "aa") == 200
+    assert count_sends_of_part(site) <= MAX_SENDS
+
+
+def test_sound_prompts_are_served_again_after_a_trial(site, fleet_with_part):
+    # Guards against refusing all prompts of a caller for long: their first part
+    # was never seen without the harmful one.
+    crash_by_part(fleet_with_part, "aa")
+    number = itertools.count(10)
+
+    def count_served():
+        return sum(
+            send_prompt(one, next(number), "aa") == 200
+            for one in fleet_with_part
+        )
+
+    site_module.wait_until(
+        lambda: count_served() == len(fleet_with_part), MAX_REFUSED_TIME
+    )
+    for router in fleet_with_part * 4:
+        assert send_prompt(router, next(number), "aa") == 200
+        assert send_prompt(router, next(number), "aa", CRASHING_PART) == 503
+    assert count_sends_of_part(site) <= MAX_SENDS
+
+
 def count_crashed_upstreams(site):
     return sum(one.crashed for one in site.upstreams.values())
 
