--- a/benchmarks/crashes.py
+++ b/benchmarks/crashes.py
@@ -501,7 +501,7 @@
         refused = sum(one.refused for one in outcomes)
         crashes = sum(one.crashes for one in outcomes) / len(outcomes)
         print(
-            f"{routers:7} {name:18} {mode:12} {served / harmless:7.4f}"
+            f"{routers:7} {name:14} {mode:12} {served / harmless:7.4f}"
             f" {wrong:6} {refused:8} {crashes:8.1f}"
         )
 
--- a/sycamorefall/direct/trials.py
+++ b/sycamorefall/direct/trials.py
@@ -21,8 +21,9 @@
 from sycamorefall.direct import verdicts
 
 TRIAL_DELAY = 3.0
-"""Seconds after a part's last crash until it may be tried. The evidence of all
-routers has arrived by then, also if messages are lost."""
+"""Seconds after a part's last crash until it may be tried. Evidence has reached
+all routers by then, also if messages are lost. Routers tell ages in whole
+seconds, rounded up, so one that wasn't at the crash may try a second early."""
 
 TRIAL_STEP = 1.0
 """Seconds in which the number of routers that may try a part doubles. A trial
