--- a/sycamorefall/direct/backlog.py
+++ b/sycamorefall/direct/backlog.py
@@ -3,13 +3,16 @@
 __all__ = [
     "LOG_INTERVAL",
     "MAX_TEAMS",
+    "ServiceSpread",
     "TeamBacklog",
     "list_backlogs",
+    "list_spreads",
 ]
 
 import dataclasses
+import math
 
-from sycamorefall.direct import fair_queue
+from sycamorefall.direct import fair_queue, upstreams
 from sycamorefall.direct import state as state_module
 
 LOG_INTERVAL = 1.0
@@ -42,6 +45,53 @@
     own: int
 
 
+@dataclasses.dataclass(slots=True, frozen=True)
+class ServiceSpread:
+    """How unevenly the teams of a service are served, as this router knows it.
+
+    Attributes:
+        service: Name of the service.
+        most: Most cost units that any team received recently.
+        least: Fewest cost units that any team received recently that waits here
+            or for one of the service's upstreams elsewhere.
+    """
+
+    service: str
+    most: int
+    least: int
+
+
+def list_spreads(
+    state: state_module.DirectState, now: float
+) -> list[ServiceSpread]:
+    """Lists the spreads of the services for which a team waits anywhere.
+
+    Example:
+        >>> from sycamorefall.direct.tests import fakes
+        >>> state = fakes.create_state()
+        >>> state.table.by_name["e1"].floor = 20
+        >>> accounts = state_module.get_or_create_accounts(state, "engine")
+        >>> accounts.max_received = 70.0
+        >>> list_spreads(state, 0.0)
+        [ServiceSpread(service='engine', most=70, least=20)]
+    """
+    spreads = []
+    for service, accounts in state.accounts.items():
+        floors = [
+            one.floor for one in upstreams.list_upstreams(state.table, service)
+        ]
+        queue = state.service_queues.get(service)
+        own = [
+            fair_queue.compute_received(accounts, now, team)
+            for team in (queue.by_team if queue else ())
+        ]
+        least = min([*floors, *own], default=math.inf)
+        if least < math.inf:
+            most = int(accounts.max_received)
+            spreads.append(ServiceSpread(service, most, int(least)))
+    return spreads
+
+
 def list_backlogs(
     state: state_module.DirectState, now: float
 ) -> list[TeamBacklog]:
--- a/sycamorefall/direct/metrics.py
+++ b/sycamorefall/direct/metrics.py
@@ -7,7 +7,13 @@
 
 from prometheus_client import metrics_core
 
-from sycamorefall.direct import descriptors, fingerprints, pacing, speed
+from sycamorefall.direct import (
+    backlog,
+    descriptors,
+    fingerprints,
+    pacing,
+    speed,
+)
 from sycamorefall.direct import upstreams as upstreams_module
 from sycamorefall.observation import metrics
 
@@ -99,6 +105,24 @@
             if (rate := speed.estimate_read_rate(reference)) is not None
         },
     )
+    yield gauge(
+        "team_received_units",
+        "Recent service of the best served team, and of the least served one "
+        "that waits at any router, while one does.",
+        ("service", "team"),
+        {
+            (one.service, team): getattr(one, team)
+            for one in backlog.list_spreads(state, now)
+            for team in ("most", "least")
+        },
+    )
+    yield gauge(
+        "loop_lateness_seconds",
+        "Recent lateness of the event loop, decayed; 0 if each pass was late "
+        "by less than 0.05 s.",
+        (),
+        {(): state.overload.lateness},
+    )
     yield count(
         "retries",
         "Sends of a request after one that may have reached an upstream, by "
--- a/sycamorefall/direct/overload.py
+++ b/sycamorefall/direct/overload.py
@@ -11,6 +11,7 @@
     "Overload",
     "is_overloaded",
     "record_lateness",
+    "take_max_late",
 ]
 
 import dataclasses
@@ -46,11 +47,13 @@
         lateness: Decayed sum of lateness, in seconds.
         updated_at: Time at which `lateness` was last updated.
         overloaded_until: Time until which the process counts as overloaded.
+        max_late: Lateness of the latest pass since `take_max_late`, in seconds.
     """
 
     lateness: float = 0.0
     updated_at: float = 0.0
     overloaded_until: float = float("-inf")
+    max_late: float = 0.0
 
 
 def record_lateness(overload: Overload, now: float, late: float) -> None:
@@ -74,6 +77,7 @@
         >>> is_overloaded(overload, 2.0), is_overloaded(overload, 12.0)
         (True, False)
     """
+    overload.max_late = max(overload.max_late, late)
     if late < MIN_COUNTED_LATENESS:
         return
     age = max(0.0, now - overload.updated_at)
@@ -87,3 +91,17 @@
 def is_overloaded(overload: Overload, now: float) -> bool:
     """Returns whether the balancer should send new callers to other routers."""
     return now < overload.overloaded_until
+
+
+def take_max_late(overload: Overload) -> float:
+    """Returns the greatest lateness since the last call, and resets it.
+
+    Example:
+        >>> overload = Overload()
+        >>> record_lateness(overload, 1.0, 0.03)
+        >>> record_lateness(overload, 1.1, 0.02)
+        >>> take_max_late(overload), take_max_late(overload)
+        (0.03, 0.0)
+    """
+    late, overload.max_late = overload.max_late, 0.0
+    return late
--- a/sycamorefall/direct/tests/test_backlog.py
+++ b/sycamorefall/direct/tests/test_backlog.py
@@ -67,3 +67,26 @@
     assert refusal.most == 70_000
     assert refusal.cost == 1100
     assert refusal.received == 0
+
+
+def test_spread_tells_how_far_the_best_served_team_is_ahead_of_a_waiting_one():
+    # Guards against a team that falls behind at another router, which no
+    # record or metric of this router shows.
+    state = create_full_state()
+    accounts = state_module.get_or_create_accounts(state, "engine")
+    accounts.max_received = 90_000.0
+    fakes.submit_request(state, 0.0, "draft", team="mill")
+    accounts.peer_received = {"mill": 40_000.0}
+    assert backlog.list_spreads(state, 0.1) == [
+        backlog.ServiceSpread("engine", 90_000, 40_000)
+    ]
+    state.table.by_name["e2"].floor = 3_000
+    (spread,) = backlog.list_spreads(state, 0.1)
+    assert spread.least == 3_000
+
+
+def test_no_spread_is_logged_while_nothing_waits():
+    # Guards against a lead that is reported while no team lacks anything.
+    state = fakes.create_state()
+    state_module.get_or_create_accounts(state, "engine").max_received = 90_000.0
+    assert backlog.list_spreads(state, 0.0) == []
--- a/sycamorefall/direct/timers.py
+++ b/sycamorefall/direct/timers.py
@@ -148,6 +148,12 @@
             observation.Level.INFO,
             "teams.waiting",
             teams=[dataclasses.asdict(one) for one in backlogs],
+            spreads=[
+                dataclasses.asdict(one)
+                for one in backlog.list_spreads(daemon.state, now)
+            ],
+            late=round(overload_module.take_max_late(daemon.state.overload), 3),
+            shed=daemon.servers[0].shed,
             heard={scope.name.lower(): age for scope, age in ages.items()},
         )
 
