Accounts: an attempt that ends before its response began is refunded always

Cause: a send is charged when it is made. It was refunded where an upstream ended it, or where it was stalled, and not where its caller left or its deadline passed.

Every attempt ends in release_attempt, which settles the account now, so no new way to end one can forget it.

--- a/sycamorefall/direct/local_failures.py
+++ b/sycamorefall/direct/local_failures.py
@@ -33,11 +33,9 @@
     request = state.requests.get(number)
     if request is None or request.attempt is None:
         return []
-    attempt = request.attempt
-    upstream = outcomes.release_attempt(state, request)
+    upstream = outcomes.release_attempt(state, request, now)
     if upstream is not None:
         upstreams.end_probe(upstream)
-    outcomes.refund_attempt(state, now, request, attempt)
     if request.possible_runs or request.forwarding_started:
         return outcomes.fail_request(state, request, now)
     outcomes.discard_request(state, request)
--- a/sycamorefall/direct/outcomes.py
+++ b/sycamorefall/direct/outcomes.py
@@ -14,7 +14,6 @@
     "record_response",
     "record_retry_delay",
     "record_sent",
-    "refund_attempt",
     "refuse_delayed_requests",
     "release_attempt",
 ]
@@ -115,14 +114,30 @@
 
 
 def release_attempt(
-    state: state_module.DirectState, request: state_module.Request
+    state: state_module.DirectState,
+    request: state_module.Request,
+    now: float,
+    is_complete: bool = False,
 ) -> upstreams.Upstream | None:
     """Ends a request's attempt and subtracts its load from the upstream.
 
+    Every attempt ends here, so a team pays for the responses that began and for
+    nothing else. It would otherwise fall behind teams that got what they paid
+    for: on a router that falls behind, most callers leave before their
+    responses begin.
+
+    Args:
+        state: The router's state; changed.
+        request: The request; its attempt is removed.
+        now: Current time of this process's clock.
+        is_complete: Whether the upstream responded completely.
+
     Returns:
         The upstream; None if it is no longer listed or was restarted.
     """
     attempt, request.attempt = request.attempt, None
+    if not is_complete:
+        _refund_attempt(state, now, request, attempt)
     state.running -= 1
     upstream = state_module.find_upstream(state, attempt)
     state.dispatch_needed = True
@@ -152,13 +167,13 @@
         return []
     request.arrivals += 1
     request.possible_runs += 1
-    upstream = release_attempt(state, request)
+    upstream = release_attempt(state, request, now)
     if upstream is not None:
         upstreams.end_probe(upstream)
     return [effects.AbortAttempt(request.number)]
 
 
-def refund_attempt(
+def _refund_attempt(
     state: state_module.DirectState,
     now: float,
     request: state_module.Request,
@@ -487,10 +502,9 @@
     if request is None or request.attempt is None:
         return []
     attempt = request.attempt
-    upstream = release_attempt(state, request)
+    is_complete = end is AttemptEnd.COMPLETE
+    upstream = release_attempt(state, request, now, is_complete)
     _update_upstream_health(state, now, attempt.upstream, upstream, end)
-    if end is not AttemptEnd.COMPLETE:
-        refund_attempt(state, now, request, attempt)
     if end is not AttemptEnd.NOT_SENT:
         request.arrivals += 1
     if end in _MAY_HAVE_RUN:
--- a/sycamorefall/direct/stalls.py
+++ b/sycamorefall/direct/stalls.py
@@ -155,7 +155,6 @@
 ) -> list[effects.Effect]:
     """Aborts a request's attempt and retries it, or fails the request."""
     name = request.attempt.upstream
-    outcomes.refund_attempt(state, now, request, request.attempt)
     aborted = outcomes.abort_attempt(state, request, now)
     upstream = state.table.by_name.get(name)
     if upstream is not None:
