Server: all connections that the kernel has made are accepted in a pass

Callers saw: at a small VM that many callers met at once, requests that were read were given up 20 to 50 ms later, for seconds; the callers' team got less than half of its share.

Cause: 64 connections were accepted in a pass of the loop. The others waited in the kernel, in order, where neither load shedding nor the check for callers that left sees them. The queue grew until callers left at its end, so each request that was read was among the oldest: of 64 in a pass 50 to 60 had left and the rest were about to.

Now 0.05 s of a pass limit the accepting, not a number; what a pass can't serve is shed or dropped in it. A caller that has left is dropped before it is shed.

--- a/sycamorefall/transport/server.py
+++ b/sycamorefall/transport/server.py
@@ -31,9 +31,10 @@
 READ_SIZE = 1 << 16
 """Maximum number of bytes read from a connection at once."""
 
-MAX_ACCEPTS_PER_EVENT = 64
-"""Maximum number of connections accepted before the loop handles other
-events."""
+MAX_ACCEPT_TIME = 0.05
+"""Seconds for which connections are accepted before the loop handles other
+events: half of the time of a pass in which requests are served, see
+`Shedding.max_pass_time`."""
 
 _CONTINUE = b"HTTP/1.1 100 Continue\r\n\r\n"
 
@@ -269,19 +270,23 @@
     def _accept_pending(self) -> int:
         """Accepts connections that the kernel has made; returns their number.
 
-        circuits accepts one in each pass of the loop. When many callers
-        connected to a small VM, the others waited in the kernel until their
-        deadlines.
+        Only a time limits their number. Connections that are left in the kernel
+        form a queue that load shedding doesn't see: on an overloaded VM it grew
+        until callers left at its end, and each request that was read was about
+        to be given up.
         """
-        for accepted in range(MAX_ACCEPTS_PER_EVENT):
+        accepted = 0
+        until = self._read_clock() + MAX_ACCEPT_TIME
+        while not accepted or self._read_clock() < until:
             if not self._may_accept():
                 self.acceptor.pause()
-                return accepted
+                break
             sock = self.acceptor.accept()
             if sock is None:
-                return accepted
+                break
             self._add_connection(sock)
-        return MAX_ACCEPTS_PER_EVENT
+            accepted += 1
+        return accepted
 
     def _may_accept(self) -> bool:
         """Returns whether a new connection could be served or refused."""
@@ -502,13 +507,13 @@
                 retry_after = self._shedding.retry_after
             self._refuse(sock, errors.ErrorKind.OVERLOADED, retry_after)
             return
+        if is_new and self._drop_if_hung_up(sock):
+            return
         if is_new and shedding_module.should_shed(
             self._shedding, self._loop_pass
         ):
             self._shed_request(sock)
             return
-        if is_new and self._drop_if_hung_up(sock):
-            return
         connection.reader.feed(data)
         max_bytes = self._limits.max_header_bytes + self._limits.max_body_bytes
         if connection.call is None:
