Responses: bytes without end that are no answer are given up

An upstream in trouble may send bytes that are no answer until its caller closes. Held without a bound were: the bytes of an event that is never complete, the body of a response that is forwarded whole, and the fields of a trailer. Without a bound, but not held: interim responses, the extension of a chunk, and the body of a response to another request, which were read until the deadline. A router of 200 MB would have been killed by one such upstream, with all requests that it holds.

Bytes in a row that belong to no body may be 64 KiB now, where only a first head was limited; an event 256 KiB; a response that is forwarded whole, or skipped, 4 MiB. The attempt ends as broken and counts as response_too_large.

--- a/sycamorefall/direct/proxied_requests.py
+++ b/sycamorefall/direct/proxied_requests.py
@@ -46,6 +46,7 @@
         first_head: Head of the first successful response, which the caller
             gets.
         buffered: Parts of a response that is forwarded only when complete.
+        buffered_bytes: Their size.
         trace: Log and metric data of the request.
         request: The request as the decision logic knows it; None if it was
             refused at once.
@@ -62,6 +63,7 @@
         "first_head",
         "head",
         "buffered",
+        "buffered_bytes",
         "splitter",
         "streamed",
         "trace",
@@ -83,6 +85,7 @@
         self.first_head: dialects.ResponseHead | None = None
         self.head: dialects.ResponseHead | None = None
         self.buffered: list[bytes] = []
+        self.buffered_bytes = 0
         self.splitter = streams.EventSplitter()
         self.streamed = request is not None and request.route.kind.streamed
         self.trace = trace
--- a/sycamorefall/direct/relay.py
+++ b/sycamorefall/direct/relay.py
@@ -34,6 +34,12 @@
 MAX_UNSENT_BYTES = 1 << 18
 """Unsent bytes for a slow caller above which reading its upstream is paused."""
 
+MAX_EVENT_BYTES = 1 << 18
+"""Maximum size of an event of a stream. An upstream in trouble may send bytes
+without end that are no event; they are held until the event is complete."""
+
+MAX_BUFFERED_BYTES = 1 << 22
+"""Maximum size of a response that is forwarded only when it is complete."""
 
 _ATTEMPT_ENDS = {
     dialects.ResponseOutcome.SUCCESS: outcomes.AttemptEnd.COMPLETE,
@@ -375,6 +381,7 @@
     )
     streams.prepare_resume(proxied.splitter)
     proxied.head, proxied.buffered = None, []
+    proxied.buffered_bytes = 0
     last_event_id = proxied.splitter.last_id if call.response_started else ""
     request = transport.OutgoingRequest(
         send.address,
@@ -483,6 +490,9 @@
         or proxied.head.outcome is not dialects.ResponseOutcome.SUCCESS
     ):
         proxied.buffered.append(data)
+        proxied.buffered_bytes += len(data)
+        if proxied.buffered_bytes > MAX_BUFFERED_BYTES:
+            _end_endless_attempt(proxy, proxied, number)
         return
     events = streams.split_events(proxied.splitter, data)
     now = transport.read_clock()
@@ -498,6 +508,21 @@
         if proxy.state.origins.untold:
             proxy.on_stream_begun()
         _forward_events(proxy, proxied, events)
+    if streams.count_incomplete_bytes(proxied.splitter) > MAX_EVENT_BYTES:
+        _end_endless_attempt(proxy, proxied, number)
+
+
+def _end_endless_attempt(
+    proxy: Proxy, proxied: proxied_requests.ProxiedRequest, number: int
+) -> None:
+    """Ends an attempt whose response would need more memory than there is.
+
+    Guards against a router that is killed for its memory, with all requests
+    that it holds, as one upstream sends without end.
+    """
+    observation.count_event(proxy.recorder, "response_too_large")
+    _abort_exchange(proxy, proxied)
+    _end_attempt(proxy, proxied, number, outcomes.AttemptEnd.BROKEN)
 
 
 def _forward_events(
--- a/sycamorefall/direct/streams.py
+++ b/sycamorefall/direct/streams.py
@@ -9,6 +9,7 @@
     "StreamEnd",
     "classify_end",
     "count_events",
+    "count_incomplete_bytes",
     "flush_rest",
     "prepare_resume",
     "split_events",
@@ -134,6 +135,18 @@
     return sum(map(data.count, (b"\n\n", b"\n\r\n", b"\r\r")))
 
 
+def count_incomplete_bytes(splitter: EventSplitter) -> int:
+    r"""Counts the bytes received after the last complete event.
+
+    Example:
+        >>> splitter = EventSplitter()
+        >>> _ = split_events(splitter, b"data: a\n\ndata")
+        >>> count_incomplete_bytes(splitter)
+        4
+    """
+    return len(splitter._incomplete)
+
+
 def _find_last_end(text: bytes, ending: bytes) -> int:
     """Finds the end of the last event with this ending; 0 if there is none."""
     found = text.rfind(ending)
--- a/sycamorefall/direct/tests/test_stream_ends.py
+++ b/sycamorefall/direct/tests/test_stream_ends.py
@@ -113,8 +113,11 @@
                 dialects.ResponseOutcome.SUCCESS, status, ()
             ),
         )
+        self.aborted = []
         client = types.SimpleNamespace(
-            send=self.send, check_reachable=lambda *_: None
+            send=self.send,
+            check_reachable=lambda *_: None,
+            abort=self.aborted.append,
         )
         self.proxy = relay.Proxy(fakes.create_state(), client, dialect)
         relay.handle_call(self.proxy, self.caller)
@@ -188,3 +191,40 @@
     )
     router.respond([b"id: 1\n"], is_reset=False, at_close=True)
     assert len(checked) == 1
+
+
+@pytest.mark.parametrize("piece", [b"x" * 65536, b"x\n" * 1000, b"\0" * 500])
+@pytest.mark.parametrize("events", [b"", b"id: 1\ndata: a\n\n"])
+def test_bytes_without_end_that_are_no_event_are_given_up(piece, events):
+    # Guards against a router that holds what an upstream sends until its VM has
+    # no memory left, as no event is ever complete.
+    router = Router("draft")
+    listener = router.listeners[-1]
+    listener.on_head(200, HEADERS)
+    listener.on_data(events)
+    held = 0
+    while not router.aborted:
+        assert held <= relay.MAX_EVENT_BYTES
+        listener.on_data(piece)
+        held += len(piece)
+    assert router.aborted == [router.exchange]
+    assert router.caller.received == events
+    assert router.caller.aborted == bool(events)
+    assert (router.caller.error is None) == bool(events)
+    assert not router.caller.ended
+
+
+def test_plain_response_without_end_is_given_up():
+    # Guards against the same by a response that is forwarded only when it is
+    # complete.
+    router = Router("look")
+    listener = router.listeners[-1]
+    listener.on_head(200, [])
+    sent = 0
+    while not router.aborted:
+        assert sent <= relay.MAX_BUFFERED_BYTES
+        listener.on_data(b"x" * 65536)
+        sent += 65536
+    assert not router.caller.ended
+    recorder = router.proxy.recorder
+    assert recorder.events["response_too_large", ""] == 1
--- a/sycamorefall/router/relay.py
+++ b/sycamorefall/router/relay.py
@@ -20,6 +20,9 @@
 MAX_UNSENT_BYTES = 1 << 18
 """Unsent bytes for a slow caller above which reading the response is paused."""
 
+MAX_BUFFERED_BYTES = 1 << 22
+"""Maximum size of a response that is forwarded only when it is complete."""
+
 _END_BY_OUTCOME = {
     messages.AttemptOutcome.REFUSED.value: attempt_lifecycle.AttemptEnd.REFUSED,
     messages.AttemptOutcome.REPEATED.value: attempt_lifecycle.AttemptEnd.BROKEN,
@@ -42,6 +45,7 @@
         "exchange",
         "headers",
         "buffered_body",
+        "buffered_bytes",
         "status",
         "streamed",
     )
@@ -52,6 +56,7 @@
         self.exchange: transport.Exchange | None = None
         self.headers: tuple[tuple[str, str], ...] = ()
         self.buffered_body: list[bytes] = []
+        self.buffered_bytes = 0
         self.status = 0
         self.streamed = False
 
@@ -268,6 +273,12 @@
     _record_progress(proxy, delivery, len(data))
     if not delivery.streamed:
         delivery.buffered_body.append(data)
+        delivery.buffered_bytes += len(data)
+        if delivery.buffered_bytes > MAX_BUFFERED_BYTES:
+            # An upstream in trouble may send without end.
+            node.client.abort(delivery.exchange)
+            end = attempt_lifecycle.AttemptEnd.BROKEN
+            _finish(node, proxy, call, delivery, end)
         return
     observation.record_piece(proxy.recorder, trace, transport.read_clock())
     call.write(data)
--- a/sycamorefall/transport/client.py
+++ b/sycamorefall/transport/client.py
@@ -31,6 +31,10 @@
 READ_SIZE = 1 << 16
 """Maximum number of bytes read from a socket at once."""
 
+MAX_SKIPPED_BYTES = 1 << 22
+"""Maximum number of body bytes of responses to other requests that are read
+ahead of the response to a request."""
+
 CONNECT_TIMEOUT = 1.0
 """Seconds until an attempt to connect is given up."""
 
@@ -149,6 +153,7 @@
             exchange = self._open_connection(request.address, listener)
         exchange.request = request
         exchange.skipping = False
+        exchange.skipped_bytes = 0
         exchange.reader = response_reader.ResponseReader(
             request.method == "HEAD"
         )
@@ -442,7 +447,9 @@
         pieces: list[bytes] = []
         for event in exchange.reader.feed(data):
             if type(event) is bytes:
-                if not exchange.skipping:
+                if exchange.skipping:
+                    exchange.skipped_bytes += len(event)
+                else:
                     pieces.append(event)
                 continue
             _deliver_data(exchange, pieces)
@@ -450,7 +457,8 @@
             if exchange.listener is None:
                 return
         _deliver_data(exchange, pieces)
-        if exchange.reader.is_broken:
+        is_endless = exchange.skipped_bytes > MAX_SKIPPED_BYTES
+        if exchange.reader.is_broken or is_endless:
             self._fail(exchange)
 
     def _handle_connection_end(self, exchange: Exchange) -> None:
--- a/sycamorefall/transport/exchanges.py
+++ b/sycamorefall/transport/exchanges.py
@@ -121,6 +121,8 @@
         reader: Parser of the responses.
         request: The last request.
         sent_any: Whether a byte of the last request was sent.
+        skipped_bytes: Body bytes of responses that belong to other requests
+            and came ahead of the response.
         skipping: Whether the response being read belongs to another request.
         socket: The socket; None if none could be opened.
         unsent: Bytes of the request that were not sent yet.
@@ -138,6 +140,7 @@
         "reader",
         "request",
         "sent_any",
+        "skipped_bytes",
         "skipping",
         "socket",
         "unsent",
@@ -153,6 +156,7 @@
         self.connect_started_at = 0.0
         self.reader = response_reader.ResponseReader()
         self.request: OutgoingRequest | None = None
+        self.skipped_bytes = 0
         self.skipping = False
         self.paused = False
         self.sent_any = False
--- a/sycamorefall/transport/response_reader.py
+++ b/sycamorefall/transport/response_reader.py
@@ -12,8 +12,9 @@
 
 import httptools
 
-MAX_HEAD_BYTES = 1 << 16
-"""Maximum size of a response's status line and headers, in bytes."""
+MAX_OVERHEAD_BYTES = 1 << 16
+"""Maximum number of bytes received in a row that belong to no body: status
+lines, headers, interim responses, trailers, and the framing of chunks."""
 
 _FIRST_FINAL_STATUS = 200
 """Lower statuses belong to interim responses, which precede the final one."""
@@ -57,10 +58,10 @@
 
     __slots__ = (
         "_events",
-        "_head_size",
         "_headers",
         "_is_bodiless",
         "_is_in_head",
+        "_overhead",
         "_parser",
         "_until_close",
         "is_at_boundary",
@@ -79,7 +80,7 @@
         self._is_bodiless = is_bodiless
         self._events: list[ResponseEvent] = []
         self._headers: list[tuple[str, str]] = []
-        self._head_size = 0
+        self._overhead = 0
         self._is_in_head = False
         self._until_close = False
         self.keep_alive = False
@@ -98,11 +99,10 @@
             self._parser.feed_data(data)
         except (httptools.HttpParserError, httptools.HttpParserUpgrade):
             self.is_broken, self.is_at_boundary = True, False
-        if self._is_in_head:
-            # Guards against a head that never ends: the parser buffers all of
-            # it.
-            self._head_size += len(data)
-            self.is_broken |= self._head_size > MAX_HEAD_BYTES
+        # Guards against bytes without end that are no response: the parser
+        # buffers a head and a trailer, and reads the rest until the deadline.
+        self._overhead = 0 if self._events else self._overhead + len(data)
+        self.is_broken |= self._overhead > MAX_OVERHEAD_BYTES
         return self._events
 
     def completes_at_close(self) -> bool:
@@ -115,12 +115,13 @@
     def on_message_begin(self) -> None:
         """Called by the parser when a response begins."""
         self._headers = []
-        self._head_size = 0
         self._is_in_head = True
         self.is_at_boundary = False
 
     def on_header(self, name: bytes, value: bytes) -> None:
-        """Called by the parser with each header."""
+        """Called by the parser with each header and each trailer field."""
+        if not self._is_in_head:
+            return
         pair = name.decode("latin-1").lower(), value.decode("latin-1")
         self._headers.append(pair)
 
--- a/sycamorefall/transport/tests/test_client.py
+++ b/sycamorefall/transport/tests/test_client.py
@@ -185,3 +185,31 @@
     found = check_reachable(site)
     site.run_until(lambda: found)
     assert found == [transport.Reachability.UNKNOWN]
+
+
+def test_response_to_another_request_without_end_is_given_up(site):
+    # Guards against a connection that is read until the deadline, as a response
+    # that belongs to an earlier request never ends.
+    failures = []
+    listener = transport.Listener(
+        on_head=lambda *_: pytest.fail("a response to another request"),
+        on_data=lambda _: pytest.fail("a response to another request"),
+        on_end=lambda: pytest.fail("a response to another request"),
+        on_failure=failures.append,
+        is_matching_response=lambda _: False,
+    )
+    request = transport.OutgoingRequest(site.upstream.address, "GET", "/x")
+    site.client.send(request, listener)
+    site.run_until(lambda: site.upstream.connections)
+    (sock,) = site.upstream.connections
+    site.upstream.connections.clear()
+    sock.setblocking(False)
+    sock.sendall(b"HTTP/1.1 200 OK\r\nConnection: close\r\n\r\n")
+    sent = 0
+    while not failures:
+        assert sent <= 2 * client_module.MAX_SKIPPED_BYTES
+        with contextlib.suppress(BlockingIOError):
+            sent += sock.send(b"x" * 65536)
+        site.loop.tick(0.001)
+    sock.close()
+    assert failures == [transport.SendStage.SENT]
--- a/sycamorefall/transport/tests/test_response_reader.py
+++ b/sycamorefall/transport/tests/test_response_reader.py
@@ -127,6 +127,53 @@
     assert reader.is_broken
 
 
+@pytest.mark.parametrize(
+    "piece",
+    [
+        pytest.param(b"HTTP/1.1 100 Continue\r\n\r\n", id="interim responses"),
+        pytest.param(b"HTTP/1.1 103 Hint\r\nX: a\r\n\r\n", id="hints"),
+    ],
+)
+def test_interim_responses_without_end_are_rejected(piece):
+    # Guards against an upstream that answers until its caller gives up, and
+    # never begins a response.
+    reader, events = read(*[piece * 100] * 100)
+    assert reader.is_broken
+    assert events == []
+
+
+@pytest.mark.parametrize(
+    "piece",
+    [
+        pytest.param(b"X: a\r\n", id="fields"),
+        pytest.param(b"X" * 100, id="a name"),
+    ],
+)
+def test_trailer_without_end_is_rejected(piece):
+    # Guards against unbounded memory use by fields behind a body.
+    start = OK + b"Transfer-Encoding: chunked\r\n\r\n1\r\na\r\n0\r\n"
+    reader, events = read(start, *[piece * 100] * 200)
+    assert reader.is_broken
+    assert not is_complete(events)
+    assert events[0].headers == [("transfer-encoding", "chunked")]
+
+
+def test_chunk_extension_without_end_is_rejected():
+    # Guards against an upstream whose chunk never begins.
+    start = OK + b"Transfer-Encoding: chunked\r\n\r\n1;"
+    reader, events = read(start, *[b"a" * 1000] * 70)
+    assert reader.is_broken
+    assert not is_complete(events)
+
+
+def test_body_of_any_length_is_no_overhead():
+    # Guards against long streams that are broken off for their framing.
+    start = OK + b"Transfer-Encoding: chunked\r\n\r\n"
+    reader, events = read(start, *[b"1\r\na\r\n"] * 70_000, b"0\r\n\r\n")
+    assert not reader.is_broken
+    assert is_complete(events)
+
+
 def test_interim_response_is_skipped():
     # An upstream sends an interim response before the final one.
     interim = b"HTTP/1.1 100 Continue\r\n\r\n"
