Outcomes: a busy router doesn't take its own lateness for slow engines

Cause: the read rate of an engine is lowered by a tenth each time a first event comes later than expected, by the time at which the router handles it.

The poller tells after which time the input that is handled now arrived. Only a first event that certainly came late lowers the rate now, only one that certainly came in time raises it, and one that may be either says nothing. The test fails with the former comparison (23,358 in place of 80,000 tokens a second).

--- a/sycamorefall/direct/daemon.py
+++ b/sycamorefall/direct/daemon.py
@@ -268,6 +268,7 @@
     ).register(loop)
     control.attach(poller)
     proxy = relay.Proxy(state, client, dialect)
+    proxy.get_unread_since = lambda: poller.unread_since
     servers = [
         transport.HttpServer(
             config.listen.data,
--- a/sycamorefall/direct/outcomes.py
+++ b/sycamorefall/direct/outcomes.py
@@ -216,6 +216,7 @@
     number: int,
     first: bool,
     events: int = 1,
+    arrived_after: float = math.inf,
 ) -> None:
     """Records that bytes of a response were received from an upstream.
 
@@ -226,6 +227,8 @@
         first: Whether a part of the response can be forwarded to the caller.
             The first call of an attempt with True starts its response.
         events: Number of complete events of a stream among them.
+        arrived_after: Time after which they arrived. A process that is busy
+            receives them later; infinity if it received them at once.
     """
     request = state.requests.get(number)
     if request is None or request.attempt is None:
@@ -247,7 +250,7 @@
         _record_begun(state, now, request)
     state.dispatch_needed = True
     if upstream is not None:
-        _record_prefill(upstream, now, attempt)
+        _record_prefill(upstream, now, attempt, min(now, arrived_after))
 
 
 def _record_begun(
@@ -428,7 +431,10 @@
 
 
 def _record_prefill(
-    upstream: upstreams.Upstream, now: float, attempt: state_module.Attempt
+    upstream: upstreams.Upstream,
+    now: float,
+    attempt: state_module.Attempt,
+    arrived_after: float,
 ) -> None:
     """Records a processed prompt and adjusts the engine's prefill rate."""
     upstreams.record_success(upstream, now)
@@ -444,11 +450,15 @@
     upstream.own_load.unread -= attempt.unread
     attempt.unread = 0
     if not speed.is_in_effect(upstream.service_speed, now):
-        _adjust_prefill_rate(upstream, attempt, elapsed)
+        earliest = arrived_after - attempt.sent_at
+        _adjust_prefill_rate(upstream, attempt, earliest, elapsed)
 
 
 def _adjust_prefill_rate(
-    upstream: upstreams.Upstream, attempt: state_module.Attempt, elapsed: float
+    upstream: upstreams.Upstream,
+    attempt: state_module.Attempt,
+    earliest: float,
+    latest: float,
 ) -> None:
     """Adjusts an engine's estimated prefill rate by the time to a first event.
 
@@ -459,10 +469,17 @@
     compared with the expected one, and the estimate is lowered or raised by a
     fixed fraction.
 
+    A process that is busy receives an event later than it arrived. If that
+    alone explains the delay, the sample says nothing: a flooded router would
+    take its own lateness for slow engines, estimate that each response would be
+    late, and send hardly any request.
+
     Args:
         upstream: The engine; changed.
         attempt: The attempt whose response has started.
-        elapsed: Seconds from the send to the first event.
+        earliest: Minimum number of seconds from the send to the arrival of the
+            first event.
+        latest: Maximum number of these seconds.
     """
     if attempt.queued < MIN_RATE_SAMPLE:
         return
@@ -470,11 +487,10 @@
         eligibility.FIRST_TOKEN_OVERHEAD
         + attempt.queued / upstream.prefill_rate
     )
-    upstream.prefill_rate *= (
-        1 - PREFILL_RATE_DECREASE
-        if elapsed > expected
-        else 1 + PREFILL_RATE_INCREASE
-    )
+    if earliest > expected:
+        upstream.prefill_rate *= 1 - PREFILL_RATE_DECREASE
+    elif latest <= expected:
+        upstream.prefill_rate *= 1 + PREFILL_RATE_INCREASE
 
 
 def end_attempt(
--- a/sycamorefall/direct/relay.py
+++ b/sycamorefall/direct/relay.py
@@ -11,6 +11,7 @@
 
 from collections.abc import Callable, Iterable
 import dataclasses
+import math
 
 from returns import result
 
@@ -72,6 +73,8 @@
         recorder: Records requests for logs and metrics.
         in_flight: Requests in progress by number.
         on_stream_begun: Called before the first event of a stream is forwarded.
+        get_unread_since: Returns the time after which the input that is handled
+            now arrived.
         faulted: Whether something raised since orphans were last ended.
     """
 
@@ -85,6 +88,7 @@
         default_factory=dict
     )
     on_stream_begun: Callable[[], None] = lambda: None
+    get_unread_since: Callable[[], float] = lambda: math.inf
     faulted: bool = False
 
 
@@ -502,6 +506,7 @@
         number,
         first=bool(events),
         events=streams.count_events(events),
+        arrived_after=proxy.get_unread_since(),
     )
     if events:
         observation.record_piece(proxy.recorder, proxied.trace, now)
--- a/sycamorefall/direct/tests/test_overload.py
+++ b/sycamorefall/direct/tests/test_overload.py
@@ -1,6 +1,6 @@
 """Tests of a router whose VM gets more work than it can do."""
 
-from sycamorefall.direct import core, overload
+from sycamorefall.direct import core, outcomes, overload
 from sycamorefall.direct.tests import fakes
 
 
@@ -64,3 +64,50 @@
     state = fakes.create_state()
     overload.record_lateness(state.overload, 10.0, 5.0)
     assert not overload.is_overloaded(state.overload, 10.0)
+
+
+def respond_late(arrived_after, handled_at, responses=20):
+    """Lets responses arrive at a router; returns the rate that it estimates.
+
+    Args:
+        arrived_after: Seconds from each send after which its response arrived.
+        handled_at: Seconds from each send until the router handles it.
+        responses: Number of responses.
+    """
+    state = fakes.create_state(
+        listing=[fakes.create_upstream_entry("e1", port=1)]
+    )
+    engine = state.table.by_name["e1"]
+    for turn in range(responses):
+        now = 10.0 * turn
+        core.record_proof(state, now, now)
+        parts = ((f"part-{turn}", 7500),)
+        number, sent = fakes.submit_request(
+            state, now, "draft", tokens=8000, parts=parts
+        )
+        assert sent
+        outcomes.record_response(
+            state,
+            now + handled_at,
+            number,
+            first=True,
+            arrived_after=now + arrived_after,
+        )
+        end = outcomes.AttemptEnd.COMPLETE
+        outcomes.end_attempt(state, now + handled_at, number, end)
+    return engine.prefill_rate
+
+
+def test_late_router_does_not_take_its_lateness_for_slow_engines():
+    # Guards against a flooded router that estimates each response as late and
+    # sends next to nothing: it measured engines by the time at which it handled
+    # their responses, 0.3 s after they had arrived.
+    usual = respond_late(arrived_after=0.1, handled_at=0.1)
+    assert respond_late(arrived_after=0.1, handled_at=0.4) >= 80_000.0
+    assert usual >= 80_000.0
+
+
+def test_router_learns_that_engines_are_slow_though_it_is_late():
+    # Guards against a late router that never learns from slow responses.
+    assert respond_late(arrived_after=0.4, handled_at=0.7) < 40_000.0
+    assert respond_late(arrived_after=0.4, handled_at=0.4) < 40_000.0
--- a/sycamorefall/transport/loop.py
+++ b/sycamorefall/transport/loop.py
@@ -20,6 +20,10 @@
 fifth of the shortest time after which an upstream is given up, and twice what a
 pass of the loop takes in a process that isn't overloaded."""
 
+MIN_WAIT = 0.0005
+"""Seconds from which on the loop has waited for input. Input that had arrived
+before ends the wait at once."""
+
 
 def read_clock() -> float:
     """Returns the time of the process's monotonic clock, in seconds.
@@ -37,19 +41,26 @@
         input_read_until: All input that arrived before this time has been
             passed to its handlers, which have run by the next
             `generate_events`.
+        unread_since: Input that is handled now arrived after this time.
     """
 
     def __init__(self, read_clock: Callable[[], float]):
         super().__init__()
         self._read_clock = read_clock
         self.input_read_until = float("-inf")
+        self.unread_since = float("-inf")
 
     def _generate_events(self, event) -> None:
+        self.unread_since = self.input_read_until
         if event.time_left:
+            began_at = self._read_clock()
             # Only waits. The clock must be read after the wait and before the
             # input is read; otherwise a freeze between the two would make
             # `input_read_until` later than the input that was read.
             self._poller.poll(event.time_left, 1)
+            if self._read_clock() - began_at >= MIN_WAIT:
+                # Input ended the wait, so it has just arrived.
+                self.unread_since = self._read_clock()
         self.input_read_until = self._read_clock()
         # The limit covers all sockets: by default epoll returns about a
         # thousand events at most.
--- a/sycamorefall/transport/tests/test_loop.py
+++ b/sycamorefall/transport/tests/test_loop.py
@@ -194,3 +194,36 @@
     process.now += LIMIT
     process.run_passes(1 + MAX_DEFERRED_PASSES)
     assert process.ran[-1][1] == 0.0
+
+
+def test_input_that_arrived_in_a_long_pass_is_known_to_be_older():
+    # Guards against a busy process that takes the time at which it handles
+    # input for the time at which it arrived.
+    process = Process()
+    process.run_passes()
+    process.now += 1.0  # The pass takes a second.
+    process.run_passes()
+    assert process.poller.unread_since == process.now - 1.0
+    process.run_passes()
+    assert process.poller.unread_since == process.now
+
+
+def test_input_that_ends_a_wait_has_just_arrived():
+    # Guards against input of an idle process that counts as old, as nothing was
+    # read for as long as the process waited.
+    process = Process()
+    process.run_passes()
+    poller, waited = process.poller, []
+
+    class Waiting:
+        def poll(self, timeout, max_events):
+            if timeout:
+                process.now += 1.0
+                waited.append(timeout)
+            return []
+
+    poller._poller, kernel = Waiting(), poller._poller
+    process.loop.tick(0.5)
+    poller._poller = kernel
+    assert waited
+    assert poller.unread_since == process.now
