Outcomes: only a late pass of the loop leaves a sample out

Cause: the rate settles where rises and falls balance. In a usual pass of a few ms the arrival of an event is uncertain too, so falls were left out at routers that weren't late. A pass of less than the time that overload detection counts is the engine's time again.

--- a/sycamorefall/direct/outcomes.py
+++ b/sycamorefall/direct/outcomes.py
@@ -31,6 +31,7 @@
     eligibility,
     fair_queue,
     fingerprints,
+    overload,
     speed,
     stream_origins,
     stream_pace,
@@ -469,10 +470,11 @@
     compared with the expected one, and the estimate is lowered or raised by a
     fixed fraction.
 
-    A process that is busy receives an event later than it arrived. If that
+    A process that is late receives an event later than it arrived. If that
     alone explains the delay, the sample says nothing: a flooded router would
     take its own lateness for slow engines, estimate that each response would be
-    late, and send hardly any request.
+    late, and send hardly any request. The usual length of a pass of the loop
+    counts as the engine's time, as callers have to wait for it too.
 
     Args:
         upstream: The engine; changed.
@@ -487,10 +489,11 @@
         eligibility.FIRST_TOKEN_OVERHEAD
         + attempt.queued / upstream.prefill_rate
     )
-    if earliest > expected:
-        upstream.prefill_rate *= 1 - PREFILL_RATE_DECREASE
-    elif latest <= expected:
+    is_delayed = latest - earliest >= overload.MIN_COUNTED_LATENESS
+    if latest <= expected:
         upstream.prefill_rate *= 1 + PREFILL_RATE_INCREASE
+    elif earliest > expected or not is_delayed:
+        upstream.prefill_rate *= 1 - PREFILL_RATE_DECREASE
 
 
 def end_attempt(
--- a/sycamorefall/direct/overload.py
+++ b/sycamorefall/direct/overload.py
@@ -8,6 +8,7 @@
 
 __all__ = [
     "MAX_PASS_TIME",
+    "MIN_COUNTED_LATENESS",
     "Overload",
     "is_overloaded",
     "record_lateness",
