--- a/benchmarks/site.py
+++ b/benchmarks/site.py
@@ -1,8 +1,9 @@
 """Simulation of a site with routers and engines under load.
 
 Routers run the decision core of `sycamorefall.direct` and exchange its
-messages. Engines compute prompts in order of arrival, cache them until newer
-prompts evict them, and copy cached parts from each other. Refused callers retry
+messages. Engines compute prompts in order of arrival, at a constant rate or in
+the steps of a batch (see `batches`), cache them until newer prompts evict them,
+and copy cached parts from each other. Refused callers retry
 once, after the delay that the router told them. All random choices follow from
 the seed, so a second run gives the same figures.
 """
@@ -17,6 +18,7 @@
 import math
 import random
 
+from benchmarks import batches
 from benchmarks import shares as shares_module
 from sycamorefall import messages, settings
 from sycamorefall.direct import (
@@ -116,7 +118,9 @@
         fetch_rate: Tokens that an engine copies from another one per second.
         stated_rate: Service rate stated in the configuration, as a fraction of
             the engines' prefill rate.
-        token_interval: Seconds between two output tokens.
+        token_interval: Seconds between two output tokens without `batching`.
+        batching: Steps of an engine's batch; None if engines compute prompts at
+            a constant rate beside any output.
         teams: Number of teams; without `weights` each team sends half as many
             requests as the one before it.
         weights: Request rate of each team relative to the others.
@@ -137,6 +141,7 @@
     fetch_rate: float = 600_000.0
     stated_rate: float = 1.0
     token_interval: float = 0.01
+    batching: batches.Batching | None = None
     teams: int = 6
     weights: tuple[float, ...] = ()
     separate_parts: bool = False
@@ -191,6 +196,7 @@
         name: Name of the engine.
         cache: Contents of its cache.
         free_at: Time at which it has computed all prompts in its queue.
+        batch: Its batch, if the site has `batching`.
     """
 
     name: str
@@ -198,6 +204,7 @@
         default_factory=caches.CacheEstimate
     )
     free_at: float = 0.0
+    batch: batches.Batch = dataclasses.field(default_factory=batches.Batch)
 
 
 @dataclasses.dataclass(slots=True)
@@ -391,7 +398,7 @@
         caller = _Caller(kind, f"{KEY}-{team}", prompt, time, patience)
         router = _choose_router(simulation, team)
         simulation.figures.requested[kind.name] += prompt.tokens
-        cost = _compute_cost(prompt)
+        cost = prompts.compute_cost(prompt)
         shares_module.record_requested(
             simulation.figures.shares, time, caller.team, cost
         )
@@ -414,10 +421,6 @@
     return own if own < kind.parts else own - site.teams
 
 
-def _compute_cost(prompt: prompts.Prompt) -> int:
-    return prompt.tokens + prompts.OUTPUT_WEIGHT * prompt.output
-
-
 def _choose_router(simulation: _Simulation, team: int) -> _Router:
     """Chooses the router that a caller of a team sends to."""
     rng, entries = simulation.random, simulation.site.entries
@@ -532,6 +535,12 @@
         simulation.figures.reread += max(0, prompt.shared - cached - fetched)
     simulation.read_parts.add(prompt.digests[0][0])
     caches.record_parts(engine.cache, prompt.digests, site.cache_tokens)
+    if site.batching is not None:
+        run = batches.Run(router, send.request, read, prompt.output)
+        engine.batch.waiting.append(run)
+        if not engine.batch.is_busy:
+            _start_step(simulation, engine)
+        return
     duration = read / site.prefill_rate + fetched / site.fetch_rate
     engine.free_at = max(simulation.now, engine.free_at) + duration
     first_at = engine.free_at + FIRST_TOKEN_OVERHEAD
@@ -544,6 +553,33 @@
     )
 
 
+def _start_step(simulation: _Simulation, engine: _Engine) -> None:
+    """Starts the next step of an engine's batch, if it has any work."""
+    site = simulation.site
+    step = batches.start_step(
+        engine.batch, site.batching, site.slots, site.prefill_rate
+    )
+    if step is not None:
+        time = simulation.now + step.seconds
+        simulation.schedule(time, _end_step, simulation, engine, step)
+
+
+def _end_step(
+    simulation: _Simulation, engine: _Engine, step: batches.Step
+) -> None:
+    """Delivers the tokens of a step, then starts the next one."""
+    result = batches.end_step(engine.batch, simulation.site.batching, step)
+    for run in result.begun:
+        _handle_first_token(simulation, run.router, run.number)
+    for run in result.events:
+        outcomes.record_response(
+            run.router.state, simulation.now, run.number, first=True
+        )
+    for run in result.ended:
+        _complete_request(simulation, run.router, run.number)
+    _start_step(simulation, engine)
+
+
 def _handle_first_token(
     simulation: _Simulation, router: _Router, number: int
 ) -> None:
@@ -551,7 +587,7 @@
     if caller is None:
         return  # The router ended the request at its deadline.
     outcomes.record_response(router.state, simulation.now, number, first=True)
-    cost = _compute_cost(caller.prompt)
+    cost = prompts.compute_cost(caller.prompt)
     shares_module.record_started(shares, simulation.now, caller.team, cost)
     if simulation.now - caller.asked_at <= caller.kind.target:
         simulation.figures.on_time[caller.kind.name] += caller.prompt.tokens
--- a/sycamorefall/direct/dispatching.py
+++ b/sycamorefall/direct/dispatching.py
@@ -311,7 +311,7 @@
     prompt = request.incoming.prompt
     if prompt is None:
         return 0
-    return prompt.tokens + prompts.OUTPUT_WEIGHT * prompt.output
+    return prompts.compute_cost(prompt)
 
 
 def _encode_limit(limit: float) -> int | None:
--- a/sycamorefall/direct/prompts.py
+++ b/sycamorefall/direct/prompts.py
@@ -6,6 +6,7 @@
     "Digests",
     "PartUsage",
     "Prompt",
+    "compute_cost",
     "record_use",
 ]
 
@@ -85,6 +86,16 @@
     )
 
 
+def compute_cost(prompt: Prompt) -> int:
+    """Computes the cost units of a prompt and its expected output.
+
+    Example:
+        >>> compute_cost(Prompt(1000, 50, (("own", 1000),)))
+        1100
+    """
+    return prompt.tokens + OUTPUT_WEIGHT * prompt.output
+
+
 def record_use(usage: PartUsage, now: float, key: str) -> float:
     """Counts a use of a shared part.
 
