--- a/sycamorefall/direct/placement_constraints.py
+++ b/sycamorefall/direct/placement_constraints.py
@@ -10,20 +10,17 @@
     eligibility,
     fair_queue,
     latency_targets,
-    prompts,
     stream_pace,
 )
 from sycamorefall.direct import (
     state as state_module,
 )
 
-MAX_LEAD_SECONDS = 0.1
-"""Most lead in received service up to which a team need not yield to a team
-that waits at another router, in seconds of the throughput of all engines."""
-
-ACCOUNT_AGE = 0.35
-"""Seconds by which the accounts of routers in other failure domains may be old:
-the intervals of full updates to their delegates and from those."""
+FAIRNESS_SLACK = 0.1
+"""Lead in received service up to which a team need not yield to a team that
+waits at another router, in seconds of the throughput of all engines. A lead
+smaller than the accounts exchanged between routers can resolve would make teams
+yield to each other in turn."""
 
 REREAD_WAIT_SHARE = 0.5
 """Fraction of its maximum wait after which a request of an underserved team may
@@ -46,7 +43,7 @@
     accounts = state_module.get_or_create_accounts(state, request.service)
     received = fair_queue.compute_received(accounts, now, request.team)
     share = fair_queue.compute_relative_share(accounts, received)
-    slack = _compute_tolerated_lead(state, request, received)
+    slack = FAIRNESS_SLACK * state.catalog.tokens_per_second
     has_waited_long = _has_waited_long(request, now)
     is_behind = received < accounts.max_received - slack
     return eligibility.PlacementConstraints(
@@ -68,34 +65,6 @@
     )
 
 
-def _compute_tolerated_lead(
-    state: state_module.DirectState,
-    request: state_module.Request,
-    received: float,
-) -> float:
-    """Computes the lead up to which a request's team need not yield.
-
-    Teams with a lead that their accounts can't resolve would yield to each
-    other in turn. An account is uncertain by what the team receives while it is
-    reported, and by the request itself. A lead in proportion to all engines
-    alone would exceed the whole account of each team where many share them, and
-    no team would yield to any other.
-
-    Args:
-        state: The router's state.
-        request: A request of the team.
-        received: Cost units that the team received recently.
-
-    Returns:
-        Cost units.
-    """
-    rate = received * math.log(2) / fair_queue.ACCOUNT_HALF_LIFE
-    prompt = request.incoming.prompt
-    size = prompts.compute_cost(prompt) if prompt is not None else 0
-    most = MAX_LEAD_SECONDS * state.catalog.tokens_per_second
-    return min(most, ACCOUNT_AGE * rate + size)
-
-
 def _compute_max_queue_seconds(
     state: state_module.DirectState,
     now: float,
