Dispatch: of a long queue of an underserved team, a request that may leave its home is tried

Cause: a request of an underserved team may use any engine once it has waited for half of its time. Of each queue the oldest and the two newest requests are tried. In a long queue the oldest has no time left by then, and the newest have not waited: the requests that could use the room were never looked at, neither by dispatch nor by the floors that tell other routers for which engines the team waits. So the control that is to help such a team worked for short queues only.

The newest request that has waited is tried too, for underserved teams alone. The new test (an engine that isn't a home frees a slot while ten requests wait) failed before.

--- a/sycamorefall/direct/dispatching.py
+++ b/sycamorefall/direct/dispatching.py
@@ -402,7 +402,10 @@
     group = _measure_free_engines(state, now, service)
     while teams:
         _, team = heapq.heappop(teams)
-        for number in fair_queue.list_candidates(service_queue, team):
+        candidates = placement_constraints.list_candidates(
+            state, now, service, service_queue, team
+        )
+        for number in candidates:
             tries += 1
             request = state.requests[number]
             done = try_send(state, now, request, group)
--- a/sycamorefall/direct/fair_queue.py
+++ b/sycamorefall/direct/fair_queue.py
@@ -23,7 +23,7 @@
     "was_refused_recently",
 ]
 
-from collections.abc import Iterator
+from collections.abc import Callable, Iterator
 import dataclasses
 import itertools
 
@@ -284,7 +284,11 @@
     )
 
 
-def list_candidates(service_queue: ServiceQueue, team: str) -> Iterator[int]:
+def list_candidates(
+    service_queue: ServiceQueue,
+    team: str,
+    may_leave_home: Callable[[int], bool] | None = None,
+) -> Iterator[int]:
     """Lists the requests of a team that one dispatch pass tries.
 
     The candidates are the oldest request and the newest ones of each target
@@ -295,6 +299,17 @@
     per target latency keep urgent requests from being hidden behind patient
     ones.
 
+    A request of an underserved team may use any engine once it has waited for a
+    while. In a long queue, the oldest one has no time left by then and the
+    newest ones have not waited, so the newest one that may is tried too.
+    Otherwise such a team would be served at the homes of its prompts only.
+
+    Args:
+        service_queue: Queues of the service.
+        team: The team.
+        may_leave_home: Returns whether a request may use any engine; None if no
+            request of the team may.
+
     Example:
         >>> queue = ServiceQueue()
         >>> for number in range(9):
@@ -303,14 +318,25 @@
         >>> add_request(queue, "mill", 10, 1.2)
         >>> list(list_candidates(queue, "mill"))
         [9, 0, 10, 8]
+        >>> list(list_candidates(queue, "mill", lambda number: number < 5))
+        [9, 0, 4, 10, 8]
     """
     queues = service_queue.by_team.get(team, {})
-    picked = (_pick_candidates(queues[key]) for key in sorted(queues))
+    picked = (
+        _pick_candidates(queues[key], may_leave_home) for key in sorted(queues)
+    )
     return itertools.chain.from_iterable(picked)
 
 
-def _pick_candidates(queue: dict[int, None]) -> list[int]:
-    """Lists the oldest request of a queue and the newest ones."""
+def _pick_candidates(
+    queue: dict[int, None], may_leave_home: Callable[[int], bool] | None
+) -> list[int]:
+    """Lists the requests of a queue to try: the oldest one first."""
     newest = itertools.islice(reversed(queue), NEWEST_CANDIDATES)
     oldest = itertools.islice(queue, 1)
-    return list(dict.fromkeys([*oldest, *newest]))
+    leaving = (
+        itertools.islice(filter(may_leave_home, reversed(queue)), 1)
+        if may_leave_home is not None
+        else ()
+    )
+    return list(dict.fromkeys([*oldest, *leaving, *newest]))
--- a/sycamorefall/direct/placement_constraints.py
+++ b/sycamorefall/direct/placement_constraints.py
@@ -2,8 +2,10 @@
 
 __all__ = [
     "compute_constraints",
+    "list_candidates",
 ]
 
+from collections.abc import Iterator
 import math
 
 from sycamorefall.direct import (
@@ -65,6 +67,34 @@
     )
 
 
+def list_candidates(
+    state: state_module.DirectState,
+    now: float,
+    service: str,
+    queue: fair_queue.ServiceQueue,
+    team: str,
+) -> Iterator[int]:
+    """Lists the requests of a team that one dispatch pass tries.
+
+    Args:
+        state: The router's state.
+        now: Current time of this process's clock.
+        service: Name of the service.
+        queue: Queues of the service.
+        team: The team.
+    """
+    accounts = state_module.get_or_create_accounts(state, service)
+    received = fair_queue.compute_received(accounts, now, team)
+    share = fair_queue.compute_relative_share(accounts, received)
+    if share >= fair_queue.IDLE_UNDERSERVED_SHARE:
+        return fair_queue.list_candidates(queue, team)
+    return fair_queue.list_candidates(
+        queue,
+        team,
+        lambda number: _has_waited_long(state.requests[number], now),
+    )
+
+
 def _compute_max_queue_seconds(
     state: state_module.DirectState,
     now: float,
--- a/sycamorefall/direct/service_floors.py
+++ b/sycamorefall/direct/service_floors.py
@@ -90,7 +90,11 @@
     }
     for team in teams:
         received = int(fair_queue.compute_received(accounts, now, team))
-        candidates = list(fair_queue.list_candidates(queue, team))
+        candidates = list(
+            placement_constraints.list_candidates(
+                state, now, service.name, queue, team
+            )
+        )
         requests_per_candidate = fair_queue.count_waiting(queue, team) / len(
             candidates
         )
--- a/sycamorefall/direct/tests/test_shares.py
+++ b/sycamorefall/direct/tests/test_shares.py
@@ -9,8 +9,10 @@
     exchange,
     fair_queue,
     freshness,
+    homes,
     outcomes,
 )
+from sycamorefall.direct import state as state_module
 from sycamorefall.direct.tests import fakes
 
 ENGINES = ("e1", "e2")
@@ -224,3 +226,27 @@
         state.accounts["engine"], 0.1, "mill"
     )
     assert received > 0.9 * sent.cost
+
+
+def test_underserved_team_with_a_long_queue_is_served_away_from_its_home():
+    # Guards against a flooded team that gets little, as only its oldest and its
+    # newest requests are tried when an engine has room: the oldest would be
+    # late, and the newest have not waited until they may leave their home.
+    state = fakes.create_state()
+    engines = [state.table.by_name[name] for name in ENGINES]
+    for engine in engines:
+        engine.own_load.running = 4
+    deliver_load(state, 0.0, mill=300_000)
+    state_module.get_or_create_accounts(state, "engine").max_received = 300_000
+    request = {"team": "trader", "tokens": 6000, "parts": PARTS}
+    for turn in range(10):
+        now = turn * 0.04
+        freshness.record_proof(state.freshness, now)
+        fakes.submit_request(state, now, "draft", **request)
+    service = state.catalog.services["engine"]
+    prompt = fakes.create_request("draft", **request).prompt
+    (home, other) = homes.rank_engines(state.table, service, prompt.home_key)
+    assert home.own_load.running == 4
+    other.own_load.running, other.own_load.unread = 3, 8000
+    ((_, sent),) = run(state, 0.39, 0.0)
+    assert (sent.team, sent.upstream) == ("trader", other.listed.name)
