Direct: log and metrics say why an attempt or a response was ended

Two answers ended without a line that tells whether the router gave the upstream up, the upstream broke off, or the deadline had come: an attempt that the router aborts left no line, and the request's own end said 'broken_off' only.

Each abort by the router now leaves a line with the reason, the upstream, whether the response had begun and for how long the upstream was silent; the end of a broken-off request names its reason and upstream beside its age. Callers that leave are counted, not logged. Two counters by reason.

--- a/sycamorefall/direct/core.py
+++ b/sycamorefall/direct/core.py
@@ -491,7 +491,8 @@
     request = state.requests.get(number)
     if request is None:
         return []
-    aborted = outcomes.abort_attempt(state, request, now)
+    reason = effects.EndReason.CALLER_LEFT
+    aborted = outcomes.abort_attempt(state, request, now, reason)
     outcomes.discard_request(state, request)
     return aborted
 
--- a/sycamorefall/direct/effects.py
+++ b/sycamorefall/direct/effects.py
@@ -6,6 +6,7 @@
     "AnswerError",
     "CheckUpstream",
     "Effect",
+    "EndReason",
     "ForwardResponse",
     "Refusal",
     "ReportCrash",
@@ -15,11 +16,42 @@
 ]
 
 import dataclasses
+import enum
 
 from sycamorefall import errors, settings
 from sycamorefall.direct import quarantine
 
 
+class EndReason(enum.Enum):
+    """Why a router ends an attempt, or a response that has started.
+
+    CALLER_LEFT: The caller disconnected.
+    DEADLINE: The request's deadline has passed.
+    SILENT: The upstream has sent no bytes for too long.
+    RESTARTED: The upstream's process was restarted.
+    BROKEN: The connection to the upstream was lost, or it sent no valid
+        response.
+    FAILED: The upstream sent a failure after the response had started.
+    NOT_RUN: The upstream that was to go on with the response declined.
+    NOT_SENT: The request could not be sent to the upstream that was to go on
+        with the response.
+    """
+
+    CALLER_LEFT = "caller_left"
+    DEADLINE = "deadline"
+    SILENT = "silent"
+    RESTARTED = "restarted"
+    BROKEN = "broken"
+    FAILED = "failed"
+    NOT_RUN = "not_run"
+    NOT_SENT = "not_sent"
+
+
+def _create_logged_field(default: object = None) -> dataclasses.Field:
+    """Creates a field that is only logged, so that equality ignores it."""
+    return dataclasses.field(default=default, compare=False)
+
+
 @dataclasses.dataclass(slots=True, frozen=True)
 class SendRequest:
     """Send a request to an upstream.
@@ -88,11 +120,22 @@
 class AbortAttempt:
     """Close the upstream connection of a request's attempt.
 
+    All fields but the first are only logged.
+
     Attributes:
         request: Number of the request.
+        reason: Why the attempt is aborted.
+        upstream: Name of the upstream.
+        begun: Whether the response had started.
+        silent: Seconds since the latest byte from the upstream, or since the
+            send if that was later; None if the upstream isn't listed.
     """
 
     request: int
+    reason: EndReason | None = _create_logged_field()
+    upstream: str = _create_logged_field("")
+    begun: bool = _create_logged_field(False)
+    silent: float | None = _create_logged_field()
 
 
 @dataclasses.dataclass(slots=True, frozen=True)
@@ -151,11 +194,17 @@
 class AbortResponse:
     """Abort a response that has started, so that it can't pass for complete.
 
+    All fields but the first are only logged.
+
     Attributes:
         request: Number of the request.
+        reason: Why the response is aborted.
+        upstream: Name of the upstream of the request's last attempt.
     """
 
     request: int
+    reason: EndReason | None = _create_logged_field()
+    upstream: str = _create_logged_field("")
 
 
 @dataclasses.dataclass(slots=True, frozen=True)
--- a/sycamorefall/direct/outcomes.py
+++ b/sycamorefall/direct/outcomes.py
@@ -86,6 +86,14 @@
     BROKEN = "broken"
 
 
+_END_REASONS = {
+    AttemptEnd.FAILED: effects.EndReason.FAILED,
+    AttemptEnd.NOT_RUN: effects.EndReason.NOT_RUN,
+    AttemptEnd.OTHER_INCARNATION: effects.EndReason.NOT_RUN,
+    AttemptEnd.NOT_SENT: effects.EndReason.NOT_SENT,
+    AttemptEnd.BROKEN: effects.EndReason.BROKEN,
+}
+
 _MAY_HAVE_RUN = frozenset(
     {AttemptEnd.COMPLETE, AttemptEnd.FAILED, AttemptEnd.BROKEN}
 )
@@ -162,16 +170,28 @@
     state: state_module.DirectState,
     request: state_module.Request,
     now: float,
+    reason: effects.EndReason,
 ) -> list[effects.Effect]:
     """Aborts the current attempt of a request, if there is one."""
-    if request.attempt is None:
+    attempt = request.attempt
+    if attempt is None:
         return []
     request.arrivals += 1
     request.possible_runs += 1
     upstream = release_attempt(state, request, now)
+    silent = None
     if upstream is not None:
         upstreams.end_probe(upstream)
-    return [effects.AbortAttempt(request.number)]
+        silent = now - max(upstream.last_byte_at, attempt.sent_at)
+    return [
+        effects.AbortAttempt(
+            request.number,
+            reason,
+            attempt.upstream,
+            attempt.response_started,
+            silent,
+        )
+    ]
 
 
 def _refund_attempt(
@@ -558,7 +578,7 @@
                 return fail_request(state, request, now)
             dispatching.enqueue_request(state, request)
             return []
-    return _end_unretried(state, request, end, now)
+    return _end_unretried(state, request, end, now, attempt.upstream)
 
 
 def _update_upstream_health(
@@ -611,11 +631,13 @@
     request: state_module.Request,
     end: AttemptEnd,
     now: float,
+    upstream: str,
 ) -> list[effects.Effect]:
     """Ends a request that is not retried after its last attempt."""
     if request.forwarding_started:
         discard_request(state, request)
-        return [effects.AbortResponse(request.number)]
+        reason = _END_REASONS[end]
+        return [effects.AbortResponse(request.number, reason, upstream)]
     if end is AttemptEnd.FAILED:
         discard_request(state, request)
         return [effects.ForwardResponse(request.number)]
@@ -626,15 +648,25 @@
     state: state_module.DirectState,
     request: state_module.Request,
     now: float,
+    reason: effects.EndReason | None = None,
+    upstream: str = "",
 ) -> list[effects.Effect]:
     """Ends a request that gets no further attempt with an error.
 
     It says that the request did not run only if no upstream may have run it.
     If forwarding of a response has started, the response is aborted.
+
+    Args:
+        state: The router's state; changed.
+        request: The request.
+        now: Current time of this process's clock.
+        reason: Why an attempt was the last one, for the log; None if the
+            request waited.
+        upstream: Name of that attempt's upstream.
     """
     discard_request(state, request)
     if request.forwarding_started:
-        return [effects.AbortResponse(request.number)]
+        return [effects.AbortResponse(request.number, reason, upstream)]
     fingerprint = suspects.find_quarantined(state, request)
     if not request.possible_runs and fingerprint:
         kind = errors.ErrorKind.QUARANTINED
@@ -688,10 +720,13 @@
     now: float,
 ) -> list[effects.Effect]:
     """Ends a request whose deadline has passed."""
-    aborted = abort_attempt(state, request, now)
+    reason = effects.EndReason.DEADLINE
+    upstream = request.attempt.upstream if request.attempt else ""
+    aborted = abort_attempt(state, request, now, reason)
     discard_request(state, request)
     if request.forwarding_started:
-        return [*aborted, effects.AbortResponse(request.number)]
+        abort = effects.AbortResponse(request.number, reason, upstream)
+        return [*aborted, abort]
     kind = errors.ErrorKind.DEADLINE_EXCEEDED
     ran = errors.Ran.UNKNOWN if request.possible_runs else None
     return [*aborted, effects.AnswerError(request.number, kind, ran=ran)]
--- a/sycamorefall/direct/relay.py
+++ b/sycamorefall/direct/relay.py
@@ -207,16 +207,56 @@
         case effects.SendRequest():
             _send_request(proxy, proxied, effect)
         case effects.AbortAttempt():
+            _record_abort(proxy, proxied, effect)
             _abort_exchange(proxy, proxied)
         case effects.AnswerError():
             _answer_error(proxy, proxied, effect)
         case effects.AbortResponse():
-            _finish_request(proxy, effect.request, "broken_off")
-            proxied.call.abort()
+            _abort_response(proxy, proxied, effect)
         case effects.ForwardResponse():
             _forward_response(proxy, proxied, effect.request)
 
 
+def _record_abort(
+    proxy: Proxy,
+    proxied: proxied_requests.ProxiedRequest,
+    effect: effects.AbortAttempt,
+) -> None:
+    """Counts an aborted attempt, and logs it unless its caller has left."""
+    if effect.reason is None:
+        return
+    observation.count_event(
+        proxy.recorder, "attempt_aborted", effect.reason.value
+    )
+    if effect.reason is not effects.EndReason.CALLER_LEFT:
+        observation.record_attempt_end(
+            proxy.recorder,
+            proxied.trace,
+            "aborted",
+            reason=effect.reason.value,
+            sidecar=effect.upstream,
+            begun=effect.begun,
+            silent=effect.silent and round(effect.silent, 3),
+        )
+
+
+def _abort_response(
+    proxy: Proxy,
+    proxied: proxied_requests.ProxiedRequest,
+    effect: effects.AbortResponse,
+) -> None:
+    reason = effect.reason.value if effect.reason else "refused"
+    observation.count_event(proxy.recorder, "response_broken_off", reason)
+    _finish_request(
+        proxy,
+        effect.request,
+        "broken_off",
+        reason=reason,
+        sidecar=effect.upstream,
+    )
+    proxied.call.abort()
+
+
 def _end_failed_effect(
     proxy: Proxy,
     proxied: proxied_requests.ProxiedRequest,
--- a/sycamorefall/direct/stalls.py
+++ b/sycamorefall/direct/stalls.py
@@ -105,7 +105,13 @@
             state_module.find_upstream(state, attempt) is None
         ):
             end = outcomes.AttemptEnd.BROKEN
-            ended.append(effects.AbortAttempt(request.number))
+            abort = effects.AbortAttempt(
+                request.number,
+                effects.EndReason.RESTARTED,
+                attempt.upstream,
+                attempt.response_started,
+            )
+            ended.append(abort)
             ended += outcomes.end_attempt(state, now, request.number, end)
     return ended
 
@@ -155,11 +161,15 @@
 ) -> list[effects.Effect]:
     """Aborts a request's attempt and retries it, or fails the request."""
     name = request.attempt.upstream
-    aborted = outcomes.abort_attempt(state, request, now)
+    reason = effects.EndReason.SILENT
+    aborted = outcomes.abort_attempt(state, request, now, reason)
     upstream = state.table.by_name.get(name)
     if upstream is not None:
         upstreams.record_failure(upstream, now)
     retry = dispatching.try_send(state, now, request)
     if retry:
         return [*aborted, *retry]
-    return [*aborted, *outcomes.fail_request(state, request, now)]
+    return [
+        *aborted,
+        *outcomes.fail_request(state, request, now, reason, name),
+    ]
--- a/sycamorefall/direct/tests/test_stalls.py
+++ b/sycamorefall/direct/tests/test_stalls.py
@@ -44,7 +44,11 @@
         attempt = request.attempt
         known = attempt and state.table.by_name.get(attempt.upstream)
         if known and known.listed.start_time != attempt.start_time:
-            done.append(stalls.effects.AbortAttempt(request.number))
+            done.append(
+                stalls.effects.AbortAttempt(
+                    request.number, upstream=attempt.upstream
+                )
+            )
             end = outcomes.AttemptEnd.BROKEN
             done += outcomes.end_attempt(state, NOW, request.number, end)
     running = [one for one in state.requests.values() if one.attempt]
