--- /dev/null
+++ b/sycamorefall/direct/tests/silence_checks.py
@@ -0,0 +1,158 @@
+"""Checks of what a router does with the requests of silent upstreams.
+
+Each check adds what it finds to `Findings` under its name, so that one play may
+be judged by each check for itself.
+"""
+
+import collections
+
+from sycamorefall.direct import effects, outcomes, state
+from sycamorefall.direct.tests import silent_upstreams
+
+EPSILON = 1e-6
+
+OWN_ENDS = (
+    outcomes.AttemptEnd.COMPLETE,
+    outcomes.AttemptEnd.FAILED,
+    outcomes.AttemptEnd.BROKEN,
+)
+"""Ends by an upstream after which its answer may be ended."""
+
+AT_MOST_ONCE = ("book", "draft")
+
+
+class Findings:
+    """Faults of one play, by check."""
+
+    def __init__(self):
+        self.by_check = collections.defaultdict(list)
+
+    def add(self, check, world, call, text):
+        sends = [
+            (one.process.name, one.at, getattr(one.end, "name", one.end))
+            for one in call.sends
+        ]
+        self.by_check[check].append(
+            f"{world.now:.2f} s: {call.route} {call.number}: {text}; "
+            f"deadline {call.deadline:.2f}, sends {sends}"
+        )
+
+
+def create_world(findings, **bounds):
+    """Creates a world whose play is judged by all checks."""
+    return silent_upstreams.World(
+        observers=[
+            lambda *told: _check_ends(findings, *told),
+            lambda *told: _check_runs(findings, *told),
+        ],
+        watchers=[
+            lambda world: _check_load(findings, world),
+            lambda world: _check_requests(findings, world),
+        ],
+        **bounds,
+    )
+
+
+def _check_ends(findings, world, pending, ended):
+    """Finds answers that are ended although their upstream may go on."""
+    aborted = {
+        one.request for one in pending if isinstance(one, effects.AbortAttempt)
+    }
+    for place, effect in enumerate(pending):
+        call = world.calls.get(getattr(effect, "request", None))
+        if call is None or world.now >= call.deadline - EPSILON:
+            continue
+        if isinstance(effect, effects.AbortAttempt):
+            follows = pending[place + 1 : place + 2]
+            moves = isinstance(
+                follows[0] if follows else None, effects.SendRequest
+            ) and (follows[0].request == effect.request)
+            if not moves and not world.is_known_gone(call.current):
+                findings.add("ended", world, call, f"let go, {effect.reason}")
+        elif isinstance(effect, effects.AnswerError | effects.AbortResponse):
+            if call.begun == isinstance(effect, effects.AnswerError):
+                findings.add("ended", world, call, f"by a wrong {effect}")
+            if call.number in aborted:
+                continue
+            if call.current is not None:
+                if not world.is_known_gone(call.current):
+                    findings.add("ended", world, call, "ended while it runs")
+            elif _may_still_run(world, call):
+                findings.add("ended", world, call, "ended while it waits")
+
+
+def _may_still_run(world, call):
+    """Returns whether a request that was let go may get room again."""
+    if not any(one.end == "silent" for one in call.sends):
+        return False
+    if call.sends[-1].end in OWN_ENDS:
+        return False
+    has_key = call.service == "ledger" or call.team in world.keys
+    return has_key and call.service in world.services
+
+
+def _check_runs(findings, world, pending, ended):
+    """Finds requests that may run twice although that is not allowed."""
+    for effect in pending:
+        if not isinstance(effect, effects.SendRequest):
+            continue
+        call = world.calls[effect.request]
+        if call.route in AT_MOST_ONCE and any(
+            one.end not in silent_upstreams.DECLINED for one in call.sends
+        ):
+            findings.add("twice", world, call, f"sent to {effect.upstream}")
+
+
+def _check_load(findings, world):
+    """Finds runs that aren't counted as load, and load that is no run."""
+    router = world.state
+    attempts = collections.Counter()
+    for request in router.requests.values():
+        if request.attempt is not None:
+            attempts[state.find_upstream(router, request.attempt)] += 1
+    unlisted = attempts.pop(None, 0)
+    counted = {
+        one: one.own_load.running
+        for one in router.table.by_name.values()
+        if one.own_load.running
+    }
+    if (
+        counted != attempts
+        or router.running != sum(counted.values()) + unlisted
+    ):
+        findings.by_check["load"].append(
+            f"{world.now:.2f} s: {router.running} run, by upstream "
+            f"{_name_keys(attempts)}, {unlisted} elsewhere, counted as "
+            f"{_name_keys(counted)}"
+        )
+
+
+def _name_keys(by_upstream):
+    return {one.listed.name: count for one, count in by_upstream.items()}
+
+
+def _check_requests(findings, world):
+    """Finds requests that are lost, kept too long or wait nowhere."""
+    router = world.state
+    if router.requests.keys() != world.calls.keys():
+        findings.by_check["forgotten"].append(
+            f"{world.now:.2f} s: {sorted(router.requests)} at the router, "
+            f"{sorted(world.calls)} of callers"
+        )
+    for number, call in world.calls.items():
+        request = router.requests.get(number)
+        if request is None:
+            continue
+        if world.now >= call.deadline + EPSILON:
+            findings.add("forgotten", world, call, "outlives its deadline")
+        known = request.attempt or request.awaits_origin
+        if not known and not _is_queued(router, request):
+            findings.add("forgotten", world, call, "waits nowhere")
+
+
+def _is_queued(router, request):
+    queue = router.service_queues.get(request.service)
+    if queue is None:
+        return False
+    by_target = queue.by_team.get(request.team, {})
+    return any(request.number in numbers for numbers in by_target.values())
--- /dev/null
+++ b/sycamorefall/direct/tests/test_silence.py
@@ -0,0 +1,60 @@
+"""Answers of upstreams that fall silent for a while and then go on."""
+
+import itertools
+
+import pytest
+
+from sycamorefall.direct import core, effects, outcomes, upstreams
+from sycamorefall.direct.tests import fakes
+
+STEP = 0.05
+
+CASES = [("answer", True, 1.3), ("answer", False, 2.6), ("look", False, 1.3)]
+
+
+def submit(state, route, begun):
+    """Submits a request and begins its response if asked to."""
+    number, sent = fakes.submit_request(state, 0.0, route)
+    if begun:
+        outcomes.record_response(state, STEP, number, first=True)
+    return number, sent.upstream
+
+
+def fill_others(state, upstream):
+    for name, one in state.table.by_name.items():
+        if name != upstream:
+            one.peer_load = upstreams.Load(running=8)
+
+
+def run_timers(state, until):
+    """Runs the router's timers in steps; returns all effects."""
+    steps = itertools.takewhile(
+        lambda now: now <= until, (STEP * count for count in itertools.count(1))
+    )
+    return [effect for now in steps for effect in core.run_timers(state, now)]
+
+
+def list_ends(pending):
+    kinds = (effects.AbortAttempt, effects.AbortResponse, effects.AnswerError)
+    return [one for one in pending if isinstance(one, kinds)]
+
+
+@pytest.mark.parametrize(("route", "begun", "seconds"), CASES)
+@pytest.mark.parametrize("has_budget", [True, False])
+def test_answer_of_an_upstream_that_goes_on_is_not_ended(
+    route, begun, seconds, has_budget
+):
+    # Guards against an answer that ends because its upstream is silent and
+    # nothing else can run the request: no upstream has room, or no retry is
+    # left.
+    bounds = {} if has_budget else {"retry_ratio": 0.0, "retry_extra": 0.0}
+    state = fakes.create_state(**bounds)
+    number, upstream = submit(state, route, begun)
+    if has_budget:
+        fill_others(state, upstream)
+    silent_until = seconds + STEP * begun
+    assert not list_ends(run_timers(state, silent_until))
+    outcomes.record_response(state, silent_until, number, first=route != "look")
+    end = outcomes.AttemptEnd.COMPLETE
+    assert not outcomes.end_attempt(state, silent_until, number, end)
+    assert not state.requests and not state.running
