Stalls: a silent upstream keeps a request until another takes it over

What callers saw: streams that ended without a complete answer, and calls to plain services that failed, although their upstream went on a moment later.

Cause: the check for stalled upstreams aborted a request's attempt after 1.0 s without a byte (2.0 s before the first event, 0.5 s at plain services), and only then looked for another upstream. If none could take the request - at a full service nearly always - or no retry was left in the budget, the configuration wasn't proven, or the request was suspect, the caller's answer was ended. All requests of an engine ended in one check, within a millisecond. Class: a run is let go before there is another.

Change: `dispatching.find_place` finds the upstream and the budget grants the retry first; then the attempt is aborted and the request sent. Without a place the request stays where it is, and is tried again at each pass before the requests that wait, under the constraints of any upstream with room (its target latency is over, its prompt may be read again), so that callers of an upstream that is really gone leave at the first room. If the upstream that was to take it over declines, the request waits for the next place. A stalled upstream gets no requests while some of this router's are there, and gets them again with its first byte; the suspension with a probe remains for the rest. A stall counts as one failure, not as one for each of its requests.

Tests that demanded the end on silence now demand that the request stays, isn't sent elsewhere and ends at its deadline: test_crashes (a quarantined request), test_stream_origins (no engine of the stream's version). test_stalls compares the same prefilter with the new parts, and the requests that are to move. A request that is to move counts as waiting somewhere in the machine's checks.

--- a/sycamorefall/direct/core.py
+++ b/sycamorefall/direct/core.py
@@ -82,7 +82,9 @@
     state.catalog = new
     state.dispatch_needed = True
     waiting_requests = [
-        one for one in state.requests.values() if not one.attempt
+        one
+        for one in state.requests.values()
+        if not one.attempt and not one.is_abandoned
     ]
     pending: list[effects.Effect] = []
     for request in waiting_requests:
@@ -517,10 +519,13 @@
     if now - state.stalls_checked_at >= STALL_CHECK_INTERVAL:
         state.stalls_checked_at = now
         pending += stalls.handle_stalls(state, now)
-        pending += resumption.refuse_unservable(state)
+        pending += resumption.refuse_unservable(state, now)
     if _is_dispatch_due(state, now):
         state.last_dispatch_at = now
-        pending += dispatching.send_waiting_requests(state, now)
+        # These requests were let through before those that wait.
+        moved, checks = stalls.move_requests(state, now)
+        pending += moved
+        pending += dispatching.send_waiting_requests(state, now, checks)
         state.dispatch_needed = False
     return pending
 
@@ -555,7 +560,9 @@
 
 
 def _is_any_request_waiting(state: state_module.DirectState) -> bool:
-    return any(queue.by_team for queue in state.service_queues.values())
+    return bool(state.moving) or any(
+        queue.by_team for queue in state.service_queues.values()
+    )
 
 
 def _expire_requests(
--- a/sycamorefall/direct/dispatching.py
+++ b/sycamorefall/direct/dispatching.py
@@ -7,9 +7,12 @@
     "dequeue_request",
     "enqueue_request",
     "explain_refusal",
+    "find_place",
     "get_or_create_budget",
     "is_quarantined",
     "is_retry_delay_too_long",
+    "measure_free_engines",
+    "send_to",
     "send_waiting_requests",
     "try_send",
 ]
@@ -133,31 +136,56 @@
     Returns:
         The effect that sends the request; empty if it is not sent now.
     """
+    chosen = find_place(state, now, request, group)
+    if chosen is None:
+        return []
+    if request.arrivals and not budget.take_retry(
+        get_or_create_budget(state, request.service), now
+    ):
+        return []
+    return [send_to(state, now, request, chosen)]
+
+
+def find_place(
+    state: state_module.DirectState,
+    now: float,
+    request: state_module.Request,
+    group: engine_measurement.EngineGroup | None = None,
+    constraints: eligibility.PlacementConstraints | None = None,
+) -> upstreams.Upstream | None:
+    """Finds the upstream that a request can be sent to now.
+
+    Args:
+        state: The router's state.
+        now: Current time of this process's clock.
+        request: The request.
+        group: Engines of the service with a free slot; measured here if None.
+        constraints: Placement constraints; those of a waiting request if None.
+
+    Returns:
+        The upstream; None if no upstream can take the request now.
+    """
     service = state.catalog.services.get(request.service)
     if service is None or request.deadline - now < MIN_TIME_LEFT:
-        return []
+        return None
     if request.team and not freshness.is_fresh(state.freshness, now):
-        return []
+        return None
     if is_quarantined(state, request):
-        return []
+        return None
     if group is None:
-        group = _measure_free_engines(state, now, request.service)
+        group = measure_free_engines(state, now, request.service)
     is_engine = (
         request.incoming.prompt is not None and service.engine is not None
     )
     if is_engine and not group.engine_loads:
-        return []
-    constraints = placement_constraints.compute_constraints(state, now, request)
-    chosen = upstream_selection.choose_upstream(
+        return None
+    if constraints is None:
+        constraints = placement_constraints.compute_constraints(
+            state, now, request
+        )
+    return upstream_selection.choose_upstream(
         state.table, now, service, constraints, state.failure_domain, group
     )
-    if chosen is None:
-        return []
-    if request.arrivals and not budget.take_retry(
-        get_or_create_budget(state, request.service), now
-    ):
-        return []
-    return [_send(state, now, request, chosen, service)]
 
 
 def is_retry_delay_too_long(
@@ -222,14 +250,24 @@
     )
 
 
-def _send(
+def send_to(
     state: state_module.DirectState,
     now: float,
     request: state_module.Request,
     chosen: upstreams.Upstream,
-    service: catalog.Service,
 ) -> effects.SendRequest:
-    """Starts an attempt at an upstream; updates its load and the accounts."""
+    """Starts an attempt at an upstream; updates its load and the accounts.
+
+    Args:
+        state: The router's state; changed.
+        now: Current time of this process's clock.
+        request: A request without an attempt in progress.
+        chosen: The upstream, from `find_place`.
+
+    Returns:
+        The effect that sends the request.
+    """
+    service = state.catalog.services[request.service]
     idle = service.engine is not None and (
         engine_measurement.measure_engine_load(chosen, service.engine, now).idle
     )
@@ -246,7 +284,7 @@
     state.running += 1
     if not chosen.own_load.running:
         # The upstream had nothing to send, so it was not stalled.
-        chosen.last_byte_at = now
+        chosen.last_byte_at, chosen.stalled = now, False
     chosen.own_load.running += 1
     upstreams.record_sent(chosen, now)
     prompt, begins_in, fetch = request.incoming.prompt, None, None
@@ -350,7 +388,7 @@
 
 
 def send_waiting_requests(
-    state: state_module.DirectState, now: float
+    state: state_module.DirectState, now: float, checks: int = 0
 ) -> list[effects.Effect]:
     """Runs a dispatch pass: sends waiting requests, least served team first.
 
@@ -360,12 +398,12 @@
     Args:
         state: The router's state; changed.
         now: Current time of this process's clock.
+        checks: Number of checks that were made in the same pass before.
 
     Returns:
         The effects that send requests.
     """
     sent: list[effects.Effect] = []
-    checks = 0
     for service, service_queue in state.service_queues.items():
         tries, queue_effects = _send_from_queue(
             state, now, service, service_queue
@@ -399,7 +437,7 @@
         for team in service_queue.by_team
     ]
     heapq.heapify(teams)
-    group = _measure_free_engines(state, now, service)
+    group = measure_free_engines(state, now, service)
     while teams:
         _, team = heapq.heappop(teams)
         candidates = placement_constraints.list_candidates(
@@ -410,7 +448,7 @@
             request = state.requests[number]
             done = try_send(state, now, request, group)
             if done:
-                group = _measure_free_engines(state, now, service)
+                group = measure_free_engines(state, now, service)
                 fair_queue.remove_request(service_queue, team, number)
                 sent += done
                 received = fair_queue.compute_received(accounts, now, team)
@@ -419,10 +457,16 @@
     return tries, sent
 
 
-def _measure_free_engines(
+def measure_free_engines(
     state: state_module.DirectState, now: float, service: str
 ) -> engine_measurement.EngineGroup:
-    """Measures the engines of a service that have a free slot."""
+    """Measures the engines of a service that have a free slot.
+
+    Args:
+        state: The router's state.
+        now: Current time of this process's clock.
+        service: Name of the service.
+    """
     known = state.catalog.services.get(service)
     engine_loads = (
         upstream_selection.list_engine_loads(state.table, now, known)
--- a/sycamorefall/direct/local_failures.py
+++ b/sycamorefall/direct/local_failures.py
@@ -33,9 +33,12 @@
     request = state.requests.get(number)
     if request is None or request.attempt is None:
         return []
+    name = request.attempt.upstream
     upstream = outcomes.release_attempt(state, request, now)
     if upstream is not None:
         upstreams.end_probe(upstream)
+    if request.is_abandoned:
+        return outcomes.await_place(state, now, request, name)
     if request.possible_runs or request.forwarding_started:
         return outcomes.fail_request(state, request, now)
     outcomes.discard_request(state, request)
--- a/sycamorefall/direct/outcomes.py
+++ b/sycamorefall/direct/outcomes.py
@@ -3,6 +3,7 @@
 __all__ = [
     "AttemptEnd",
     "abort_attempt",
+    "await_place",
     "discard_request",
     "draw_quarantine_delay",
     "draw_retry_after",
@@ -257,7 +258,7 @@
     attempt = request.attempt
     upstream = state_module.find_upstream(state, attempt)
     if upstream is not None:
-        upstream.last_byte_at = now
+        upstreams.record_bytes(upstream, now)
     if not first:
         return
     if request.route.kind.streamed:
@@ -578,9 +579,40 @@
                 return fail_request(state, request, now)
             dispatching.enqueue_request(state, request)
             return []
+        if end not in _MAY_HAVE_RUN and request.is_abandoned:
+            return await_place(state, now, request, attempt.upstream)
     return _end_unretried(state, request, end, now, attempt.upstream)
 
 
+def await_place(
+    state: state_module.DirectState,
+    now: float,
+    request: state_module.Request,
+    declined: str,
+) -> list[effects.Effect]:
+    """Lets a request whose run this router gave up wait for another place.
+
+    The upstream that was to take it over has not run it. Otherwise a request
+    that its first upstream could still have answered would end there.
+
+    Args:
+        state: The router's state; changed.
+        now: Current time of this process's clock.
+        request: The request, without an attempt in progress.
+        declined: Name of the upstream that has not run it.
+
+    Returns:
+        The error of a request that no upstream takes before its deadline.
+    """
+    request.give_up_at = request.deadline
+    if dispatching.is_retry_delay_too_long(state, now, request):
+        return fail_request(state, request, now, effects.EndReason.NOT_RUN)
+    # The upstream that was given up may be back by then.
+    request.tried = {declined}
+    state.moving[request.number] = None
+    return []
+
+
 def _update_upstream_health(
     state: state_module.DirectState,
     now: float,
--- a/sycamorefall/direct/placement_constraints.py
+++ b/sycamorefall/direct/placement_constraints.py
@@ -2,6 +2,7 @@
 
 __all__ = [
     "compute_constraints",
+    "compute_move_constraints",
     "list_candidates",
 ]
 
@@ -67,6 +68,27 @@
     )
 
 
+def compute_move_constraints(
+    request: state_module.Request, now: float
+) -> eligibility.PlacementConstraints:
+    """Computes the constraints of a request whose upstream is stalled.
+
+    The request was let through before, and its target latency is usually over.
+    Any upstream with room serves its caller better than the one that is silent.
+
+    Args:
+        request: The request.
+        now: Current time of this process's clock.
+    """
+    return eligibility.PlacementConstraints(
+        request.incoming.prompt,
+        request.deadline - now,
+        request.tried,
+        allow_reread=True,
+        origin=request.origin,
+    )
+
+
 def list_candidates(
     state: state_module.DirectState,
     now: float,
--- a/sycamorefall/direct/resumption.py
+++ b/sycamorefall/direct/resumption.py
@@ -215,9 +215,12 @@
 
 
 def refuse_unservable(
-    state: state_module.DirectState,
+    state: state_module.DirectState, now: float
 ) -> list[effects.Effect]:
-    """Refuses waiting requests for which no upstream is left."""
+    """Refuses waiting requests for which no upstream is left.
+
+    One that an upstream may have run gets an error that says so.
+    """
     unservable = [
         request
         for request in state.requests.values()
@@ -226,7 +229,13 @@
     return [
         effect
         for request in unservable
-        for effect in refuse_gone(state, request)
+        for effect in (
+            outcomes.fail_request(
+                state, request, now, effects.EndReason.NOT_RUN
+            )
+            if request.possible_runs
+            else refuse_gone(state, request)
+        )
     ]
 
 
--- a/sycamorefall/direct/stalls.py
+++ b/sycamorefall/direct/stalls.py
@@ -1,15 +1,25 @@
-"""Detection of stalled upstreams and retries of their requests elsewhere.
+"""Detection of stalled upstreams, and moves of their requests elsewhere.
 
 An upstream is stalled if it sends no bytes although requests are in progress
 there, for instance because its VM froze or a partition cut it off. Its
-connections then stay open.
+connections then stay open, and it may go on at any moment. So a request stays
+there until another upstream can take it: only then its attempt is aborted.
 """
 
 __all__ = [
     "handle_stalls",
+    "move_requests",
 ]
 
-from sycamorefall.direct import dispatching, effects, outcomes, upstreams
+from sycamorefall.direct import (
+    budget,
+    dispatching,
+    effects,
+    engine_measurement,
+    outcomes,
+    placement_constraints,
+    upstreams,
+)
 from sycamorefall.direct import state as state_module
 
 ENGINE_STALL_TIMEOUT = 1.0
@@ -22,14 +32,14 @@
 this router is taken for stalled."""
 
 PLAIN_RESPONSE_TIMEOUT = 0.5
-"""Seconds after which a request to a plain service is retried elsewhere if its
+"""Seconds after which a request to a plain service is moved elsewhere if its
 route allows retries: ten times the usual response time."""
 
 
 def handle_stalls(
     state: state_module.DirectState, now: float
 ) -> list[effects.Effect]:
-    """Suspends stalled upstreams and retries their requests where allowed.
+    """Marks stalled upstreams and moves their requests where allowed.
 
     Without this, the callers of an upstream that stops responding without
     closing its connections would wait until their deadlines. A healthy engine
@@ -42,7 +52,7 @@
     Returns:
         Effects to perform.
     """
-    done = _end_attempts_at_restarted(state, now)
+    ended = _end_attempts_at_restarted(state, now)
     running = _list_running(state)
     silent = _list_silent(state, now, running)
     stalled = {
@@ -51,16 +61,64 @@
         if request.attempt.upstream in silent
         and _is_stalled(state, now, request)
     }
-    to_retry = [
-        request
-        for request in running
-        if _should_retry(state, now, request, stalled)
-    ]
     for name in stalled:
-        upstreams.suspend_upstream(state.table.by_name[name], now)
-    for request in to_retry:
-        done += _retry_elsewhere(state, now, request)
-    return done
+        upstreams.record_stall(state.table.by_name[name], now)
+    waiting = (
+        request for request in running if _should_move(state, now, request)
+    )
+    # Kept in this order: the request that has waited longest moves first.
+    state.moving |= dict.fromkeys(one.number for one in waiting)
+    moved, _ = move_requests(state, now)
+    return ended + moved
+
+
+def move_requests(
+    state: state_module.DirectState, now: float
+) -> tuple[list[effects.Effect], int]:
+    """Moves requests whose upstream is stalled to others with room.
+
+    An attempt is aborted only once the place of the next one is found and the
+    retry budget has a retry left. Until then the upstream may go on with it.
+
+    Args:
+        state: The router's state; changed.
+        now: Current time of this process's clock.
+
+    Returns:
+        Effects to perform, and the number of upstreams that were checked.
+    """
+    moved: list[effects.Effect] = []
+    checks = 0
+    groups: dict[str, engine_measurement.EngineGroup] = {}
+    exhausted: set[str] = set()
+    for number in list(state.moving):
+        request = state.requests.get(number)
+        if request is None or not _should_move(state, now, request):
+            del state.moving[number]
+            continue
+        service = request.service
+        if service in exhausted:
+            continue
+        if service not in groups:
+            groups[service] = dispatching.measure_free_engines(
+                state, now, service
+            )
+        checks += len(upstreams.list_upstreams(state.table, service))
+        constraints = placement_constraints.compute_move_constraints(
+            request, now
+        )
+        place = dispatching.find_place(
+            state, now, request, groups[service], constraints
+        )
+        if place is None:
+            continue
+        known_budget = dispatching.get_or_create_budget(state, service)
+        if not budget.take_retry(known_budget, now):
+            exhausted.add(service)
+            continue
+        del state.moving[number], groups[service]
+        moved += _move(state, now, request, place)
+    return moved, checks
 
 
 def _list_running(
@@ -137,39 +195,38 @@
     return now - max(upstream.last_byte_at, attempt.sent_at) > limit
 
 
-def _should_retry(
+def _should_move(
     state: state_module.DirectState,
     now: float,
     request: state_module.Request,
-    stalled: set[str],
 ) -> bool:
-    """Returns whether a request is to be retried at another upstream."""
+    """Returns whether a request is to be moved to another upstream."""
+    attempt = request.attempt
+    if attempt is None:
+        return request.is_abandoned
     if not request.route.kind.retryable:
         return False
     if request.possible_runs + 1 >= request.route.max_upstreams:
         return False
-    attempt = request.attempt
     if request.route.kind.streamed:
-        return attempt.upstream in stalled
+        upstream = state_module.find_upstream(state, attempt)
+        return upstream is not None and upstream.stalled
     return now - attempt.sent_at > PLAIN_RESPONSE_TIMEOUT
 
 
-def _retry_elsewhere(
+def _move(
     state: state_module.DirectState,
     now: float,
     request: state_module.Request,
+    place: upstreams.Upstream,
 ) -> list[effects.Effect]:
-    """Aborts a request's attempt and retries it, or fails the request."""
-    name = request.attempt.upstream
-    reason = effects.EndReason.SILENT
-    aborted = outcomes.abort_attempt(state, request, now, reason)
-    upstream = state.table.by_name.get(name)
-    if upstream is not None:
-        upstreams.record_failure(upstream, now)
-    retry = dispatching.try_send(state, now, request)
-    if retry:
-        return [*aborted, *retry]
-    return [
-        *aborted,
-        *outcomes.fail_request(state, request, now, reason, name),
-    ]
+    """Aborts a request's attempt, if there is one, and sends it to a place."""
+    aborted = []
+    if request.attempt is not None:
+        upstream = state_module.find_upstream(state, request.attempt)
+        reason = effects.EndReason.SILENT
+        aborted = outcomes.abort_attempt(state, request, now, reason)
+        if upstream is not None and not request.route.kind.streamed:
+            upstreams.record_failure(upstream, now)
+    request.is_abandoned = True
+    return [*aborted, dispatching.send_to(state, now, request, place)]
--- a/sycamorefall/direct/state.py
+++ b/sycamorefall/direct/state.py
@@ -153,6 +153,8 @@
             if it wasn't, or nothing was known.
         tried_parts: Fingerprints of the quarantined parts that the request is
             let through to try; see `trials`.
+        is_abandoned: Whether this router aborted an attempt of the request
+            because its upstream was silent.
     """
 
     number: int
@@ -180,6 +182,7 @@
     awaits_origin: bool = False
     known_origin: stream_origins.KnownOrigin | None = None
     tried_parts: frozenset[bytes] = frozenset()
+    is_abandoned: bool = False
 
 
 @dataclasses.dataclass(slots=True, frozen=True)
@@ -240,6 +243,8 @@
             waiting requests for a running one took 20 us, while the whole pass
             takes 3 us with the count.
         service_queues: Waiting requests by service.
+        moving: Numbers of requests that are to be sent to another upstream as
+            theirs is stalled, the one that has waited longest first.
         accounts: Cost units that the teams received, by service.
         budgets: Retry budgets by service.
         recent_targets: Target latencies of recent requests, by service.
@@ -287,6 +292,7 @@
     service_queues: dict[str, fair_queue.ServiceQueue] = dataclasses.field(
         default_factory=dict
     )
+    moving: dict[int, None] = dataclasses.field(default_factory=dict)
     accounts: dict[str, fair_queue.TeamAccounts] = dataclasses.field(
         default_factory=dict
     )
--- a/sycamorefall/direct/upstreams.py
+++ b/sycamorefall/direct/upstreams.py
@@ -23,8 +23,10 @@
     "record_failure",
     "record_leaving",
     "record_other_incarnation",
+    "record_bytes",
     "record_retry_delay",
     "record_sent",
+    "record_stall",
     "record_success",
     "replace_listing",
     "suspend_upstream",
@@ -197,6 +199,8 @@
             is not idle.
         last_byte_at: Time at which this router last received bytes from the
             upstream.
+        stalled: Whether it has sent no bytes for so long that it gets no
+            requests until it does.
         prefill_rate: Estimated prompt tokens that the upstream processes per
             second.
         cache: Estimate of the prompt parts in the engine's KV cache.
@@ -217,6 +221,7 @@
     short_floor: float = math.inf
     idle_since: float = math.inf
     last_byte_at: float = 0.0
+    stalled: bool = False
     prefill_rate: float = INITIAL_PREFILL_RATE
     cache: caches.CacheEstimate = dataclasses.field(
         default_factory=caches.CacheEstimate
@@ -513,10 +518,14 @@
     """Returns whether a request may be sent to an upstream.
 
     A suspended upstream gets no requests until its suspension ends, then one
-    request as a probe. Further requests follow once the probe has succeeded.
+    request as a probe. Further requests follow once the probe has succeeded. A
+    stalled one needs no probe while requests are in progress there: their bytes
+    show that it goes on.
     """
     if is_leaving(upstream) or upstream.evacuated:
         return False
+    if upstream.stalled and upstream.own_load.running:
+        return False
     if now < upstream.notice.delayed_until:
         return False
     if not pacing_module.allows_send(upstream.pacing, now):
@@ -632,6 +641,24 @@
     upstream._health = _Health.SUSPENDED
 
 
+def record_stall(upstream: Upstream, now: float) -> None:
+    """Records that an upstream is stalled; does nothing if it was already."""
+    if upstream.stalled:
+        return
+    upstream.stalled = True
+    record_failure(upstream, now)
+    suspend_upstream(upstream, now)
+
+
+def record_bytes(upstream: Upstream, now: float) -> None:
+    """Records that bytes were received from an upstream, which ends a stall."""
+    upstream.last_byte_at = now
+    if upstream.stalled:
+        upstream.stalled = False
+        upstream._health = _Health.USABLE
+        upstream._consecutive_failures = 0
+
+
 def end_probe(upstream: Upstream) -> None:
     """Allows another probe after one was aborted, such as by its caller."""
     if upstream._health is _Health.PROBING:
