Stalls: requests at upstreams that are no longer listed may move, or end

What callers saw: a request at an engine that died with its connections open was held until the caller's deadline once the engine's entry had left the listing: the check for stalled upstreams looked at listed ones only.

Cause: silence was a property of the entry in the listing, not of the process that runs the request. Class: a run is judged by a listing that no longer has it.

Change: an attempt refers to its process, which hears bytes whether it is listed or not. Requests move from a silent process as before. One that neither the platform nor this router has heard for three heartbeats (`[bounds] heartbeat`, 1.2 s, by which the platform drops entries) and that hasn't announced its leaving is gone: a request that may run again goes elsewhere or ends at once. Requests that run at most once still wait, as before.

--- a/sycamorefall/direct/dispatching.py
+++ b/sycamorefall/direct/dispatching.py
@@ -279,6 +279,7 @@
         now,
         chosen.listed.start_time,
         origin=chosen.origin,
+        process=chosen,
     )
     request.attempt = attempt
     state.running += 1
--- a/sycamorefall/direct/effects.py
+++ b/sycamorefall/direct/effects.py
@@ -29,6 +29,7 @@
     DEADLINE: The request's deadline has passed.
     SILENT: The upstream has sent no bytes for too long.
     RESTARTED: The upstream's process was restarted.
+    GONE: The upstream is no longer listed, and silent since its last heartbeat.
     BROKEN: The connection to the upstream was lost, or it sent no valid
         response.
     FAILED: The upstream sent a failure after the response had started.
@@ -41,6 +42,7 @@
     DEADLINE = "deadline"
     SILENT = "silent"
     RESTARTED = "restarted"
+    GONE = "gone"
     BROKEN = "broken"
     FAILED = "failed"
     NOT_RUN = "not_run"
@@ -128,7 +130,7 @@
         upstream: Name of the upstream.
         begun: Whether the response had started.
         silent: Seconds since the latest byte from the upstream, or since the
-            send if that was later; None if the upstream isn't listed.
+            send if that was later; None if it isn't computed.
     """
 
     request: int
--- a/sycamorefall/direct/outcomes.py
+++ b/sycamorefall/direct/outcomes.py
@@ -180,10 +180,9 @@
     request.arrivals += 1
     request.possible_runs += 1
     upstream = release_attempt(state, request, now)
-    silent = None
     if upstream is not None:
         upstreams.end_probe(upstream)
-        silent = now - max(upstream.last_byte_at, attempt.sent_at)
+    silent = state_module.compute_silence(attempt, now)
     return [
         effects.AbortAttempt(
             request.number,
@@ -257,8 +256,8 @@
         return
     attempt = request.attempt
     upstream = state_module.find_upstream(state, attempt)
-    if upstream is not None:
-        upstreams.record_bytes(upstream, now)
+    if attempt.process is not None:
+        upstreams.record_bytes(attempt.process, now)
     if not first:
         return
     if request.route.kind.streamed:
--- a/sycamorefall/direct/stalls.py
+++ b/sycamorefall/direct/stalls.py
@@ -31,6 +31,9 @@
 """Seconds without a byte after which an engine that only processes prompts for
 this router is taken for stalled."""
 
+MISSED_HEARTBEATS = 3
+"""Heartbeats that an upstream misses until the platform drops its entry."""
+
 PLAIN_RESPONSE_TIMEOUT = 0.5
 """Seconds after which a request to a plain service is moved elsewhere if its
 route allows retries: ten times the usual response time."""
@@ -53,19 +56,17 @@
         Effects to perform.
     """
     ended = _end_attempts_at_restarted(state, now)
+    ended += _end_attempts_at_gone(state, now)
     running = _list_running(state)
-    silent = _list_silent(state, now, running)
+    silent = _list_silent(now, running)
     stalled = {
-        request.attempt.upstream
+        request.attempt.process
         for request in running
-        if request.attempt.upstream in silent
-        and _is_stalled(state, now, request)
+        if request.attempt.process in silent and _is_stalled(now, request)
     }
-    for name in stalled:
-        upstreams.record_stall(state.table.by_name[name], now)
-    waiting = (
-        request for request in running if _should_move(state, now, request)
-    )
+    for upstream in stalled:
+        upstreams.record_stall(upstream, now)
+    waiting = (request for request in running if _should_move(now, request))
     # Kept in this order: the request that has waited longest moves first.
     state.moving |= dict.fromkeys(one.number for one in waiting)
     moved, _ = move_requests(state, now)
@@ -93,7 +94,7 @@
     exhausted: set[str] = set()
     for number in list(state.moving):
         request = state.requests.get(number)
-        if request is None or not _should_move(state, now, request):
+        if request is None or not _should_move(now, request):
             del state.moving[number]
             continue
         service = request.service
@@ -128,10 +129,8 @@
 
 
 def _list_silent(
-    state: state_module.DirectState,
-    now: float,
-    running: list[state_module.Request],
-) -> set[str]:
+    now: float, running: list[state_module.Request]
+) -> set[upstreams.Upstream]:
     """Lists upstreams that have sent no bytes for the shorter stall timeout.
 
     Only their requests are examined one by one, as nearly all upstreams are
@@ -140,9 +139,8 @@
     (`benchmarks.direct`).
     """
     limit = min(ENGINE_STALL_TIMEOUT, PREFILL_STALL_TIMEOUT)
-    known = state.table.by_name
-    names = {request.attempt.upstream for request in running} & known.keys()
-    return {name for name in names if now - known[name].last_byte_at > limit}
+    processes = {request.attempt.process for request in running} - {None}
+    return {one for one in processes if now - one.last_byte_at > limit}
 
 
 def _end_attempts_at_restarted(
@@ -174,32 +172,55 @@
     return ended
 
 
-def _is_stalled(
-    state: state_module.DirectState,
-    now: float,
-    request: state_module.Request,
-) -> bool:
-    """Returns whether the upstream of a streamed request is stalled.
+def _end_attempts_at_gone(
+    state: state_module.DirectState, now: float
+) -> list[effects.Effect]:
+    """Ends attempts at upstreams that neither the platform nor this VM hears.
 
-    Bytes that the upstream sends for any request of this router count.
+    The platform drops the entry of a process that has sent no heartbeats. An
+    entry may also be missing because the process is about to leave; then it
+    goes on serving, and its bytes show that. Without this, callers would wait
+    for a dead process until their deadlines whenever no other upstream has
+    room.
     """
-    attempt = request.attempt
-    upstream = state_module.find_upstream(state, attempt)
-    if upstream is None or not request.route.kind.streamed:
+    lapse = MISSED_HEARTBEATS * state.bounds.heartbeat
+    ended: list[effects.Effect] = []
+    for request in _list_running(state):
+        attempt = request.attempt
+        if attempt.upstream in state.table.by_name:
+            continue
+        silence = state_module.compute_silence(attempt, now)
+        if (
+            silence > lapse
+            and request.route.kind.retryable
+            and not upstreams.is_leaving(attempt.process)
+        ):
+            end = outcomes.AttemptEnd.BROKEN
+            abort = effects.AbortAttempt(
+                request.number,
+                effects.EndReason.GONE,
+                attempt.upstream,
+                attempt.response_started,
+                silence,
+            )
+            ended.append(abort)
+            ended += outcomes.end_attempt(state, now, request.number, end)
+    return ended
+
+
+def _is_stalled(now: float, request: state_module.Request) -> bool:
+    """Returns whether the upstream of a streamed request is stalled."""
+    if not request.route.kind.streamed:
         return False
     limit = (
         ENGINE_STALL_TIMEOUT
-        if attempt.response_started
+        if request.attempt.response_started
         else PREFILL_STALL_TIMEOUT
     )
-    return now - max(upstream.last_byte_at, attempt.sent_at) > limit
+    return state_module.compute_silence(request.attempt, now) > limit
 
 
-def _should_move(
-    state: state_module.DirectState,
-    now: float,
-    request: state_module.Request,
-) -> bool:
+def _should_move(now: float, request: state_module.Request) -> bool:
     """Returns whether a request is to be moved to another upstream."""
     attempt = request.attempt
     if attempt is None:
@@ -209,8 +230,7 @@
     if request.possible_runs + 1 >= request.route.max_upstreams:
         return False
     if request.route.kind.streamed:
-        upstream = state_module.find_upstream(state, attempt)
-        return upstream is not None and upstream.stalled
+        return attempt.process is not None and attempt.process.stalled
     return now - attempt.sent_at > PLAIN_RESPONSE_TIMEOUT
 
 
--- a/sycamorefall/direct/state.py
+++ b/sycamorefall/direct/state.py
@@ -7,6 +7,7 @@
     "IncomingRequest",
     "Placement",
     "Request",
+    "compute_silence",
     "create_state",
     "find_upstream",
     "get_or_create_accounts",
@@ -96,6 +97,8 @@
             the prompt doesn't crash the upstream.
         origin: Origin of the streams of the upstream's process; see
             `stream_origins`.
+        process: The upstream as it was when the request was sent. It may no
+            longer be listed.
     """
 
     number: int
@@ -112,6 +115,7 @@
     began_at: float = 0.0
     proven: bool = False
     origin: int = 0
+    process: upstreams.Upstream | None = None
 
 
 @dataclasses.dataclass(slots=True)
@@ -391,6 +395,15 @@
     return upstream if upstream.origin == attempt.origin else None
 
 
+def compute_silence(attempt: Attempt, now: float) -> float:
+    """Computes for how many seconds an attempt's upstream has sent no bytes.
+
+    Bytes that it sends for any request of this router count.
+    """
+    heard_at = attempt.process.last_byte_at if attempt.process else now
+    return now - max(heard_at, attempt.sent_at)
+
+
 def get_or_create_recent_targets(
     state: DirectState, service: str
 ) -> latency_targets_module.RecentTargets:
--- a/sycamorefall/direct/tests/test_silence.py
+++ b/sycamorefall/direct/tests/test_silence.py
@@ -58,3 +58,60 @@
     end = outcomes.AttemptEnd.COMPLETE
     assert not outcomes.end_attempt(state, silent_until, number, end)
     assert not state.requests and not state.running
+
+
+def leave_listing(state, now, upstream):
+    """Applies a listing without an upstream."""
+    others = [one for one in fakes.STANDARD_LISTING if one.name != upstream]
+    core.apply_listing(state, now, others)
+    core.record_proof(state, now, now)
+
+
+def test_stream_moves_from_a_silent_upstream_that_is_no_longer_listed():
+    # Guards against a caller that waits for a dead engine until its deadline
+    # because the engine's entry was gone before another one had room.
+    state = fakes.create_state()
+    number, upstream = submit(state, "answer", begun=True)
+    fill_others(state, upstream)
+    assert not run_timers(state, 1.5)
+    leave_listing(state, 1.5, upstream)
+    for one in state.table.by_name.values():
+        one.peer_load = upstreams.Load()
+    (abort, sent) = core.run_timers(state, 1.6)
+    assert abort == effects.AbortAttempt(number)
+    assert isinstance(sent, effects.SendRequest) and sent.upstream != upstream
+
+
+@pytest.mark.parametrize("route", ["answer", "look"])
+def test_request_at_an_upstream_that_nobody_hears_is_ended(route):
+    # Guards against a caller that is held until its deadline by a dead upstream
+    # whose connections stay open, while nothing else has room.
+    state = fakes.create_state(heartbeat=0.5)
+    number, upstream = submit(state, route, begun=route == "answer")
+    fill_others(state, upstream)
+    assert not run_timers(state, 1.4)
+    leave_listing(state, 1.4, upstream)
+    assert not core.run_timers(state, 1.5)
+    abort, end = core.run_timers(state, 1.7)
+    assert abort == effects.AbortAttempt(number)
+    assert abort.reason is effects.EndReason.GONE
+    assert isinstance(end, effects.AbortResponse | effects.AnswerError)
+    assert not state.requests and not state.running
+
+
+@pytest.mark.parametrize("announced", [True, False])
+def test_stream_of_a_leaving_upstream_is_not_ended(announced):
+    # Guards against an answer that ends because its engine, which is about to
+    # leave and serves on, is silent for a moment after its entry is gone.
+    state = fakes.create_state(heartbeat=0.5)
+    number, upstream = submit(state, "answer", begun=True)
+    fill_others(state, upstream)
+    known = state.table.by_name[upstream]
+    if announced:
+        upstreams.record_leaving(state.table, 0.1, known)
+    leave_listing(state, 0.2, upstream)
+    silent_until = 2.5 if announced else 1.5
+    assert not run_timers(state, silent_until)
+    outcomes.record_response(state, silent_until, number, first=True)
+    assert not run_timers(state, 2.9)
+    assert state.requests[number].attempt.upstream == upstream
--- a/sycamorefall/direct/tests/test_stalls.py
+++ b/sycamorefall/direct/tests/test_stalls.py
@@ -53,13 +53,10 @@
             done += outcomes.end_attempt(state, NOW, request.number, end)
     running = [one for one in state.requests.values() if one.attempt]
     for request in running:
-        if stalls._is_stalled(state, NOW, request):
-            name = request.attempt.upstream
-            upstreams.record_stall(state.table.by_name[name], NOW)
+        if stalls._is_stalled(NOW, request):
+            upstreams.record_stall(request.attempt.process, NOW)
     state.moving |= {
-        one.number: None
-        for one in running
-        if stalls._should_move(state, NOW, one)
+        one.number: None for one in running if stalls._should_move(NOW, one)
     }
     return done + stalls.move_requests(state, NOW)[0]
 
--- a/sycamorefall/settings.py
+++ b/sycamorefall/settings.py
@@ -214,6 +214,8 @@
         retry_window: Length in seconds of the window over which requests and
             retries are counted.
         grace: Seconds between SIGTERM and SIGKILL when a process is stopped.
+        heartbeat: Seconds between two heartbeats of an upstream to the
+            platform, which drops its entry after three that are missing.
     """
 
     revocation: Positive = 5.0
@@ -221,6 +223,7 @@
     retry_extra: NonNegative = 50.0
     retry_window: Positive = 10.0
     grace: Positive = 8.0
+    heartbeat: Positive = 1.2
 
 
 class DirectSettings(msgspec.Struct, frozen=True, forbid_unknown_fields=True):
