Upstreams: an entry that lapsed and came back keeps its requests' load

What callers saw: nothing that was traced to it; an engine could count as emptier than empty and get more than it has room for.

Cause: an entry that left the listing took its upstream's load with it. When the same process was listed again, a new load of 0 stood in its place, and requests from before were subtracted from it as they ended.

Change: a request's load belongs to its process (an attempt always has one), and an upstream with requests in progress is kept beside the listing until its entry comes back or its last request ends.

--- a/sycamorefall/direct/dispatching.py
+++ b/sycamorefall/direct/dispatching.py
@@ -276,10 +276,10 @@
     attempt = state_module.Attempt(
         request.sends,
         chosen.listed.name,
+        chosen,
         now,
         chosen.listed.start_time,
         origin=chosen.origin,
-        process=chosen,
     )
     request.attempt = attempt
     state.running += 1
--- a/sycamorefall/direct/outcomes.py
+++ b/sycamorefall/direct/outcomes.py
@@ -149,14 +149,12 @@
     if not is_complete:
         _refund_attempt(state, now, request, attempt)
     state.running -= 1
-    upstream = state_module.find_upstream(state, attempt)
     state.dispatch_needed = True
-    if upstream is None:
-        return None
-    upstream.own_load.running -= 1
-    upstream.own_load.unread -= attempt.unread
-    upstream.own_load.memory -= attempt.memory
-    return upstream
+    load = attempt.process.own_load
+    load.running -= 1
+    load.unread -= attempt.unread
+    load.memory -= attempt.memory
+    return state_module.find_upstream(state, attempt)
 
 
 def discard_request(
@@ -256,8 +254,7 @@
         return
     attempt = request.attempt
     upstream = state_module.find_upstream(state, attempt)
-    if attempt.process is not None:
-        upstreams.record_bytes(attempt.process, now)
+    upstreams.record_bytes(attempt.process, now)
     if not first:
         return
     if request.route.kind.streamed:
--- a/sycamorefall/direct/stalls.py
+++ b/sycamorefall/direct/stalls.py
@@ -139,7 +139,7 @@
     (`benchmarks.direct`).
     """
     limit = min(ENGINE_STALL_TIMEOUT, PREFILL_STALL_TIMEOUT)
-    processes = {request.attempt.process for request in running} - {None}
+    processes = {request.attempt.process for request in running}
     return {one for one in processes if now - one.last_byte_at > limit}
 
 
@@ -230,7 +230,7 @@
     if request.possible_runs + 1 >= request.route.max_upstreams:
         return False
     if request.route.kind.streamed:
-        return attempt.process is not None and attempt.process.stalled
+        return attempt.process.stalled
     return now - attempt.sent_at > PLAIN_RESPONSE_TIMEOUT
 
 
--- a/sycamorefall/direct/state.py
+++ b/sycamorefall/direct/state.py
@@ -80,6 +80,8 @@
     Attributes:
         number: Number of the attempt among those of its request, from 1.
         upstream: Name of the upstream.
+        process: The upstream as it was when the request was sent. It may no
+            longer be listed.
         sent_at: Time at which the request was sent.
         start_time: Start time of the upstream's process, which distinguishes a
             restarted process; see `upstreams.UpstreamEntry`.
@@ -97,12 +99,11 @@
             the prompt doesn't crash the upstream.
         origin: Origin of the streams of the upstream's process; see
             `stream_origins`.
-        process: The upstream as it was when the request was sent. It may no
-            longer be listed.
     """
 
     number: int
     upstream: str
+    process: upstreams.Upstream
     sent_at: float
     start_time: int = 0
     unread: int = 0
@@ -115,7 +116,6 @@
     began_at: float = 0.0
     proven: bool = False
     origin: int = 0
-    process: upstreams.Upstream | None = None
 
 
 @dataclasses.dataclass(slots=True)
@@ -400,8 +400,7 @@
 
     Bytes that it sends for any request of this router count.
     """
-    heard_at = attempt.process.last_byte_at if attempt.process else now
-    return now - max(heard_at, attempt.sent_at)
+    return now - max(attempt.process.last_byte_at, attempt.sent_at)
 
 
 def get_or_create_recent_targets(
--- a/sycamorefall/direct/tests/test_restarts.py
+++ b/sycamorefall/direct/tests/test_restarts.py
@@ -51,6 +51,24 @@
     assert (engine.own_load.running, engine.own_load.unread) == (1, 100)
 
 
+def test_load_is_kept_while_an_entry_is_gone_for_a_while():
+    # Guards against an engine that seems emptier than empty: its entry lapses
+    # and comes back while its process runs, and the requests that it had are
+    # subtracted from a load that never included them.
+    state = create_state(("e1", 100), ("e2", 100))
+    number, sent = fakes.submit_request(state, 0.0, "answer", tokens=100)
+    others = {"e1", "e2"} - {sent.upstream}
+    core.apply_listing(state, 0.1, create_entries(*((n, 100) for n in others)))
+    assert sent.upstream not in state.table.by_name
+    core.apply_listing(state, 0.2, create_entries(("e1", 100), ("e2", 100)))
+    load = state.table.by_name[sent.upstream].own_load
+    assert (load.running, load.unread) == (1, 100)
+    end = outcomes.AttemptEnd.COMPLETE
+    outcomes.end_attempt(state, 0.3, number, end)
+    assert load == upstreams.Load()
+    assert not state.table.unlisted
+
+
 def test_restart_ends_the_suspension_of_the_old_process():
     # Guards against leaving a restarted engine suspended: the crashed process
     # was suspended for four seconds, but the engine is back after one.
--- a/sycamorefall/direct/upstreams.py
+++ b/sycamorefall/direct/upstreams.py
@@ -289,6 +289,8 @@
             answered.
         notices: Notices by process, including processes that are currently
             not listed.
+        unlisted: Upstreams that were dropped from the listing while requests
+            of this router were in progress there, by process.
         rankings: Upstreams of a service in the order of preference for caching
             a prompt part, by service and part; see `homes`.
         speeds: Speed of the upstreams on average, by service.
@@ -305,6 +307,9 @@
     missing: set[str] = dataclasses.field(default_factory=set)
     replaced: set[str] = dataclasses.field(default_factory=set)
     notices: dict[ProcessKey, Notice] = dataclasses.field(default_factory=dict)
+    unlisted: dict[ProcessKey, Upstream] = dataclasses.field(
+        default_factory=dict
+    )
     rankings: dict[tuple[str, str], list[Upstream]] = dataclasses.field(
         default_factory=dict
     )
@@ -347,7 +352,7 @@
     table.missing = {name for name in table.by_name if name not in listed}
     dropped = drop_missing(table, now)
     for name, entry in listed.items():
-        known = table.by_name.get(name)
+        known = table.by_name.get(name) or _restore_unlisted(table, entry)
         if known is None or is_other_process(known.listed, entry):
             notice = (
                 table.notices.get(ProcessKey(name, entry.start_time))
@@ -372,6 +377,11 @@
                 known.pacing.listed_until = now + entry.cold_remaining
             known.listed = entry
     table.replaced &= table.by_name.keys()
+    table.unlisted = {
+        process: upstream
+        for process, upstream in table.unlisted.items()
+        if upstream.own_load.running
+    }
     _drop_notices(table, now)
     _index_by_service(table)
     return dropped
@@ -467,12 +477,32 @@
         return []
     dropped, table.missing = sorted(table.missing), set()
     for name in dropped:
-        del table.by_name[name]
+        upstream = table.by_name.pop(name)
+        if upstream.own_load.running:
+            process = ProcessKey(name, upstream.listed.start_time)
+            table.unlisted[process] = upstream
     table.replaced &= table.by_name.keys()
     _index_by_service(table)
     return dropped
 
 
+def _restore_unlisted(
+    table: UpstreamTable, entry: UpstreamEntry
+) -> Upstream | None:
+    """Lists an upstream again whose entry was gone while its process ran.
+
+    Its requests may still be in progress. With a new `Upstream` in its place,
+    their load would be missing, and would be subtracted when they end.
+
+    Returns:
+        The upstream; None if the entry is of a process without requests.
+    """
+    known = table.unlisted.pop(ProcessKey(entry.name, entry.start_time), None)
+    if known is not None:
+        table.by_name[entry.name] = known
+    return known
+
+
 def _lacks_start_time(known: Upstream | None, entry: UpstreamEntry) -> bool:
     """Returns whether an entry lacks the start time that an earlier one had.
 
