Stalls: a stalled upstream is probed although requests are still there

Cause: since requests stay at a silent upstream, it got nothing new while any of them was there. If their connections are dead and the upstream answers on new ones, as after a partition that swallowed resets, it idled until their deadlines.

Change: the suspension and its probe are as they were before requests stayed. A request that was sent after the stall was found is a probe and has a time limit of its own, a silent probe lengthens the suspension, and any byte ends it.

--- a/sycamorefall/direct/dispatching.py
+++ b/sycamorefall/direct/dispatching.py
@@ -285,7 +285,7 @@
     state.running += 1
     if not chosen.own_load.running:
         # The upstream had nothing to send, so it was not stalled.
-        chosen.last_byte_at, chosen.stalled = now, False
+        chosen.last_byte_at, chosen.stalled_at = now, None
     chosen.own_load.running += 1
     upstreams.record_sent(chosen, now)
     prompt, begins_in, fetch = request.incoming.prompt, None, None
--- a/sycamorefall/direct/stalls.py
+++ b/sycamorefall/direct/stalls.py
@@ -59,13 +59,10 @@
     ended += _end_attempts_at_gone(state, now)
     running = _list_running(state)
     silent = _list_silent(now, running)
-    stalled = {
-        request.attempt.process
-        for request in running
-        if request.attempt.process in silent and _is_stalled(now, request)
-    }
-    for upstream in stalled:
-        upstreams.record_stall(upstream, now)
+    for request in running:
+        attempt = request.attempt
+        if attempt.process in silent and _is_stalled(now, request):
+            upstreams.record_stall(attempt.process, now, attempt.sent_at)
     waiting = (request for request in running if _should_move(now, request))
     # Kept in this order: the request that has waited longest moves first.
     state.moving |= dict.fromkeys(one.number for one in waiting)
@@ -230,10 +227,21 @@
     if request.possible_runs + 1 >= request.route.max_upstreams:
         return False
     if request.route.kind.streamed:
-        return attempt.process.stalled
+        return _is_affected(now, request)
     return now - attempt.sent_at > PLAIN_RESPONSE_TIMEOUT
 
 
+def _is_affected(now: float, request: state_module.Request) -> bool:
+    """Returns whether a streamed request is at a stalled upstream.
+
+    A probe, which is sent after the stall was found, gets a time of its own.
+    """
+    stalled_at = request.attempt.process.stalled_at
+    if stalled_at is None:
+        return False
+    return request.attempt.sent_at <= stalled_at or _is_stalled(now, request)
+
+
 def _move(
     state: state_module.DirectState,
     now: float,
@@ -243,10 +251,10 @@
     """Aborts a request's attempt, if there is one, and sends it to a place."""
     aborted = []
     if request.attempt is not None:
-        upstream = state_module.find_upstream(state, request.attempt)
+        upstream = request.attempt.process
         reason = effects.EndReason.SILENT
         aborted = outcomes.abort_attempt(state, request, now, reason)
-        if upstream is not None and not request.route.kind.streamed:
+        if not request.route.kind.streamed:
             upstreams.record_failure(upstream, now)
     request.is_abandoned = True
     return [*aborted, dispatching.send_to(state, now, request, place)]
--- a/sycamorefall/direct/tests/test_silence.py
+++ b/sycamorefall/direct/tests/test_silence.py
@@ -115,3 +115,49 @@
     outcomes.record_response(state, silent_until, number, first=True)
     assert not run_timers(state, 2.9)
     assert state.requests[number].attempt.upstream == upstream
+
+
+def test_stalled_upstream_is_probed_while_old_requests_stay_there():
+    # Guards against an engine that idles until the deadlines of requests on
+    # dead connections, although it answers on new ones.
+    state = fakes.create_state(
+        listing=[fakes.create_upstream_entry("e1")], retry_extra=0.0
+    )
+    submit(state, "draft", begun=True)
+    assert not run_timers(state, 1.2)
+    number, sent = fakes.submit_request(state, 1.2, "draft")
+    assert sent is None
+    (probe,) = run_timers(state, 1.6)
+    assert (probe.request, probe.upstream) == (number, "e1")
+    outcomes.record_response(state, 1.65, number, first=True)
+    assert fakes.submit_request(state, 1.66, "draft")[1] is not None
+
+
+def test_first_bytes_after_a_stall_end_the_suspension():
+    # Guards against an engine that goes on and is left to idle, as its failures
+    # were counted while it was silent.
+    state = fakes.create_state(listing=[fakes.create_upstream_entry("e1")])
+    number, _ = submit(state, "draft", begun=True)
+    run_timers(state, 1.2)
+    waiting, sent = fakes.submit_request(state, 1.2, "draft")
+    assert sent is None
+    outcomes.record_response(state, 1.25, number, first=True)
+    (sent,) = core.run_timers(state, 1.26)
+    assert sent.request == waiting
+
+
+def test_probe_of_a_stalled_upstream_has_time_to_be_answered():
+    # Guards against probes that leave a stalled engine at once, so that it
+    # never shows that it goes on.
+    state = fakes.create_state()
+    first, upstream = submit(state, "answer", begun=True)
+    fill_others(state, upstream)
+    run_timers(state, 1.2)
+    probe, _ = fakes.submit_request(state, 1.5, "answer")
+    assert state.requests[probe].attempt.upstream == upstream
+    for one in state.table.by_name.values():
+        if one.listed.name != upstream:
+            one.peer_load = upstreams.Load()
+    moved = fakes.list_sends(core.run_timers(state, 1.6))
+    assert [one.request for one in moved] == [first]
+    assert state.requests[probe].attempt.upstream == upstream
--- a/sycamorefall/direct/tests/test_stalls.py
+++ b/sycamorefall/direct/tests/test_stalls.py
@@ -54,7 +54,8 @@
     running = [one for one in state.requests.values() if one.attempt]
     for request in running:
         if stalls._is_stalled(NOW, request):
-            upstreams.record_stall(request.attempt.process, NOW)
+            attempt = request.attempt
+            upstreams.record_stall(attempt.process, NOW, attempt.sent_at)
     state.moving |= {
         one.number: None for one in running if stalls._should_move(NOW, one)
     }
--- a/sycamorefall/direct/upstreams.py
+++ b/sycamorefall/direct/upstreams.py
@@ -199,8 +199,7 @@
             is not idle.
         last_byte_at: Time at which this router last received bytes from the
             upstream.
-        stalled: Whether it has sent no bytes for so long that it gets no
-            requests until it does.
+        stalled_at: Time at which it was taken for stalled; None if it isn't.
         prefill_rate: Estimated prompt tokens that the upstream processes per
             second.
         cache: Estimate of the prompt parts in the engine's KV cache.
@@ -221,7 +220,7 @@
     short_floor: float = math.inf
     idle_since: float = math.inf
     last_byte_at: float = 0.0
-    stalled: bool = False
+    stalled_at: float | None = None
     prefill_rate: float = INITIAL_PREFILL_RATE
     cache: caches.CacheEstimate = dataclasses.field(
         default_factory=caches.CacheEstimate
@@ -548,14 +547,11 @@
     """Returns whether a request may be sent to an upstream.
 
     A suspended upstream gets no requests until its suspension ends, then one
-    request as a probe. Further requests follow once the probe has succeeded. A
-    stalled one needs no probe while requests are in progress there: their bytes
-    show that it goes on.
+    request as a probe. Further requests follow once the probe has succeeded, or
+    once bytes for any request show that a stalled upstream goes on.
     """
     if is_leaving(upstream) or upstream.evacuated:
         return False
-    if upstream.stalled and upstream.own_load.running:
-        return False
     if now < upstream.notice.delayed_until:
         return False
     if not pacing_module.allows_send(upstream.pacing, now):
@@ -671,20 +667,28 @@
     upstream._health = _Health.SUSPENDED
 
 
-def record_stall(upstream: Upstream, now: float) -> None:
-    """Records that an upstream is stalled; does nothing if it was already."""
-    if upstream.stalled:
-        return
-    upstream.stalled = True
-    record_failure(upstream, now)
-    suspend_upstream(upstream, now)
+def record_stall(upstream: Upstream, now: float, sent_at: float) -> None:
+    """Records that an upstream is stalled, and suspends it.
+
+    Args:
+        upstream: The upstream; changed.
+        now: Current time of this process's clock.
+        sent_at: When a request was sent that shows it. If the stall was known
+            by then, the request is a probe.
+    """
+    if upstream.stalled_at is None:
+        upstream.stalled_at = now
+        record_failure(upstream, now)
+        suspend_upstream(upstream, now)
+    elif sent_at > upstream.stalled_at and upstream._health is _Health.PROBING:
+        suspend_upstream(upstream, now)
 
 
 def record_bytes(upstream: Upstream, now: float) -> None:
     """Records that bytes were received from an upstream, which ends a stall."""
     upstream.last_byte_at = now
-    if upstream.stalled:
-        upstream.stalled = False
+    if upstream.stalled_at is not None:
+        upstream.stalled_at = None
         upstream._health = _Health.USABLE
         upstream._consecutive_failures = 0
 
