Stalls: a response that this router doesn't read isn't silence

What callers saw: a slow caller's stream could be ended, since the silence of its engine was this router's own doing; since requests stay, it would have been moved to another engine in vain.

Cause: reading is paused while more than 256 KiB wait for a slow caller, and the time without bytes counted towards a stall. Class: a router's own doing taken for silence of an upstream.

Change: the time without reading doesn't count.

--- a/sycamorefall/direct/outcomes.py
+++ b/sycamorefall/direct/outcomes.py
@@ -11,6 +11,7 @@
     "expire_request",
     "fail_request",
     "record_leaving",
+    "record_pause",
     "record_scale",
     "record_response",
     "record_retry_delay",
@@ -271,6 +272,17 @@
         _record_prefill(upstream, now, attempt, min(now, arrived_after))
 
 
+def record_pause(request: state_module.Request, until: float) -> None:
+    """Records that the response to a request isn't read for a while.
+
+    Args:
+        request: The request; changed.
+        until: When reading goes on; infinity if that isn't known yet.
+    """
+    if request.attempt is not None:
+        request.attempt.paused_until = until
+
+
 def _record_begun(
     state: state_module.DirectState,
     now: float,
--- a/sycamorefall/direct/relay.py
+++ b/sycamorefall/direct/relay.py
@@ -580,6 +580,7 @@
     call.write(data)
     if call.unsent_bytes > MAX_UNSENT_BYTES and proxied.exchange is not None:
         proxy.client.pause(proxied.exchange, True)
+        outcomes.record_pause(proxied.request, math.inf)
 
 
 def _resume_reading(
@@ -587,6 +588,7 @@
 ) -> None:
     if proxied.exchange is not None:
         proxy.client.pause(proxied.exchange, False)
+        outcomes.record_pause(proxied.request, transport.read_clock())
 
 
 def _handle_end(
--- a/sycamorefall/direct/state.py
+++ b/sycamorefall/direct/state.py
@@ -99,6 +99,8 @@
             the prompt doesn't crash the upstream.
         origin: Origin of the streams of the upstream's process; see
             `stream_origins`.
+        paused_until: Time until which this router didn't read the response, as
+            its caller is slow; infinity while it doesn't.
     """
 
     number: int
@@ -116,6 +118,7 @@
     began_at: float = 0.0
     proven: bool = False
     origin: int = 0
+    paused_until: float = float("-inf")
 
 
 @dataclasses.dataclass(slots=True)
@@ -398,9 +401,11 @@
 def compute_silence(attempt: Attempt, now: float) -> float:
     """Computes for how many seconds an attempt's upstream has sent no bytes.
 
-    Bytes that it sends for any request of this router count.
+    Bytes that it sends for any request of this router count. While this router
+    doesn't read the response, the upstream isn't silent.
     """
-    return now - max(attempt.process.last_byte_at, attempt.sent_at)
+    heard_at = attempt.process.last_byte_at
+    return now - max(heard_at, attempt.sent_at, attempt.paused_until)
 
 
 def get_or_create_recent_targets(
--- a/sycamorefall/direct/tests/test_silence.py
+++ b/sycamorefall/direct/tests/test_silence.py
@@ -1,6 +1,7 @@
 """Answers of upstreams that fall silent for a while and then go on."""
 
 import itertools
+import math
 
 import pytest
 
@@ -161,3 +162,18 @@
     moved = fakes.list_sends(core.run_timers(state, 1.6))
     assert [one.request for one in moved] == [first]
     assert state.requests[probe].attempt.upstream == upstream
+
+
+def test_stream_that_is_not_read_is_not_taken_for_stalled():
+    # Guards against a stream that leaves its engine, although that goes on,
+    # because its caller is slow and this router has paused reading.
+    state = fakes.create_state()
+    number, upstream = submit(state, "answer", begun=True)
+    request = state.requests[number]
+    outcomes.record_pause(request, math.inf)
+    assert not run_timers(state, 1.5)
+    outcomes.record_pause(request, 1.5)
+    assert not core.run_timers(state, 2.4)
+    assert request.attempt.upstream == upstream
+    (_, sent) = core.run_timers(state, 2.6)
+    assert sent.upstream != upstream
