Server: log and metrics say why a caller's connection was closed

Two connections closed within a millisecond, with a request on each, and no line told at whose word: only the number of idle connections that a stop closes was logged.

Each close now has a reason of a fixed set and the state of the connection. A close with a request on it, or with a response that is not sent whole, leaves a line with both, the request's age and, if it was read, its id; those that callers bring about share one line a second. All closes are counted in connections_closed_total{channel,reason,state}, at both kinds of routers and at sidecars. Idle connections leave no line. An aborted response is recorded when it is aborted, not when its last bytes are sent.

--- a/sycamorefall/direct/metrics.py
+++ b/sycamorefall/direct/metrics.py
@@ -7,6 +7,7 @@
 
 from prometheus_client import metrics_core
 
+from sycamorefall import transport
 from sycamorefall.direct import (
     backlog,
     descriptors,
@@ -175,6 +176,9 @@
         {("dropped",): control.dropped, ("refused",): control.refused},
     )
     yield from descriptors.list_metrics(daemon)
+    yield metrics.create_closings_counter(
+        transport.count_closings(server.closings for server in daemon.servers)
+    )
     yield count(
         "shed",
         "Requests refused unread, as the process was behind.",
--- a/sycamorefall/node.py
+++ b/sycamorefall/node.py
@@ -3,7 +3,7 @@
 The shell performs the I/O and runs the timers of a role's decision logic.
 """
 
-__all__ = ["Node", "create_node", "run_node"]
+__all__ = ["Node", "create_node", "list_servers", "run_node"]
 
 from collections.abc import Callable, Iterable
 import dataclasses
@@ -253,7 +253,7 @@
     connection to a sidecar. If the sidecar closed that connection, the outcome
     of the request would be unknown.
     """
-    for server in _list_servers(node):
+    for server in list_servers(node):
         if not server.stopping:
             server.begin_stop()
 
@@ -290,19 +290,20 @@
     return min(
         node.core.find_next_due(),
         node.client.find_next_due(),
-        *(server.find_next_due() for server in _list_servers(node)),
+        *(server.find_next_due() for server in list_servers(node)),
         node.reader.find_next_due(),
         node.exchanger.find_next_due(),
     )
 
 
-def _list_servers(node: Node) -> list[transport.HttpServer]:
+def list_servers(node: Node) -> list[transport.HttpServer]:
+    """Lists the HTTP servers of a process."""
     return [node.server, *filter(None, [node.operators])]
 
 
 def _run_timers(node: Node, now: float) -> None:
     node.client.expire(now)
-    for server in _list_servers(node):
+    for server in list_servers(node):
         server.expire(now)
     _run_replica(node, now)
     node.log.flush()
@@ -329,7 +330,7 @@
         node.exit_at = None
         return
     _stop_servers(node)
-    servers = _list_servers(node)
+    servers = list_servers(node)
     for server in servers:
         server.end_listening()
     if not all(server.is_drained() for server in servers):
--- a/sycamorefall/observation/metrics.py
+++ b/sycamorefall/observation/metrics.py
@@ -3,6 +3,7 @@
 __all__ = [
     "CONTENT_TYPE",
     "PREFIX",
+    "create_closings_counter",
     "create_counter",
     "create_gauge",
     "format_metrics",
@@ -91,6 +92,20 @@
     return metric
 
 
+def create_closings_counter(values: ValuesByLabels) -> metrics_core.Metric:
+    """Creates the counter of closed connections.
+
+    Args:
+        values: Numbers by channel of the server, reason and state.
+    """
+    return create_counter(
+        "connections_closed",
+        "Callers' connections that were closed, by why and what was on them.",
+        ("channel", "reason", "state"),
+        values,
+    )
+
+
 def list_recorder_metrics(
     recorder: recorder_module.Recorder,
 ) -> Iterator[metrics_core.Metric]:
--- a/sycamorefall/pages.py
+++ b/sycamorefall/pages.py
@@ -269,4 +269,9 @@
             ("sent",): node.reader.reads,
         },
     )
+    yield metrics_module.create_closings_counter(
+        transport.count_closings(
+            server.closings for server in node_module.list_servers(node)
+        )
+    )
     yield count("log_dropped", "Log records lost.", (), {(): node.log.dropped})
--- a/sycamorefall/router/daemon.py
+++ b/sycamorefall/router/daemon.py
@@ -60,6 +60,9 @@
     operator_pages = status.create_pages(
         node, state, proxy.recorder, config.listen
     )
+    node.server.closings.read_request_id = lambda call: call.headers.get(
+        request_parsing.REQUEST_ID_HEADER, ""
+    )
     node_module.run_node(node)
 
 
--- a/sycamorefall/transport/__init__.py
+++ b/sycamorefall/transport/__init__.py
@@ -15,11 +15,13 @@
     "SendStage",
     "Shedding",
     "Ticker",
+    "count_closings",
     "create_loop",
     "read_clock",
 ]
 
 from sycamorefall.transport.client import HttpClient
+from sycamorefall.transport.closing import count_closings
 from sycamorefall.transport.control import ControlLinks
 from sycamorefall.transport.exchanges import (
     Exchange,
--- a/sycamorefall/transport/connections.py
+++ b/sycamorefall/transport/connections.py
@@ -11,7 +11,12 @@
 from circuits.net import sockets
 
 from sycamorefall import observation, settings
-from sycamorefall.transport import client, deadlines, request_reader
+from sycamorefall.transport import (
+    client,
+    closing,
+    deadlines,
+    request_reader,
+)
 from sycamorefall.transport import incoming_call as incoming_call_module
 
 EXCESS_TIME = 1.0
@@ -193,16 +198,22 @@
         close_after_send: Whether the connection is closed in order when all
             bytes were sent.
         resets_on_close: Whether closing the connection resets it.
+        request_at: Time at which the first bytes of its request were read.
+        close_reason: Why no further request is accepted; None while one is.
+        close_recorded: Whether it was recorded why the connection is closed.
     """
 
     __slots__ = (
         "accepted_at",
         "call",
         "close_after_send",
+        "close_reason",
+        "close_recorded",
         "drained_bytes",
         "excess",
         "reader",
         "refused",
+        "request_at",
         "resets_on_close",
         "shutdown_after_send",
     )
@@ -217,6 +228,9 @@
         self.shutdown_after_send = False
         self.close_after_send = False
         self.resets_on_close = False
+        self.request_at = now
+        self.close_reason: closing.CloseReason | None = None
+        self.close_recorded = False
 
 
 def set_close(sock: socket.socket, resets: bool) -> None:
--- a/sycamorefall/transport/server.py
+++ b/sycamorefall/transport/server.py
@@ -13,6 +13,7 @@
 import circuits
 
 from sycamorefall import errors, observation, settings
+from sycamorefall.transport import closing as closing_module
 from sycamorefall.transport import connections as connections_module
 from sycamorefall.transport import (
     deadlines,
@@ -63,6 +64,7 @@
             unread.
         shed: Number of requests refused unread.
         acceptor: Accepts connections, as many as there may be.
+        closings: Counts and logs why connections are closed.
     """
 
     channel = "web"
@@ -120,6 +122,7 @@
         self.acceptor = connections_module.Acceptor(
             self.server, limits.max_connections, read_clock
         )
+        self.closings = closing_module.Closings(channel)
 
     @property
     def host(self) -> str | None:
@@ -168,16 +171,16 @@
             if self._awaits_request(sock):
                 self._refuse(sock, errors.ErrorKind.REQUEST_TIMEOUT)
         for sock in self._idle_timeouts.pop_expired(now):
-            self._close_idle(sock)
+            self._close_idle(sock, closing_module.CloseReason.IDLE_LIMIT)
         for sock in self._closing_timeouts.pop_expired(now):
             # A `close` event would wait until the unsent bytes are sent, but
             # this caller receives nothing.
-            self._close(sock)
+            self._close(sock, closing_module.CloseReason.SEND_LIMIT)
         for sock in self.acceptor.excess_timeouts.pop_expired(now):
             was_refused = not self._awaits_request(sock)
             self._read_available(sock)
             if was_refused or self._awaits_request(sock):
-                self._close(sock)
+                self._close(sock, closing_module.CloseReason.EXCESS_LIMIT)
         self.acceptor.resume(now)
 
     def push(self, sock: socket.socket, data: bytes) -> None:
@@ -203,7 +206,8 @@
             if connection.call is not None:
                 connection.call.close_after_response()
         self._close_all_idle(
-            [sock for sock in self._connections if self._is_idle(sock)]
+            [sock for sock in self._connections if self._is_idle(sock)],
+            closing_module.CloseReason.STOP,
         )
 
     def end_input(self) -> bool:
@@ -221,7 +225,8 @@
                 sock
                 for sock in self._connections
                 if self._is_idle(sock) or self._is_excess(sock)
-            ]
+            ],
+            closing_module.CloseReason.PROCESS_END,
         )
         return not self.listening and all(
             connection.call is None and connection.refused
@@ -322,7 +327,7 @@
         """Closes the longest idle connection; returns whether there was one."""
         candidate = self._find_idle()
         if candidate is not None:
-            self._close_idle(candidate)
+            self._close_idle(candidate, closing_module.CloseReason.EVICTED)
         return candidate is not None
 
     def _find_idle(self) -> socket.socket | None:
@@ -373,10 +378,17 @@
         connection = self._connections.get(call.sock)
         if connection is None:
             return
+        self.closings.record(
+            self._read_clock(),
+            connection,
+            closing_module.CloseReason.RESPONSE_ABORTED,
+            closing_module.classify_call(call),
+            call,
+        )
         connection.call = None
         connection.refused = True
         if connection.resets_on_close:
-            self._close(call.sock)
+            self._close(call.sock, closing_module.CloseReason.RESPONSE_ABORTED)
         else:
             self._close_after_sending(call.sock)
 
@@ -395,7 +407,7 @@
         except BlockingIOError:
             return False
         except OSError:
-            self._close(sock)
+            self._close(sock, closing_module.CloseReason.READ_ERROR)
             return False
         if data:
             self._handle_bytes(sock, data)
@@ -413,10 +425,12 @@
         connection = self._connections[sock]
         is_complete = connection.call is None or connection.call.ended
         if not is_complete or not self.count_unsent(sock):
-            self._close(sock)
+            reason = connection.close_reason
+            self._close(sock, reason or closing_module.CloseReason.CALLER_LEFT)
             return
         connection.call = None
         connection.refused = True
+        connection.close_reason = closing_module.CloseReason.ANSWERED
         self._idle_timeouts.stop(sock)
         self._closing_timeouts.start(sock, self._read_clock())
         self.server._poller.removeReader(sock)
@@ -454,10 +468,12 @@
             sock
         ) and self._awaits_request(sock)
 
-    def _close_all_idle(self, idle: list[socket.socket]) -> None:
+    def _close_all_idle(
+        self, idle: list[socket.socket], reason: closing_module.CloseReason
+    ) -> None:
         """Closes connections on which no request has arrived, and logs it."""
         for sock in idle:
-            self._close_idle(sock)
+            self._close_idle(sock, reason)
         if idle:
             unread = sum(sock in self._connections for sock in idle)
             observation.write_record(
@@ -468,17 +484,31 @@
                 open=len(self._connections),
             )
 
-    def _close_idle(self, sock: socket.socket) -> None:
+    def _close_idle(
+        self, sock: socket.socket, reason: closing_module.CloseReason
+    ) -> None:
         """Closes an idle connection, unless bytes of a request have arrived."""
         self._idle_timeouts.stop(sock)
         self._read_available(sock)
         if self._awaits_request(sock) and not self._request_timeouts.is_running(
             sock
         ):
-            self._close(sock)
+            self._close(sock, reason)
+
+    def _close(
+        self,
+        sock: socket.socket,
+        reason: closing_module.CloseReason,
+        state: closing_module.ConnectionState | None = None,
+    ) -> None:
+        """Closes a connection at once.
 
-    def _close(self, sock: socket.socket) -> None:
-        """Closes a connection at once."""
+        Args:
+            sock: The connection's socket.
+            reason: Why it is closed.
+            state: What is on the connection; None if the server knows.
+        """
+        self._record_close(sock, reason, state)
         connection = self._connections.get(sock)
         if connection is not None and connection.resets_on_close:
             # circuits shuts a socket down before it closes it, which would
@@ -488,12 +518,30 @@
         self.server._close(sock)
         self._forget(sock)
 
+    def _record_close(
+        self,
+        sock: socket.socket,
+        reason: closing_module.CloseReason,
+        state: closing_module.ConnectionState | None = None,
+    ) -> None:
+        connection = self._connections.get(sock)
+        if connection is None:
+            return
+        state = state or closing_module.classify(
+            connection,
+            sock,
+            self._request_timeouts.is_running(sock),
+            self.count_unsent(sock),
+        )
+        now = self._read_clock()
+        self.closings.record(now, connection, reason, state, connection.call)
+
     def _handle_bytes(self, sock: socket.socket, data: bytes) -> None:
         connection = self._connections[sock]
         if connection.refused:
             connection.drained_bytes += len(data)
             if connection.drained_bytes > MAX_DRAINED_BYTES:
-                self._close(sock)
+                self._close(sock, closing_module.CloseReason.TOO_MANY_BYTES)
             return
         is_new = (
             connection.call is None
@@ -519,7 +567,7 @@
         if connection.call is None:
             self._handle_request(sock, connection)
         elif connection.reader.unread > max_bytes:
-            self._close(sock)
+            self._close(sock, closing_module.CloseReason.TOO_MANY_BYTES)
 
     @circuits.handler("generate_events", channel="*", priority=2)
     def _on_generate_events(self, event) -> None:
@@ -547,7 +595,11 @@
         self._loop_pass.hung_up_count += 1
         if self._loop_pass.hung_up_count == 1:
             return False
-        self._close(sock)
+        self._close(
+            sock,
+            closing_module.CloseReason.CALLER_LEFT,
+            closing_module.ConnectionState.UNREAD,
+        )
         return True
 
     def _shed_request(self, sock: socket.socket) -> None:
@@ -567,6 +619,8 @@
         self, sock: socket.socket, connection: connections_module.Connection
     ) -> None:
         self._idle_timeouts.stop(sock)
+        if not self._request_timeouts.is_running(sock):
+            connection.request_at = self._read_clock()
         parsed = connection.reader.parse_request()
         if isinstance(parsed, errors.ErrorKind):
             self._refuse(sock, parsed)
@@ -584,15 +638,17 @@
         connection: connections_module.Connection,
         request: request_reader.InboundRequest,
     ) -> None:
+        gone = closing_module.CloseReason.CALLER_LEFT
+        waiting = closing_module.ConnectionState.WAITING
         try:
             call = incoming_call_module.IncomingCall(self, sock, request)
         except OSError:
-            self._close(sock)  # The caller closed the connection.
+            self._close(sock, gone, waiting)  # The caller closed it.
             return
         if socket_peek.has_hung_up(sock):
             if self._on_dropped is not None:
                 self._on_dropped(call)
-            self._close(sock)
+            self._close(sock, gone, waiting)
             return
         connection.call = call
         self.last_request_at = self._read_clock()
@@ -618,6 +674,7 @@
         # that may be kept alive therefore stays open here.
         if not call.keep_alive:
             connection.refused = True
+            connection.close_reason = closing_module.CloseReason.ANSWERED
             self._close_after_sending(call.sock)
         elif connection.reader.start_next():
             self._handle_request(call.sock, connection)
@@ -658,13 +715,30 @@
         """
         self._request_timeouts.stop(sock)
         self._closing_timeouts.start(sock, self._read_clock())
-        self._connections[sock].refused = True
+        connection = self._connections[sock]
+        connection.refused = True
+        connection.close_reason = closing_module.CloseReason.REFUSED
+        if kind is errors.ErrorKind.REQUEST_TIMEOUT:
+            connection.close_reason = closing_module.CloseReason.REQUEST_TIMEOUT
         self.push(sock, response_output.frame_refusal(kind, retry_after))
-        self._connections[sock].shutdown_after_send = True
+        connection.shutdown_after_send = True
         self._on_written(sock)
 
+    @circuits.handler("error")
+    def _on_error(self, sock, *_) -> None:
+        connection = self._connections.get(sock)
+        if connection is not None:
+            connection.close_reason = (
+                closing_module.CloseReason.CONNECTION_FAILED
+            )
+
     @circuits.handler("disconnect")
     def _on_disconnect(self, sock, *_) -> None:
+        connection = self._connections.get(sock)
+        if connection is not None:
+            reason = connection.close_reason
+            failed = closing_module.CloseReason.CONNECTION_FAILED
+            self._record_close(sock, reason or failed)
         self._forget(sock)
 
     def _forget(self, sock: socket.socket) -> None:
