Failing tests: a full server that stops resets the callers it didn't accept

Traced, all of them are on connections that waited in the kernel, as the server had no room for them, when listening ended: the socket was closed and the kernel reset them.

--- a/sycamorefall/transport/tests/test_closing.py
+++ b/sycamorefall/transport/tests/test_closing.py
@@ -281,3 +281,53 @@
     assert site.read(caller, b"end").endswith(b"xend")
     for one in (caller, new):
         one.close()
+
+
+def test_caller_that_waits_in_the_kernel_is_answered_when_listening_ends():
+    # Guards against requests lost when a full server stops listening: the
+    # connections that it had no room for were reset with their requests unread.
+    site = test_server.Site(max_connections=1)
+    site.server.acceptor.max_excess = 0
+    served = site.connect()
+    served.sendall(test_server.GET % b"long")
+    call = site.run_until(lambda: site.calls)[0]
+    waiting = site.connect()
+    waiting.sendall(test_server.GET % b"now")
+    run_passes(site, MAX_PASSES)
+    assert site.server.open_count == 1
+    site.server.begin_stop()
+    site.server.end_listening()
+    call.respond(200, b"last")
+    assert site.read(served, b"last").endswith(b"last")
+    run_passes(site, MAX_PASSES)
+    site.server.end_listening()
+    assert gets_response(site, waiting)
+    assert not site.server.listening
+    run_passes(site, MAX_PASSES)
+    assert site.server.end_input()
+    for caller in (served, waiting):
+        caller.close()
+
+
+def test_idle_limit_does_not_run_during_a_request():
+    # Guards against connections that their time limit closes while a request is
+    # in progress: the request came late in the idle time, takes longer than the
+    # limit, and the limit changes meanwhile.
+    for seconds in (4.0, 8.0):
+        for limit in (1.0, 5.0, 60.0):
+            site = test_server.Site(idle_timeout=5.0)
+            caller = open_idle_connection(site)
+            site.advance(4.0)
+            caller.sendall(test_server.GET % b"long")
+            call = site.run_until(lambda site=site: site.calls[1:])[0]
+            site.server._idle_timeouts.limit = limit
+            for _ in range(8):
+                site.advance(seconds / 8)
+            call.respond(200, b"late")
+            assert site.read(caller, b"late").endswith(b"late")
+            site.run_until(
+                lambda site=site, end=site.now + limit: (
+                    site.server.find_next_due() == end
+                )
+            )
+            caller.close()
