Server: a full server listens until it has taken the callers that wait

Callers whose connections the kernel had made and a full server had not accepted were reset, with their requests unread, when a stopping router ended listening: they got neither an answer nor a refusal. Accepting the established connections at the end of listening stopped at the first one without room.

The server now goes on listening while connections wait, and tries again at each check of the stop; responses that end make room, and connections beyond the limit are refused. Nothing is delayed by that, as the process stays for the requests that take the room. A router that sends directly ends listening in any case 0.8 s before its kill (the margin after its last answers and the quiet period), so that a lasting crowd doesn't keep it from ending in order. Idle connections are closed once, as before. listening.extended says that a stop had to wait.

--- a/sycamorefall/direct/daemon.py
+++ b/sycamorefall/direct/daemon.py
@@ -465,7 +465,7 @@
     """
     daemon.next_stop_check_at = now + STOP_CHECK_INTERVAL
     data, stop = daemon.servers[0], daemon.state.stop
-    if data.listening:
+    if not data.listening_ends:
         if not stopping.may_end_listening(stop, now, data.last_request_at):
             return
         # A late event loop has not read the requests that arrived meanwhile,
@@ -483,7 +483,10 @@
         # ends, as its caller may not have been told that it closes.
         for server in daemon.servers:
             server.begin_stop()
-            server.end_listening()
+    for server in daemon.servers:
+        server.end_listening(stopping.may_reset_callers(stop, now))
+    if any(server.listening for server in daemon.servers):
+        return
     quiet = all(server.is_drained() for server in daemon.servers)
     # The loop reads input once more after it was told to stop, so it may be
     # told so only when no connection can bring a request any more.
--- a/sycamorefall/direct/stopping.py
+++ b/sycamorefall/direct/stopping.py
@@ -12,6 +12,7 @@
     "may_accept",
     "may_end_listening",
     "may_exit",
+    "may_reset_callers",
 ]
 
 import dataclasses
@@ -90,6 +91,23 @@
     return now - last_request_at >= QUIET_PERIOD or elapsed >= MAX_LISTEN_PERIOD
 
 
+def may_reset_callers(stop: Stop, now: float) -> bool:
+    """Returns whether callers that wait to be accepted can't be any more.
+
+    The process needs the rest of the time to end before it is killed.
+
+    Args:
+        stop: The stop; the signal has come.
+        now: Current time of this process's clock.
+
+    Example:
+        >>> stop = Stop(8.0, since=0.0)
+        >>> may_reset_callers(stop, 7.0), may_reset_callers(stop, 7.3)
+        (False, True)
+    """
+    return now - stop.since >= stop.grace - KILL_MARGIN - QUIET_PERIOD
+
+
 def may_exit(stop: Stop, now: float, quiet: bool) -> bool:
     """Returns whether the process may exit, once it no longer listens.
 
--- a/sycamorefall/direct/tests/test_stopping.py
+++ b/sycamorefall/direct/tests/test_stopping.py
@@ -130,6 +130,35 @@
     assert b"Connection: close" in site.read(caller, b"\r\n\r\nnow")
 
 
+def test_full_router_listens_for_waiting_callers_until_its_kill_is_near():
+    # Guards against a router that never stops listening, as callers wait in the
+    # kernel for as long as its connections are taken, and against waiting
+    # callers that are reset before.
+    router = StoppingRouter()
+    site = router.site
+    site.server.acceptor.max_connections = 1
+    site.server.acceptor.max_excess = 0
+    served = site.connect()
+    served.sendall(test_server.GET % b"long")
+    site.run_until(lambda: site.calls)
+    waiting = site.connect()
+    router.stop()
+    for now in (3.0, 4.2, 7.0):
+        router.check_stop(now)
+        assert site.server.listening
+        assert site.loop.running
+    router.check_stop(7.3)
+    assert not site.server.listening
+    site.calls[0].respond(200, b"last")
+    assert site.read(served, b"last").endswith(b"last")
+    site.run_until(lambda: not site.server.open_count)
+    for now in (7.35, 7.4, 7.7):
+        router.check_stop(now)
+    assert not site.loop.running
+    for caller in (served, waiting):
+        caller.close()
+
+
 @pytest.mark.parametrize("pass_time", [last_passes.PASS_TIME, 0.4])
 def test_request_in_the_last_moment_of_a_stop_is_not_lost(pass_time):
     # A caller that was not told that its connection closes uses it again while
--- a/sycamorefall/node.py
+++ b/sycamorefall/node.py
@@ -333,7 +333,9 @@
     servers = list_servers(node)
     for server in servers:
         server.end_listening()
-    if not all(server.is_drained() for server in servers):
+    if not all(
+        server.is_drained() and not server.listening for server in servers
+    ):
         node.exit_at = None
     elif node.exit_at is None:
         node.exit_at = now + QUIET_PERIOD
--- a/sycamorefall/transport/server.py
+++ b/sycamorefall/transport/server.py
@@ -64,6 +64,8 @@
             unread.
         shed: Number of requests refused unread.
         acceptor: Accepts connections, as many as there may be.
+        listening_ends: Whether listening ends as soon as no connection waits
+            in the kernel.
         closings: Counts and logs why connections are closed.
     """
 
@@ -109,6 +111,8 @@
             socket.socket, connections_module.Connection
         ] = {}
         self.stopping = False
+        self.listening_ends = False
+        self._taken_last = 0
         self.last_request_at = float("-inf")
         self._listening_address: tuple[str, int] | None = None
         self._request_timeouts = deadlines.Deadlines(limits.header_timeout)
@@ -244,23 +248,36 @@
         for sock in list(self._connections):
             self._read_available(sock)
 
-    def end_listening(self) -> None:
-        """Stops listening after accepting the connections already established.
+    def end_listening(self, resets: bool = False) -> None:
+        """Stops listening once the connections already established are taken.
 
         Guards against callers whose connections the kernel has made but the
         server has not accepted: these would be reset with their requests in
-        transit.
+        transit. A server without room for them goes on listening; it is to be
+        called again, until `listening` is false.
+
+        Args:
+            resets: Whether listening ends also if connections wait.
         """
         listening = self.server._sock
         if listening is None:
             return
-        taken = sum(iter(self._accept_pending, 0))
+        self._taken_last += sum(iter(self._accept_pending, 0))
+        was_ending, self.listening_ends = self.listening_ends, True
+        if socket_peek.has_pending(listening) and not resets:
+            if not was_ending:
+                observation.write_record(
+                    observation.Level.INFO,
+                    "listening.extended",
+                    open=len(self._connections),
+                )
+            return
         self._listening_address = (self.server.host, self.server.port)
         self.server._poller.discard(listening)
         self.server._sock = None
         listening.close()
         observation.write_record(
-            observation.Level.INFO, "listening.ended", taken=taken
+            observation.Level.INFO, "listening.ended", taken=self._taken_last
         )
 
     @circuits.handler("_read", priority=2)
--- a/sycamorefall/transport/socket_peek.py
+++ b/sycamorefall/transport/socket_peek.py
@@ -1,7 +1,8 @@
 """Checks of a socket for unread input or a closed peer, without reading."""
 
-__all__ = ["has_hung_up", "has_unread"]
+__all__ = ["has_hung_up", "has_pending", "has_unread"]
 
+import select
 import socket
 
 
@@ -28,3 +29,10 @@
         return False
     except OSError:
         return True
+
+
+def has_pending(listening: socket.socket) -> bool:
+    """Returns whether connections wait to be accepted on a listening socket."""
+    waiting = select.poll()
+    waiting.register(listening, select.POLLIN)
+    return bool(waiting.poll(0))
