Stalls: requests that are to move take a bounded time, and delay no others

Cause: each request that was to move cost a pass over all upstreams of its service ten times a second and at each dispatch pass. In the dispatch pass it counted as that many checks even if no engine had a free slot and nothing was checked, and the count held back the queues of all services.

Change: a pass tries at most eight requests of a service in vain and begins with the others next time; without a free engine nothing counts as checked. Both new tests failed before (with its own port for the plain upstream of the first: it shared the address of an engine and was never listed).

--- a/sycamorefall/direct/stalls.py
+++ b/sycamorefall/direct/stalls.py
@@ -11,6 +11,8 @@
     "move_requests",
 ]
 
+import collections
+
 from sycamorefall.direct import (
     budget,
     dispatching,
@@ -31,6 +33,11 @@
 """Seconds without a byte after which an engine that only processes prompts for
 this router is taken for stalled."""
 
+MAX_FAILED_MOVES = 8
+"""Requests of a service that a pass tries to move in vain. Requests of one
+service have nearly the same places, and hundreds may have to move when a router
+is cut off from a failure domain."""
+
 MISSED_HEARTBEATS = 3
 """Heartbeats that an upstream misses until the platform drops its entry."""
 
@@ -77,6 +84,7 @@
 
     An attempt is aborted only once the place of the next one is found and the
     retry budget has a retry left. Until then the upstream may go on with it.
+    The requests of a service are tried in turn, a few in each pass.
 
     Args:
         state: The router's state; changed.
@@ -88,37 +96,58 @@
     moved: list[effects.Effect] = []
     checks = 0
     groups: dict[str, engine_measurement.EngineGroup] = {}
-    exhausted: set[str] = set()
+    failed: collections.Counter[str] = collections.Counter()
     for number in list(state.moving):
         request = state.requests.get(number)
         if request is None or not _should_move(now, request):
             del state.moving[number]
             continue
         service = request.service
-        if service in exhausted:
+        if failed[service] >= MAX_FAILED_MOVES:
             continue
         if service not in groups:
             groups[service] = dispatching.measure_free_engines(
                 state, now, service
             )
-        checks += len(upstreams.list_upstreams(state.table, service))
-        constraints = placement_constraints.compute_move_constraints(
-            request, now
-        )
-        place = dispatching.find_place(
-            state, now, request, groups[service], constraints
-        )
+        group = groups[service]
+        place = _find_place(state, now, request, group)
+        if not _lacks_free_engine(state, service, group):
+            checks += len(upstreams.list_upstreams(state.table, service))
         if place is None:
+            failed[service] += 1
+            # The others come before it in the next pass.
+            state.moving[number] = state.moving.pop(number)
             continue
         known_budget = dispatching.get_or_create_budget(state, service)
         if not budget.take_retry(known_budget, now):
-            exhausted.add(service)
+            failed[service] = MAX_FAILED_MOVES
             continue
         del state.moving[number], groups[service]
         moved += _move(state, now, request, place)
     return moved, checks
 
 
+def _lacks_free_engine(
+    state: state_module.DirectState,
+    service: str,
+    group: engine_measurement.EngineGroup,
+) -> bool:
+    """Returns whether a service has engines, and none of them a free slot."""
+    known = state.catalog.services.get(service)
+    has_engines = known is not None and known.engine is not None
+    return has_engines and not group.engine_loads
+
+
+def _find_place(
+    state: state_module.DirectState,
+    now: float,
+    request: state_module.Request,
+    group: engine_measurement.EngineGroup,
+) -> upstreams.Upstream | None:
+    constraints = placement_constraints.compute_move_constraints(request, now)
+    return dispatching.find_place(state, now, request, group, constraints)
+
+
 def _list_running(
     state: state_module.DirectState,
 ) -> list[state_module.Request]:
--- /dev/null
+++ b/sycamorefall/direct/tests/test_moves.py
@@ -0,0 +1,95 @@
+"""Requests that this router lets go because their upstream is silent."""
+
+import time
+
+from sycamorefall.direct import (
+    core,
+    local_failures,
+    outcomes,
+    upstreams,
+)
+from sycamorefall.direct.tests import fakes
+
+STEP = 0.05
+
+FULL = upstreams.Load(200)
+
+
+def create_entries(count, service="engine", **more):
+    return [
+        fakes.create_upstream_entry(f"u{place}", service, port=place, **more)
+        for place in range(1, count + 1)
+    ]
+
+
+def begin_stream(state, now):
+    """Begins a resumable stream; returns its number and its upstream."""
+    number, sent = fakes.submit_request(state, now, "answer")
+    outcomes.record_response(state, now, number, first=True)
+    return number, state.table.by_name[sent.upstream]
+
+
+def run_timers(state, until):
+    """Runs the timers in steps up to a time; returns the last effects."""
+    now, pending = 0.0, []
+    while now < until and not fakes.list_sends(pending):
+        now = round(now + STEP, 2)
+        pending = core.run_timers(state, now)
+    return now, pending
+
+
+def fill(state):
+    for one in state.table.by_name.values():
+        one.peer_load = FULL
+
+
+def end_declined(state, now, number):
+    end = outcomes.AttemptEnd.NOT_RUN
+    return outcomes.end_attempt(state, now, number, end)
+
+
+def end_unopened(state, now, number):
+    return local_failures.end_unopened_attempt(state, now, number)
+
+
+def test_requests_to_move_do_not_delay_those_that_wait():
+    # Guards against waiting requests, also those of other services, that are
+    # tried every few seconds because others can't move from silent engines.
+    listing = [
+        *create_entries(910),
+        fakes.create_upstream_entry("l", "ledger", port=911),
+    ]
+    state = fakes.create_state(listing=listing, retry_extra=0.0)
+    for _ in range(400):
+        begin_stream(state, 0.0)
+    fill(state)
+    for now in (0.1, 1.2):
+        core.run_timers(state, now)
+    number, sent = fakes.submit_request(state, 1.25, "look")
+    assert sent is None and state.requests[number].attempt is None
+    core.run_timers(state, 1.31)
+    state.table.by_name["l"].peer_load = upstreams.Load()
+    state.dispatch_needed = True
+    sends = [
+        one.request
+        for step in range(1, 5)
+        for one in fakes.list_sends(core.run_timers(state, 1.31 + 0.1 * step))
+    ]
+    assert sends == [number]
+
+
+def test_requests_to_move_leave_time_for_others():
+    # Guards against a router that does nothing but look for places: the check
+    # for stalls runs ten times a second, and each takes a pass over all
+    # upstreams for each request.
+    state = fakes.create_state(listing=create_entries(910, "ledger"))
+    for _ in range(400):
+        fakes.submit_request(state, 0.0, "look")
+    fill(state)
+    for now in (0.1, 0.6):
+        core.run_timers(state, now)
+    assert len(state.moving) == 400
+    began = time.process_time()
+    for step in range(1, 11):
+        core.run_timers(state, 0.6 + 0.1001 * step)
+    assert time.process_time() - began < 0.5
