Stalls: a request that upstreams decline in turn leaves the retry budget

Cause: a request that was let go and declined forgot all upstreams that it had tried but the last, so two of them declined it in turn at each pass, each time for a retry of its service.

Change: only the upstream that was let go may be tried again, once.

--- a/sycamorefall/direct/core.py
+++ b/sycamorefall/direct/core.py
@@ -84,7 +84,7 @@
     waiting_requests = [
         one
         for one in state.requests.values()
-        if not one.attempt and not one.is_abandoned
+        if not one.attempt and not one.abandoned
     ]
     pending: list[effects.Effect] = []
     for request in waiting_requests:
--- a/sycamorefall/direct/local_failures.py
+++ b/sycamorefall/direct/local_failures.py
@@ -37,7 +37,7 @@
     upstream = outcomes.release_attempt(state, request, now)
     if upstream is not None:
         upstreams.end_probe(upstream)
-    if request.is_abandoned:
+    if request.abandoned:
         return outcomes.await_place(state, now, request, name)
     if request.possible_runs or request.forwarding_started:
         return outcomes.fail_request(state, request, now)
--- a/sycamorefall/direct/outcomes.py
+++ b/sycamorefall/direct/outcomes.py
@@ -587,7 +587,7 @@
                 return fail_request(state, request, now)
             dispatching.enqueue_request(state, request)
             return []
-        if end not in _MAY_HAVE_RUN and request.is_abandoned:
+        if end not in _MAY_HAVE_RUN and request.abandoned:
             return await_place(state, now, request, attempt.upstream)
     return _end_unretried(state, request, end, now, attempt.upstream)
 
@@ -615,8 +615,9 @@
     request.give_up_at = request.deadline
     if dispatching.is_retry_delay_too_long(state, now, request):
         return fail_request(state, request, now, effects.EndReason.NOT_RUN)
-    # The upstream that was given up may be back by then.
-    request.tried = {declined}
+    if declined != request.abandoned:
+        # The upstream that was given up may be back by then.
+        request.tried.discard(request.abandoned)
     state.moving[request.number] = None
     return []
 
--- a/sycamorefall/direct/stalls.py
+++ b/sycamorefall/direct/stalls.py
@@ -250,7 +250,7 @@
     """Returns whether a request is to be moved to another upstream."""
     attempt = request.attempt
     if attempt is None:
-        return request.is_abandoned
+        return bool(request.abandoned)
     if not request.route.kind.retryable:
         return False
     if request.possible_runs + 1 >= request.route.max_upstreams:
@@ -280,10 +280,10 @@
     """Aborts a request's attempt, if there is one, and sends it to a place."""
     aborted = []
     if request.attempt is not None:
+        request.abandoned = request.attempt.upstream
         upstream = request.attempt.process
         reason = effects.EndReason.SILENT
         aborted = outcomes.abort_attempt(state, request, now, reason)
         if not request.route.kind.streamed:
             upstreams.record_failure(upstream, now)
-    request.is_abandoned = True
     return [*aborted, dispatching.send_to(state, now, request, place)]
--- a/sycamorefall/direct/state.py
+++ b/sycamorefall/direct/state.py
@@ -160,8 +160,8 @@
             if it wasn't, or nothing was known.
         tried_parts: Fingerprints of the quarantined parts that the request is
             let through to try; see `trials`.
-        is_abandoned: Whether this router aborted an attempt of the request
-            because its upstream was silent.
+        abandoned: Name of the silent upstream at which this router last aborted
+            an attempt of the request; empty if it aborted none.
     """
 
     number: int
@@ -189,7 +189,7 @@
     awaits_origin: bool = False
     known_origin: stream_origins.KnownOrigin | None = None
     tried_parts: frozenset[bytes] = frozenset()
-    is_abandoned: bool = False
+    abandoned: str = ""
 
 
 @dataclasses.dataclass(slots=True, frozen=True)
--- a/sycamorefall/direct/tests/test_moves.py
+++ b/sycamorefall/direct/tests/test_moves.py
@@ -2,6 +2,8 @@
 
 import time
 
+import pytest
+
 from sycamorefall.direct import (
     core,
     local_failures,
@@ -93,3 +95,19 @@
     for step in range(1, 11):
         core.run_timers(state, 0.6 + 0.1001 * step)
     assert time.process_time() - began < 0.5
+
+
+@pytest.mark.parametrize("end_attempt", [end_declined, end_unopened])
+def test_request_that_no_upstream_takes_leaves_the_retry_budget(end_attempt):
+    # Guards against one request that uses up a service's retry budget, as the
+    # upstreams that declined it are asked again at each pass.
+    state = fakes.create_state(listing=create_entries(3), retry_extra=200.0)
+    number, _ = begin_stream(state, 0.0)
+    sends, now = 0, 0.0
+    while now < 2.5:
+        now = round(now + STEP, 2)
+        pending = core.run_timers(state, now)
+        while fakes.list_sends(pending):
+            sends += 1
+            pending = end_attempt(state, now, number)
+    assert sends <= len(state.table.by_name)
