Stalls: only the probe's own end lets the next probe in

Cause: each attempt that was aborted at an upstream ended its probe, whether or not it was the probe. Each request that left a silent upstream, or whose caller left, let one more request in.

Change: an attempt knows whether it is the probe. The new test failed before: with a probe in progress the silent upstream counted as usable once an older request had moved.

--- a/sycamorefall/direct/dispatching.py
+++ b/sycamorefall/direct/dispatching.py
@@ -287,7 +287,7 @@
         # The upstream had nothing to send, so it was not stalled.
         chosen.last_byte_at, chosen.stalled_at = now, None
     chosen.own_load.running += 1
-    upstreams.record_sent(chosen, now)
+    attempt.is_probe = upstreams.record_sent(chosen, now)
     prompt, begins_in, fetch = request.incoming.prompt, None, None
     cost, received = _compute_cost(request), 0.0
     if prompt is not None and service.engine is not None:
--- a/sycamorefall/direct/local_failures.py
+++ b/sycamorefall/direct/local_failures.py
@@ -20,7 +20,8 @@
     if each failed attempt suspended its upstream, all of them would look dead.
     The request isn't sent again from here, where the next send would fail too:
     its caller is told to try another router. One that another upstream may
-    have run before ends as after any other attempt.
+    have run before ends as after any other attempt, unless this router let that
+    run go.
 
     Args:
         state: The router's state; changed.
@@ -33,12 +34,12 @@
     request = state.requests.get(number)
     if request is None or request.attempt is None:
         return []
-    name = request.attempt.upstream
+    attempt = request.attempt
     upstream = outcomes.release_attempt(state, request, now)
-    if upstream is not None:
+    if upstream is not None and attempt.is_probe:
         upstreams.end_probe(upstream)
     if request.abandoned:
-        return outcomes.await_place(state, now, request, name)
+        return outcomes.await_place(state, now, request, attempt.upstream)
     if request.possible_runs or request.forwarding_started:
         return outcomes.fail_request(state, request, now)
     outcomes.discard_request(state, request)
--- a/sycamorefall/direct/outcomes.py
+++ b/sycamorefall/direct/outcomes.py
@@ -179,7 +179,7 @@
     request.arrivals += 1
     request.possible_runs += 1
     upstream = release_attempt(state, request, now)
-    if upstream is not None:
+    if upstream is not None and attempt.is_probe:
         upstreams.end_probe(upstream)
     silent = state_module.compute_silence(attempt, now)
     return [
--- a/sycamorefall/direct/stalls.py
+++ b/sycamorefall/direct/stalls.py
@@ -69,7 +69,7 @@
     for request in running:
         attempt = request.attempt
         if attempt.process in silent and _is_stalled(now, request):
-            upstreams.record_stall(attempt.process, now, attempt.sent_at)
+            upstreams.record_stall(attempt.process, now, attempt.is_probe)
     waiting = (request for request in running if _should_move(now, request))
     # Kept in this order: the request that has waited longest moves first.
     state.moving |= dict.fromkeys(one.number for one in waiting)
--- a/sycamorefall/direct/state.py
+++ b/sycamorefall/direct/state.py
@@ -99,6 +99,7 @@
             the prompt doesn't crash the upstream.
         origin: Origin of the streams of the upstream's process; see
             `stream_origins`.
+        is_probe: Whether the request was sent to a suspended upstream.
         paused_until: Time until which this router didn't read the response, as
             its caller is slow; infinity while it doesn't.
     """
@@ -118,6 +119,7 @@
     began_at: float = 0.0
     proven: bool = False
     origin: int = 0
+    is_probe: bool = False
     paused_until: float = float("-inf")
 
 
--- a/sycamorefall/direct/tests/test_moves.py
+++ b/sycamorefall/direct/tests/test_moves.py
@@ -111,3 +111,20 @@
             sends += 1
             pending = end_attempt(state, now, number)
     assert sends <= len(state.table.by_name)
+
+
+def test_move_from_a_stalled_upstream_does_not_end_its_probe():
+    # Guards against several probes at a time at a stalled upstream: each
+    # request that leaves it lets the next one in.
+    state = fakes.create_state(listing=create_entries(2), retry_extra=200.0)
+    state.table.by_name["u2"].peer_load = FULL
+    old = [begin_stream(state, 0.0)[0] for _ in range(2)]
+    run_timers(state, 1.2)
+    silent = state.table.by_name["u1"]
+    probe, _ = fakes.submit_request(state, 1.55, "answer")
+    assert state.requests[probe].attempt.process is silent
+    assert not upstreams.is_usable(silent, 1.6)
+    state.table.by_name["u2"].peer_load = upstreams.Load(3)
+    (sent,) = fakes.list_sends(core.run_timers(state, 1.6))
+    assert sent.request in old
+    assert not upstreams.is_usable(silent, 1.65)
--- a/sycamorefall/direct/tests/test_stalls.py
+++ b/sycamorefall/direct/tests/test_stalls.py
@@ -55,7 +55,7 @@
     for request in running:
         if stalls._is_stalled(NOW, request):
             attempt = request.attempt
-            upstreams.record_stall(attempt.process, NOW, attempt.sent_at)
+            upstreams.record_stall(attempt.process, NOW, attempt.is_probe)
     state.moving |= {
         one.number: None for one in running if stalls._should_move(NOW, one)
     }
--- a/sycamorefall/direct/upstreams.py
+++ b/sycamorefall/direct/upstreams.py
@@ -643,11 +643,17 @@
     return upstream.notice
 
 
-def record_sent(upstream: Upstream, now: float) -> None:
-    """Records a sent request; to a suspended upstream it is the probe."""
+def record_sent(upstream: Upstream, now: float) -> bool:
+    """Records a sent request.
+
+    Returns:
+        Whether it is the probe of a suspended upstream.
+    """
     pacing_module.record_send(upstream.pacing, now)
-    if upstream._health is _Health.SUSPENDED:
+    is_probe = upstream._health is _Health.SUSPENDED
+    if is_probe:
         upstream._health = _Health.PROBING
+    return is_probe
 
 
 def suspend_upstream(upstream: Upstream, now: float) -> None:
@@ -667,20 +673,19 @@
     upstream._health = _Health.SUSPENDED
 
 
-def record_stall(upstream: Upstream, now: float, sent_at: float) -> None:
+def record_stall(upstream: Upstream, now: float, is_probe: bool) -> None:
     """Records that an upstream is stalled, and suspends it.
 
     Args:
         upstream: The upstream; changed.
         now: Current time of this process's clock.
-        sent_at: When a request was sent that shows it. If the stall was known
-            by then, the request is a probe.
+        is_probe: Whether a request shows it that was sent as a probe.
     """
     if upstream.stalled_at is None:
         upstream.stalled_at = now
         record_failure(upstream, now)
         suspend_upstream(upstream, now)
-    elif sent_at > upstream.stalled_at and upstream._health is _Health.PROBING:
+    elif is_probe and upstream._health is _Health.PROBING:
         suspend_upstream(upstream, now)
 
 
