Stalls: a request that was let go ends with its service

Cause: a new configuration left out the requests that this router had let go, so one whose service the configuration no longer has waited for a place until its caller's deadline.

Change: it ends at once. The new test failed before.

--- a/sycamorefall/direct/core.py
+++ b/sycamorefall/direct/core.py
@@ -82,12 +82,13 @@
     state.catalog = new
     state.dispatch_needed = True
     waiting_requests = [
-        one
-        for one in state.requests.values()
-        if not one.attempt and not one.abandoned
+        one for one in state.requests.values() if not one.attempt
     ]
     pending: list[effects.Effect] = []
     for request in waiting_requests:
+        if request.abandoned:
+            pending += _end_without_service(state, now, request)
+            continue
         admission = _admit(state, now, request.incoming)
         if isinstance(admission, result.Failure):
             pending.append(
@@ -104,6 +105,19 @@
     return pending
 
 
+def _end_without_service(
+    state: state_module.DirectState, now: float, request: state_module.Request
+) -> list[effects.Effect]:
+    """Ends a request that has run if its service has left the configuration.
+
+    Otherwise it stays: it was authorized and routed before it ran.
+    """
+    if request.service in state.catalog.services:
+        return []
+    reason = effects.EndReason.NOT_RUN
+    return outcomes.fail_request(state, request, now, reason)
+
+
 def _route_again(
     state: state_module.DirectState, request: state_module.Request
 ) -> list[effects.Effect]:
--- a/sycamorefall/direct/tests/test_moves.py
+++ b/sycamorefall/direct/tests/test_moves.py
@@ -6,6 +6,7 @@
 
 from sycamorefall.direct import (
     core,
+    effects,
     local_failures,
     outcomes,
     upstreams,
@@ -128,3 +129,19 @@
     (sent,) = fakes.list_sends(core.run_timers(state, 1.6))
     assert sent.request in old
     assert not upstreams.is_usable(silent, 1.65)
+
+
+def test_request_that_waits_for_a_place_ends_with_its_service():
+    # Guards against a caller that is held until its deadline for a service that
+    # the configuration no longer has.
+    state = fakes.create_state(listing=create_entries(2), retry_extra=200.0)
+    number, _ = begin_stream(state, 0.0)
+    now, _ = run_timers(state, 1.5)
+    fill(state)
+    end_declined(state, now, number)
+    assert state.requests[number].attempt is None
+    new = fakes.create_catalog(2, excluded=("draft", "answer"))
+    del new.services["engine"]
+    pending = core.apply_catalog(state, now, new)
+    pending += core.run_timers(state, now + 0.2)
+    assert any(isinstance(one, effects.AbortResponse) for one in pending)
