Stalls: bytes outweigh an entry that says that their process was restarted

Cause: as soon as an entry showed another start time or software version, all attempts at the upstream were ended in one check, whatever bytes arrived.

The new test failed before: the stream was ended 0.05 s after its bytes.

--- a/sycamorefall/direct/stalls.py
+++ b/sycamorefall/direct/stalls.py
@@ -176,25 +176,21 @@
 
     If a process restarts behind a network partition, its connections are never
     reset, and callers would wait for a response that never comes. Whether the
-    old process ran the requests is unknown.
+    old process ran the requests is unknown. Bytes that arrive after the entry
+    of the new process show that the old one goes on, whatever the entry says.
     """
-    running = _list_running(state)
-    known = state.table.by_name
+    lapse = MISSED_HEARTBEATS * state.bounds.heartbeat
     ended: list[effects.Effect] = []
-    for request in running:
+    for request in _list_running(state):
         attempt = request.attempt
-        if attempt.upstream in known and (
-            state_module.find_upstream(state, attempt) is None
-        ):
-            end = outcomes.AttemptEnd.BROKEN
-            abort = effects.AbortAttempt(
-                request.number,
-                effects.EndReason.RESTARTED,
-                attempt.upstream,
-                attempt.response_started,
-            )
-            ended.append(abort)
-            ended += outcomes.end_attempt(state, now, request.number, end)
+        known = state.table.by_name.get(attempt.upstream)
+        if known is None or state_module.find_upstream(state, attempt):
+            continue
+        heard_since = attempt.process.last_byte_at > known.listed_at
+        silence = state_module.compute_silence(attempt, now)
+        if not heard_since or silence > lapse:
+            reason = effects.EndReason.RESTARTED
+            ended += _end_attempt(state, now, request, reason)
     return ended
 
 
@@ -221,19 +217,30 @@
             and request.route.kind.retryable
             and not upstreams.is_leaving(attempt.process)
         ):
-            end = outcomes.AttemptEnd.BROKEN
-            abort = effects.AbortAttempt(
-                request.number,
-                effects.EndReason.GONE,
-                attempt.upstream,
-                attempt.response_started,
-                silence,
-            )
-            ended.append(abort)
-            ended += outcomes.end_attempt(state, now, request.number, end)
+            reason = effects.EndReason.GONE
+            ended += _end_attempt(state, now, request, reason)
     return ended
 
 
+def _end_attempt(
+    state: state_module.DirectState,
+    now: float,
+    request: state_module.Request,
+    reason: effects.EndReason,
+) -> list[effects.Effect]:
+    """Ends an attempt whose run is known to be gone."""
+    attempt = request.attempt
+    abort = effects.AbortAttempt(
+        request.number,
+        reason,
+        attempt.upstream,
+        attempt.response_started,
+        state_module.compute_silence(attempt, now),
+    )
+    end = outcomes.AttemptEnd.BROKEN
+    return [abort, *outcomes.end_attempt(state, now, request.number, end)]
+
+
 def _is_stalled(now: float, request: state_module.Request) -> bool:
     """Returns whether the upstream of a streamed request is stalled."""
     if not request.route.kind.streamed:
--- a/sycamorefall/direct/tests/test_moves.py
+++ b/sycamorefall/direct/tests/test_moves.py
@@ -145,3 +145,14 @@
     pending = core.apply_catalog(state, now, new)
     pending += core.run_timers(state, now + 0.2)
     assert any(isinstance(one, effects.AbortResponse) for one in pending)
+
+
+def test_stream_whose_bytes_arrive_outlasts_another_start_time():
+    # Guards against streams that are all cut by an entry with another start
+    # time although bytes of their process arrive after it.
+    state = fakes.create_state(listing=create_entries(1, start_time=3))
+    number, _ = begin_stream(state, 0.0)
+    core.apply_listing(state, 0.5, create_entries(1, start_time=4))
+    outcomes.record_response(state, 0.55, number, first=True)
+    pending = core.run_timers(state, 0.6)
+    assert not any(isinstance(one, effects.AbortAttempt) for one in pending)
--- a/sycamorefall/direct/upstreams.py
+++ b/sycamorefall/direct/upstreams.py
@@ -199,6 +199,7 @@
             is not idle.
         last_byte_at: Time at which this router last received bytes from the
             upstream.
+        listed_at: Time at which its process was first listed.
         stalled_at: Time at which it was taken for stalled; None if it isn't.
         prefill_rate: Estimated prompt tokens that the upstream processes per
             second.
@@ -220,6 +221,7 @@
     short_floor: float = math.inf
     idle_since: float = math.inf
     last_byte_at: float = 0.0
+    listed_at: float = 0.0
     stalled_at: float | None = None
     prefill_rate: float = INITIAL_PREFILL_RATE
     cache: caches.CacheEstimate = dataclasses.field(
@@ -360,6 +362,7 @@
             upstream = Upstream(
                 entry,
                 last_byte_at=now,
+                listed_at=now,
                 notice=notice,
                 service_speed=table.speeds.setdefault(
                     entry.service, speed_module.ServiceSpeed()
