Stalls: bytes of a plain response count

Cause: bytes of a plain response were recorded with its head only, and whether it was stalled followed from the time since the send. A response whose body arrived for longer than 0.5 s was given up (on: ended, if nothing else took the request), and one at an upstream without an entry could end as silent.

Change: all bytes are recorded, and the limit counts from the latest ones of the response. Both new tests failed before.

--- a/sycamorefall/direct/outcomes.py
+++ b/sycamorefall/direct/outcomes.py
@@ -255,6 +255,7 @@
         return
     attempt = request.attempt
     upstream = state_module.find_upstream(state, attempt)
+    attempt.last_byte_at = now
     upstreams.record_bytes(attempt.process, now)
     if not first:
         return
--- a/sycamorefall/direct/relay.py
+++ b/sycamorefall/direct/relay.py
@@ -535,6 +535,9 @@
     ):
         proxied.buffered.append(data)
         proxied.buffered_bytes += len(data)
+        outcomes.record_response(
+            proxy.state, transport.read_clock(), number, first=False
+        )
         if proxied.buffered_bytes > MAX_BUFFERED_BYTES:
             _end_endless_attempt(proxy, proxied, number)
         return
--- a/sycamorefall/direct/stalls.py
+++ b/sycamorefall/direct/stalls.py
@@ -42,8 +42,9 @@
 """Heartbeats that an upstream misses until the platform drops its entry."""
 
 PLAIN_RESPONSE_TIMEOUT = 0.5
-"""Seconds after which a request to a plain service is moved elsewhere if its
-route allows retries: ten times the usual response time."""
+"""Seconds without a byte of its response after which a request to a plain
+service is moved elsewhere if its route allows retries: ten times the usual
+response time."""
 
 
 def handle_stalls(
@@ -264,7 +265,8 @@
         return False
     if request.route.kind.streamed:
         return _is_affected(now, request)
-    return now - attempt.sent_at > PLAIN_RESPONSE_TIMEOUT
+    heard_at = max(attempt.sent_at, attempt.last_byte_at)
+    return now - heard_at > PLAIN_RESPONSE_TIMEOUT
 
 
 def _is_affected(now: float, request: state_module.Request) -> bool:
--- a/sycamorefall/direct/state.py
+++ b/sycamorefall/direct/state.py
@@ -93,6 +93,7 @@
         cost: Cost units that the request's team was charged.
         charged_at: Time of the charge.
         response_started: Whether the first part of the response has arrived.
+        last_byte_at: When the latest bytes of the response arrived.
         last_event_at: When the latest event of the response arrived.
         began_at: When the first event of the response arrived.
         proven: Whether the response has gone on for long enough to show that
@@ -115,6 +116,7 @@
     cost: int = 0
     charged_at: float = 0.0
     response_started: bool = False
+    last_byte_at: float = float("-inf")
     last_event_at: float = 0.0
     began_at: float = 0.0
     proven: bool = False
--- a/sycamorefall/direct/tests/test_moves.py
+++ b/sycamorefall/direct/tests/test_moves.py
@@ -4,14 +4,16 @@
 
 import pytest
 
+from sycamorefall import transport
 from sycamorefall.direct import (
     core,
+    dialects,
     effects,
     local_failures,
     outcomes,
     upstreams,
 )
-from sycamorefall.direct.tests import fakes
+from sycamorefall.direct.tests import failing_router, fakes
 
 STEP = 0.05
 
@@ -156,3 +158,31 @@
     outcomes.record_response(state, 0.55, number, first=True)
     pending = core.run_timers(state, 0.6)
     assert not any(isinstance(one, effects.AbortAttempt) for one in pending)
+
+
+def test_bytes_of_a_plain_response_end_its_silence(monkeypatch):
+    # Guards against a plain response that is ended while its body arrives, as
+    # its upstream's entry is gone and only heads of responses count as bytes.
+    router = failing_router.Router(monkeypatch)
+    router.handle_calls(["look"])
+    (number,) = router.state.requests
+    head = dialects.ResponseHead(dialects.ResponseOutcome.SUCCESS, 200, ())
+    router.read_head = lambda: head
+    listener = router.sent["/look/0"].listener
+    for one in router.state.table.by_name.values():
+        one.peer_load = FULL
+    listener.on_head(200, [])
+    attempt = router.state.requests[number].attempt
+    router.now = 2.0
+    listener.on_data(b"part")
+    assert attempt.process.last_byte_at == transport.read_clock()
+
+
+def test_plain_response_that_arrives_slowly_is_not_moved():
+    # Guards against a plain response that is given up while its body arrives,
+    # as only the time since the send counted.
+    state = fakes.create_state()
+    number, _ = fakes.submit_request(state, 0.0, "look")
+    for now in (0.3, 0.6, 0.9):
+        outcomes.record_response(state, now, number, first=False)
+        assert not core.run_timers(state, now + 0.1)
