--- a/sycamorefall/direct/state.py
+++ b/sycamorefall/direct/state.py
@@ -93,12 +93,14 @@
         cost: Cost units that the request's team was charged.
         charged_at: Time of the charge.
         response_started: Whether the first part of the response has arrived.
+        last_byte_at: When the latest bytes of the response arrived.
         last_event_at: When the latest event of the response arrived.
         began_at: When the first event of the response arrived.
         proven: Whether the response has gone on for long enough to show that
             the prompt doesn't crash the upstream.
         origin: Origin of the streams of the upstream's process; see
             `stream_origins`.
+        is_probe: Whether the request was sent to a suspended upstream.
         paused_until: Time until which this router didn't read the response, as
             its caller is slow; infinity while it doesn't.
     """
@@ -114,10 +116,12 @@
     cost: int = 0
     charged_at: float = 0.0
     response_started: bool = False
+    last_byte_at: float = float("-inf")
     last_event_at: float = 0.0
     began_at: float = 0.0
     proven: bool = False
     origin: int = 0
+    is_probe: bool = False
     paused_until: float = float("-inf")
 
 
@@ -160,8 +164,8 @@
             if it wasn't, or nothing was known.
         tried_parts: Fingerprints of the quarantined parts that the request is
             let through to try; see `trials`.
-        is_abandoned: Whether this router aborted an attempt of the request
-            because its upstream was silent.
+        abandoned: Name of the silent upstream at which this router last aborted
+            an attempt of the request; empty if it aborted none.
     """
 
     number: int
@@ -189,7 +193,7 @@
     awaits_origin: bool = False
     known_origin: stream_origins.KnownOrigin | None = None
     tried_parts: frozenset[bytes] = frozenset()
-    is_abandoned: bool = False
+    abandoned: str = ""
 
 
 @dataclasses.dataclass(slots=True, frozen=True)
