Router: a silent sidecar's attempt is kept until another one claims

Cause: after 2 s of unanswered queries an idempotent attempt was aborted, and only then was its request queued, or refused: no usable upstream, no retry left, a queue too long for the deadline. A begun stream, which no other sidecar can take over, was ended as incomplete after the same 2 s.

After 2 s such a request now waits in its queue while its attempt is kept. A claim by another sidecar is the place: the attempt is aborted and the request sent in one step. A report, a part of the response or a claim from the silent sidecar takes the request out of the queue and returns its retry token, so nothing runs twice that goes on. Refusals of waiting requests (outage, late, overflow) take it out of the queue too, without an answer. After 10 s without a report, until now the limit of requests that must not run twice, the sidecar counts as gone for all: the attempt is aborted, and its request is retried or failed as before.

The outcomes machine also checks that only requests that seek a sidecar wait with an attempt, and that none of these has a part of a response at its caller.

--- a/sycamorefall/dispatch/__init__.py
+++ b/sycamorefall/dispatch/__init__.py
@@ -14,6 +14,7 @@
     "open_claim",
     "redeem_claim",
     "release_claim",
+    "return_retry",
     "try_start",
     "withdraw_retry",
 ]
@@ -37,5 +38,6 @@
     compute_backoff,
     deposit_request,
     drop_idle_budgets,
+    return_retry,
     withdraw_retry,
 )
--- a/sycamorefall/dispatch/retries.py
+++ b/sycamorefall/dispatch/retries.py
@@ -13,6 +13,7 @@
     "compute_backoff",
     "deposit_request",
     "drop_idle_budgets",
+    "return_retry",
     "withdraw_retry",
 ]
 
@@ -112,6 +113,18 @@
     return True
 
 
+def return_retry(budgets: RetryBudgets, now: float, team: str) -> None:
+    """Returns the token of a retry that was not made to its team's budget.
+
+    Args:
+        budgets: The budgets; changed.
+        now: This process's time, in seconds.
+        team: Team of the request.
+    """
+    budget = _use_budget(budgets, now, team)
+    budget.tokens = min(MAX_RETRY_TOKENS, budget.tokens + 1.0)
+
+
 def drop_idle_budgets(budgets: RetryBudgets, now: float) -> None:
     """Drops budgets that were not used for `BUDGET_LIFETIME`."""
     while budgets.teams:
--- a/sycamorefall/dispatch/tests/test_outcomes_machine.py
+++ b/sycamorefall/dispatch/tests/test_outcomes_machine.py
@@ -148,6 +148,32 @@
         else:
             self.fleet.restart(name)
 
+    @stateful.invariant()
+    def only_requests_that_seek_a_sidecar_wait_with_an_attempt(self):
+        for name in model.ROUTERS:
+            state = self.fleet.processes[name].state
+            queued = {
+                number
+                for teams in state.waiting.queues.values()
+                for queue in teams.values()
+                for number in queue.arrivals
+            }
+            attempts = {
+                number: request.attempt
+                for number, request in state.requests.items()
+                if request.attempt is not None
+            }
+            assert queued <= state.requests.keys()
+            assert state.seeking == queued & attempts.keys()
+            assert state.seeking == {
+                number
+                for number, attempt in attempts.items()
+                if attempt.seeking
+            }
+            assert not any(
+                attempts[number].forwarding_started for number in state.seeking
+            )
+
     def teardown(self):
         """Ends all failures, and checks that nothing is left in progress.
 
@@ -169,6 +195,7 @@
                 state = process.state
                 assert not state.requests and not state.request_by_attempt
                 assert not state.awaiting_outcome and not state.checks
+                assert not state.seeking and not state.waiting.total
         submitted = set(fleet.idempotent)
         assert submitted == set(fleet.final_answers) | fleet.abandoned
         for name in model.SIDECARS:
--- a/sycamorefall/dispatch/tests/test_outcomes_scenarios.py
+++ b/sycamorefall/dispatch/tests/test_outcomes_scenarios.py
@@ -147,6 +147,94 @@
     assert fleet.final_answers["request-0"] == ("", errors.Ran.YES)
 
 
+def freeze_all(fleet, frozen):
+    """Suspends all sidecars, or resumes them."""
+    for name in model.SIDECARS:
+        fleet.processes[name].frozen = frozen
+
+
+def list_waiting(fleet):
+    """Lists the numbers of the requests in the queue of router-0."""
+    teams = fleet.processes["router-0"].state.waiting.queues
+    queue = teams.get(model.SERVICE, {}).get("mill")
+    return list(queue.arrivals) if queue else []
+
+
+def test_stream_at_a_sidecar_suspended_briefly_completes():
+    # Guards against a stream that is ended for its sidecar's silence: the
+    # caller has a part of it, so no other sidecar can take it over.
+    fleet, first = start_attempt(idempotent=True)
+    fleet.deliver_all_attempts()
+    router = fleet.processes["router-0"].state
+    stalls.record_progress(router, fleet.clock("router-0"), first, 9, True)
+    freeze_all(fleet, True)
+    fleet.advance_connected(8.0)
+    freeze_all(fleet, False)
+    fleet.advance_connected(20.0)
+    fleet.end_run(first, COMPLETE)
+    fleet.deliver_all_replies()
+    assert fleet.final_answers["request-0"] == ("", errors.Ran.YES)
+
+
+def test_request_of_a_silent_sidecar_waits_while_no_other_is_usable():
+    # Guards against "no_upstream" for a request whose run goes on.
+    fleet, first = start_attempt(idempotent=True)
+    fleet.deliver_all_attempts()
+    freeze_all(fleet, True)
+    fleet.advance_connected(8.0)
+    freeze_all(fleet, False)
+    fleet.end_run(first, COMPLETE)
+    fleet.deliver_all_replies()
+    assert fleet.final_answers["request-0"] == ("", errors.Ran.YES)
+    assert fleet.start_counts["request-0"] == 1
+
+
+@pytest.mark.parametrize("heard", ["messages", "replies"])
+def test_request_leaves_its_queue_when_its_sidecar_is_heard(heard):
+    # Guards against a second run, or a second response, of a request whose
+    # first run goes on.
+    fleet, first = start_attempt(idempotent=True)
+    fleet.deliver_all_attempts()
+    budgets = fleet.processes["router-0"].state.retry_budgets.teams
+    tokens = budgets["mill"].tokens
+    name = fleet.connections[first].order.sidecar
+    fleet.processes[name].frozen = True
+    fleet.advance_connected(3.6)
+    freeze_all(fleet, True)
+    fleet.advance_connected(0.8)
+    assert list_waiting(fleet) == [1], "it doesn't seek another sidecar"
+    assert not fleet.pending_attempts
+    fleet.processes[name].frozen = False
+    if heard == "replies":
+        fleet.end_run(first, COMPLETE)
+        fleet.deliver_all_replies()
+    fleet.deliver_all_messages()
+    assert not list_waiting(fleet)
+    assert budgets["mill"].tokens == pytest.approx(tokens)
+    freeze_all(fleet, False)
+    fleet.advance_connected(5.0)
+    assert not fleet.pending_attempts, "it is sent a second time"
+    fleet.end_run(first, COMPLETE)
+    fleet.deliver_all_replies()
+    assert fleet.final_answers["request-0"] == ("", errors.Ran.YES)
+
+
+def test_attempt_is_kept_until_another_sidecar_claims():
+    # Guards against an attempt that is let go before its request has a place.
+    fleet, first = start_attempt(idempotent=True)
+    fleet.deliver_all_attempts()
+    name = fleet.connections[first].order.sidecar
+    fleet.processes[name].frozen = True
+    while not fleet.pending_attempts:
+        assert fleet.connections[first].open
+        fleet.advance(0.1)
+        fleet.deliver_all_messages()
+    assert not fleet.connections[first].open
+    assert fleet.now < 1000.0 + 1.1 + stalls.FIRST_CHECK_DELAY + 3.0
+    fleet.deliver_all_attempts()
+    assert fleet.start_counts["request-0"] == 2
+
+
 @pytest.mark.parametrize("idempotent", [True, False])
 def test_run_of_an_unreachable_router_releases_its_slot(idempotent):
     """A router disappears without closing its connections.
--- a/sycamorefall/router/attempt_lifecycle.py
+++ b/sycamorefall/router/attempt_lifecycle.py
@@ -2,7 +2,9 @@
 
 A request is sent to a sidecar in response to a claim or as an offer. When the
 attempt ends, the request is answered, queued again, retried after a backoff,
-or failed. If the connection breaks, the sidecar is queried for the outcome.
+or failed. If the connection breaks, the sidecar is queried for the outcome. If
+the sidecar falls silent, the request may wait in its queue while the attempt is
+kept (see `seeking`); a claim by another sidecar then ends the attempt.
 """
 
 __all__ = [
@@ -34,7 +36,14 @@
     sharing,
 )
 from sycamorefall.dispatch import outcomes
-from sycamorefall.router import announcement, estimates, hints, intake, stalls
+from sycamorefall.router import (
+    announcement,
+    estimates,
+    hints,
+    intake,
+    seeking,
+    stalls,
+)
 from sycamorefall.router import effects as router_effects
 from sycamorefall.router import state as state_module
 
@@ -93,15 +102,17 @@
         state.directory, now, sidecar, service
     ):
         return [effects.SendMessage(sidecar, no_work)]
+    seeking.stop_seeking_at(state, now, sidecar, incarnation)
     oldest_arrival = sharing.get_oldest_arrival(state.waiting, service, team)
     number = sharing.pop_earliest(state.waiting, service, team)
     if number is None:
         return [effects.SendMessage(sidecar, no_work)]
     request = state.requests[number]
     _record_departure(state, now, request, oldest_arrival)
+    abort = seeking.let_go(state, request)
     send = _start_attempt(state, now, request, sidecar, incarnation, claim)
     sends = announcement.record_queue_change(state, now, service, team)
-    return [send, *sends]
+    return [*abort, send, *sends]
 
 
 def _record_departure(
@@ -204,6 +215,7 @@
     request = state_module.find_request(state, attempt_id)
     if request is None:
         return []
+    intake.stop_seeking(state, now, request)
     hints.record_attempt_end(state, request, free=end is AttemptEnd.COMPLETE)
     if end is AttemptEnd.COMPLETE:
         estimates.record_run_time(state, now, request)
@@ -383,6 +395,7 @@
     attempt = request.attempt
     if (attempt.sidecar, attempt.incarnation) != (sidecar, incarnation):
         return []
+    intake.stop_seeking(state, now, request)
     abort = [router_effects.AbortAttempt(attempt.attempt_id)]
     if _proves_not_run(now, attempt, report):
         return abort + requeue_request(state, now, request)
--- a/sycamorefall/router/core.py
+++ b/sycamorefall/router/core.py
@@ -21,6 +21,7 @@
     hints,
     intake,
     offering,
+    seeking,
     stalls,
     sweep,
 )
@@ -153,7 +154,10 @@
     request: state_module.Request,
 ) -> list[router_effects.Effect]:
     if not stalls.should_abandon(state, now, request):
+        if stalls.should_seek(now, request):
+            seeking.seek_sidecar(state, now, request)
         return [stalls.query_sidecar(state, now, request)]
+    intake.stop_seeking(state, now, request)
     hints.record_attempt_end(state, request, free=False)
     abort = router_effects.AbortAttempt(request.attempt.attempt_id)
     return [abort, *attempt_lifecycle.retry_or_fail(state, now, request)]
--- a/sycamorefall/router/intake.py
+++ b/sycamorefall/router/intake.py
@@ -9,6 +9,7 @@
     "find_outage",
     "identify_team",
     "refuse_waiting",
+    "stop_seeking",
 ]
 
 import dataclasses
@@ -200,17 +201,22 @@
     """Answers a waiting request with an error and discards it.
 
     If an earlier attempt failed after it had started, the answer says that it
-    is unknown whether the request ran, instead of that it did not run.
+    is unknown whether the request ran, instead of that it did not run. A
+    request whose attempt is kept only leaves its queue: the attempt may still
+    bring a response.
 
     Args:
         state: The router's state; changed.
         now: This process's time, in seconds.
-        request: A request without an attempt.
+        request: A request in a queue.
         kind: The kind of error.
 
     Returns:
         The answer, and messages.
     """
+    if request.attempt is not None:
+        stop_seeking(state, now, request)
+        return []
     answer = _refuse(state, now, request.number, request.new, kind)
     if request.failures:
         answer = dataclasses.replace(answer, ran=errors.Ran.UNKNOWN)
@@ -245,6 +251,31 @@
         state.request_by_attempt.pop(request.attempt.attempt_id, None)
 
 
+def stop_seeking(
+    state: state_module.RouterState,
+    now: float,
+    request: state_module.Request,
+) -> None:
+    """Takes a request out of its queue, to wait for its attempt only.
+
+    Args:
+        state: The router's state; changed.
+        now: This process's time, in seconds.
+        request: A request; nothing changes unless it waits for another sidecar
+            while its attempt is kept.
+    """
+    if request.attempt is None or not request.attempt.seeking:
+        return
+    request.attempt.seeking = False
+    state.seeking.discard(request.number)
+    new = request.new
+    queues.remove_request(
+        state.waiting, new.service, new.team, request.number, request.deadline
+    )
+    announcement.record_queue_change(state, now, new.service, new.team)
+    dispatch.return_retry(state.retry_budgets, now, new.team)
+
+
 def cancel_request(
     state: state_module.RouterState, now: float, number: int
 ) -> list[router_effects.Effect]:
@@ -265,6 +296,7 @@
     new = request.new
     outcome: list[router_effects.Effect | effects.SendMessage] = []
     if request.attempt is not None:
+        stop_seeking(state, now, request)
         outcome.append(router_effects.AbortAttempt(request.attempt.attempt_id))
     elif queues.remove_request(
         state.waiting, new.service, new.team, number, request.deadline
--- a/sycamorefall/router/stalls.py
+++ b/sycamorefall/router/stalls.py
@@ -3,27 +3,32 @@
 A connection can fail without being closed: bytes are held back, no error is
 reported, and the caller would wait until its deadline. A router therefore
 queries the sidecar, by control message, about an attempt from which it has
-received nothing for a while. It abandons the connection if the sidecar doesn't
-reply, or reports bytes that never arrived. A response that keeps arriving needs
-no check. While a sidecar confirms that a silent attempt is running, the
+received nothing for a while. While the sidecar doesn't reply, a request that
+may run again waits for another sidecar, and its attempt is kept until one takes
+it. The router abandons the connection if the sidecar stays silent, was
+replaced, or reports bytes that never arrived. A response that keeps arriving
+needs no check. While a sidecar confirms that a silent attempt is running, the
 interval between queries grows.
 """
 
 __all__ = [
     "FIRST_CHECK_DELAY",
-    "STALL_TIMEOUT",
+    "GONE_AFTER",
+    "SEEK_AFTER",
     "detect_stall",
     "pop_due_checks",
     "query_sidecar",
     "record_pause",
     "record_progress",
     "should_abandon",
+    "should_seek",
     "watch_attempt",
 ]
 
 import heapq
 
 from sycamorefall import effects, messages
+from sycamorefall.router import intake
 from sycamorefall.router import state as state_module
 
 FIRST_CHECK_DELAY = 2.0
@@ -39,12 +44,15 @@
 QUERY_INTERVAL = 0.5
 """Seconds after which a query that got no report is repeated."""
 
-STALL_TIMEOUT = {True: 2.0, False: 10.0}
-"""Seconds of unanswered queries until an attempt is abandoned, by idempotence.
+SEEK_AFTER = 2.0
+"""Seconds of unanswered queries until another sidecar is sought, if the request
+may run there."""
 
-An idempotent request is better retried elsewhere soon. Any other request could
-only be answered "outcome unknown", so a sidecar that was suspended gets time to
-resume and deliver the response.
+GONE_AFTER = 10.0
+"""Seconds of unanswered queries until an attempt is abandoned.
+
+Its caller gets an error unless another sidecar takes the request, so a sidecar
+that was suspended gets time to resume and deliver the response.
 """
 
 
@@ -84,7 +92,9 @@
     number = state.request_by_attempt.get(attempt_id)
     if number is None:
         return
-    attempt = state.requests[number].attempt
+    request = state.requests[number]
+    intake.stop_seeking(state, now, request)
+    attempt = request.attempt
     attempt.received += size
     attempt.forwarding_started = (
         attempt.forwarding_started or forwarding_started
@@ -158,18 +168,36 @@
         request: A request whose attempt is silent.
 
     Returns:
-        True if the sidecar has left all queries unanswered for `STALL_TIMEOUT`,
-        or was replaced by a new process that doesn't know the attempt.
+        True if the sidecar has left all queries unanswered for `GONE_AFTER`, or
+        was replaced by a new process that doesn't know the attempt.
     """
     attempt = request.attempt
     peer = state.directory.peers.get(attempt.sidecar)
     if peer is not None and peer.incarnation > attempt.incarnation:
         return True
-    if attempt.unanswered_since is None:
-        return False
-    return (
-        now - attempt.unanswered_since >= STALL_TIMEOUT[request.new.idempotent]
-    )
+    return _measure_unanswered(now, attempt) >= GONE_AFTER
+
+
+def _measure_unanswered(now: float, attempt: state_module.Attempt) -> float:
+    since = attempt.unanswered_since
+    return 0.0 if since is None else now - since
+
+
+def should_seek(now: float, request: state_module.Request) -> bool:
+    """Returns whether a request may wait for another sidecar.
+
+    Args:
+        now: This process's time, in seconds.
+        request: A request whose attempt is silent.
+
+    Returns:
+        True if the sidecar has left all queries unanswered for `SEEK_AFTER`,
+        and the request may run again: the caller has no part of a response.
+    """
+    attempt = request.attempt
+    may_run_again = request.new.idempotent and not attempt.forwarding_started
+    unanswered = _measure_unanswered(now, attempt)
+    return may_run_again and unanswered >= SEEK_AFTER
 
 
 def query_sidecar(
--- a/sycamorefall/router/state.py
+++ b/sycamorefall/router/state.py
@@ -27,7 +27,8 @@
     """Processing state of a request.
 
     WAITING: in a queue, or delayed before a retry.
-    IN_PROGRESS: sent to a sidecar; the attempt is in progress.
+    IN_PROGRESS: sent to a sidecar; the attempt is in progress. If the sidecar
+        is silent, the request may wait in its queue at the same time.
     AWAITING_OUTCOME: the connection broke; the sidecar is queried for the
         outcome.
     """
@@ -111,6 +112,8 @@
             since; None if no query is open.
         received_when_behind: Bytes received when a report first said that the
             sidecar had sent more; None if no report does.
+        seeking: Whether its request waits in its queue for another sidecar
+            while this attempt is kept.
     """
 
     attempt_id: str
@@ -127,6 +130,7 @@
     check_interval: float = 0.0
     unanswered_since: float | None = None
     received_when_behind: int | None = None
+    seeking: bool = False
 
 
 @dataclasses.dataclass(slots=True)
@@ -169,6 +173,8 @@
         request_by_attempt: Request number by attempt ID.
         awaiting_outcome: Numbers of requests for whose outcome a sidecar is
             queried.
+        seeking: Numbers of requests that wait for another sidecar while their
+            attempt is kept.
         checks: Heap of (time, attempt ID) at which attempts are checked
             for stalls; may contain attempts that have ended.
         deadlines: Heap of (deadline, request number); may contain answered
@@ -222,6 +228,7 @@
     requests: dict[int, Request] = dataclasses.field(default_factory=dict)
     request_by_attempt: dict[str, int] = dataclasses.field(default_factory=dict)
     awaiting_outcome: set[int] = dataclasses.field(default_factory=set)
+    seeking: set[int] = dataclasses.field(default_factory=set)
     checks: list[tuple[float, str]] = dataclasses.field(default_factory=list)
     deadlines: list[tuple[float, int]] = dataclasses.field(default_factory=list)
     drain_rates: dict[tuple[str, str], admission.DrainRate] = dataclasses.field(
