Test: data connections lag behind after the links were cut (fails)

After a cut, control messages may pass while TCP still holds the bytes of an attempt back, for as long as the cut took: it doubles the interval at which it sends again. Two reports 2 s apart that say that more was sent than came then end an attempt whose bytes are on their way.

--- a/sycamorefall/dispatch/tests/draws.py
+++ b/sycamorefall/dispatch/tests/draws.py
@@ -43,6 +43,8 @@
         end: When the VM is heard again; infinite if it never is.
         frozen: Whether its process is suspended; otherwise its links are cut.
         replaced: Whether a new process runs there from the end on.
+        lag: Seconds after the end for which data connections still hold their
+            bytes back, as TCP sends again at ever longer intervals.
     """
 
     vm: str
@@ -50,6 +52,7 @@
     end: float
     frozen: bool
     replaced: bool = False
+    lag: float = 0.0
 
 
 def draw_demand(rng: random.Random) -> Demand:
@@ -88,3 +91,22 @@
         end = at + rng.choice((1.0, 2.5, 5.0))
         silences.append(Silence(rng.choice(others), at, end, True))
     return silences
+
+
+def add_lag(rng: random.Random, silence: Silence) -> Silence:
+    """Draws the lag of data connections after the links were cut.
+
+    TCP doubles the interval at which it sends again, so the interval at the end
+    is at most as long as the cut.
+
+    Args:
+        rng: Source of the draw.
+        silence: A silence without a lag.
+
+    Returns:
+        The silence with a lag; unchanged unless it is a cut that ends.
+    """
+    if silence.frozen or silence.end == float("inf"):
+        return silence
+    lag = rng.uniform(0.0, silence.end - silence.begin)
+    return dataclasses.replace(silence, lag=lag)
--- a/sycamorefall/dispatch/tests/silence.py
+++ b/sycamorefall/dispatch/tests/silence.py
@@ -98,6 +98,9 @@
         self.unlisted_at = float("inf")
         if self.rng.random() < 0.2:
             self.unlisted_at = self.begin + self.rng.uniform(0.0, 8.0)
+        self.silences = [
+            draws.add_lag(self.rng, silence) for silence in self.silences
+        ]
 
     def play(self) -> None:
         """Plays until all callers have their answers."""
@@ -156,12 +159,18 @@
         self.deadlines[request] = self.now + demand.timeout
         self.submit(demand.router, demand.timeout, demand.idempotent)
 
-    def is_cut(self, *names: str) -> bool:
-        """Returns whether the links of any of the VMs are cut now."""
+    def is_cut(self, *names: str, data: bool = False) -> bool:
+        """Returns whether the links of any of the VMs are cut now.
+
+        Args:
+            *names: Names of the VMs.
+            data: Whether data connections are asked for, which hold their
+                bytes back for longer.
+        """
         return any(
             silence.vm in names
             and not silence.frozen
-            and silence.begin <= self.now < silence.end
+            and silence.begin <= self.now < silence.end + data * silence.lag
             for silence in self.silences
         )
 
@@ -188,7 +197,7 @@
             connection = self.connections[attempt_id]
             name, incarnation = connection.router
             process = self.processes[name]
-            cut = self.is_cut(name, connection.order.sidecar)
+            cut = self.is_cut(name, connection.order.sidecar, data=True)
             if run.pieces and not cut and not process.frozen:
                 if connection.open and process.incarnation == incarnation:
                     stalls.record_progress(
@@ -204,7 +213,7 @@
             connection = self.connections[attempt_id]
             name = connection.router[0]
             if self.processes[name].frozen or self.is_cut(
-                name, connection.order.sidecar
+                name, connection.order.sidecar, data=True
             ):
                 self.pending_replies.append((attempt_id, end))
             else:
@@ -230,7 +239,7 @@
             connection = self.connections[attempt_id]
             name = connection.order.sidecar
             if self.processes[name].frozen or self.is_cut(
-                name, connection.router[0]
+                name, connection.router[0], data=True
             ):
                 self.pending_attempts.append(attempt_id)
                 continue
@@ -292,9 +301,10 @@
         names = (connection.order.sidecar, connection.router[0])
         at = run.end + TICK
         for silence in sorted(self.silences, key=lambda one: one.begin):
-            concerned = silence.vm in names and run.begun < silence.end
+            end = silence.end + silence.lag
+            concerned = silence.vm in names and run.begun < end
             if concerned and silence.begin - TICK <= at:
                 if silence.replaced:
                     return float("inf")
-                at = max(at, silence.end + 2 * TICK)
+                at = max(at, end + 2 * TICK)
         return at
