Router: a connection that holds bytes back is kept like a silent sidecar's

Cause: two reports 2 s apart that say that the sidecar sent more than came counted as proof of a dead connection. After a cut TCP sends again only after an interval about as long as the cut, so the bytes of a sound connection may come later than two reports.

A request that may run again now waits in its queue after the second such report, with its attempt kept; the claim of any sidecar, its own included, takes it over. Bytes that arrive take it out of the queue. Any other attempt is kept, and only after 10 s of bytes held back, the limit that holds for a silent sidecar, is a connection given up.

--- a/sycamorefall/dispatch/tests/test_outcomes_scenarios.py
+++ b/sycamorefall/dispatch/tests/test_outcomes_scenarios.py
@@ -219,6 +219,23 @@
     assert fleet.final_answers["request-0"] == ("", errors.Ran.YES)
 
 
+@pytest.mark.parametrize("idempotent", [True, False])
+def test_response_that_is_held_back_for_a_while_completes(idempotent):
+    # Guards against a connection that is given up while TCP holds its bytes
+    # back, as it does for a while after the link was cut.
+    fleet, first = start_attempt(idempotent)
+    fleet.deliver_all_attempts()
+    fleet.end_run(first, COMPLETE)
+    name = fleet.connections[first].order.sidecar
+    for sidecar in model.SIDECARS:
+        fleet.processes[sidecar].state.stopping = sidecar != name
+    fleet.processes[name].state.limit.cap = 0
+    fleet.advance_connected(9.0)
+    fleet.deliver_all_replies()
+    assert fleet.final_answers["request-0"] == ("", errors.Ran.YES)
+    assert fleet.start_counts["request-0"] == 1
+
+
 def test_attempt_is_kept_until_another_sidecar_claims():
     # Guards against an attempt that is let go before its request has a place.
     fleet, first = start_attempt(idempotent=True)
--- a/sycamorefall/router/attempt_lifecycle.py
+++ b/sycamorefall/router/attempt_lifecycle.py
@@ -395,15 +395,19 @@
     attempt = request.attempt
     if (attempt.sidecar, attempt.incarnation) != (sidecar, incarnation):
         return []
-    intake.stop_seeking(state, now, request)
     abort = [router_effects.AbortAttempt(attempt.attempt_id)]
     if _proves_not_run(now, attempt, report):
+        intake.stop_seeking(state, now, request)
         return abort + requeue_request(state, now, request)
     if request.state is state_module.RequestState.AWAITING_OUTCOME:
         return retry_or_fail(state, now, request)
-    if stalls.detect_stall(state, now, request, report):
-        return abort + retry_or_fail(state, now, request)
-    return []
+    stalled = stalls.detect_stall(state, now, request, report)
+    broken = stalled and stalls.is_broken(now, request)
+    if broken or not stalled:
+        intake.stop_seeking(state, now, request)
+    elif stalls.may_run_again(request):
+        seeking.seek_sidecar(state, now, request)
+    return abort + retry_or_fail(state, now, request) if broken else []
 
 
 def _proves_not_run(
--- a/sycamorefall/router/seeking.py
+++ b/sycamorefall/router/seeking.py
@@ -1,8 +1,9 @@
 """Requests that seek another sidecar while their attempt is kept.
 
-A silent sidecar may go on and deliver its response, so an attempt is let go
-only when another sidecar has claimed its request. Until then the request waits
-in its queue like any other, and leaves it as soon as its sidecar is heard.
+A silent sidecar may go on and deliver its response, and so may a connection
+that holds bytes back. An attempt is therefore let go only when a sidecar has
+claimed its request. Until then the request waits in its queue like any other,
+and leaves it as soon as its sidecar is heard or the bytes arrive.
 """
 
 __all__ = ["let_go", "seek_sidecar", "stop_seeking_at"]
@@ -26,7 +27,8 @@
     Args:
         state: The router's state; changed.
         now: This process's time, in seconds.
-        request: A request that may run again, and whose sidecar is silent.
+        request: A request that may run again, and whose sidecar is silent or
+            whose response is held back.
     """
     new = request.new
     if request.attempt.seeking or intake.find_outage(state, now, new.service):
@@ -46,7 +48,8 @@
 ) -> None:
     """Takes requests out of their queues whose sidecar claims, so is back.
 
-    Otherwise it could be sent a request a second time that it still runs.
+    Otherwise it could be sent a request a second time that it still runs. It
+    may be sent one whose response is held back on the connection.
 
     Args:
         state: The router's state; changed.
@@ -57,7 +60,9 @@
     for number in list(state.seeking):
         request = state.requests[number]
         attempt = request.attempt
-        if (attempt.sidecar, attempt.incarnation) == (sidecar, incarnation):
+        known = attempt.sidecar, attempt.incarnation
+        held_back = attempt.received_when_behind is not None
+        if known == (sidecar, incarnation) and not held_back:
             intake.stop_seeking(state, now, request)
 
 
--- a/sycamorefall/router/stalls.py
+++ b/sycamorefall/router/stalls.py
@@ -5,10 +5,10 @@
 queries the sidecar, by control message, about an attempt from which it has
 received nothing for a while. While the sidecar doesn't reply, a request that
 may run again waits for another sidecar, and its attempt is kept until one takes
-it. The router abandons the connection if the sidecar stays silent, was
-replaced, or reports bytes that never arrived. A response that keeps arriving
-needs no check. While a sidecar confirms that a silent attempt is running, the
-interval between queries grows.
+it. The same holds while bytes that the sidecar reports don't arrive. The router
+abandons the connection if either goes on for long, or the sidecar was replaced.
+A response that keeps arriving needs no check. While a sidecar confirms that a
+silent attempt is running, the interval between queries grows.
 """
 
 __all__ = [
@@ -16,6 +16,8 @@
     "GONE_AFTER",
     "SEEK_AFTER",
     "detect_stall",
+    "is_broken",
+    "may_run_again",
     "pop_due_checks",
     "query_sidecar",
     "record_pause",
@@ -49,7 +51,8 @@
 may run there."""
 
 GONE_AFTER = 10.0
-"""Seconds of unanswered queries until an attempt is abandoned.
+"""Seconds of unanswered queries, or of bytes held back, until an attempt is
+abandoned.
 
 Its caller gets an error unless another sidecar takes the request, so a sidecar
 that was suspended gets time to resume and deliver the response.
@@ -192,12 +195,18 @@
 
     Returns:
         True if the sidecar has left all queries unanswered for `SEEK_AFTER`,
-        and the request may run again: the caller has no part of a response.
+        and the request may run again.
     """
-    attempt = request.attempt
-    may_run_again = request.new.idempotent and not attempt.forwarding_started
-    unanswered = _measure_unanswered(now, attempt)
-    return may_run_again and unanswered >= SEEK_AFTER
+    unanswered = _measure_unanswered(now, request.attempt)
+    return may_run_again(request) and unanswered >= SEEK_AFTER
+
+
+def may_run_again(request: state_module.Request) -> bool:
+    """Returns whether another sidecar may run a request that was sent to one.
+
+    It may not if the caller has a part of the response.
+    """
+    return request.new.idempotent and not request.attempt.forwarding_started
 
 
 def query_sidecar(
@@ -229,12 +238,12 @@
     request: state_module.Request,
     report: messages.AttemptReport,
 ) -> bool:
-    """Applies a sidecar's report; returns whether the connection has stalled.
+    """Applies a sidecar's report; returns whether bytes are held back.
 
-    A connection counts as stalled if two reports in a row say that the sidecar
-    sent more of the response than arrived here, with nothing received between
-    them. A single report may have overtaken the bytes. A connection that this
-    router itself has paused for a slow caller never counts as stalled.
+    They are if two reports in a row say that the sidecar sent more of the
+    response than arrived here, with nothing received between them. A single
+    report may have overtaken the bytes. A connection that this router itself
+    has paused for a slow caller never counts as stalled.
 
     Args:
         state: The router's state; changed.
@@ -243,7 +252,7 @@
         report: The sidecar's report; the attempt has at least started.
 
     Returns:
-        Whether the connection is to be treated as broken.
+        Whether the connection has stalled.
     """
     attempt = request.attempt
     if attempt.unanswered_since is None:
@@ -252,15 +261,33 @@
     attempt.last_heard_at = now
     ended = report.state is messages.AttemptState.FINISHED
     held_back = ended or report.sent > attempt.received
+    stalled = False
     if not held_back or attempt.paused:
         attempt.received_when_behind = None
         attempt.check_interval = min(
             2 * attempt.check_interval, MAX_CHECK_INTERVAL
         )
-    elif attempt.received_when_behind == attempt.received:
-        return True
     else:
+        stalled = attempt.received_when_behind == attempt.received
+        if not stalled:
+            attempt.behind_since = now
         attempt.received_when_behind = attempt.received
         attempt.check_interval = FIRST_CHECK_DELAY
     _schedule(state, attempt, now + attempt.check_interval)
-    return False
+    return stalled
+
+
+def is_broken(now: float, request: state_module.Request) -> bool:
+    """Returns whether a stalled connection counts as broken.
+
+    A connection whose link was cut for a while holds its bytes back for about
+    as long after it.
+
+    Args:
+        now: This process's time, in seconds.
+        request: A request whose connection has stalled.
+
+    Returns:
+        True if it has stalled for `GONE_AFTER`.
+    """
+    return now - request.attempt.behind_since >= GONE_AFTER
--- a/sycamorefall/router/state.py
+++ b/sycamorefall/router/state.py
@@ -112,6 +112,7 @@
             since; None if no query is open.
         received_when_behind: Bytes received when a report first said that the
             sidecar had sent more; None if no report does.
+        behind_since: When that report arrived.
         seeking: Whether its request waits in its queue for another sidecar
             while this attempt is kept.
     """
@@ -130,6 +131,7 @@
     check_interval: float = 0.0
     unanswered_since: float | None = None
     received_when_behind: int | None = None
+    behind_since: float = 0.0
     seeking: bool = False
 
 
