--- a/sycamorefall/router/stalls.py
+++ b/sycamorefall/router/stalls.py
@@ -3,27 +3,34 @@
 A connection can fail without being closed: bytes are held back, no error is
 reported, and the caller would wait until its deadline. A router therefore
 queries the sidecar, by control message, about an attempt from which it has
-received nothing for a while. It abandons the connection if the sidecar doesn't
-reply, or reports bytes that never arrived. A response that keeps arriving needs
-no check. While a sidecar confirms that a silent attempt is running, the
-interval between queries grows.
+received nothing for a while. While the sidecar doesn't reply, a request that
+may run again waits for another sidecar, and its attempt is kept until one takes
+it. The same holds while bytes that the sidecar reports don't arrive. The router
+abandons the connection if either goes on for long, or the sidecar was replaced.
+A response that keeps arriving needs no check. While a sidecar confirms that a
+silent attempt is running, the interval between queries grows.
 """
 
 __all__ = [
     "FIRST_CHECK_DELAY",
-    "STALL_TIMEOUT",
+    "GONE_AFTER",
+    "SEEK_AFTER",
     "detect_stall",
+    "is_broken",
+    "may_run_again",
     "pop_due_checks",
     "query_sidecar",
     "record_pause",
     "record_progress",
     "should_abandon",
+    "should_seek",
     "watch_attempt",
 ]
 
 import heapq
 
 from sycamorefall import effects, messages
+from sycamorefall.router import intake
 from sycamorefall.router import state as state_module
 
 FIRST_CHECK_DELAY = 2.0
@@ -39,12 +46,16 @@
 QUERY_INTERVAL = 0.5
 """Seconds after which a query that got no report is repeated."""
 
-STALL_TIMEOUT = {True: 2.0, False: 10.0}
-"""Seconds of unanswered queries until an attempt is abandoned, by idempotence.
+SEEK_AFTER = 2.0
+"""Seconds of unanswered queries until another sidecar is sought, if the request
+may run there."""
 
-An idempotent request is better retried elsewhere soon. Any other request could
-only be answered "outcome unknown", so a sidecar that was suspended gets time to
-resume and deliver the response.
+GONE_AFTER = 10.0
+"""Seconds of unanswered queries, or of bytes held back, until an attempt is
+abandoned.
+
+Its caller gets an error unless another sidecar takes the request, so a sidecar
+that was suspended gets time to resume and deliver the response.
 """
 
 
@@ -84,7 +95,9 @@
     number = state.request_by_attempt.get(attempt_id)
     if number is None:
         return
-    attempt = state.requests[number].attempt
+    request = state.requests[number]
+    intake.stop_seeking(state, now, request)
+    attempt = request.attempt
     attempt.received += size
     attempt.forwarding_started = (
         attempt.forwarding_started or forwarding_started
@@ -158,18 +171,42 @@
         request: A request whose attempt is silent.
 
     Returns:
-        True if the sidecar has left all queries unanswered for `STALL_TIMEOUT`,
-        or was replaced by a new process that doesn't know the attempt.
+        True if the sidecar has left all queries unanswered for `GONE_AFTER`, or
+        was replaced by a new process that doesn't know the attempt.
     """
     attempt = request.attempt
     peer = state.directory.peers.get(attempt.sidecar)
     if peer is not None and peer.incarnation > attempt.incarnation:
         return True
-    if attempt.unanswered_since is None:
-        return False
-    return (
-        now - attempt.unanswered_since >= STALL_TIMEOUT[request.new.idempotent]
-    )
+    return _measure_unanswered(now, attempt) >= GONE_AFTER
+
+
+def _measure_unanswered(now: float, attempt: state_module.Attempt) -> float:
+    since = attempt.unanswered_since
+    return 0.0 if since is None else now - since
+
+
+def should_seek(now: float, request: state_module.Request) -> bool:
+    """Returns whether a request may wait for another sidecar.
+
+    Args:
+        now: This process's time, in seconds.
+        request: A request whose attempt is silent.
+
+    Returns:
+        True if the sidecar has left all queries unanswered for `SEEK_AFTER`,
+        and the request may run again.
+    """
+    unanswered = _measure_unanswered(now, request.attempt)
+    return may_run_again(request) and unanswered >= SEEK_AFTER
+
+
+def may_run_again(request: state_module.Request) -> bool:
+    """Returns whether another sidecar may run a request that was sent to one.
+
+    It may not if the caller has a part of the response.
+    """
+    return request.new.idempotent and not request.attempt.forwarding_started
 
 
 def query_sidecar(
@@ -201,12 +238,12 @@
     request: state_module.Request,
     report: messages.AttemptReport,
 ) -> bool:
-    """Applies a sidecar's report; returns whether the connection has stalled.
+    """Applies a sidecar's report; returns whether bytes are held back.
 
-    A connection counts as stalled if two reports in a row say that the sidecar
-    sent more of the response than arrived here, with nothing received between
-    them. A single report may have overtaken the bytes. A connection that this
-    router itself has paused for a slow caller never counts as stalled.
+    They are if two reports in a row say that the sidecar sent more of the
+    response than arrived here, with nothing received between them. A single
+    report may have overtaken the bytes. A connection that this router itself
+    has paused for a slow caller never counts as stalled.
 
     Args:
         state: The router's state; changed.
@@ -215,7 +252,7 @@
         report: The sidecar's report; the attempt has at least started.
 
     Returns:
-        Whether the connection is to be treated as broken.
+        Whether the connection has stalled.
     """
     attempt = request.attempt
     if attempt.unanswered_since is None:
@@ -224,15 +261,33 @@
     attempt.last_heard_at = now
     ended = report.state is messages.AttemptState.FINISHED
     held_back = ended or report.sent > attempt.received
+    stalled = False
     if not held_back or attempt.paused:
         attempt.received_when_behind = None
         attempt.check_interval = min(
             2 * attempt.check_interval, MAX_CHECK_INTERVAL
         )
-    elif attempt.received_when_behind == attempt.received:
-        return True
     else:
+        stalled = attempt.received_when_behind == attempt.received
+        if not stalled:
+            attempt.behind_since = now
         attempt.received_when_behind = attempt.received
         attempt.check_interval = FIRST_CHECK_DELAY
     _schedule(state, attempt, now + attempt.check_interval)
-    return False
+    return stalled
+
+
+def is_broken(now: float, request: state_module.Request) -> bool:
+    """Returns whether a stalled connection counts as broken.
+
+    A connection whose link was cut for a while holds its bytes back for about
+    as long after it.
+
+    Args:
+        now: This process's time, in seconds.
+        request: A request whose connection has stalled.
+
+    Returns:
+        True if it has stalled for `GONE_AFTER`.
+    """
+    return now - request.attempt.behind_since >= GONE_AFTER
