Tests: retries, moves and returns of silent upstreams; fail

Cause: beside the answers that are ended, two faults at silent upstreams. Streams at an upstream whose entry is gone aren't watched for silence, so they stay there although another upstream is free. A suspension that doubles during a silence outlasts it: the upstream sends again, still has runs of this router, and gets no waiting request.

Change: checks that retries keep the budget, that a retryable request leaves a silent upstream within the limits, the check interval and one step if another upstream is idle and a retry is left, and that an upstream that sends again gets a waiting request within 0.5 s. One machine for each. The entry of a frozen process lapses and returns with it; a rule lets entries lapse at any time for the machine that checks loads.

--- a/sycamorefall/direct/tests/silence_checks.py
+++ b/sycamorefall/direct/tests/silence_checks.py
@@ -7,7 +7,7 @@
 import collections
 
 from sycamorefall.direct import effects, outcomes, state
-from sycamorefall.direct.tests import silent_upstreams
+from sycamorefall.direct.tests import silence_moves, silent_upstreams
 
 EPSILON = 1e-6
 
@@ -40,20 +40,25 @@
 
 def create_world(findings, **bounds):
     """Creates a world whose play is judged by all checks."""
-    return silent_upstreams.World(
-        observers=[
-            lambda *told: _check_ends(findings, *told),
-            lambda *told: _check_runs(findings, *told),
-        ],
-        watchers=[
-            lambda world: _check_load(findings, world),
-            lambda world: _check_requests(findings, world),
-        ],
-        **bounds,
-    )
-
-
-def _check_ends(findings, world, pending, ended):
+    moves = silence_moves.MoveCheck(findings)
+    returns = silence_moves.ReturnCheck(findings)
+
+    def observe(world, pending):
+        _check_ends(findings, world, pending)
+        _check_runs(findings, world, pending)
+        returns.observe(world, pending)
+
+    def watch(world):
+        _check_load(findings, world)
+        _check_requests(findings, world)
+        _check_retries(findings, world)
+        moves.watch(world)
+        returns.watch(world)
+
+    return silent_upstreams.World(observe, watch, **bounds)
+
+
+def _check_ends(findings, world, pending):
     """Finds answers that are ended although their upstream may go on."""
     aborted = {
         one.request for one in pending if isinstance(one, effects.AbortAttempt)
@@ -68,7 +73,7 @@
                 follows[0] if follows else None, effects.SendRequest
             ) and (follows[0].request == effect.request)
             if not moves and not world.is_known_gone(call.current):
-                findings.add("ended", world, call, f"let go, {effect.reason}")
+                findings.add("ended", world, call, f"let go, {_describe(call)}")
         elif isinstance(effect, effects.AnswerError | effects.AbortResponse):
             if call.begun == isinstance(effect, effects.AnswerError):
                 findings.add("ended", world, call, f"by a wrong {effect}")
@@ -76,11 +81,17 @@
                 continue
             if call.current is not None:
                 if not world.is_known_gone(call.current):
-                    findings.add("ended", world, call, "ended while it runs")
+                    text = f"ended, {_describe(call)}"
+                    findings.add("ended", world, call, text)
             elif _may_still_run(world, call):
                 findings.add("ended", world, call, "ended while it waits")
 
 
+def _describe(call):
+    process = call.current.process
+    return f"its process {'goes on' if process.alive else 'has ended'}"
+
+
 def _may_still_run(world, call):
     """Returns whether a request that was let go may get room again."""
     if not any(one.end == "silent" for one in call.sends):
@@ -91,7 +102,7 @@
     return has_key and call.service in world.services
 
 
-def _check_runs(findings, world, pending, ended):
+def _check_runs(findings, world, pending):
     """Finds requests that may run twice although that is not allowed."""
     for effect in pending:
         if not isinstance(effect, effects.SendRequest):
@@ -156,3 +167,31 @@
         return False
     by_target = queue.by_team.get(request.team, {})
     return any(request.number in numbers for numbers in by_target.values())
+
+
+def _check_retries(findings, world):
+    """Finds windows with more retries than the requests in them allow.
+
+    Requests count in the window, in the one before it or in the one half a
+    window before it, whichever has most.
+    """
+    bounds = world.state.bounds
+    begin = world.now - bounds.retry_window
+    for service in silent_upstreams.SERVICES:
+        retries = [
+            at for at, name in world.retries if name == service and at > begin
+        ]
+        if not retries or retries[-1] < world.now:
+            continue
+        asked = max(
+            sum(
+                name == service and begin - shift <= at <= world.now - shift
+                for at, name in world.requests
+            )
+            for shift in (0, bounds.retry_window / 2, bounds.retry_window)
+        )
+        if len(retries) > bounds.retry_ratio * asked + bounds.retry_extra:
+            findings.by_check["retries"].append(
+                f"{world.now:.2f} s: {len(retries)} retries of {service}, "
+                f"{asked} requests"
+            )
--- a/sycamorefall/direct/tests/silence_rules.py
+++ b/sycamorefall/direct/tests/silence_rules.py
@@ -8,7 +8,7 @@
 
 ROUTES = ("draft", "answer", "answer", "book", "look", "look")
 TEAMS = ("mill", "trader")
-SERVICES = ("engine", "ledger")
+SERVICES = silent_upstreams.SERVICES
 BOUNDS = (
     {},
     {"retry_ratio": 0.0, "retry_extra": 0.0},
@@ -29,12 +29,12 @@
 )
 WAYS = ("reset", "lost", "restart", "announce", "unlist")
 SILENCES = (0.2, 0.6, 0.9, 1.2, 1.6, 2.3, 3.0, 5.0, 8.0)
-WAITS = (1, 2, 4, 10, 22, 30)
+WAITS = (1, 2, 4, 10, 22, 30, 50)
 TIMES_LEFT = (0.5, 3.0, 12.0, 12.0, 12.0)
 WORK = (0.05, 0.3, 1.0, 2.0, 4.0)
 DISTURBANCES = (
-    *("start", "meet", "fail", "cancel", "configure", "link", "relist"),
-    "stop",
+    *("start", "fail", "cancel", "link", "stop"),
+    *("meet", "meet", "meet", "configure", "configure"),
 )
 
 MAX_PROCESSES = 10
@@ -68,10 +68,10 @@
     ]
 
 
-def fall_silent(world, pick, seconds, steps):
+def fall_silent(world, pick, seconds, frozen, steps):
     """Lets a process that has runs fall silent; time passes."""
     serving = list_serving(world)
-    world.fall_silent(serving[pick % len(serving)], seconds)
+    world.fall_silent(serving[pick % len(serving)], seconds, frozen)
     world.wait(steps)
 
 
@@ -95,10 +95,14 @@
             world.leave(process, way == "announce")
 
 
-def relist(world):
-    """Lists the upstreams again whose entries are gone though they go on."""
-    for process in world.list_live():
-        process.listed = True
+def lapse(world, pick):
+    """Lets the entry of a process that has runs lapse for a moment."""
+    serving = list_serving(world)
+    process = serving[pick % len(serving)]
+    world.leave(process, announced=False)
+    world.wait(10)
+    process.listed = process.alive
+    world.wait(10)
 
 
 def fail_run(world, pick):
@@ -113,6 +117,14 @@
     world.fill(set(sorted(names)[kept:]), full)
 
 
+def crowd(world, service, kept):
+    """Fills all upstreams of a service but some, and those by callers."""
+    fill(world, service, 2, full=False)
+    fill(world, service, kept, full=True)
+    routes = ["answer", "draft"] if service == "engine" else ["look", "book"]
+    submit(world, routes * 6, "mill", 12.0, 4.0, 2)
+
+
 def disturb(world, kind, pick):
     """Plays one of the less frequent rules if there is a candidate for it."""
     match kind:
@@ -129,7 +141,5 @@
             world.configure(*CONFIGURATIONS[pick % len(CONFIGURATIONS)])
         case "link":
             world.linked = not world.linked
-        case "relist":
-            relist(world)
         case "stop":
             core.begin_stop(world.state, world.now)
--- a/sycamorefall/direct/tests/silent_processes.py
+++ b/sycamorefall/direct/tests/silent_processes.py
@@ -1,9 +1,17 @@
-"""What is true of upstreams' processes and of the requests of callers."""
+"""Processes, requests and configurations of a world of silent upstreams."""
 
 import dataclasses
 import math
 
-from sycamorefall.direct import upstreams
+from sycamorefall.direct import catalog, upstreams
+from sycamorefall.direct.tests import fakes
+
+STREAM_TIMEOUT = 12.0
+"""Timeout in seconds of the streaming routes, longer than any silence."""
+
+STREAM_TARGET = 10.0
+"""Target latency in seconds of the streaming routes: requests wait for up to
+half of their time."""
 
 
 @dataclasses.dataclass(eq=False)
@@ -16,9 +24,11 @@
         alive: Whether it will ever send again.
         resets: Whether its end is noticed by those who are connected.
         silent_until: Time until which it sends nothing.
-        unlisted_at: When the entry of an ended process leaves the listing.
+        frozen: Whether it doesn't renew its entry until it sends again.
+        unlisted_at: When its entry leaves the listing unless it is renewed.
         heard_at: When the router last received bytes from it.
         back_at: When it last sent its first byte after a silence.
+        was_silent: Whether it has sent no byte since its latest silence.
         runs: Its runs by the request's number.
     """
 
@@ -27,6 +37,7 @@
     alive: bool = True
     resets: bool = False
     silent_until: float = 0.0
+    frozen: bool = False
     unlisted_at: float = math.inf
     heard_at: float = 0.0
     back_at: float = -math.inf
@@ -86,3 +97,22 @@
         if self.sends and self.sends[-1].end is None:
             return self.sends[-1]
         return None
+
+
+def create_catalog(version, keys, service_names):
+    """Creates a catalog whose streams outlast silences, with some services."""
+    plain = fakes.create_catalog(version, keys)
+    routes = [
+        dataclasses.replace(
+            route, timeout=STREAM_TIMEOUT, target_latency=STREAM_TARGET
+        )
+        if route.kind.streamed
+        else route
+        for by_prefix in plain.routes.values()
+        for route in by_prefix.values()
+        if route.shares[0].service in service_names
+    ]
+    services = [plain.services[name] for name in service_names]
+    return catalog.create_catalog(
+        version, routes, services, plain.teams, True, plain.tokens_per_second
+    )
--- a/sycamorefall/direct/tests/silent_upstreams.py
+++ b/sycamorefall/direct/tests/silent_upstreams.py
@@ -6,9 +6,9 @@
 """
 
 import dataclasses
+import math
 
 from sycamorefall.direct import (
-    catalog,
     core,
     effects,
     local_failures,
@@ -16,10 +16,19 @@
     upstreams,
 )
 from sycamorefall.direct.tests import fakes
-from sycamorefall.direct.tests.silent_processes import Call, Process, Run, Send
+from sycamorefall.direct.tests.silent_processes import (
+    STREAM_TIMEOUT,
+    Call,
+    Process,
+    Run,
+    Send,
+    create_catalog,
+)
 
 STEP = 0.05
 
+SERVICES = ("engine", "ledger")
+
 ENTRY_LIFETIME = 3.6
 """Seconds after its process's end at which an entry leaves the listing."""
 
@@ -30,11 +39,6 @@
 
 EVENT_INTERVAL = 0.2
 
-STREAM_TIMEOUT = 12.0
-"""Timeout in seconds of the streaming routes, longer than any silence."""
-
-STREAM_TARGET = 4.0
-
 UNOPENED = "unopened"
 """Fate of a send for which the router's VM opens no connection."""
 
@@ -46,46 +50,26 @@
 )
 
 
-def create_catalog(version, keys, service_names):
-    """Creates a catalog whose streams outlast silences, with some services."""
-    plain = fakes.create_catalog(version, keys)
-    routes = [
-        dataclasses.replace(
-            route, timeout=STREAM_TIMEOUT, target_latency=STREAM_TARGET
-        )
-        if route.kind.streamed
-        else route
-        for by_prefix in plain.routes.values()
-        for route in by_prefix.values()
-        if route.shares[0].service in service_names
-    ]
-    services = [plain.services[name] for name in service_names]
-    return catalog.create_catalog(
-        version, routes, services, plain.teams, True, plain.tokens_per_second
-    )
-
-
 class World:
     """A router's state and the truth about the upstreams.
 
     Attributes:
         calls: Requests without an answer, by number.
-        observers: Called with this world, the effects and the number of the
-            request whose run its upstream ended, if any, before the effects
-            are carried out.
-        watchers: Called with this world after each step.
+        observe: Called with this world and the effects that the router has
+            decided, before they are carried out.
+        watch: Called with this world after each step.
         fates: Ends that the next sends meet.
     """
 
-    def __init__(self, observers=(), watchers=(), **bounds):
+    def __init__(self, observe, watch, **bounds):
         self.now, self.steps, self.read_at = 0.0, 0, 0.0
-        self.observers, self.watchers = observers, watchers
+        self.observe, self.watch = observe, watch
         self.processes, self.calls, self.fates = [], {}, []
         self.requests, self.retries = [], []
         self.full, self.started = set(), 0
         self.linked, self.version = True, 1
         self.keys = ("mill", "trader")
-        self.services = ("engine", "ledger")
+        self.services = SERVICES
         for service in ("engine", "engine", "engine", "ledger", "ledger"):
             self.start_process(service)
         self.state = fakes.create_state(0.0, self.list_entries(), **bounds)
@@ -143,10 +127,9 @@
         _, pending = core.handle_request(self.state, self.now, incoming)
         self.perform(pending)
 
-    def perform(self, pending, ended=None):
+    def perform(self, pending):
         """Carries effects out, as the shell and the processes would."""
-        for observe in self.observers:
-            observe(self, pending, ended)
+        self.observe(self, pending)
         for effect in pending:
             match effect:
                 case effects.SendRequest():
@@ -203,7 +186,7 @@
             pending = outcomes.end_attempt(self.state, self.now, number, end)
         if end is outcomes.AttemptEnd.COMPLETE:
             del self.calls[number]
-        self.perform(pending, number)
+        self.perform(pending)
 
     def cancel(self, number):
         call = self.calls.pop(number)
@@ -225,23 +208,30 @@
 
     # What the processes do.
 
-    def fall_silent(self, process, seconds):
-        process.silent_until = max(
-            process.silent_until, self.now + STEP + seconds
-        )
+    def fall_silent(self, process, seconds, frozen=False):
+        """Silences a process; a frozen one doesn't renew its entry either."""
+        until = self.now + STEP + seconds
+        process.silent_until = max(process.silent_until, until)
         process.was_silent = True
+        if frozen and process.listed and not process.frozen:
+            process.frozen = True
+            process.unlisted_at = self.now + ENTRY_LIFETIME
 
     def vanish(self, process, resets):
         """Ends a process; its connections are reset or stay open."""
         process.alive, process.resets = False, resets
-        process.unlisted_at = self.now + ENTRY_LIFETIME
+        process.unlisted_at = min(
+            process.unlisted_at, self.now + ENTRY_LIFETIME
+        )
         if resets:
-            for number in list(process.runs):
+            while process.runs:
+                number = next(iter(process.runs))
                 self.end_run(number, outcomes.AttemptEnd.BROKEN)
 
     def restart(self, process):
         """Restarts a process behind a partition, so nothing is reset."""
         process.alive = process.listed = False
+        process.unlisted_at = math.inf
         self.start_process(process.entry.service, process.name)
 
     def leave(self, process, announced):
@@ -250,6 +240,7 @@
             process.entry = dataclasses.replace(process.entry, leaving=True)
         else:
             process.listed = False
+            process.unlisted_at = math.inf
 
     def fill(self, names, full):
         self.full = self.full | names if full else self.full - names
@@ -267,8 +258,7 @@
             for name, one in self.state.table.by_name.items():
                 one.peer_load = upstreams.Load(8 if name in self.full else 0)
             self.perform(core.run_timers(self.state, self.now))
-            for watch in self.watchers:
-                watch(self)
+            self.watch(self)
 
     def _meet_fates(self):
         for number, call in list(self.calls.items()):
@@ -280,7 +270,12 @@
             process.listed = False
         if not process.sends(self.now):
             return
+        if process.frozen:
+            process.listed |= self.now >= process.unlisted_at
+            process.frozen, process.unlisted_at = False, math.inf
         for number, run in list(process.runs.items()):
+            if number not in process.runs:
+                continue
             run.work -= STEP
             self._send_bytes(process, number, run)
             if run.work <= 0:
--- a/sycamorefall/direct/tests/test_silence_machine.py
+++ b/sycamorefall/direct/tests/test_silence_machine.py
@@ -15,6 +15,9 @@
 
 PICKS = st.integers(0, 63)
 SETTINGS = hypothesis.settings(max_examples=150, stateful_step_count=30)
+MORE = hypothesis.settings(SETTINGS, max_examples=400)
+# Shrinking a failure that needs many rules takes minutes.
+UNSHRUNK = hypothesis.settings(MORE, phases=[hypothesis.Phase.generate])
 
 
 class SilenceMachine(stateful.RuleBasedStateMachine):
@@ -49,10 +52,11 @@
     @stateful.rule(
         pick=PICKS,
         seconds=st.sampled_from(rules.SILENCES),
+        frozen=st.booleans(),
         steps=st.sampled_from(rules.WAITS),
     )
-    def fall_silent(self, pick, seconds, steps):
-        rules.fall_silent(self.world, pick, seconds, steps)
+    def fall_silent(self, pick, seconds, frozen, steps):
+        rules.fall_silent(self.world, pick, seconds, frozen, steps)
 
     @stateful.precondition(lambda self: rules.list_serving(self.world))
     @stateful.rule(
@@ -76,6 +80,12 @@
     def fill(self, service, kept, full):
         rules.fill(self.world, service, kept, full)
 
+    @stateful.rule(
+        service=st.sampled_from(rules.SERVICES), kept=st.integers(1, 2)
+    )
+    def crowd(self, service, kept):
+        rules.crowd(self.world, service, kept)
+
     @stateful.rule(kind=st.sampled_from(rules.DISTURBANCES), pick=PICKS)
     def disturb(self, kind, pick):
         rules.disturb(self.world, kind, pick)
@@ -105,13 +115,42 @@
 
     checks = ("load",)
 
+    @stateful.precondition(lambda self: rules.list_serving(self.world))
+    @stateful.rule(pick=PICKS)
+    def lapse(self, pick):
+        rules.lapse(self.world, pick)
+
+
+class Retries(SilenceMachine):
+    """Retries stay within the budget."""
+
+    checks = ("retries",)
+
+
+class MovedRequests(SilenceMachine):
+    """Requests leave silent upstreams soon if another upstream is free."""
+
+    checks = ("stays",)
+
+
+class ReturnedUpstreams(SilenceMachine):
+    """An upstream that sends again after a silence gets requests again."""
+
+    checks = ("idles",)
+
 
 TestKeptAnswers = KeptAnswers.TestCase
-TestKeptAnswers.settings = SETTINGS
+TestKeptAnswers.settings = MORE
 TestCountedRequests = CountedRequests.TestCase
 TestCountedRequests.settings = SETTINGS
 TestCountedLoad = CountedLoad.TestCase
 TestCountedLoad.settings = SETTINGS
+TestRetries = Retries.TestCase
+TestRetries.settings = SETTINGS
+TestMovedRequests = MovedRequests.TestCase
+TestMovedRequests.settings = UNSHRUNK
+TestReturnedUpstreams = ReturnedUpstreams.TestCase
+TestReturnedUpstreams.settings = UNSHRUNK
 
 
 def play_random(seed, rule_count=60):
@@ -137,8 +176,17 @@
     pick, service = draws.randrange(64), draws.choice(rules.SERVICES)
     seconds, steps = draws.choice(rules.SILENCES), draws.choice(rules.WAITS)
     name = draws.choices(
-        ["submit", "wait", "silent", "together", "end", "fill", "disturb"],
-        [40, 15, 15, 5, 3, 10, 6],
+        [
+            "submit",
+            "wait",
+            "silent",
+            "together",
+            "end",
+            "fill",
+            "crowd",
+            "disturb",
+        ],
+        [40, 15, 15, 5, 3, 8, 3, 8],
     )[0]
     if name == "submit":
         routes = draws.choices(rules.ROUTES, k=draws.randint(1, 6))
@@ -153,11 +201,14 @@
     elif name == "fill":
         kept, full = draws.randint(0, 2), draws.random() < 0.5
         rules.fill(world, service, kept, full)
+    elif name == "crowd":
+        rules.crowd(world, service, draws.randint(1, 2))
     elif name == "disturb":
         rules.disturb(world, draws.choice(rules.DISTURBANCES), pick)
     elif rules.list_serving(world):
         if name == "silent":
-            rules.fall_silent(world, pick, seconds, steps)
+            frozen = draws.random() < 0.3
+            rules.fall_silent(world, pick, seconds, frozen, steps)
         elif name == "together":
             rules.fall_silent_together(world, service, seconds, steps)
         else:
