Relay: withdraw unsent requests from upstreams that leave

Cause: a request on a new connection leaves when the loop next finds the connection established, or, at a slow one, later. A listing that was applied meanwhile changed nothing: the request still went to an upstream that the router knew to be leaving, evacuated or gone.

Change: once a listing or an evacuation is applied, or a missing upstream is dropped, requests of which no byte was sent are withdrawn from such upstreams, and sent elsewhere as after a connection that could not be made.

Four cases of test_unsent_requests failed before; all six pass, as do the tests of the relay, failing effects and timers, evacuation, upstreams, stopping, and of leaving and evacuating with router processes.

--- a/sycamorefall/direct/daemon.py
+++ b/sycamorefall/direct/daemon.py
@@ -141,6 +141,7 @@
                 new=sorted(new),
                 restarted=restarted,
             )
+        relay.withdraw_unsent(self.proxy)
 
     def handle_evacuated_domains(self, domains: set[str]) -> None:
         """Applies the evacuated failure domains, and logs what changed.
@@ -172,6 +173,7 @@
             before=sorted(before),
         )
         relay.perform_effects(self.proxy, pending)
+        relay.withdraw_unsent(self.proxy)
 
     def handle_proof(self, proven_at: float) -> None:
         """Records that configuration and listing were current at a time."""
--- a/sycamorefall/direct/relay.py
+++ b/sycamorefall/direct/relay.py
@@ -7,6 +7,7 @@
     "handle_call",
     "perform_effects",
     "record_dropped_call",
+    "withdraw_unsent",
 ]
 
 from collections.abc import Callable, Iterable
@@ -29,6 +30,7 @@
     outcomes,
     proxied_requests,
     streams,
+    upstreams,
 )
 from sycamorefall.direct import state as state_module
 
@@ -316,6 +318,28 @@
         core.cancel_request(proxy.state, number, now)
 
 
+def withdraw_unsent(proxy: Proxy) -> None:
+    """Withdraws requests of which no byte was sent from unusable upstreams.
+
+    Guards against a request that reaches an upstream after this router knew
+    that it leaves: a request waits for its connection, and in a busy process
+    for the next pass of the loop. Requests at upstreams that leave, are
+    evacuated, are no longer listed or were restarted are sent elsewhere, or
+    wait again.
+    """
+    for number, proxied in list(proxy.in_flight.items()):
+        request, exchange = proxied.request, proxied.exchange
+        if exchange is None or exchange.sent_any:
+            continue
+        if request is None or request.attempt is None:
+            continue
+        upstream = state_module.find_upstream(proxy.state, request.attempt)
+        if upstream is None or not upstreams.takes_new_requests(upstream):
+            _abort_exchange(proxy, proxied)
+            end = outcomes.AttemptEnd.NOT_SENT
+            _end_attempt(proxy, proxied, number, end, withdrawn=True)
+
+
 def _perform_upstream_effect(proxy: Proxy, effect: effects.Effect) -> None:
     """Performs an effect that concerns an upstream."""
     match effect:
--- a/sycamorefall/direct/timers.py
+++ b/sycamorefall/direct/timers.py
@@ -168,6 +168,7 @@
             new=[],
             restarted=[],
         )
+        relay.withdraw_unsent(daemon.proxy)
 
 
 def _record_lateness(daemon: "daemon_module.Daemon", now: float) -> None:
--- a/sycamorefall/direct/upstreams.py
+++ b/sycamorefall/direct/upstreams.py
@@ -30,6 +30,7 @@
     "record_success",
     "replace_listing",
     "suspend_upstream",
+    "takes_new_requests",
 ]
 
 from collections.abc import Iterable
@@ -553,7 +554,7 @@
     request as a probe. Further requests follow once the probe has succeeded, or
     once bytes for any request show that a stalled upstream goes on.
     """
-    if is_leaving(upstream) or upstream.evacuated:
+    if not takes_new_requests(upstream):
         return False
     if now < upstream.notice.delayed_until:
         return False
@@ -567,6 +568,11 @@
     )
 
 
+def takes_new_requests(upstream: Upstream) -> bool:
+    """Returns whether an upstream neither leaves nor is evacuated."""
+    return not (is_leaving(upstream) or upstream.evacuated)
+
+
 def is_leaving(upstream: Upstream) -> bool:
     """Returns whether an upstream is leaving by its entry or its own notice."""
     return upstream.listed.leaving or upstream.notice.leaving
