Timers: silence counts up to the time until which input was read

Cause: the timers wait until input from before the earliest due time is read, but then all of them ran by the current time. In a busy router some timer is always due, so connections and reads of the platform timed out although what they waited for lay unread in the kernel. A read on a new connection takes two passes of the loop: with passes of 0.36 s it ended after 0.72 s, 0.02 s over its limit, and its connection was closed, so the next read needed a new one too. Such a router learned only from other routers which upstreams leave. Connections, to upstreams too, failed likewise from passes of 0.4 s on, and suspended their upstreams.

Change: timeouts of connections and of reads count up to the time until which input was read; a read's timeout starts again once its connection is established.

The daemon of the timers' tests got the ticker that timers now read. The processes of node.py still count up to the current time.

--- a/sycamorefall/direct/replica.py
+++ b/sycamorefall/direct/replica.py
@@ -32,6 +32,7 @@
 
 from collections.abc import Callable, Iterable, Mapping, Sequence
 import dataclasses
+import math
 
 from sycamorefall import messages
 from sycamorefall.direct import read_schedule as read_schedule_module
@@ -214,7 +215,10 @@
 
 
 def run_timers(
-    replica: Replica, now: float, rank_routers: RankRouters
+    replica: Replica,
+    now: float,
+    rank_routers: RankRouters,
+    read_until: float = math.inf,
 ) -> list[Effect]:
     """Cancels an expired read, chooses readers, and starts what is due.
 
@@ -222,6 +226,8 @@
         replica: The replica; changed.
         now: Current time of this process's clock.
         rank_routers: See `RankRouters`; called when readers are chosen.
+        read_until: Time up to which input was handled. Guards against a busy
+            process that gives up a read whose answer it has not handled yet.
 
     Returns:
         Effects to perform.
@@ -232,7 +238,9 @@
         replica.settling = False
         replica.records.returned.clear()
         effects.append(ApplyRecords())
-    if read_schedule_module.is_read_expired(read_schedule, now):
+    if read_schedule_module.is_read_expired(
+        read_schedule, min(now, read_until)
+    ):
         effects += [CancelRead(), *handle_read_failure(replica, now)]
     if now >= replica.choose_readers_at:
         replica.choose_readers_at = now + READER_CHOICE_INTERVAL
--- a/sycamorefall/direct/replicator.py
+++ b/sycamorefall/direct/replicator.py
@@ -8,6 +8,7 @@
 
 import collections
 from collections.abc import Callable, Iterable
+import math
 from typing import Protocol
 
 from sycamorefall import messages, observation, transport
@@ -91,11 +92,21 @@
         """Returns when `run` has to be called next."""
         return replica.find_next_due(self.replica)
 
-    def run(self, now: float) -> None:
-        """Runs the replica's timers; counts a read that timed out."""
-        if read_schedule.is_read_expired(self.replica.read_schedule, now):
+    def run(self, now: float, read_until: float = math.inf) -> None:
+        """Runs the replica's timers; counts a read that timed out.
+
+        Args:
+            now: Current time of this process's clock.
+            read_until: Time up to which input was handled.
+        """
+        waited_until = min(now, read_until)
+        if read_schedule.is_read_expired(
+            self.replica.read_schedule, waited_until
+        ):
             self._record_failed_read("timeout")
-        effects = replica.run_timers(self.replica, now, self._rank_routers)
+        effects = replica.run_timers(
+            self.replica, now, self._rank_routers, waited_until
+        )
         self._perform(effects)
 
     def receive(self, envelope: messages.Envelope) -> None:
--- a/sycamorefall/direct/tests/failing_router.py
+++ b/sycamorefall/direct/tests/failing_router.py
@@ -140,6 +140,7 @@
         ],
         replicator=types.SimpleNamespace(run=make("replicator")),
         log=types.SimpleNamespace(flush=make("log")),
+        ticker=types.SimpleNamespace(input_read_until=float("inf")),
         next_division_at=float("inf"),
         next_backlog_log_at=float("inf"),
         next_stop_check_at=0.0,
--- a/sycamorefall/direct/timers.py
+++ b/sycamorefall/direct/timers.py
@@ -65,12 +65,13 @@
     if now >= daemon.next_division_at:
         daemon.next_division_at = now + DIVISION_INTERVAL
         faults.contain(lambda: descriptors.apply_limits(daemon))
+    read_until = daemon.ticker.input_read_until
     steps = (
         lambda: _record_lateness(daemon, now),
-        lambda: daemon.client.expire(now),
+        lambda: daemon.client.expire(now, read_until),
         *(functools.partial(server.expire, now) for server in daemon.servers),
         lambda: _send_due_messages(daemon, now),
-        lambda: daemon.replicator.run(now),
+        lambda: daemon.replicator.run(now, read_until),
         lambda: _drop_missing_upstreams(daemon, now),
         daemon.log.flush,
         lambda: relay.perform_effects(
--- a/sycamorefall/platform/store.py
+++ b/sycamorefall/platform/store.py
@@ -116,6 +116,7 @@
             on_data=lambda data: self._handle_data(pending_read, data),
             on_end=lambda: self._handle_end(pending_read),
             on_failure=lambda _: self._report_failure("connection"),
+            on_sent=self._daemon.replicator.extend_read,
         )
         pending_read.exchange = self._daemon.client.send(request, listener)
 
--- a/sycamorefall/platform/tests/test_late_reads.py
+++ b/sycamorefall/platform/tests/test_late_reads.py
@@ -15,7 +15,13 @@
 
 from sycamorefall import settings, transport
 from sycamorefall.direct import daemon as daemon_module
-from sycamorefall.direct import readers, relay, replicator, timers
+from sycamorefall.direct import (
+    read_schedule,
+    readers,
+    relay,
+    replicator,
+    timers,
+)
 from sycamorefall.direct.tests import fakes
 from sycamorefall.platform import store
 
@@ -24,6 +30,10 @@
     b"HTTP/1.1 200 OK\r\nstore-era: 1\r\nContent-Length: %d\r\n\r\n" % len(BODY)
 ) + BODY
 PASSES = 30
+MAX_LATE_PASSES = 4
+"""Passes that a read on a new connection may take beside its timeout: one to
+connect, the one in which the timeout ends, and two by which input defers the
+timers."""
 
 
 class LateRouter:
@@ -142,3 +152,19 @@
         router.run_pass(pass_time)
     results = {result for _, result in router.daemon.replicator.reads}
     assert results == {"answered"}
+
+
+@pytest.mark.parametrize("pass_time", [0.05, 0.36, 0.8])
+def test_late_router_gives_up_a_silent_platform(router, pass_time):
+    # Guards against a busy router that waits forever for a platform which
+    # accepts its connection and doesn't answer.
+    router.answer = lambda: None
+    schedule = router.daemon.replicator.replica.read_schedule
+    while schedule.read is None:
+        router.run_pass(pass_time)
+    while not router.daemon.replicator.reads:
+        assert router.now - schedule.sent_at <= (
+            read_schedule.READ_TIMEOUT + MAX_LATE_PASSES * pass_time
+        )
+        router.run_pass(pass_time)
+    assert set(router.daemon.replicator.reads) == {("snapshot", "failed")}
--- a/sycamorefall/transport/client.py
+++ b/sycamorefall/transport/client.py
@@ -12,6 +12,7 @@
 import dataclasses
 import errno
 import itertools
+import math
 import socket
 
 import circuits
@@ -332,7 +333,7 @@
             default=float("inf"),
         )
 
-    def expire(self, now: float) -> None:
+    def expire(self, now: float, read_until: float = math.inf) -> None:
         """Ends attempts to connect that timed out, and closes idle connections.
 
         Guards against a network partition that drops packets silently: without
@@ -343,21 +344,29 @@
         Requests whose connections could not be opened are reported here. Those
         that their listeners send now are reported in the next call, so a
         process without descriptors doesn't retry in a tight loop.
+
+        Args:
+            now: Current time, in seconds.
+            read_until: Time up to which input was handled. Guards against a
+                busy process that gives up connections which are established,
+                since it has not looked at them yet.
         """
+        waited_until = min(now, read_until)
         for _ in range(len(self._failed)):
             # Removed first: the others are reported although one raises.
             self._failed.pop(0)()
         overdue = [
             exchange
             for exchange in self._connecting.values()
-            if now - exchange.connect_started_at >= self._connect_timeout
+            if waited_until - exchange.connect_started_at
+            >= self._connect_timeout
         ]
         for exchange in overdue:
             self._fail(exchange)
         unanswered = [
             sock
             for sock, check in self._checks.items()
-            if now - check.connect_started_at >= self._connect_timeout
+            if waited_until - check.connect_started_at >= self._connect_timeout
         ]
         for sock in unanswered:
             self._end_check(sock, Reachability.UNKNOWN)
--- a/sycamorefall/transport/loop.py
+++ b/sycamorefall/transport/loop.py
@@ -106,6 +106,15 @@
         self._was_delayed = False
         self.late = 0.0
 
+    @property
+    def input_read_until(self) -> float:
+        """Time up to which all input that had arrived was handled.
+
+        A timeout of something that other processes send counts up to this time
+        and not up to the current one.
+        """
+        return self._poller.input_read_until
+
     @circuits.handler("registered", channel="*")
     def _on_registered(self, component, _) -> None:
         if component is self:
