--- a/sycamorefall/direct/core.py
+++ b/sycamorefall/direct/core.py
@@ -86,6 +86,9 @@
     ]
     pending: list[effects.Effect] = []
     for request in waiting_requests:
+        if request.abandoned:
+            pending += _end_without_service(state, now, request)
+            continue
         admission = _admit(state, now, request.incoming)
         if isinstance(admission, result.Failure):
             pending.append(
@@ -102,6 +105,19 @@
     return pending
 
 
+def _end_without_service(
+    state: state_module.DirectState, now: float, request: state_module.Request
+) -> list[effects.Effect]:
+    """Ends a request that has run if its service has left the configuration.
+
+    Otherwise it stays: it was authorized and routed before it ran.
+    """
+    if request.service in state.catalog.services:
+        return []
+    reason = effects.EndReason.NOT_RUN
+    return outcomes.fail_request(state, request, now, reason)
+
+
 def _route_again(
     state: state_module.DirectState, request: state_module.Request
 ) -> list[effects.Effect]:
@@ -517,10 +533,13 @@
     if now - state.stalls_checked_at >= STALL_CHECK_INTERVAL:
         state.stalls_checked_at = now
         pending += stalls.handle_stalls(state, now)
-        pending += resumption.refuse_unservable(state)
+        pending += resumption.refuse_unservable(state, now)
     if _is_dispatch_due(state, now):
         state.last_dispatch_at = now
-        pending += dispatching.send_waiting_requests(state, now)
+        # These requests were let through before those that wait.
+        moved, checks = stalls.move_requests(state, now)
+        pending += moved
+        pending += dispatching.send_waiting_requests(state, now, checks)
         state.dispatch_needed = False
     return pending
 
@@ -555,7 +574,9 @@
 
 
 def _is_any_request_waiting(state: state_module.DirectState) -> bool:
-    return any(queue.by_team for queue in state.service_queues.values())
+    return bool(state.moving) or any(
+        queue.by_team for queue in state.service_queues.values()
+    )
 
 
 def _expire_requests(
--- a/sycamorefall/direct/outcomes.py
+++ b/sycamorefall/direct/outcomes.py
@@ -3,6 +3,7 @@
 __all__ = [
     "AttemptEnd",
     "abort_attempt",
+    "await_place",
     "discard_request",
     "draw_quarantine_delay",
     "draw_retry_after",
@@ -10,6 +11,7 @@
     "expire_request",
     "fail_request",
     "record_leaving",
+    "record_pause",
     "record_scale",
     "record_response",
     "record_retry_delay",
@@ -148,14 +150,12 @@
     if not is_complete:
         _refund_attempt(state, now, request, attempt)
     state.running -= 1
-    upstream = state_module.find_upstream(state, attempt)
     state.dispatch_needed = True
-    if upstream is None:
-        return None
-    upstream.own_load.running -= 1
-    upstream.own_load.unread -= attempt.unread
-    upstream.own_load.memory -= attempt.memory
-    return upstream
+    load = attempt.process.own_load
+    load.running -= 1
+    load.unread -= attempt.unread
+    load.memory -= attempt.memory
+    return state_module.find_upstream(state, attempt)
 
 
 def discard_request(
@@ -179,10 +179,9 @@
     request.arrivals += 1
     request.possible_runs += 1
     upstream = release_attempt(state, request, now)
-    silent = None
-    if upstream is not None:
+    if upstream is not None and attempt.is_probe:
         upstreams.end_probe(upstream)
-        silent = now - max(upstream.last_byte_at, attempt.sent_at)
+    silent = state_module.compute_silence(attempt, now)
     return [
         effects.AbortAttempt(
             request.number,
@@ -256,8 +255,8 @@
         return
     attempt = request.attempt
     upstream = state_module.find_upstream(state, attempt)
-    if upstream is not None:
-        upstream.last_byte_at = now
+    attempt.last_byte_at = now
+    upstreams.record_bytes(attempt.process, now)
     if not first:
         return
     if request.route.kind.streamed:
@@ -274,6 +273,17 @@
         _record_prefill(upstream, now, attempt, min(now, arrived_after))
 
 
+def record_pause(request: state_module.Request, until: float) -> None:
+    """Records that the response to a request isn't read for a while.
+
+    Args:
+        request: The request; changed.
+        until: When reading goes on; infinity if that isn't known yet.
+    """
+    if request.attempt is not None:
+        request.attempt.paused_until = until
+
+
 def _record_begun(
     state: state_module.DirectState,
     now: float,
@@ -578,9 +588,41 @@
                 return fail_request(state, request, now)
             dispatching.enqueue_request(state, request)
             return []
+        if end not in _MAY_HAVE_RUN and request.abandoned:
+            return await_place(state, now, request, attempt.upstream)
     return _end_unretried(state, request, end, now, attempt.upstream)
 
 
+def await_place(
+    state: state_module.DirectState,
+    now: float,
+    request: state_module.Request,
+    declined: str,
+) -> list[effects.Effect]:
+    """Lets a request whose run this router gave up wait for another place.
+
+    The upstream that was to take it over has not run it. Otherwise a request
+    that its first upstream could still have answered would end there.
+
+    Args:
+        state: The router's state; changed.
+        now: Current time of this process's clock.
+        request: The request, without an attempt in progress.
+        declined: Name of the upstream that has not run it.
+
+    Returns:
+        The error of a request that no upstream takes before its deadline.
+    """
+    request.give_up_at = request.deadline
+    if dispatching.is_retry_delay_too_long(state, now, request):
+        return fail_request(state, request, now, effects.EndReason.NOT_RUN)
+    if declined != request.abandoned:
+        # The upstream that was given up may be back by then.
+        request.tried.discard(request.abandoned)
+    state.moving[request.number] = None
+    return []
+
+
 def _update_upstream_health(
     state: state_module.DirectState,
     now: float,
--- a/sycamorefall/direct/relay.py
+++ b/sycamorefall/direct/relay.py
@@ -535,6 +535,9 @@
     ):
         proxied.buffered.append(data)
         proxied.buffered_bytes += len(data)
+        outcomes.record_response(
+            proxy.state, transport.read_clock(), number, first=False
+        )
         if proxied.buffered_bytes > MAX_BUFFERED_BYTES:
             _end_endless_attempt(proxy, proxied, number)
         return
@@ -580,6 +583,7 @@
     call.write(data)
     if call.unsent_bytes > MAX_UNSENT_BYTES and proxied.exchange is not None:
         proxy.client.pause(proxied.exchange, True)
+        outcomes.record_pause(proxied.request, math.inf)
 
 
 def _resume_reading(
@@ -587,6 +591,7 @@
 ) -> None:
     if proxied.exchange is not None:
         proxy.client.pause(proxied.exchange, False)
+        outcomes.record_pause(proxied.request, transport.read_clock())
 
 
 def _handle_end(
--- a/sycamorefall/direct/stalls.py
+++ b/sycamorefall/direct/stalls.py
@@ -1,15 +1,27 @@
-"""Detection of stalled upstreams and retries of their requests elsewhere.
+"""Detection of stalled upstreams, and moves of their requests elsewhere.
 
 An upstream is stalled if it sends no bytes although requests are in progress
 there, for instance because its VM froze or a partition cut it off. Its
-connections then stay open.
+connections then stay open, and it may go on at any moment. So a request stays
+there until another upstream can take it: only then its attempt is aborted.
 """
 
 __all__ = [
     "handle_stalls",
+    "move_requests",
 ]
 
-from sycamorefall.direct import dispatching, effects, outcomes, upstreams
+import collections
+
+from sycamorefall.direct import (
+    budget,
+    dispatching,
+    effects,
+    engine_measurement,
+    outcomes,
+    placement_constraints,
+    upstreams,
+)
 from sycamorefall.direct import state as state_module
 
 ENGINE_STALL_TIMEOUT = 1.0
@@ -21,15 +33,24 @@
 """Seconds without a byte after which an engine that only processes prompts for
 this router is taken for stalled."""
 
+MAX_FAILED_MOVES = 8
+"""Requests of a service that a pass tries to move in vain. Requests of one
+service have nearly the same places, and hundreds may have to move when a router
+is cut off from a failure domain."""
+
+MISSED_HEARTBEATS = 3
+"""Heartbeats that an upstream misses until the platform drops its entry."""
+
 PLAIN_RESPONSE_TIMEOUT = 0.5
-"""Seconds after which a request to a plain service is retried elsewhere if its
-route allows retries: ten times the usual response time."""
+"""Seconds without a byte of its response after which a request to a plain
+service is moved elsewhere if its route allows retries: ten times the usual
+response time."""
 
 
 def handle_stalls(
     state: state_module.DirectState, now: float
 ) -> list[effects.Effect]:
-    """Suspends stalled upstreams and retries their requests where allowed.
+    """Marks stalled upstreams and moves their requests where allowed.
 
     Without this, the callers of an upstream that stops responding without
     closing its connections would wait until their deadlines. A healthy engine
@@ -42,25 +63,90 @@
     Returns:
         Effects to perform.
     """
-    done = _end_attempts_at_restarted(state, now)
+    ended = _end_attempts_at_restarted(state, now)
+    ended += _end_attempts_at_gone(state, now)
     running = _list_running(state)
-    silent = _list_silent(state, now, running)
-    stalled = {
-        request.attempt.upstream
-        for request in running
-        if request.attempt.upstream in silent
-        and _is_stalled(state, now, request)
-    }
-    to_retry = [
-        request
-        for request in running
-        if _should_retry(state, now, request, stalled)
-    ]
-    for name in stalled:
-        upstreams.suspend_upstream(state.table.by_name[name], now)
-    for request in to_retry:
-        done += _retry_elsewhere(state, now, request)
-    return done
+    silent = _list_silent(now, running)
+    for request in running:
+        attempt = request.attempt
+        if attempt.process in silent and _is_stalled(now, request):
+            upstreams.record_stall(attempt.process, now, attempt.is_probe)
+    waiting = (request for request in running if _should_move(now, request))
+    # Kept in this order: the request that has waited longest moves first.
+    state.moving |= dict.fromkeys(one.number for one in waiting)
+    moved, _ = move_requests(state, now)
+    return ended + moved
+
+
+def move_requests(
+    state: state_module.DirectState, now: float
+) -> tuple[list[effects.Effect], int]:
+    """Moves requests whose upstream is stalled to others with room.
+
+    An attempt is aborted only once the place of the next one is found and the
+    retry budget has a retry left. Until then the upstream may go on with it.
+    The requests of a service are tried in turn, a few in each pass.
+
+    Args:
+        state: The router's state; changed.
+        now: Current time of this process's clock.
+
+    Returns:
+        Effects to perform, and the number of upstreams that were checked.
+    """
+    moved: list[effects.Effect] = []
+    checks = 0
+    groups: dict[str, engine_measurement.EngineGroup] = {}
+    failed: collections.Counter[str] = collections.Counter()
+    for number in list(state.moving):
+        request = state.requests.get(number)
+        if request is None or not _should_move(now, request):
+            del state.moving[number]
+            continue
+        service = request.service
+        if failed[service] >= MAX_FAILED_MOVES:
+            continue
+        if service not in groups:
+            groups[service] = dispatching.measure_free_engines(
+                state, now, service
+            )
+        group = groups[service]
+        place = _find_place(state, now, request, group)
+        if not _lacks_free_engine(state, service, group):
+            checks += len(upstreams.list_upstreams(state.table, service))
+        if place is None:
+            failed[service] += 1
+            # The others come before it in the next pass.
+            state.moving[number] = state.moving.pop(number)
+            continue
+        known_budget = dispatching.get_or_create_budget(state, service)
+        if not budget.take_retry(known_budget, now):
+            failed[service] = MAX_FAILED_MOVES
+            continue
+        del state.moving[number], groups[service]
+        moved += _move(state, now, request, place)
+    return moved, checks
+
+
+def _lacks_free_engine(
+    state: state_module.DirectState,
+    service: str,
+    group: engine_measurement.EngineGroup,
+) -> bool:
+    """Returns whether a service has engines, and none of them a free slot."""
+    known = state.catalog.services.get(service)
+    has_engines = known is not None and known.engine is not None
+    return has_engines and not group.engine_loads
+
+
+def _find_place(
+    state: state_module.DirectState,
+    now: float,
+    request: state_module.Request,
+    group: engine_measurement.EngineGroup,
+) -> upstreams.Upstream | None:
+    constraints = placement_constraints.compute_move_constraints(request, now)
+    return dispatching.find_place(state, now, request, group, constraints)
 
 
 def _list_running(
@@ -70,10 +156,8 @@
 
 
 def _list_silent(
-    state: state_module.DirectState,
-    now: float,
-    running: list[state_module.Request],
-) -> set[str]:
+    now: float, running: list[state_module.Request]
+) -> set[upstreams.Upstream]:
     """Lists upstreams that have sent no bytes for the shorter stall timeout.
 
     Only their requests are examined one by one, as nearly all upstreams are
@@ -82,9 +166,8 @@
     (`benchmarks.direct`).
     """
     limit = min(ENGINE_STALL_TIMEOUT, PREFILL_STALL_TIMEOUT)
-    known = state.table.by_name
-    names = {request.attempt.upstream for request in running} & known.keys()
-    return {name for name in names if now - known[name].last_byte_at > limit}
+    processes = {request.attempt.process for request in running}
+    return {one for one in processes if now - one.last_byte_at > limit}
 
 
 def _end_attempts_at_restarted(
@@ -94,82 +177,122 @@
 
     If a process restarts behind a network partition, its connections are never
     reset, and callers would wait for a response that never comes. Whether the
-    old process ran the requests is unknown.
+    old process ran the requests is unknown. Bytes that arrive after the entry
+    of the new process show that the old one goes on, whatever the entry says.
     """
-    running = _list_running(state)
-    known = state.table.by_name
+    lapse = MISSED_HEARTBEATS * state.bounds.heartbeat
     ended: list[effects.Effect] = []
-    for request in running:
+    for request in _list_running(state):
         attempt = request.attempt
-        if attempt.upstream in known and (
-            state_module.find_upstream(state, attempt) is None
+        known = state.table.by_name.get(attempt.upstream)
+        if known is None or state_module.find_upstream(state, attempt):
+            continue
+        heard_since = attempt.process.last_byte_at > known.listed_at
+        silence = state_module.compute_silence(attempt, now)
+        if not heard_since or silence > lapse:
+            reason = effects.EndReason.RESTARTED
+            ended += _end_attempt(state, now, request, reason)
+    return ended
+
+
+def _end_attempts_at_gone(
+    state: state_module.DirectState, now: float
+) -> list[effects.Effect]:
+    """Ends attempts at upstreams that neither the platform nor this VM hears.
+
+    The platform drops the entry of a process that has sent no heartbeats. An
+    entry may also be missing because the process is about to leave; then it
+    goes on serving, and its bytes show that. Without this, callers would wait
+    for a dead process until their deadlines whenever no other upstream has
+    room.
+    """
+    lapse = MISSED_HEARTBEATS * state.bounds.heartbeat
+    ended: list[effects.Effect] = []
+    for request in _list_running(state):
+        attempt = request.attempt
+        if attempt.upstream in state.table.by_name:
+            continue
+        silence = state_module.compute_silence(attempt, now)
+        if (
+            silence > lapse
+            and request.route.kind.retryable
+            and not upstreams.is_leaving(attempt.process)
         ):
-            end = outcomes.AttemptEnd.BROKEN
-            abort = effects.AbortAttempt(
-                request.number,
-                effects.EndReason.RESTARTED,
-                attempt.upstream,
-                attempt.response_started,
-            )
-            ended.append(abort)
-            ended += outcomes.end_attempt(state, now, request.number, end)
+            reason = effects.EndReason.GONE
+            ended += _end_attempt(state, now, request, reason)
     return ended
 
 
-def _is_stalled(
+def _end_attempt(
     state: state_module.DirectState,
     now: float,
     request: state_module.Request,
-) -> bool:
-    """Returns whether the upstream of a streamed request is stalled.
-
-    Bytes that the upstream sends for any request of this router count.
-    """
+    reason: effects.EndReason,
+) -> list[effects.Effect]:
+    """Ends an attempt whose run is known to be gone."""
     attempt = request.attempt
-    upstream = state_module.find_upstream(state, attempt)
-    if upstream is None or not request.route.kind.streamed:
+    abort = effects.AbortAttempt(
+        request.number,
+        reason,
+        attempt.upstream,
+        attempt.response_started,
+        state_module.compute_silence(attempt, now),
+    )
+    end = outcomes.AttemptEnd.BROKEN
+    return [abort, *outcomes.end_attempt(state, now, request.number, end)]
+
+
+def _is_stalled(now: float, request: state_module.Request) -> bool:
+    """Returns whether the upstream of a streamed request is stalled."""
+    if not request.route.kind.streamed:
         return False
     limit = (
         ENGINE_STALL_TIMEOUT
-        if attempt.response_started
+        if request.attempt.response_started
         else PREFILL_STALL_TIMEOUT
     )
-    return now - max(upstream.last_byte_at, attempt.sent_at) > limit
+    return state_module.compute_silence(request.attempt, now) > limit
 
 
-def _should_retry(
-    state: state_module.DirectState,
-    now: float,
-    request: state_module.Request,
-    stalled: set[str],
-) -> bool:
-    """Returns whether a request is to be retried at another upstream."""
+def _should_move(now: float, request: state_module.Request) -> bool:
+    """Returns whether a request is to be moved to another upstream."""
+    attempt = request.attempt
+    if attempt is None:
+        return bool(request.abandoned)
     if not request.route.kind.retryable:
         return False
     if request.possible_runs + 1 >= request.route.max_upstreams:
         return False
-    attempt = request.attempt
     if request.route.kind.streamed:
-        return attempt.upstream in stalled
-    return now - attempt.sent_at > PLAIN_RESPONSE_TIMEOUT
+        return _is_affected(now, request)
+    heard_at = max(attempt.sent_at, attempt.last_byte_at)
+    return now - heard_at > PLAIN_RESPONSE_TIMEOUT
+
+
+def _is_affected(now: float, request: state_module.Request) -> bool:
+    """Returns whether a streamed request is at a stalled upstream.
+
+    A probe, which is sent after the stall was found, gets a time of its own.
+    """
+    stalled_at = request.attempt.process.stalled_at
+    if stalled_at is None:
+        return False
+    return request.attempt.sent_at <= stalled_at or _is_stalled(now, request)
 
 
-def _retry_elsewhere(
+def _move(
     state: state_module.DirectState,
     now: float,
     request: state_module.Request,
+    place: upstreams.Upstream,
 ) -> list[effects.Effect]:
-    """Aborts a request's attempt and retries it, or fails the request."""
-    name = request.attempt.upstream
-    reason = effects.EndReason.SILENT
-    aborted = outcomes.abort_attempt(state, request, now, reason)
-    upstream = state.table.by_name.get(name)
-    if upstream is not None:
-        upstreams.record_failure(upstream, now)
-    retry = dispatching.try_send(state, now, request)
-    if retry:
-        return [*aborted, *retry]
-    return [
-        *aborted,
-        *outcomes.fail_request(state, request, now, reason, name),
-    ]
+    """Aborts a request's attempt, if there is one, and sends it to a place."""
+    aborted = []
+    if request.attempt is not None:
+        request.abandoned = request.attempt.upstream
+        upstream = request.attempt.process
+        reason = effects.EndReason.SILENT
+        aborted = outcomes.abort_attempt(state, request, now, reason)
+        if not request.route.kind.streamed:
+            upstreams.record_failure(upstream, now)
+    return [*aborted, dispatching.send_to(state, now, request, place)]
--- a/sycamorefall/direct/state.py
+++ b/sycamorefall/direct/state.py
@@ -7,6 +7,7 @@
     "IncomingRequest",
     "Placement",
     "Request",
+    "compute_silence",
     "create_state",
     "find_upstream",
     "get_or_create_accounts",
@@ -79,6 +80,8 @@
     Attributes:
         number: Number of the attempt among those of its request, from 1.
         upstream: Name of the upstream.
+        process: The upstream as it was when the request was sent. It may no
+            longer be listed.
         sent_at: Time at which the request was sent.
         start_time: Start time of the upstream's process, which distinguishes a
             restarted process; see `upstreams.UpstreamEntry`.
@@ -90,16 +93,21 @@
         cost: Cost units that the request's team was charged.
         charged_at: Time of the charge.
         response_started: Whether the first part of the response has arrived.
+        last_byte_at: When the latest bytes of the response arrived.
         last_event_at: When the latest event of the response arrived.
         began_at: When the first event of the response arrived.
         proven: Whether the response has gone on for long enough to show that
             the prompt doesn't crash the upstream.
         origin: Origin of the streams of the upstream's process; see
             `stream_origins`.
+        is_probe: Whether the request was sent to a suspended upstream.
+        paused_until: Time until which this router didn't read the response, as
+            its caller is slow; infinity while it doesn't.
     """
 
     number: int
     upstream: str
+    process: upstreams.Upstream
     sent_at: float
     start_time: int = 0
     unread: int = 0
@@ -108,10 +116,13 @@
     cost: int = 0
     charged_at: float = 0.0
     response_started: bool = False
+    last_byte_at: float = float("-inf")
     last_event_at: float = 0.0
     began_at: float = 0.0
     proven: bool = False
     origin: int = 0
+    is_probe: bool = False
+    paused_until: float = float("-inf")
 
 
 @dataclasses.dataclass(slots=True)
@@ -153,6 +164,8 @@
             if it wasn't, or nothing was known.
         tried_parts: Fingerprints of the quarantined parts that the request is
             let through to try; see `trials`.
+        abandoned: Name of the silent upstream at which this router last aborted
+            an attempt of the request; empty if it aborted none.
     """
 
     number: int
@@ -180,6 +193,7 @@
     awaits_origin: bool = False
     known_origin: stream_origins.KnownOrigin | None = None
     tried_parts: frozenset[bytes] = frozenset()
+    abandoned: str = ""
 
 
 @dataclasses.dataclass(slots=True, frozen=True)
@@ -240,6 +254,8 @@
             waiting requests for a running one took 20 us, while the whole pass
             takes 3 us with the count.
         service_queues: Waiting requests by service.
+        moving: Numbers of requests that are to be sent to another upstream as
+            theirs is stalled, the one that has waited longest first.
         accounts: Cost units that the teams received, by service.
         budgets: Retry budgets by service.
         recent_targets: Target latencies of recent requests, by service.
@@ -287,6 +303,7 @@
     service_queues: dict[str, fair_queue.ServiceQueue] = dataclasses.field(
         default_factory=dict
     )
+    moving: dict[int, None] = dataclasses.field(default_factory=dict)
     accounts: dict[str, fair_queue.TeamAccounts] = dataclasses.field(
         default_factory=dict
     )
@@ -385,6 +402,16 @@
     return upstream if upstream.origin == attempt.origin else None
 
 
+def compute_silence(attempt: Attempt, now: float) -> float:
+    """Computes for how many seconds an attempt's upstream has sent no bytes.
+
+    Bytes that it sends for any request of this router count. While this router
+    doesn't read the response, the upstream isn't silent.
+    """
+    heard_at = attempt.process.last_byte_at
+    return now - max(heard_at, attempt.sent_at, attempt.paused_until)
+
+
 def get_or_create_recent_targets(
     state: DirectState, service: str
 ) -> latency_targets_module.RecentTargets:
--- a/sycamorefall/direct/upstreams.py
+++ b/sycamorefall/direct/upstreams.py
@@ -23,8 +23,10 @@
     "record_failure",
     "record_leaving",
     "record_other_incarnation",
+    "record_bytes",
     "record_retry_delay",
     "record_sent",
+    "record_stall",
     "record_success",
     "replace_listing",
     "suspend_upstream",
@@ -197,6 +199,8 @@
             is not idle.
         last_byte_at: Time at which this router last received bytes from the
             upstream.
+        listed_at: Time at which its process was first listed.
+        stalled_at: Time at which it was taken for stalled; None if it isn't.
         prefill_rate: Estimated prompt tokens that the upstream processes per
             second.
         cache: Estimate of the prompt parts in the engine's KV cache.
@@ -217,6 +221,8 @@
     short_floor: float = math.inf
     idle_since: float = math.inf
     last_byte_at: float = 0.0
+    listed_at: float = 0.0
+    stalled_at: float | None = None
     prefill_rate: float = INITIAL_PREFILL_RATE
     cache: caches.CacheEstimate = dataclasses.field(
         default_factory=caches.CacheEstimate
@@ -284,6 +290,8 @@
             answered.
         notices: Notices by process, including processes that are currently
             not listed.
+        unlisted: Upstreams that were dropped from the listing while requests
+            of this router were in progress there, by process.
         rankings: Upstreams of a service in the order of preference for caching
             a prompt part, by service and part; see `homes`.
         speeds: Speed of the upstreams on average, by service.
@@ -300,6 +308,9 @@
     missing: set[str] = dataclasses.field(default_factory=set)
     replaced: set[str] = dataclasses.field(default_factory=set)
     notices: dict[ProcessKey, Notice] = dataclasses.field(default_factory=dict)
+    unlisted: dict[ProcessKey, Upstream] = dataclasses.field(
+        default_factory=dict
+    )
     rankings: dict[tuple[str, str], list[Upstream]] = dataclasses.field(
         default_factory=dict
     )
@@ -342,7 +353,7 @@
     table.missing = {name for name in table.by_name if name not in listed}
     dropped = drop_missing(table, now)
     for name, entry in listed.items():
-        known = table.by_name.get(name)
+        known = table.by_name.get(name) or _restore_unlisted(table, entry)
         if known is None or is_other_process(known.listed, entry):
             notice = (
                 table.notices.get(ProcessKey(name, entry.start_time))
@@ -351,6 +362,7 @@
             upstream = Upstream(
                 entry,
                 last_byte_at=now,
+                listed_at=now,
                 notice=notice,
                 service_speed=table.speeds.setdefault(
                     entry.service, speed_module.ServiceSpeed()
@@ -367,6 +379,11 @@
                 known.pacing.listed_until = now + entry.cold_remaining
             known.listed = entry
     table.replaced &= table.by_name.keys()
+    table.unlisted = {
+        process: upstream
+        for process, upstream in table.unlisted.items()
+        if upstream.own_load.running
+    }
     _drop_notices(table, now)
     _index_by_service(table)
     return dropped
@@ -462,12 +479,32 @@
         return []
     dropped, table.missing = sorted(table.missing), set()
     for name in dropped:
-        del table.by_name[name]
+        upstream = table.by_name.pop(name)
+        if upstream.own_load.running:
+            process = ProcessKey(name, upstream.listed.start_time)
+            table.unlisted[process] = upstream
     table.replaced &= table.by_name.keys()
     _index_by_service(table)
     return dropped
 
 
+def _restore_unlisted(
+    table: UpstreamTable, entry: UpstreamEntry
+) -> Upstream | None:
+    """Lists an upstream again whose entry was gone while its process ran.
+
+    Its requests may still be in progress. With a new `Upstream` in its place,
+    their load would be missing, and would be subtracted when they end.
+
+    Returns:
+        The upstream; None if the entry is of a process without requests.
+    """
+    known = table.unlisted.pop(ProcessKey(entry.name, entry.start_time), None)
+    if known is not None:
+        table.by_name[entry.name] = known
+    return known
+
+
 def _lacks_start_time(known: Upstream | None, entry: UpstreamEntry) -> bool:
     """Returns whether an entry lacks the start time that an earlier one had.
 
@@ -513,7 +550,8 @@
     """Returns whether a request may be sent to an upstream.
 
     A suspended upstream gets no requests until its suspension ends, then one
-    request as a probe. Further requests follow once the probe has succeeded.
+    request as a probe. Further requests follow once the probe has succeeded, or
+    once bytes for any request show that a stalled upstream goes on.
     """
     if is_leaving(upstream) or upstream.evacuated:
         return False
@@ -608,11 +646,17 @@
     return upstream.notice
 
 
-def record_sent(upstream: Upstream, now: float) -> None:
-    """Records a sent request; to a suspended upstream it is the probe."""
+def record_sent(upstream: Upstream, now: float) -> bool:
+    """Records a sent request.
+
+    Returns:
+        Whether it is the probe of a suspended upstream.
+    """
     pacing_module.record_send(upstream.pacing, now)
-    if upstream._health is _Health.SUSPENDED:
+    is_probe = upstream._health is _Health.SUSPENDED
+    if is_probe:
         upstream._health = _Health.PROBING
+    return is_probe
 
 
 def suspend_upstream(upstream: Upstream, now: float) -> None:
@@ -632,6 +676,31 @@
     upstream._health = _Health.SUSPENDED
 
 
+def record_stall(upstream: Upstream, now: float, is_probe: bool) -> None:
+    """Records that an upstream is stalled, and suspends it.
+
+    Args:
+        upstream: The upstream; changed.
+        now: Current time of this process's clock.
+        is_probe: Whether a request shows it that was sent as a probe.
+    """
+    if upstream.stalled_at is None:
+        upstream.stalled_at = now
+        record_failure(upstream, now)
+        suspend_upstream(upstream, now)
+    elif is_probe and upstream._health is _Health.PROBING:
+        suspend_upstream(upstream, now)
+
+
+def record_bytes(upstream: Upstream, now: float) -> None:
+    """Records that bytes were received from an upstream, which ends a stall."""
+    upstream.last_byte_at = now
+    if upstream.stalled_at is not None:
+        upstream.stalled_at = None
+        upstream._health = _Health.USABLE
+        upstream._consecutive_failures = 0
+
+
 def end_probe(upstream: Upstream) -> None:
     """Allows another probe after one was aborted, such as by its caller."""
     if upstream._health is _Health.PROBING:
