--- a/benchmarks/tests/test_silences.py
+++ b/benchmarks/tests/test_silences.py
@@ -1,11 +1,23 @@
 """Tests of engines that fall silent at fleets of routers."""
 
+import pytest
+
 from benchmarks import silences
 
 SEED = 1
 ROUTERS = 6
 
 
+@pytest.mark.parametrize("load", (0.6, 1.0))
+@pytest.mark.parametrize("trouble", ("1.2 s", "spent, 1.2 s", "stops, 1.2 s"))
+def test_answers_of_an_engine_that_goes_on_are_not_ended(trouble, load):
+    # Guards against routers that let go of a run at a silent engine although no
+    # other engine takes it, and end an answer that the engine would complete.
+    counts = silences.play(ROUTERS, load, trouble, SEED)["counts"]
+    assert counts.get("faults", 0) == 0
+    assert counts.get("repeated", 0) == 0
+
+
 def test_streams_that_must_not_be_resumed_run_once_if_their_engine_is_gone():
     # Guards against second runs of requests that may run only once.
     played = silences.play(ROUTERS, 0.6, "gone", SEED)
