--- a/benchmarks/tests/test_direct.py
+++ b/benchmarks/tests/test_direct.py
@@ -204,7 +204,7 @@
 
 def list_prefiltered(state):
     """Lists the engines that the prefilter excludes, by waiting request."""
-    group = dispatching._measure_free_engines(state, direct.NOW, "engine-0")
+    group = dispatching.measure_free_engines(state, direct.NOW, "engine-0")
     for request in state.requests.values():
         if request.attempt is None:
             constraints = placement_constraints.compute_constraints(
