Stalls: a request that stays is no refused retry

Cause: each pass that found a place asked the retry budget, which counts refusals.

Change: the budget is asked without counting. The new test failed before.

--- a/sycamorefall/direct/budget.py
+++ b/sycamorefall/direct/budget.py
@@ -14,6 +14,7 @@
 __all__ = [
     "RetryBudget",
     "count_request",
+    "has_retry",
     "record_routers",
     "take_retry",
 ]
@@ -112,8 +113,7 @@
         >>> [take_retry(budget, 10.0) for _ in range(5)]
         [True, True, False, False, False]
     """
-    retries = _sum_window(budget._retries, now, budget.window)
-    if retries + 1 > _compute_allowance(budget, now):
+    if not has_retry(budget, now):
         budget.refused += 1
         return False
     budget.sent += 1
@@ -121,6 +121,17 @@
     return True
 
 
+def has_retry(budget: RetryBudget, now: float) -> bool:
+    """Returns whether a retry is left, without taking or counting it.
+
+    Args:
+        budget: The budget.
+        now: Current time of this process's clock.
+    """
+    retries = _sum_window(budget._retries, now, budget.window)
+    return retries + 1 <= _compute_allowance(budget, now)
+
+
 def _compute_allowance(budget: RetryBudget, now: float) -> float:
     """Computes how many retries this process may send in a window until now."""
     requests = _sum_window(budget._requests, now, budget.window)
--- a/sycamorefall/direct/stalls.py
+++ b/sycamorefall/direct/stalls.py
@@ -120,9 +120,11 @@
             state.moving[number] = state.moving.pop(number)
             continue
         known_budget = dispatching.get_or_create_budget(state, service)
-        if not budget.take_retry(known_budget, now):
+        # Asked at each pass, and no refusal: the request stays where it is.
+        if not budget.has_retry(known_budget, now):
             failed[service] = MAX_FAILED_MOVES
             continue
+        budget.take_retry(known_budget, now)
         del state.moving[number], groups[service]
         moved += _move(state, now, request, place)
     return moved, checks
--- a/sycamorefall/direct/tests/test_silence.py
+++ b/sycamorefall/direct/tests/test_silence.py
@@ -216,3 +216,13 @@
     outcomes.record_response(state, 2.3, number, first=True)
     (sent,) = fakes.list_sends(run_timers(state, 2.8, since=2.3))
     assert (sent.request, sent.upstream) == (waiting, upstream)
+
+
+def test_request_that_stays_without_a_retry_is_no_refused_retry():
+    # Guards against a metric of refused retries that grows at each pass while a
+    # request stays at a silent upstream.
+    state = fakes.create_state(retry_ratio=0.0, retry_extra=0.0)
+    submit(state, "answer", begun=True)
+    assert not run_timers(state, 1.5)
+    assert state.moving
+    assert state.budgets["engine"].refused == 0
