Tests: the request that waits for a returned upstream isn't its probe

The test's only request was sent as the probe of the silent upstream, so it didn't wait. Now one goes as the probe, and the second waits for the first byte, within the same 0.5 s.

--- a/sycamorefall/direct/tests/test_silence.py
+++ b/sycamorefall/direct/tests/test_silence.py
@@ -210,6 +210,8 @@
     number, upstream = submit(state, "draft", begun=True)
     fill_others(state, upstream)
     run_timers(state, 2.0)
+    _, probe = fakes.submit_request(state, 2.0, "answer")
+    assert probe.upstream == upstream
     waiting, sent = fakes.submit_request(state, 2.0, "answer")
     assert sent is None
     run_timers(state, 2.3, since=2.0)
