--- a/benchmarks/direct.py
+++ b/benchmarks/direct.py
@@ -299,7 +299,7 @@
     request = waiting[len(waiting) // 2]
     queued = _create_router_with_queues(size)
     constraints = placement_constraints.compute_constraints(state, NOW, request)
-    group = dispatching._measure_free_engines(state, NOW, "engine-0")
+    group = dispatching.measure_free_engines(state, NOW, "engine-0")
     engine = state.table.by_service["engine-0"][0]
     sequences = itertools.count(2)
     senders = itertools.cycle(router.full_loads)
--- a/sycamorefall/direct/daemon.py
+++ b/sycamorefall/direct/daemon.py
@@ -141,6 +141,7 @@
                 new=sorted(new),
                 restarted=restarted,
             )
+        relay.withdraw_unsent(self.proxy)
 
     def handle_evacuated_domains(self, domains: set[str]) -> None:
         """Applies the evacuated failure domains, and logs what changed.
@@ -172,6 +173,7 @@
             before=sorted(before),
         )
         relay.perform_effects(self.proxy, pending)
+        relay.withdraw_unsent(self.proxy)
 
     def handle_proof(self, proven_at: float) -> None:
         """Records that configuration and listing were current at a time."""
@@ -316,6 +318,7 @@
         daemon.handle_proof,
         daemon.handle_settling,
     )
+    servers[0].closings.read_request_id = dialect.read_request_id
     descriptors.apply_limits(daemon)
     servers[0].acceptor.on_exhausted = lambda: _free_descriptor(daemon)
     client.free_descriptor = lambda: _free_descriptor(daemon)
@@ -464,7 +467,7 @@
     """
     daemon.next_stop_check_at = now + STOP_CHECK_INTERVAL
     data, stop = daemon.servers[0], daemon.state.stop
-    if data.listening:
+    if not data.listening_ends:
         if not stopping.may_end_listening(stop, now, data.last_request_at):
             return
         # A late event loop has not read the requests that arrived meanwhile,
@@ -482,7 +485,10 @@
         # ends, as its caller may not have been told that it closes.
         for server in daemon.servers:
             server.begin_stop()
-            server.end_listening()
+    for server in daemon.servers:
+        server.end_listening(stopping.may_reset_callers(stop, now))
+    if any(server.listening for server in daemon.servers):
+        return
     quiet = all(server.is_drained() for server in daemon.servers)
     # The loop reads input once more after it was told to stop, so it may be
     # told so only when no connection can bring a request any more.
--- a/sycamorefall/direct/outcomes.py
+++ b/sycamorefall/direct/outcomes.py
@@ -11,6 +11,7 @@
     "expire_request",
     "fail_request",
     "record_leaving",
+    "record_pause",
     "record_scale",
     "record_response",
     "record_retry_delay",
@@ -178,7 +179,7 @@
     request.arrivals += 1
     request.possible_runs += 1
     upstream = release_attempt(state, request, now)
-    if upstream is not None:
+    if upstream is not None and attempt.is_probe:
         upstreams.end_probe(upstream)
     silent = state_module.compute_silence(attempt, now)
     return [
@@ -254,6 +255,7 @@
         return
     attempt = request.attempt
     upstream = state_module.find_upstream(state, attempt)
+    attempt.last_byte_at = now
     upstreams.record_bytes(attempt.process, now)
     if not first:
         return
@@ -271,6 +273,17 @@
         _record_prefill(upstream, now, attempt, min(now, arrived_after))
 
 
+def record_pause(request: state_module.Request, until: float) -> None:
+    """Records that the response to a request isn't read for a while.
+
+    Args:
+        request: The request; changed.
+        until: When reading goes on; infinity if that isn't known yet.
+    """
+    if request.attempt is not None:
+        request.attempt.paused_until = until
+
+
 def _record_begun(
     state: state_module.DirectState,
     now: float,
@@ -575,7 +588,7 @@
                 return fail_request(state, request, now)
             dispatching.enqueue_request(state, request)
             return []
-        if end not in _MAY_HAVE_RUN and request.is_abandoned:
+        if end not in _MAY_HAVE_RUN and request.abandoned:
             return await_place(state, now, request, attempt.upstream)
     return _end_unretried(state, request, end, now, attempt.upstream)
 
@@ -603,8 +616,9 @@
     request.give_up_at = request.deadline
     if dispatching.is_retry_delay_too_long(state, now, request):
         return fail_request(state, request, now, effects.EndReason.NOT_RUN)
-    # The upstream that was given up may be back by then.
-    request.tried = {declined}
+    if declined != request.abandoned:
+        # The upstream that was given up may be back by then.
+        request.tried.discard(request.abandoned)
     state.moving[request.number] = None
     return []
 
--- a/sycamorefall/direct/stalls.py
+++ b/sycamorefall/direct/stalls.py
@@ -11,6 +11,8 @@
     "move_requests",
 ]
 
+import collections
+
 from sycamorefall.direct import (
     budget,
     dispatching,
@@ -31,12 +33,18 @@
 """Seconds without a byte after which an engine that only processes prompts for
 this router is taken for stalled."""
 
+MAX_FAILED_MOVES = 8
+"""Requests of a service that a pass tries to move in vain. Requests of one
+service have nearly the same places, and hundreds may have to move when a router
+is cut off from a failure domain."""
+
 MISSED_HEARTBEATS = 3
 """Heartbeats that an upstream misses until the platform drops its entry."""
 
 PLAIN_RESPONSE_TIMEOUT = 0.5
-"""Seconds after which a request to a plain service is moved elsewhere if its
-route allows retries: ten times the usual response time."""
+"""Seconds without a byte of its response after which a request to a plain
+service is moved elsewhere if its route allows retries: ten times the usual
+response time."""
 
 
 def handle_stalls(
@@ -59,13 +67,10 @@
     ended += _end_attempts_at_gone(state, now)
     running = _list_running(state)
     silent = _list_silent(now, running)
-    stalled = {
-        request.attempt.process
-        for request in running
-        if request.attempt.process in silent and _is_stalled(now, request)
-    }
-    for upstream in stalled:
-        upstreams.record_stall(upstream, now)
+    for request in running:
+        attempt = request.attempt
+        if attempt.process in silent and _is_stalled(now, request):
+            upstreams.record_stall(attempt.process, now, attempt.is_probe)
     waiting = (request for request in running if _should_move(now, request))
     # Kept in this order: the request that has waited longest moves first.
     state.moving |= dict.fromkeys(one.number for one in waiting)
@@ -80,6 +85,7 @@
 
     An attempt is aborted only once the place of the next one is found and the
     retry budget has a retry left. Until then the upstream may go on with it.
+    The requests of a service are tried in turn, a few in each pass.
 
     Args:
         state: The router's state; changed.
@@ -91,37 +97,58 @@
     moved: list[effects.Effect] = []
     checks = 0
     groups: dict[str, engine_measurement.EngineGroup] = {}
-    exhausted: set[str] = set()
+    failed: collections.Counter[str] = collections.Counter()
     for number in list(state.moving):
         request = state.requests.get(number)
         if request is None or not _should_move(now, request):
             del state.moving[number]
             continue
         service = request.service
-        if service in exhausted:
+        if failed[service] >= MAX_FAILED_MOVES:
             continue
         if service not in groups:
             groups[service] = dispatching.measure_free_engines(
                 state, now, service
             )
-        checks += len(upstreams.list_upstreams(state.table, service))
-        constraints = placement_constraints.compute_move_constraints(
-            request, now
-        )
-        place = dispatching.find_place(
-            state, now, request, groups[service], constraints
-        )
+        group = groups[service]
+        place = _find_place(state, now, request, group)
+        if not _lacks_free_engine(state, service, group):
+            checks += len(upstreams.list_upstreams(state.table, service))
         if place is None:
+            failed[service] += 1
+            # The others come before it in the next pass.
+            state.moving[number] = state.moving.pop(number)
             continue
         known_budget = dispatching.get_or_create_budget(state, service)
         if not budget.take_retry(known_budget, now):
-            exhausted.add(service)
+            failed[service] = MAX_FAILED_MOVES
             continue
         del state.moving[number], groups[service]
         moved += _move(state, now, request, place)
     return moved, checks
 
 
+def _lacks_free_engine(
+    state: state_module.DirectState,
+    service: str,
+    group: engine_measurement.EngineGroup,
+) -> bool:
+    """Returns whether a service has engines, and none of them a free slot."""
+    known = state.catalog.services.get(service)
+    has_engines = known is not None and known.engine is not None
+    return has_engines and not group.engine_loads
+
+
+def _find_place(
+    state: state_module.DirectState,
+    now: float,
+    request: state_module.Request,
+    group: engine_measurement.EngineGroup,
+) -> upstreams.Upstream | None:
+    constraints = placement_constraints.compute_move_constraints(request, now)
+    return dispatching.find_place(state, now, request, group, constraints)
+
+
 def _list_running(
     state: state_module.DirectState,
 ) -> list[state_module.Request]:
@@ -150,25 +177,21 @@
 
     If a process restarts behind a network partition, its connections are never
     reset, and callers would wait for a response that never comes. Whether the
-    old process ran the requests is unknown.
+    old process ran the requests is unknown. Bytes that arrive after the entry
+    of the new process show that the old one goes on, whatever the entry says.
     """
-    running = _list_running(state)
-    known = state.table.by_name
+    lapse = MISSED_HEARTBEATS * state.bounds.heartbeat
     ended: list[effects.Effect] = []
-    for request in running:
+    for request in _list_running(state):
         attempt = request.attempt
-        if attempt.upstream in known and (
-            state_module.find_upstream(state, attempt) is None
-        ):
-            end = outcomes.AttemptEnd.BROKEN
-            abort = effects.AbortAttempt(
-                request.number,
-                effects.EndReason.RESTARTED,
-                attempt.upstream,
-                attempt.response_started,
-            )
-            ended.append(abort)
-            ended += outcomes.end_attempt(state, now, request.number, end)
+        known = state.table.by_name.get(attempt.upstream)
+        if known is None or state_module.find_upstream(state, attempt):
+            continue
+        heard_since = attempt.process.last_byte_at > known.listed_at
+        silence = state_module.compute_silence(attempt, now)
+        if not heard_since or silence > lapse:
+            reason = effects.EndReason.RESTARTED
+            ended += _end_attempt(state, now, request, reason)
     return ended
 
 
@@ -195,19 +218,30 @@
             and request.route.kind.retryable
             and not upstreams.is_leaving(attempt.process)
         ):
-            end = outcomes.AttemptEnd.BROKEN
-            abort = effects.AbortAttempt(
-                request.number,
-                effects.EndReason.GONE,
-                attempt.upstream,
-                attempt.response_started,
-                silence,
-            )
-            ended.append(abort)
-            ended += outcomes.end_attempt(state, now, request.number, end)
+            reason = effects.EndReason.GONE
+            ended += _end_attempt(state, now, request, reason)
     return ended
 
 
+def _end_attempt(
+    state: state_module.DirectState,
+    now: float,
+    request: state_module.Request,
+    reason: effects.EndReason,
+) -> list[effects.Effect]:
+    """Ends an attempt whose run is known to be gone."""
+    attempt = request.attempt
+    abort = effects.AbortAttempt(
+        request.number,
+        reason,
+        attempt.upstream,
+        attempt.response_started,
+        state_module.compute_silence(attempt, now),
+    )
+    end = outcomes.AttemptEnd.BROKEN
+    return [abort, *outcomes.end_attempt(state, now, request.number, end)]
+
+
 def _is_stalled(now: float, request: state_module.Request) -> bool:
     """Returns whether the upstream of a streamed request is stalled."""
     if not request.route.kind.streamed:
@@ -224,14 +258,26 @@
     """Returns whether a request is to be moved to another upstream."""
     attempt = request.attempt
     if attempt is None:
-        return request.is_abandoned
+        return bool(request.abandoned)
     if not request.route.kind.retryable:
         return False
     if request.possible_runs + 1 >= request.route.max_upstreams:
         return False
     if request.route.kind.streamed:
-        return attempt.process.stalled
-    return now - attempt.sent_at > PLAIN_RESPONSE_TIMEOUT
+        return _is_affected(now, request)
+    heard_at = max(attempt.sent_at, attempt.last_byte_at)
+    return now - heard_at > PLAIN_RESPONSE_TIMEOUT
+
+
+def _is_affected(now: float, request: state_module.Request) -> bool:
+    """Returns whether a streamed request is at a stalled upstream.
+
+    A probe, which is sent after the stall was found, gets a time of its own.
+    """
+    stalled_at = request.attempt.process.stalled_at
+    if stalled_at is None:
+        return False
+    return request.attempt.sent_at <= stalled_at or _is_stalled(now, request)
 
 
 def _move(
@@ -243,10 +289,10 @@
     """Aborts a request's attempt, if there is one, and sends it to a place."""
     aborted = []
     if request.attempt is not None:
-        upstream = state_module.find_upstream(state, request.attempt)
+        request.abandoned = request.attempt.upstream
+        upstream = request.attempt.process
         reason = effects.EndReason.SILENT
         aborted = outcomes.abort_attempt(state, request, now, reason)
-        if upstream is not None and not request.route.kind.streamed:
+        if not request.route.kind.streamed:
             upstreams.record_failure(upstream, now)
-    request.is_abandoned = True
     return [*aborted, dispatching.send_to(state, now, request, place)]
--- a/sycamorefall/direct/upstreams.py
+++ b/sycamorefall/direct/upstreams.py
@@ -30,6 +30,7 @@
     "record_success",
     "replace_listing",
     "suspend_upstream",
+    "takes_new_requests",
 ]
 
 from collections.abc import Iterable
@@ -199,8 +200,8 @@
             is not idle.
         last_byte_at: Time at which this router last received bytes from the
             upstream.
-        stalled: Whether it has sent no bytes for so long that it gets no
-            requests until it does.
+        listed_at: Time at which its process was first listed.
+        stalled_at: Time at which it was taken for stalled; None if it isn't.
         prefill_rate: Estimated prompt tokens that the upstream processes per
             second.
         cache: Estimate of the prompt parts in the engine's KV cache.
@@ -221,7 +222,8 @@
     short_floor: float = math.inf
     idle_since: float = math.inf
     last_byte_at: float = 0.0
-    stalled: bool = False
+    listed_at: float = 0.0
+    stalled_at: float | None = None
     prefill_rate: float = INITIAL_PREFILL_RATE
     cache: caches.CacheEstimate = dataclasses.field(
         default_factory=caches.CacheEstimate
@@ -361,6 +363,7 @@
             upstream = Upstream(
                 entry,
                 last_byte_at=now,
+                listed_at=now,
                 notice=notice,
                 service_speed=table.speeds.setdefault(
                     entry.service, speed_module.ServiceSpeed()
@@ -548,13 +551,10 @@
     """Returns whether a request may be sent to an upstream.
 
     A suspended upstream gets no requests until its suspension ends, then one
-    request as a probe. Further requests follow once the probe has succeeded. A
-    stalled one needs no probe while requests are in progress there: their bytes
-    show that it goes on.
+    request as a probe. Further requests follow once the probe has succeeded, or
+    once bytes for any request show that a stalled upstream goes on.
     """
-    if is_leaving(upstream) or upstream.evacuated:
-        return False
-    if upstream.stalled and upstream.own_load.running:
+    if not takes_new_requests(upstream):
         return False
     if now < upstream.notice.delayed_until:
         return False
@@ -568,6 +568,11 @@
     )
 
 
+def takes_new_requests(upstream: Upstream) -> bool:
+    """Returns whether an upstream neither leaves nor is evacuated."""
+    return not (is_leaving(upstream) or upstream.evacuated)
+
+
 def is_leaving(upstream: Upstream) -> bool:
     """Returns whether an upstream is leaving by its entry or its own notice."""
     return upstream.listed.leaving or upstream.notice.leaving
@@ -647,11 +652,17 @@
     return upstream.notice
 
 
-def record_sent(upstream: Upstream, now: float) -> None:
-    """Records a sent request; to a suspended upstream it is the probe."""
+def record_sent(upstream: Upstream, now: float) -> bool:
+    """Records a sent request.
+
+    Returns:
+        Whether it is the probe of a suspended upstream.
+    """
     pacing_module.record_send(upstream.pacing, now)
-    if upstream._health is _Health.SUSPENDED:
+    is_probe = upstream._health is _Health.SUSPENDED
+    if is_probe:
         upstream._health = _Health.PROBING
+    return is_probe
 
 
 def suspend_upstream(upstream: Upstream, now: float) -> None:
@@ -671,20 +682,27 @@
     upstream._health = _Health.SUSPENDED
 
 
-def record_stall(upstream: Upstream, now: float) -> None:
-    """Records that an upstream is stalled; does nothing if it was already."""
-    if upstream.stalled:
-        return
-    upstream.stalled = True
-    record_failure(upstream, now)
-    suspend_upstream(upstream, now)
+def record_stall(upstream: Upstream, now: float, is_probe: bool) -> None:
+    """Records that an upstream is stalled, and suspends it.
+
+    Args:
+        upstream: The upstream; changed.
+        now: Current time of this process's clock.
+        is_probe: Whether a request shows it that was sent as a probe.
+    """
+    if upstream.stalled_at is None:
+        upstream.stalled_at = now
+        record_failure(upstream, now)
+        suspend_upstream(upstream, now)
+    elif is_probe and upstream._health is _Health.PROBING:
+        suspend_upstream(upstream, now)
 
 
 def record_bytes(upstream: Upstream, now: float) -> None:
     """Records that bytes were received from an upstream, which ends a stall."""
     upstream.last_byte_at = now
-    if upstream.stalled:
-        upstream.stalled = False
+    if upstream.stalled_at is not None:
+        upstream.stalled_at = None
         upstream._health = _Health.USABLE
         upstream._consecutive_failures = 0
 
