--- a/sycamorefall/direct/stalls.py
+++ b/sycamorefall/direct/stalls.py
@@ -72,7 +72,7 @@
         if attempt.process in silent and _is_stalled(now, request):
             upstreams.record_stall(attempt.process, now, attempt.is_probe)
     waiting = (request for request in running if _should_move(now, request))
-    # Kept in this order: the request that has waited longest moves first.
+    # New ones are tried after those that already are to move.
     state.moving |= dict.fromkeys(one.number for one in waiting)
     moved, _ = move_requests(state, now)
     return ended + moved
--- a/sycamorefall/direct/state.py
+++ b/sycamorefall/direct/state.py
@@ -255,7 +255,7 @@
             takes 3 us with the count.
         service_queues: Waiting requests by service.
         moving: Numbers of requests that are to be sent to another upstream as
-            theirs is stalled, the one that has waited longest first.
+            theirs is stalled, in the order in which they are tried.
         accounts: Cost units that the teams received, by service.
         budgets: Retry budgets by service.
         recent_targets: Target latencies of recent requests, by service.
