Observability: age of teams' accounts; messages with unknown names

teams.waiting told the age of the last message of each scope (heard). Deltas refresh that age, while what teams received comes with full updates only, so nothing told how old the accounts are by which routers decide. The line has accounts now, and there is a gauge for it; control messages that are dropped because a name is unknown are counted beside the other lost ones.

--- a/sycamorefall/direct/metrics.py
+++ b/sycamorefall/direct/metrics.py
@@ -15,6 +15,7 @@
     pacing,
     speed,
 )
+from sycamorefall.direct import totals as totals_module
 from sycamorefall.direct import upstreams as upstreams_module
 from sycamorefall.observation import metrics
 
@@ -117,6 +118,14 @@
             for team in ("most", "least")
         },
     )
+    ages = totals_module.compute_account_ages(daemon.exchange.totals, now)
+    yield gauge(
+        "team_accounts_age_seconds",
+        "Age of the oldest service of teams that other routers reported, by "
+        "whose it is.",
+        ("scope",),
+        {(scope.name.lower(),): age for scope, age in ages.items()},
+    )
     yield gauge(
         "loop_lateness_seconds",
         "Recent lateness of the event loop, decayed; 0 if each pass was late "
@@ -173,7 +182,11 @@
         "control_lost",
         "Control messages dropped or refused.",
         ("cause",),
-        {("dropped",): control.dropped, ("refused",): control.refused},
+        {
+            ("dropped",): control.dropped,
+            ("refused",): control.refused,
+            ("unknown_names",): control.unknown_names_dropped,
+        },
     )
     yield from descriptors.list_metrics(daemon)
     yield metrics.create_closings_counter(
--- a/sycamorefall/direct/timers.py
+++ b/sycamorefall/direct/timers.py
@@ -7,7 +7,7 @@
 import functools
 from typing import TYPE_CHECKING
 
-from sycamorefall import observation
+from sycamorefall import messages, observation
 from sycamorefall.direct import backlog, core, descriptors, faults, relay
 from sycamorefall.direct import crash_exchange as crash_exchange_module
 from sycamorefall.direct import exchange as exchange_module
@@ -144,7 +144,7 @@
     daemon.next_backlog_log_at = now + backlog.LOG_INTERVAL
     backlogs = backlog.list_backlogs(daemon.state, now)
     if backlogs:
-        ages = totals_module.compute_ages(daemon.exchange.totals, now)
+        totals = daemon.exchange.totals
         observation.write_record(
             observation.Level.INFO,
             "teams.waiting",
@@ -155,10 +155,17 @@
             ],
             late=round(overload_module.take_max_late(daemon.state.overload), 3),
             shed=daemon.servers[0].shed,
-            heard={scope.name.lower(): age for scope, age in ages.items()},
+            heard=_name_scopes(totals_module.compute_ages(totals, now)),
+            accounts=_name_scopes(
+                totals_module.compute_account_ages(totals, now)
+            ),
         )
 
 
+def _name_scopes(ages: dict[messages.LoadScope, float]) -> dict[str, float]:
+    return {scope.name.lower(): age for scope, age in ages.items()}
+
+
 def _drop_missing_upstreams(daemon: "daemon_module.Daemon", now: float) -> None:
     gone = upstreams_module.drop_missing(daemon.state.table, now)
     if gone:
--- a/sycamorefall/direct/totals.py
+++ b/sycamorefall/direct/totals.py
@@ -7,6 +7,7 @@
     "Totals",
     "apply_report",
     "apply_totals",
+    "compute_account_ages",
     "compute_ages",
     "drop_silent_sources",
     "drop_sources",
@@ -42,6 +43,8 @@
         incarnation: Incarnation of the reporting process.
         sequence: Sequence number of the last message.
         heard_at: When the last message was received.
+        updated_at: When the last full update was received. Team usage and
+            floors are this old; deltas leave them as they are.
         parts: Number of parts in which the load of its failure domain is
             reported.
         covers: Number of routers whose load is included.
@@ -54,6 +57,7 @@
     incarnation: int
     sequence: int
     heard_at: float
+    updated_at: float
     parts: int = 1
     covers: int = 1
     loads: dict[str, messages.UpstreamLoad] = dataclasses.field(
@@ -141,6 +145,7 @@
     source.parts, source.covers = load.parts, load.covers
     before = {name: source.loads.get(name, _NO_LOAD) for name in changed}
     if load.whole:
+        source.updated_at = now
         source.loads = reported
         _replace_services(totals, source, load.services)
         _replace_tables(totals, source, load.tables)
@@ -178,7 +183,9 @@
     if not load.whole or incarnation < 1:
         return None
     if known is None:
-        known = totals.sources[key] = LoadSource(sender, incarnation, 0, 0.0)
+        known = totals.sources[key] = LoadSource(
+            sender, incarnation, 0, 0.0, 0.0
+        )
     known.reporter, known.incarnation = sender, incarnation
     return known
 
@@ -273,16 +280,38 @@
     """Computes the age of the oldest report of each scope, in seconds.
 
     Example:
-        >>> one = LoadSource("front-2", 1, 1, heard_at=1.0)
-        >>> two = LoadSource("front-3", 1, 1, heard_at=1.5)
+        >>> one = LoadSource("front-2", 1, 1, heard_at=1.0, updated_at=0.0)
+        >>> two = LoadSource("front-3", 1, 1, heard_at=1.5, updated_at=1.5)
         >>> scope = messages.LoadScope.ROUTER
         >>> sources = {(scope, "front-2", 0): one, (scope, "front-3", 0): two}
         >>> compute_ages(Totals(sources), 1.75)[scope]
         0.75
     """
+    return _compute_oldest(totals, now, operator.attrgetter("heard_at"))
+
+
+def compute_account_ages(
+    totals: Totals, now: float
+) -> dict[messages.LoadScope, float]:
+    """Computes the age of the oldest team usage of each scope, in seconds.
+
+    Example:
+        >>> one = LoadSource("front-2", 1, 1, heard_at=1.0, updated_at=0.0)
+        >>> scope = messages.LoadScope.ROUTER
+        >>> totals = Totals({(scope, "front-2", 0): one})
+        >>> compute_account_ages(totals, 1.75)[scope]
+        1.75
+    """
+    return _compute_oldest(totals, now, operator.attrgetter("updated_at"))
+
+
+def _compute_oldest(
+    totals: Totals, now: float, get_time: Callable[[LoadSource], float]
+) -> dict[messages.LoadScope, float]:
+    """Computes the age of each scope's oldest source by one of its times."""
     ages: dict[messages.LoadScope, float] = {}
     for (scope, _, _), source in totals.sources.items():
-        age = round(now - source.heard_at, 3)
+        age = round(now - get_time(source), 3)
         ages[scope] = max(age, ages.get(scope, 0.0))
     return ages
 
