--- a/benchmarks/crowds.py
+++ b/benchmarks/crowds.py
@@ -5,7 +5,7 @@
 of the routers, some of which lose power.
 """
 
-__all__ = ["create_crowded_site"]
+__all__ = ["create_crowded_site", "create_site_with_lost_updates"]
 
 import dataclasses
 import random
@@ -108,3 +108,25 @@
         seconds=9.0,
         seed=seed,
     )
+
+
+def create_site_with_lost_updates(seed: int) -> site.Site:
+    """Creates a crowded site where a team's router hears no full updates.
+
+    All callers of one of the larger teams meet that router.
+
+    Args:
+        seed: Seed of the teams, their routers and their requests.
+    """
+    crowd = create_crowded_site(seed, stated_rate=0.6)
+    rng = random.Random(seed)
+    lost = {loss.router for loss in crowd.power_losses}
+    router = rng.choice(sorted(set(range(ROUTERS)) - lost))
+    team = rng.randrange(1, 6)
+    entries = list(crowd.entries)
+    entries[team] = (router,)
+    return dataclasses.replace(
+        crowd,
+        entries=tuple(entries),
+        lost_updates=(site.LostUpdates(router, 2.0, crowd.seconds),),
+    )
--- a/benchmarks/site.py
+++ b/benchmarks/site.py
@@ -8,7 +8,14 @@
 the seed, so a second run gives the same figures.
 """
 
-__all__ = ["Figures", "RequestKind", "PowerLoss", "Site", "run_site"]
+__all__ = [
+    "Figures",
+    "LostUpdates",
+    "PowerLoss",
+    "RequestKind",
+    "Site",
+    "run_site",
+]
 
 import collections
 from collections.abc import Iterable
@@ -101,6 +108,24 @@
     until: float
 
 
+@dataclasses.dataclass(slots=True, frozen=True)
+class LostUpdates:
+    """An interval in which a router receives deltas but no full updates.
+
+    Full updates are larger, and they use more names that the sender defines
+    once, so a router that reads its messages late may lose them alone.
+
+    Attributes:
+        router: Number of the router.
+        at: Start of the interval, in seconds.
+        until: End of the interval, in seconds.
+    """
+
+    router: int
+    at: float
+    until: float
+
+
 @dataclasses.dataclass(slots=True, frozen=True)
 class Site:
     """Size and load of a site.
@@ -126,6 +151,7 @@
         weights: Request rate of each team relative to the others.
         separate_parts: Whether each team has its own shared parts.
         power_losses: Power losses of routers.
+        lost_updates: Intervals in which routers receive no full updates.
         seconds: Duration in which callers send requests.
         seed: Seed of all random choices.
     """
@@ -146,6 +172,7 @@
     weights: tuple[float, ...] = ()
     separate_parts: bool = False
     power_losses: tuple[PowerLoss, ...] = ()
+    lost_updates: tuple[LostUpdates, ...] = ()
     seconds: float = 12.0
     seed: int = 1
 
@@ -488,7 +515,7 @@
 def _deliver_message(
     simulation: _Simulation, router: _Router, envelope: messages.Envelope
 ) -> None:
-    if not router.alive:
+    if not router.alive or _loses_update(simulation, router, envelope.message):
         return
     load_exchange, state, now = (
         router.load_exchange,
@@ -505,6 +532,20 @@
         _send_messages(simulation, router, [referral])
 
 
+def _loses_update(
+    simulation: _Simulation, router: _Router, message: messages.Message
+) -> bool:
+    return (
+        isinstance(message, messages.RouterLoad)
+        and message.whole
+        and any(
+            simulation.routers[lost.router] is router
+            and lost.at <= simulation.now < lost.until
+            for lost in simulation.site.lost_updates
+        )
+    )
+
+
 def _apply_effects(
     simulation: _Simulation, router: _Router, new_effects: list[effects.Effect]
 ) -> None:
--- a/sycamorefall/direct/tests/simulated_fleet.py
+++ b/sycamorefall/direct/tests/simulated_fleet.py
@@ -57,6 +57,7 @@
     Attributes:
         partitioned: Failure domains that are partitioned from the others.
         loss: Fraction of messages that are lost.
+        is_lost: Whether a message is lost, by receiver and message.
     """
 
     def __init__(self, domains=3, size=4, seeds=2, seed=1, capacities=(4,)):
@@ -66,6 +67,7 @@
         self.number = itertools.count()
         self.partitioned = set()
         self.loss = 0.0
+        self.is_lost = lambda receiver, message: False
         names = [
             (f"router-{domain}-{n}", f"domain-{domain}")
             for n in range(size)
@@ -151,6 +153,8 @@
             return
         if self.random.random() < self.loss:
             return
+        if self.is_lost(to, envelope.message):
+            return
 
         def receive():
             if not receiver.alive or self.routers[to] is not receiver:
