Accounts of teams and floors are as old as their report, not as its sender

Callers of a flooded small VM were refused for four seconds while other teams were served: the router believed that their team had received 700,000 units of which 76,000 were left, and left engines to floors that were told eight seconds before. Full updates carry accounts and floors, deltas don't; the age by which a source counted as live was that of its last message of any kind, messages that had queued for seconds counted as new, and delegates sent on what they had, as new. The class: state that is believed until the next message, with an age that another message refreshes.

Load messages tell when they were sent, so the reader knows how late it handles them (peers.measure_lateness). Floors end 1.5 s after the last full update. A router that knows nothing newer of at least half of the others doesn't take its own teams for the best served ones (knows_others).

--- a/sycamorefall/direct/backlog.py
+++ b/sycamorefall/direct/backlog.py
@@ -134,5 +134,5 @@
         fair_queue.count_waiting(state.service_queues[service], team),
         round(now - oldest, 3),
         int(received),
-        int(received - accounts.peer_received.get(team, 0.0)),
+        int(received - fair_queue.compute_peer_received(accounts, now, team)),
     )
--- a/sycamorefall/direct/exchange.py
+++ b/sycamorefall/direct/exchange.py
@@ -22,9 +22,11 @@
     "build_load_message",
     "classify_domain",
     "find_address",
+    "find_max_lateness",
     "find_next_due",
     "handle_load",
     "is_available",
+    "is_behind",
     "is_delegate",
     "list_addresses",
     "list_local_receivers",
@@ -92,6 +94,10 @@
 """Seconds after its start within which a router has heard from every live
 router: idle routers send a message each second."""
 
+MAX_LATENESS = 0.1
+"""Lateness of a message in seconds from which this router is behind: less than
+the interval between two full updates of a busy router."""
+
 REFERRAL_INTERVAL = 1.0
 """Minimum seconds between two referrals to the same router."""
 
@@ -319,6 +325,21 @@
         record_address(exchange, now, envelope.sender, load.control)
 
 
+def is_behind(exchange: Exchange, now: float) -> bool:
+    """Returns whether messages of any live router are handled late."""
+    return find_max_lateness(exchange, now) >= MAX_LATENESS
+
+
+def find_max_lateness(exchange: Exchange, now: float) -> float:
+    """Finds the lateness of the live router whose last message was latest."""
+    live = (
+        peer.lateness
+        for peer in exchange.peers.values()
+        if peers_module.is_live(peer, now)
+    )
+    return max(live, default=0.0)
+
+
 def is_available(state: state_module.DirectState, now: float) -> bool:
     """Returns whether this router can be a delegate or a reader.
 
@@ -382,6 +403,8 @@
     peer = peers_module.record_load(exchange.peers, now, envelope)
     if peer is None:
         return None
+    lateness = peers_module.measure_lateness(peer, now, envelope)
+    peer.lateness = lateness
     record_known_routers(exchange, now, load.routers)
     match load.scope:
         case LoadScope.ROUTER:
@@ -396,7 +419,7 @@
             key = totals_module.ELSEWHERE
             is_counted = not _receives_domain_loads(exchange)
     if is_counted:
-        _apply_report(exchange, state, now, key, envelope)
+        _apply_report(exchange, state, now, key, envelope, lateness)
     # A router that has just appeared or become a delegate needs to know the
     # others.
     if is_new or not is_counted:
@@ -449,12 +472,13 @@
     now: float,
     key: totals_module.SourceKey,
     envelope: messages.Envelope,
+    lateness: float,
 ) -> None:
     """Applies a load to the totals, the upstreams and the pending reports."""
     load: messages.RouterLoad = envelope.message
     totals = exchange.totals
     unread = _count_unread(totals, key)
-    changed = totals_module.apply_report(totals, key, now, envelope)
+    changed = totals_module.apply_report(totals, key, now, envelope, lateness)
     if changed is None:
         return
     superseded = _list_superseded(totals, key)
@@ -593,7 +617,7 @@
     receiver_groups.queue_prompts(exchange.domain_group, prompts)
     if not whole:
         loads = own_load_module.build_loads(state, group.sent_loads)
-        return _build_delta(exchange, group, loads, prompts)
+        return _build_delta(exchange, now, group, loads, prompts)
     group.full_update_count += 1
     group.due = now + _compute_update_interval(exchange, state)
     _update_membership(exchange, state, now)
@@ -647,12 +671,14 @@
         failure_domain=state.failure_domain,
         capacity=exchange.capacity,
         available=is_available(state, now),
+        sent_ms=int(1000 * now),
         **fields,
     )
 
 
 def _build_delta(
     exchange: Exchange,
+    now: float,
     group: receiver_groups.ReceiverGroup,
     loads: dict[str, messages.UpstreamLoad],
     prompts: tuple[messages.SentPrompt, ...],
@@ -666,6 +692,7 @@
         upstreams=receiver_groups.take_changed_loads(group, loads),
         whole=False,
         prompts=prompts,
+        sent_ms=int(1000 * now),
         **fields,
     )
 
@@ -690,7 +717,7 @@
         "covers": 1 + len(sources),
     }
     if not whole:
-        return _build_delta(exchange, group, loads, prompts, **fields)
+        return _build_delta(exchange, now, group, loads, prompts, **fields)
     group.sent_loads = loads
     group.full_update_count += 1
     update_interval = max(
@@ -702,7 +729,10 @@
     services = totals_module.sum_services(
         [
             own_load_module.collect_own_services(state, now),
-            *(totals_module.list_services(source) for source in sources),
+            *(
+                totals_module.list_services(exchange.totals, source, now)
+                for source in sources
+            ),
         ]
     )
     return _build_full_update(
@@ -746,7 +776,7 @@
         "covers": sum(source.covers for source in sources),
     }
     if not whole:
-        return _build_delta(exchange, group, loads, prompts, **fields)
+        return _build_delta(exchange, now, group, loads, prompts, **fields)
     group.sent_loads = loads
     group.due = now + (ELSEWHERE_INTERVAL if loads else IDLE_INTERVAL)
     return _build_full_update(
@@ -755,7 +785,8 @@
         now,
         upstreams=tuple(loads.values()),
         services=totals_module.sum_services(
-            totals_module.list_services(source) for source in sources
+            totals_module.list_services(exchange.totals, source, now)
+            for source in sources
         ),
         prompts=prompts,
         tables=shared_sums.sum_tables(source.tables for source in sources),
@@ -768,7 +799,9 @@
 ) -> None:
     """Drops routers that are gone and updates this router's role."""
     peers_module.forget_silent_peers(exchange.peers, now)
-    if totals_module.drop_silent_sources(exchange.totals, now):
+    dropped = totals_module.drop_silent_sources(exchange.totals, now)
+    state.knows_others = totals_module.is_current(exchange.totals, now)
+    if totals_module.drop_old_floors(exchange.totals, now) or dropped:
         names = state.table.by_name.keys()
         totals_module.apply_totals(exchange.totals, state, names, True)
         contributors.apply_sums(state, now, exchange.totals.sums)
--- a/sycamorefall/direct/fair_queue.py
+++ b/sycamorefall/direct/fair_queue.py
@@ -10,9 +10,11 @@
     "add_request",
     "charge_team",
     "collect_own_received",
+    "compute_peer_received",
     "compute_received",
     "compute_relative_share",
     "count_waiting",
+    "decay",
     "drop_expired_refusals",
     "find_max_received",
     "list_candidates",
@@ -57,7 +59,8 @@
         own_received: Service given by this router and the time of its last
             update, by team.
         peer_received: Service given by the other routers, as they last
-            reported, by team.
+            reported, by team, as of `peer_epoch`.
+        peer_epoch: Time of this process's clock.
         max_received: Most service that any team received from all routers, as
             last computed.
         refused_at: When this router last refused a request for lack of
@@ -68,6 +71,7 @@
         default_factory=dict
     )
     peer_received: dict[str, float] = dataclasses.field(default_factory=dict)
+    peer_epoch: float = 0.0
     max_received: float = 0.0
     refused_at: dict[str, float] = dataclasses.field(default_factory=dict)
 
@@ -120,8 +124,8 @@
         >>> compute_received(accounts, 2.0, "mill")
         0.0
     """
-    remaining = _compute_own_received(accounts, now, team) - _decay(
-        cost, now - charged_at
+    remaining = _compute_own_received(accounts, now, team) - decay(
+        cost, max(0.0, now - charged_at)
     )
     accounts.own_received[team] = (max(0.0, remaining), now)
 
@@ -130,18 +134,27 @@
     accounts: TeamAccounts, now: float, team: str
 ) -> float:
     amount, updated_at = accounts.own_received.get(team, (0.0, now))
-    return _decay(amount, now - updated_at)
+    return decay(amount, max(0.0, now - updated_at))
 
 
-def _decay(amount: float, seconds: float) -> float:
-    return amount * 0.5 ** (max(0.0, seconds) / ACCOUNT_HALF_LIFE)
+def decay(amount: float, seconds: float) -> float:
+    """Computes what is left of an amount of service after some seconds."""
+    return amount * 0.5 ** (seconds / ACCOUNT_HALF_LIFE)
 
 
 def compute_received(accounts: TeamAccounts, now: float, team: str) -> float:
     """Computes a team's recent service from all routers, in cost units."""
-    return _compute_own_received(
+    return _compute_own_received(accounts, now, team) + compute_peer_received(
         accounts, now, team
-    ) + accounts.peer_received.get(team, 0.0)
+    )
+
+
+def compute_peer_received(
+    accounts: TeamAccounts, now: float, team: str
+) -> float:
+    """Computes a team's recent service from the other routers."""
+    reported = accounts.peer_received.get(team)
+    return decay(reported, now - accounts.peer_epoch) if reported else 0.0
 
 
 def collect_own_received(
@@ -161,11 +174,14 @@
     return amounts
 
 
-def find_max_received(accounts: TeamAccounts, own: dict[str, float]) -> float:
+def find_max_received(
+    accounts: TeamAccounts, now: float, own: dict[str, float]
+) -> float:
     """Finds the most service that any team received recently from all routers.
 
     Args:
         accounts: Service of the teams.
+        now: Current time of this process's clock.
         own: Service by this router, from `collect_own_received`.
 
     Returns:
@@ -173,7 +189,7 @@
     """
     return max(
         (
-            own.get(team, 0.0) + accounts.peer_received.get(team, 0.0)
+            own.get(team, 0.0) + compute_peer_received(accounts, now, team)
             for team in own.keys() | accounts.peer_received.keys()
         ),
         default=0.0,
--- a/sycamorefall/direct/metrics.py
+++ b/sycamorefall/direct/metrics.py
@@ -15,6 +15,7 @@
     pacing,
     speed,
 )
+from sycamorefall.direct import exchange as exchange_module
 from sycamorefall.direct import totals as totals_module
 from sycamorefall.direct import upstreams as upstreams_module
 from sycamorefall.observation import metrics
@@ -126,6 +127,13 @@
         ("scope",),
         {(scope.name.lower(),): age for scope, age in ages.items()},
     )
+    yield gauge(
+        "control_lateness_seconds",
+        "How much longer the last message of a router was on its way than its "
+        "fastest one, at most.",
+        (),
+        {(): exchange_module.find_max_lateness(daemon.exchange, now)},
+    )
     yield gauge(
         "loop_lateness_seconds",
         "Recent lateness of the event loop, decayed; 0 if each pass was late "
--- a/sycamorefall/direct/own_load.py
+++ b/sycamorefall/direct/own_load.py
@@ -75,6 +75,6 @@
         for team, amount in amounts.items()
         if amount >= MIN_REPORTED_AMOUNT
     )
-    accounts.max_received = fair_queue.find_max_received(accounts, amounts)
+    accounts.max_received = fair_queue.find_max_received(accounts, now, amounts)
     fair_queue.drop_expired_refusals(accounts, now)
     return messages.ServiceDemand(service, teams)
--- a/sycamorefall/direct/peers.py
+++ b/sycamorefall/direct/peers.py
@@ -8,6 +8,7 @@
     "is_live",
     "list_delegates",
     "list_live_routers",
+    "measure_lateness",
     "rank_domain",
     "record_known_routers",
     "record_load",
@@ -52,6 +53,11 @@
             failure domain.
         delegate_hint_at: When another router last named it as a delegate.
         referred_at: When it was last sent a referral.
+        incarnation: Incarnation of the process whose clock was compared.
+        min_offset: Least difference so far between this process's clock at the
+            receipt of a message and the sender's clock when it was sent.
+        lateness: Seconds that its last message was longer on its way than its
+            fastest one.
     """
 
     control: str
@@ -63,6 +69,36 @@
     delegate_heard_at: float = _NEVER
     delegate_hint_at: float = _NEVER
     referred_at: float = _NEVER
+    incarnation: int = 0
+    min_offset: float = float("inf")
+    lateness: float = 0.0
+
+
+def measure_lateness(
+    peer: Peer, now: float, envelope: messages.Envelope
+) -> float:
+    """Measures how much longer a message was on its way than the fastest one.
+
+    Messages queue at a process that has more to do than its VM can, and it
+    handles the oldest ones first. Clocks of two processes differ by an unknown
+    amount, so only differences between messages are known.
+
+    Args:
+        peer: The sender; changed.
+        now: Current time of this process's clock.
+        envelope: A `RouterLoad` and its sender.
+
+    Returns:
+        Seconds; 0 if the message doesn't tell when it was sent.
+    """
+    load: messages.RouterLoad = envelope.message
+    if not load.sent_ms:
+        return 0.0
+    if envelope.incarnation != peer.incarnation:
+        peer.incarnation, peer.min_offset = envelope.incarnation, float("inf")
+    offset = now - load.sent_ms / 1000
+    peer.min_offset = min(peer.min_offset, offset)
+    return offset - peer.min_offset
 
 
 def is_live(peer: Peer, now: float) -> bool:
--- a/sycamorefall/direct/placement_constraints.py
+++ b/sycamorefall/direct/placement_constraints.py
@@ -45,10 +45,12 @@
     """
     accounts = state_module.get_or_create_accounts(state, request.service)
     received = fair_queue.compute_received(accounts, now, request.team)
-    share = fair_queue.compute_relative_share(accounts, received)
+    share = _compute_share(state, accounts, received)
     slack = FAIRNESS_SLACK * state.catalog.tokens_per_second
     has_waited_long = _has_waited_long(request, now)
-    is_behind = received < accounts.max_received - slack
+    is_behind = (
+        not state.knows_others or received < accounts.max_received - slack
+    )
     return eligibility.PlacementConstraints(
         request.incoming.prompt,
         request.target_at - now,
@@ -107,7 +109,7 @@
     """
     accounts = state_module.get_or_create_accounts(state, service)
     received = fair_queue.compute_received(accounts, now, team)
-    share = fair_queue.compute_relative_share(accounts, received)
+    share = _compute_share(state, accounts, received)
     if share >= fair_queue.IDLE_UNDERSERVED_SHARE:
         return fair_queue.list_candidates(queue, team)
     return fair_queue.list_candidates(
@@ -117,6 +119,21 @@
     )
 
 
+def _compute_share(
+    state: state_module.DirectState,
+    accounts: fair_queue.TeamAccounts,
+    received: float,
+) -> float:
+    """Computes a team's service as a fraction of the best served team's.
+
+    A router that doesn't know what other routers give to teams would take its
+    own teams for the best served ones. To it, any team may be underserved.
+    """
+    if not state.knows_others:
+        return 0.0
+    return fair_queue.compute_relative_share(accounts, received)
+
+
 def _compute_max_queue_seconds(
     state: state_module.DirectState,
     now: float,
--- a/sycamorefall/direct/state.py
+++ b/sycamorefall/direct/state.py
@@ -275,6 +275,8 @@
         overload: Recent lateness of the event loop.
         routers: Number of routers heard from recently, including this one.
         vm: Name of this router's VM; empty until it is set.
+        knows_others: Whether this router knows what other routers recently gave
+            to teams.
         domain_routers: VM names of the routers in this router's failure
             domain, including this one; empty while they are not known.
         settles_at: When the platform's records count as complete again after a
@@ -341,6 +343,7 @@
         default_factory=overload_module.Overload
     )
     routers: int = 1
+    knows_others: bool = True
     vm: str = ""
     domain_routers: frozenset[str] = frozenset()
     settles_at: float = float("-inf")
--- a/sycamorefall/direct/tests/test_shares.py
+++ b/sycamorefall/direct/tests/test_shares.py
@@ -183,6 +183,26 @@
     assert run(state, 0.0, 0.39) == []
 
 
+def test_team_leaves_full_homes_while_its_router_knows_nothing_of_others():
+    # Guards against a late router that takes its own team for the best served
+    # one, as all it heard is old: the team was refused for four seconds while
+    # engines other than its homes had room.
+    state, load_exchange = fakes.create_state(), fakes.create_exchange()
+    fields = {"team": "mill", "tokens": 6000, "parts": PARTS}
+    number, sent = fakes.submit_request(state, 0.0, "draft", **fields)
+    core.cancel_request(state, number, 0.0)
+    state.table.by_name[sent.upstream].own_load.running = 4
+    envelope = messages.Envelope("front-2", 1, 1, messages.RouterLoad(1, ""))
+    exchange.handle_load(load_exchange, state, 0.0, envelope)
+    exchange.build_load_message(load_exchange, state, 2.0)
+    freshness.record_proof(state.freshness, 2.0)
+    state.accounts["engine"].max_received = 10.0
+    fair_queue.charge_team(state.accounts["engine"], 2.0, "mill", 10.0)
+    fakes.submit_request(state, 2.0, "draft", **fields)
+    ((_, moved),) = run(state, 2.0, 0.39)
+    assert moved.upstream != sent.upstream
+
+
 def test_team_is_refunded_for_attempts_without_a_response():
     # Guards against a team that is charged for service it never received: while
     # engines are down, its requests are sent up to a dozen times.
--- a/sycamorefall/direct/timers.py
+++ b/sycamorefall/direct/timers.py
@@ -153,6 +153,9 @@
                 dataclasses.asdict(one)
                 for one in backlog.list_spreads(daemon.state, now)
             ],
+            behind=round(
+                exchange_module.find_max_lateness(daemon.exchange, now), 3
+            ),
             late=round(overload_module.take_max_late(daemon.state.overload), 3),
             shed=daemon.servers[0].shed,
             heard=_name_scopes(totals_module.compute_ages(totals, now)),
@@ -187,6 +190,9 @@
         observation.write_record(
             observation.Level.WARNING,
             "process.overloaded",
+            behind=round(
+                exchange_module.find_max_lateness(daemon.exchange, now), 3
+            ),
             late=round(overload.lateness, 3),
             in_progress=len(daemon.state.requests),
         )
--- a/sycamorefall/direct/totals.py
+++ b/sycamorefall/direct/totals.py
@@ -9,8 +9,10 @@
     "apply_totals",
     "compute_account_ages",
     "compute_ages",
+    "drop_old_floors",
     "drop_silent_sources",
     "drop_sources",
+    "is_current",
     "list_services",
     "list_source_keys",
     "sum_loads",
@@ -23,13 +25,29 @@
 import math
 import operator
 
+import msgspec
+
 from sycamorefall import messages
-from sycamorefall.direct import peers, shared_sums, upstreams
+from sycamorefall.direct import (
+    peers,
+    reported_services,
+    shared_sums,
+    upstreams,
+)
 from sycamorefall.direct import state as state_module
 
 SourceKey = tuple[messages.LoadScope, str, int]
 """Identifies reported load: its scope, its VM or failure domain, its part."""
 
+MAX_REPORT_AGE = 1.5
+"""Seconds without a full update after which the floors and the team usage of a
+source are old: one and a half intervals between the full updates of the slowest
+reporter. A floor keeps engines free for requests, which wait for less."""
+
+MAX_HOLD = 0.5
+"""Longest time in seconds for which a reported account doesn't decay yet: half
+of the interval between the full updates of the slowest reporter."""
+
 ELSEWHERE: SourceKey = (messages.LoadScope.ELSEWHERE, "", 0)
 """Key of the load of all other failure domains, as summed up by a delegate."""
 
@@ -43,13 +61,14 @@
         incarnation: Incarnation of the reporting process.
         sequence: Sequence number of the last message.
         heard_at: When the last message was received.
-        updated_at: When the last full update was received. Team usage and
-            floors are this old; deltas leave them as they are.
+        updated_at: When the last full update would have been received if it
+            had not been late. Team usage and floors are this old; deltas leave
+            them as they are.
         parts: Number of parts in which the load of its failure domain is
             reported.
         covers: Number of routers whose load is included.
         loads: Load of these routers at upstreams, by upstream name.
-        services: Service that these routers gave to teams, by service.
+        services: Service that these routers gave to teams.
         tables: Further sums of these routers.
     """
 
@@ -63,7 +82,7 @@
     loads: dict[str, messages.UpstreamLoad] = dataclasses.field(
         default_factory=dict
     )
-    services: dict[str, tuple[messages.TeamService, ...]] = dataclasses.field(
+    services: reported_services.Amounts = dataclasses.field(
         default_factory=dict
     )
     tables: tuple[messages.SumTable, ...] = ()
@@ -87,7 +106,7 @@
             upstream, by upstream name. Upstreams that no team waits for are
             left out.
         short_floors: The same for teams that had a request refused recently.
-        services: Service received by teams, by service.
+        services: Service received by teams.
         sums: Sums of the sources' tables.
     """
 
@@ -97,8 +116,8 @@
     loads: dict[str, upstreams.Load] = dataclasses.field(default_factory=dict)
     floors: dict[str, int] = dataclasses.field(default_factory=dict)
     short_floors: dict[str, int] = dataclasses.field(default_factory=dict)
-    services: dict[str, collections.Counter[str]] = dataclasses.field(
-        default_factory=dict
+    services: reported_services.ReportedServices = dataclasses.field(
+        default_factory=reported_services.ReportedServices
     )
     sums: shared_sums.Sums = dataclasses.field(default_factory=dict)
 
@@ -121,7 +140,11 @@
 
 
 def apply_report(
-    totals: Totals, key: SourceKey, now: float, envelope: messages.Envelope
+    totals: Totals,
+    key: SourceKey,
+    now: float,
+    envelope: messages.Envelope,
+    lateness: float = 0.0,
 ) -> set[str] | None:
     """Applies a report to its source and to the sums.
 
@@ -130,6 +153,7 @@
         key: Key of the reported load.
         now: Current time of this process's clock.
         envelope: A `RouterLoad` and its sender.
+        lateness: Seconds that the message was longer on its way than others.
 
     Returns:
         Names of the upstreams whose load may have changed; None if the message
@@ -139,15 +163,20 @@
     source = _get_or_create_source(totals, key, envelope)
     if source is None:
         return None
-    reported = {entry.upstream: entry for entry in load.upstreams}
+    entries = load.upstreams
+    if lateness >= MAX_REPORT_AGE:
+        entries = map(_remove_floors, entries)
+    reported = {entry.upstream: entry for entry in entries}
     changed = reported.keys() | (source.loads.keys() if load.whole else set())
     source.heard_at, source.sequence = now, load.sequence
     source.parts, source.covers = load.parts, load.covers
     before = {name: source.loads.get(name, _NO_LOAD) for name in changed}
     if load.whole:
-        source.updated_at = now
+        interval = now - lateness - source.updated_at
+        source.updated_at = now - lateness
         source.loads = reported
-        _replace_services(totals, source, load.services)
+        half_interval = min(max(0.0, interval / 2), MAX_HOLD)
+        _replace_services(totals, source, now, load.services, half_interval)
         _replace_tables(totals, source, load.tables)
     else:
         source.loads |= reported
@@ -184,7 +213,7 @@
         return None
     if known is None:
         known = totals.sources[key] = LoadSource(
-            sender, incarnation, 0, 0.0, 0.0
+            sender, incarnation, 0, 0.0, math.inf
         )
     known.reporter, known.incarnation = sender, incarnation
     return known
@@ -248,20 +277,28 @@
 def _replace_services(
     totals: Totals,
     source: LoadSource,
+    now: float,
     services: Iterable[messages.ServiceDemand],
+    hold: float,
 ) -> None:
-    """Replaces a source's team usage and updates the sums."""
-    for service, teams in source.services.items():
-        received = totals.services[service]
-        for entry in teams:
-            received[entry.team] -= entry.amount
-            if not received[entry.team]:
-                del received[entry.team]
-    source.services = {demand.service: demand.teams for demand in services}
-    for service, teams in source.services.items():
-        received = totals.services.setdefault(service, collections.Counter())
-        for entry in teams:
-            received[entry.team] += entry.amount
+    """Replaces a source's team usage and updates the sums.
+
+    What the source gives until its next report is unknown to this router. A
+    team that is served steadily makes up for the decay, so the amounts hold for
+    half of the usual interval: on average over it they are neither too high nor
+    too low, and teams that other routers serve don't look less served.
+    """
+    sources = list(totals.sources.values())
+    moved = reported_services.move_epoch(
+        totals.services, (one.services for one in sources), now
+    )
+    for one, amounts in zip(sources, moved, strict=True):
+        one.services = amounts
+    new = reported_services.convert_report(
+        totals.services, services, source.updated_at + hold
+    )
+    reported_services.replace_amounts(totals.services, source.services, new)
+    source.services = new
 
 
 def _replace_tables(
@@ -335,6 +372,53 @@
     return bool(silent)
 
 
+def drop_old_floors(totals: Totals, now: float) -> bool:
+    """Drops the floors of sources without a full update for `MAX_REPORT_AGE`.
+
+    Args:
+        totals: The sums; changed.
+        now: Current time of this process's clock.
+
+    Returns:
+        Whether any floor was dropped.
+    """
+    old_floors = [
+        (source, name, entry)
+        for source in totals.sources.values()
+        if now - source.updated_at >= MAX_REPORT_AGE
+        for name, entry in source.loads.items()
+        if max(entry.floor, entry.short_floor) >= 0
+    ]
+    for source, name, entry in old_floors:
+        source.loads[name] = _remove_floors(entry)
+        _update_floors(totals, name, entry, source.loads[name])
+    return bool(old_floors)
+
+
+def is_current(totals: Totals, now: float) -> bool:
+    """Returns whether the team usage of at least half of the others is known.
+
+    Example:
+        >>> one = LoadSource("front-2", 1, 1, heard_at=2.0, updated_at=0.0)
+        >>> totals = Totals({(messages.LoadScope.ROUTER, "front-2", 0): one})
+        >>> is_current(totals, 1.0), is_current(totals, 2.0)
+        (True, False)
+        >>> is_current(Totals(), 2.0)
+        True
+    """
+    covered = sum(source.covers for source in totals.sources.values())
+    current = sum(
+        source.covers
+        for source in totals.sources.values()
+        if now - source.updated_at < MAX_REPORT_AGE
+    )
+    return 2 * current >= covered
+
+
+def _remove_floors(entry: messages.UpstreamLoad) -> messages.UpstreamLoad:
+    return msgspec.structs.replace(entry, floor=-1, short_floor=-1)
+
+
 def drop_sources(totals: Totals, keys: Collection[SourceKey]) -> None:
     """Drops sources, then recomputes each affected floor once."""
     dropped = [totals.sources.pop(key) for key in keys]
@@ -344,7 +428,7 @@
         for entry in dropped_source.loads.values()
     ]
     for source in dropped:
-        _replace_services(totals, source, ())
+        reported_services.replace_amounts(totals.services, source.services, {})
         _replace_tables(totals, source, ())
     for entry in entries:
         _update_load(totals, entry.upstream, entry, _NO_LOAD)
@@ -412,12 +496,11 @@
     )
 
 
-def list_services(source: LoadSource) -> list[messages.ServiceDemand]:
-    """Lists by service what the routers of a source gave to teams."""
-    return [
-        messages.ServiceDemand(service, teams)
-        for service, teams in source.services.items()
-    ]
+def list_services(
+    totals: Totals, source: LoadSource, now: float
+) -> list[messages.ServiceDemand]:
+    """Lists by service what a source gave to teams, as of now."""
+    return reported_services.list_amounts(totals.services, source.services, now)
 
 
 def apply_totals(
@@ -453,7 +536,7 @@
     """Copies the other routers' team usage to the state's accounts."""
     for accounts in state.accounts.values():
         accounts.peer_received = {}
-    for service, received in totals.services.items():
-        state_module.get_or_create_accounts(
-            state, service
-        ).peer_received = received
+    for service, received in totals.services.sums.items():
+        accounts = state_module.get_or_create_accounts(state, service)
+        accounts.peer_received = received
+        accounts.peer_epoch = totals.services.epoch
--- a/sycamorefall/messages/loads.py
+++ b/sycamorefall/messages/loads.py
@@ -200,6 +200,8 @@
         parts: Number of parts in which the failure domain is reported.
         covers: Number of routers whose load is included.
         tables: Further sums of these routers; only in full updates.
+        sent_ms: Time of the sender's clock in milliseconds, from which the
+            receiver tells how long the message was on its way; 0 if unknown.
     """
 
     sequence: int
@@ -217,6 +219,7 @@
     parts: int = 1
     covers: int = 1
     tables: tuple[SumTable, ...] = ()
+    sent_ms: int = 0
 
 
 class SuspectRecord(msgspec.Struct, frozen=True, array_like=True):
