A process that is behind waits for the messages that queue

Messages of other routers were handled up to 3.7 s after they were sent at a VM without processor time: the thread that reads the socket ran only while the loop waited, and fetched one message of each peer then, a dozen in 0.7 s, while the others queued behind, oldest first.

While a live router's messages are more than 0.1 s late, the loop waits up to 2 ms for each next one, for at most 0.05 s an event. test_control_backlog.py failed before (no message was handled).

--- a/sycamorefall/direct/daemon.py
+++ b/sycamorefall/direct/daemon.py
@@ -267,6 +267,9 @@
         lambda name: exchange_module.classify_domain(
             load_exchange, state, name
         ),
+        lambda: exchange_module.is_behind(
+            load_exchange, transport.read_clock()
+        ),
     ).register(loop)
     control.attach(poller)
     proxy = relay.Proxy(state, client, dialect)
--- a/sycamorefall/transport/control.py
+++ b/sycamorefall/transport/control.py
@@ -22,6 +22,7 @@
     names,
     observation,
 )
+from sycamorefall.transport import loop
 
 SEND_BUFFER = 256
 """Maximum number of messages that wait for a slow or unreachable peer."""
@@ -35,6 +36,13 @@
 MAX_READS_PER_EVENT = 256
 """Maximum number of messages read before the loop handles other events."""
 
+CATCH_UP_TIME = 0.05
+"""Seconds for which a process that is behind waits for further messages before
+the loop handles other events."""
+
+CATCH_UP_WAIT_MS = 2
+"""Milliseconds for which it waits for a single one."""
+
 
 class _Link:
     """A socket that sends to one peer."""
@@ -78,6 +86,7 @@
         authenticator: authentication.Authenticator,
         on_unknown_names: Callable[[messages.Envelope], None] = lambda _: None,
         classify_domain: Callable[[str], str] = lambda _: "",
+        is_behind: Callable[[], bool] = lambda: False,
     ):
         """Opens the listening socket.
 
@@ -90,6 +99,8 @@
                 of undefined names, before its sender is asked to define them.
             classify_domain: Returns the label of a peer's failure domain by VM
                 name; bytes sent are counted by it.
+            is_behind: Returns whether the messages handled last were sent long
+                ago.
 
         Raises:
             errors.AddressInUse: The address can't be bound.
@@ -99,6 +110,7 @@
         self._on_envelope = on_envelope
         self._on_unknown_names = on_unknown_names
         self._classify_domain = classify_domain
+        self._is_behind = is_behind
         self._authenticator = authenticator
         self._links: dict[str, _Link] = {}
         self.bytes_sent = 0
@@ -112,7 +124,9 @@
         self.unopened = 0
         self._names = names.NameTable()
         self._last_sent: messages.Envelope | None = None
-        self._inbox = pynng.Pull0(recv_buffer_size=RECEIVE_BUFFER)
+        self._inbox = pynng.Pull0(
+            recv_buffer_size=RECEIVE_BUFFER, recv_timeout=CATCH_UP_WAIT_MS
+        )
         try:
             self._inbox.listen(f"tcp://{listen}")
         except pynng.NNGException as error:
@@ -211,13 +225,32 @@
 
     @circuits.handler("_read")
     def _on_read(self, _) -> None:
+        started_at = loop.read_clock()
         for _ in range(MAX_READS_PER_EVENT):
-            try:
-                data = self._inbox.recv(block=False)
-            except pynng.NNGException:
+            data = self._receive()
+            if data is None and self._is_behind():
+                data = self._await_message(started_at)
+            if data is None:
                 return
             self._handle_message(data)
 
+    def _receive(self, block: bool = False) -> bytes | None:
+        try:
+            return self._inbox.recv(block=block)
+        except pynng.NNGException:
+            return None
+
+    def _await_message(self, started_at: float) -> bytes | None:
+        """Waits briefly for a message that the socket's thread is to read.
+
+        On a VM without processor time to spare that thread runs only while the
+        loop waits, and fetches one message of each peer. Of the messages that
+        queue behind, the loop would handle ever older ones.
+        """
+        if loop.read_clock() - started_at >= CATCH_UP_TIME:
+            return None
+        return self._receive(block=True)
+
     def _handle_message(self, data: bytes) -> None:
         self.bytes_received += len(data)
         try:
