A bound on how far a team gets ahead of one that is refused

A team got less than half of its share for the third time. Floors keep an engine for a team, at eight engines for a request; nothing kept a team that was far ahead from other engines, and those that count as idle were for whoever asked first.

Routers tell the cost of what they refused of each team, beside what it received. A team is behind if it received less than 0.6 of what it asked, or of what the best served one received, by more than the largest request; while one is, a team that is ahead by more than that gets no room but at engines with most slots free (fair_queue.find_max_ahead). The state of teams that are refused is theirs, so the bound holds whatever engines are lost and whoever begins to flood. Why it was chosen among the ways in docs/design/team-shares.md: with demands told, small teams don't set the limit.

--- a/sycamorefall/direct/backlog.py
+++ b/sycamorefall/direct/backlog.py
@@ -54,11 +54,14 @@
         most: Most cost units that any team received recently.
         least: Fewest cost units that any team received recently that waits here
             or for one of the service's upstreams elsewhere.
+        limit: Cost units above which a team leaves room to teams that are
+            behind; None if no team is behind.
     """
 
     service: str
     most: int
     least: int
+    limit: int | None = None
 
 
 def list_spreads(
@@ -73,7 +76,7 @@
         >>> accounts = state_module.get_or_create_accounts(state, "engine")
         >>> accounts.max_received = 70.0
         >>> list_spreads(state, 0.0)
-        [ServiceSpread(service='engine', most=70, least=20)]
+        [ServiceSpread(service='engine', most=70, least=20, limit=None)]
     """
     spreads = []
     for service, accounts in state.accounts.items():
@@ -88,7 +91,15 @@
         least = min([*floors, *own], default=math.inf)
         if least < math.inf:
             most = int(accounts.max_received)
-            spreads.append(ServiceSpread(service, most, int(least)))
+            limit = accounts.max_ahead
+            spreads.append(
+                ServiceSpread(
+                    service,
+                    most,
+                    int(least),
+                    None if limit == math.inf else int(limit),
+                )
+            )
     return spreads
 
 
--- a/sycamorefall/direct/eligibility.py
+++ b/sycamorefall/direct/eligibility.py
@@ -64,6 +64,7 @@
     SLOTS: All slots of the upstream are occupied.
     MEMORY: Running requests fill the engine's KV cache.
     YIELDS: The engine is left to a waiting team that received less service.
+    AHEAD: The team received far more than one whose requests are refused.
     VERSION: The upstream has another software version than the one that began
         the stream.
     PAUSE: The engine would read prompts for so long between two events of its
@@ -80,6 +81,7 @@
     SLOTS = "slots"
     MEMORY = "memory"
     YIELDS = "yields"
+    AHEAD = "ahead"
     VERSION = "version"
     PAUSE = "pause"
     PACE = "pace"
@@ -116,6 +118,8 @@
             their pauses.
         origin: Origin of the stream that the request goes on with; None if any
             upstream may run it.
+        is_ahead: Whether the team received so much more than one that is
+            refused that it may only use engines with most slots free.
     """
 
     prompt: prompts.Prompt | None
@@ -130,6 +134,7 @@
     max_gap: float = float("inf")
     keep_pauses: bool = False
     origin: int | None = None
+    is_ahead: bool = False
 
 
 def is_excluded(upstream: Upstream, constraints: PlacementConstraints) -> bool:
@@ -161,7 +166,8 @@
         obstacle at every other engine; all engines otherwise.
     """
     all_blocked = (
-        group.max_floor < constraints.yield_below
+        constraints.is_ahead
+        or group.max_floor < constraints.yield_below
         or group.min_queue_seconds > constraints.max_queue_seconds
         or group.min_gap > constraints.max_gap
         or FIRST_TOKEN_OVERHEAD + group.min_queue_seconds
@@ -324,6 +330,8 @@
         and engine_load.unread > engine_load.pending_limit
     ):
         return Obstacle.PAUSE
+    if constraints.is_ahead and not engine_load.spare:
+        return Obstacle.AHEAD
     if engine_load.idle:
         reserved = not engine_load.unreserved and (
             engine_load.upstream.short_floor < constraints.yield_idle_below
@@ -363,7 +371,7 @@
         time.
     """
     obstacle = find_obstacle(engine_load, engine, constraints, is_home)
-    if obstacle is None or obstacle is Obstacle.READS_AGAIN:
+    if obstacle in (None, Obstacle.READS_AGAIN, Obstacle.AHEAD):
         return False
     begins_in = _estimate_response_start(
         engine_load.upstream, constraints.prompt, is_home, 0
--- a/sycamorefall/direct/engine_measurement.py
+++ b/sycamorefall/direct/engine_measurement.py
@@ -56,6 +56,7 @@
         idle: Whether the prefill queue and the batch are below the idle limits.
         unreserved: Whether the engine is idle and open to any team, even if
             another team waits for it at another router.
+        spare: Whether the engine is idle and most of its slots are free.
         gap: Average seconds between two events of its streams; None if unknown,
             0 if most slots are free and few prompts are pending.
         pending_limit: Prompt tokens that may be pending without too long a
@@ -71,6 +72,7 @@
     queue_seconds: float
     idle: bool
     unreserved: bool
+    spare: bool
     gap: float | None = None
     pending_limit: float = math.inf
     single_limit: float = math.inf
@@ -138,6 +140,7 @@
         unread / upstream.prefill_rate,
         idle,
         idle and (not reserved or is_spare),
+        is_spare,
         0.0 if is_spare else stream_pace.estimate_gap(upstream.pace, now),
         upstream.speed.pending_limit if running else math.inf,
         upstream.speed.single_limit if running else math.inf,
--- a/sycamorefall/direct/exchange.py
+++ b/sycamorefall/direct/exchange.py
@@ -51,6 +51,7 @@
     overload,
     prompt_reports,
     receiver_groups,
+    reported_services,
     service_floors,
     shared_sums,
     warmup,
@@ -726,7 +727,7 @@
     group.due = now + min(
         update_interval if loads else IDLE_INTERVAL, IDLE_INTERVAL
     )
-    services = totals_module.sum_services(
+    services = reported_services.sum_demands(
         [
             own_load_module.collect_own_services(state, now),
             *(
@@ -784,7 +785,7 @@
         state,
         now,
         upstreams=tuple(loads.values()),
-        services=totals_module.sum_services(
+        services=reported_services.sum_demands(
             totals_module.list_services(exchange.totals, source, now)
             for source in sources
         ),
--- a/sycamorefall/direct/fair_queue.py
+++ b/sycamorefall/direct/fair_queue.py
@@ -10,12 +10,14 @@
     "add_request",
     "charge_team",
     "collect_own_received",
+    "collect_own_unmet",
     "compute_peer_received",
     "compute_received",
     "compute_relative_share",
     "count_waiting",
     "decay",
     "drop_expired_refusals",
+    "find_max_ahead",
     "find_max_received",
     "list_candidates",
     "order_teams",
@@ -28,6 +30,7 @@
 from collections.abc import Callable, Iterator
 import dataclasses
 import itertools
+import math
 
 ACCOUNT_HALF_LIFE = 1.5
 """Half-life in seconds of the service charged to a team: about the length of a
@@ -65,6 +68,15 @@
             last computed.
         refused_at: When this router last refused a request for lack of
             capacity, by team.
+        own_unmet: Cost of requests that this router refused for lack of
+            capacity and the time of its last update, by team; it decays like
+            service.
+        peer_unmet: The same of the other routers, by team, as of `peer_epoch`.
+        largest_cost: Largest cost of a request that this router sent or
+            refused.
+        max_ahead: Most service with which a team may use engines that have
+            less than most slots free, as last computed; infinity if no team is
+            behind.
     """
 
     own_received: dict[str, tuple[float, float]] = dataclasses.field(
@@ -74,6 +86,12 @@
     peer_epoch: float = 0.0
     max_received: float = 0.0
     refused_at: dict[str, float] = dataclasses.field(default_factory=dict)
+    own_unmet: dict[str, tuple[float, float]] = dataclasses.field(
+        default_factory=dict
+    )
+    peer_unmet: dict[str, float] = dataclasses.field(default_factory=dict)
+    largest_cost: float = 0.0
+    max_ahead: float = math.inf
 
 
 @dataclasses.dataclass(slots=True)
@@ -95,6 +113,7 @@
     accounts: TeamAccounts, now: float, team: str, cost: float
 ) -> None:
     """Adds the cost units of a request to a team's service."""
+    accounts.largest_cost = max(accounts.largest_cost, cost)
     accounts.own_received[team] = (
         _compute_own_received(accounts, now, team) + cost,
         now,
@@ -217,9 +236,90 @@
     )
 
 
-def record_refusal(accounts: TeamAccounts, now: float, team: str) -> None:
+def record_refusal(
+    accounts: TeamAccounts, now: float, team: str, cost: float = 0.0
+) -> None:
     """Records that a request of a team was refused for lack of capacity."""
     accounts.refused_at[team] = now
+    accounts.largest_cost = max(accounts.largest_cost, cost)
+    accounts.own_unmet[team] = (
+        _compute_own_unmet(accounts, now, team) + cost,
+        now,
+    )
+
+
+def _compute_own_unmet(accounts: TeamAccounts, now: float, team: str) -> float:
+    amount, updated_at = accounts.own_unmet.get(team, (0.0, now))
+    return decay(amount, max(0.0, now - updated_at))
+
+
+def collect_own_unmet(accounts: TeamAccounts, now: float) -> dict[str, float]:
+    """Computes what this router recently refused, in cost units by team.
+
+    Teams with less than one cost unit are dropped from the accounts; the result
+    still includes them.
+    """
+    amounts = {
+        team: _compute_own_unmet(accounts, now, team)
+        for team in accounts.own_unmet
+    }
+    for team in [team for team, amount in amounts.items() if amount < 1.0]:
+        del accounts.own_unmet[team]
+    return amounts
+
+
+def find_max_ahead(
+    accounts: TeamAccounts, now: float, own_unmet: dict[str, float]
+) -> float:
+    """Finds how much service a team may have while another one is behind.
+
+    A team is behind if it received less than `IDLE_UNDERSERVED_SHARE` of what
+    it asked for, or of what the best served team received if that is less, by
+    more than the largest request. A team with a larger lead than that leaves
+    all room to others, so leads are bounded by what engines begin until all
+    routers know of them.
+
+    Args:
+        accounts: Service of the teams.
+        now: Current time of this process's clock.
+        own_unmet: What this router refused, from `collect_own_unmet`.
+
+    Returns:
+        Cost units; infinity if no team is behind.
+
+    Example:
+        >>> accounts = TeamAccounts(max_received=1000.0)
+        >>> charge_team(accounts, 0.0, "mill", 60.0)
+        >>> find_max_ahead(accounts, 0.0, {"mill": 40.0})
+        inf
+        >>> find_max_ahead(accounts, 0.0, {"mill": 400.0})
+        200.0
+    """
+    limits = (
+        (
+            compute_received(accounts, now, team) + accounts.largest_cost,
+            own_unmet.get(team, 0.0) + _compute_peer_unmet(accounts, now, team),
+        )
+        for team in own_unmet.keys() | accounts.peer_unmet.keys()
+    )
+    return min(
+        (
+            with_request / IDLE_UNDERSERVED_SHARE
+            for with_request, unmet in limits
+            if with_request
+            < IDLE_UNDERSERVED_SHARE
+            * min(
+                with_request - accounts.largest_cost + unmet,
+                accounts.max_received,
+            )
+        ),
+        default=math.inf,
+    )
+
+
+def _compute_peer_unmet(accounts: TeamAccounts, now: float, team: str) -> float:
+    reported = accounts.peer_unmet.get(team)
+    return decay(reported, now - accounts.peer_epoch) if reported else 0.0
 
 
 def drop_expired_refusals(accounts: TeamAccounts, now: float) -> None:
--- a/sycamorefall/direct/outcomes.py
+++ b/sycamorefall/direct/outcomes.py
@@ -34,6 +34,7 @@
     fair_queue,
     fingerprints,
     overload,
+    prompts,
     speed,
     stream_origins,
     stream_pace,
@@ -727,7 +728,8 @@
             accounts = state_module.get_or_create_accounts(
                 state, request.service
             )
-            fair_queue.record_refusal(accounts, now, request.team)
+            cost = prompts.compute_cost(request.incoming.prompt)
+            fair_queue.record_refusal(accounts, now, request.team, cost)
         refusal = dispatching.explain_refusal(state, now, request)
         return [effects.AnswerError(request.number, kind, retry_after, refusal)]
     if request.route.kind is catalog.RouteKind.IDEMPOTENT:
--- a/sycamorefall/direct/own_load.py
+++ b/sycamorefall/direct/own_load.py
@@ -54,11 +54,11 @@
 def collect_own_services(
     state: state_module.DirectState, now: float
 ) -> tuple[messages.ServiceDemand, ...]:
-    """Lists by service what this router recently gave to teams.
+    """Lists by service what this router recently gave to teams and refused.
 
-    Also updates `TeamAccounts.max_received`, the service that the best served
-    team received from all routers, and removes accounts and refusals that
-    expired.
+    Also updates what follows from the accounts of all routers,
+    `TeamAccounts.max_received` and `TeamAccounts.max_ahead`, and removes
+    accounts and refusals that expired.
     """
     return tuple(
         _build_service(state, now, service) for service in state.accounts
@@ -70,11 +70,17 @@
 ) -> messages.ServiceDemand:
     accounts = state.accounts[service]
     amounts = fair_queue.collect_own_received(accounts, now)
+    unmet = fair_queue.collect_own_unmet(accounts, now)
+    both = (
+        (team, amounts.get(team, 0.0), unmet.get(team, 0.0))
+        for team in amounts.keys() | unmet.keys()
+    )
     teams = tuple(
-        messages.TeamService(team, int(amount))
-        for team, amount in amounts.items()
-        if amount >= MIN_REPORTED_AMOUNT
+        messages.TeamService(team, int(received), int(refused))
+        for team, received, refused in both
+        if max(received, refused) >= MIN_REPORTED_AMOUNT
     )
     accounts.max_received = fair_queue.find_max_received(accounts, now, amounts)
+    accounts.max_ahead = fair_queue.find_max_ahead(accounts, now, unmet)
     fair_queue.drop_expired_refusals(accounts, now)
     return messages.ServiceDemand(service, teams)
--- a/sycamorefall/direct/placement_constraints.py
+++ b/sycamorefall/direct/placement_constraints.py
@@ -67,6 +67,7 @@
         else _find_max_gap(state, now, request.service),
         keep_pauses=not has_waited_long,
         origin=request.origin,
+        is_ahead=state.knows_others and received > accounts.max_ahead,
     )
 
 
--- a/sycamorefall/direct/reported_services.py
+++ b/sycamorefall/direct/reported_services.py
@@ -1,29 +1,44 @@
-"""Sums of the service that other routers gave to teams, as they reported it.
+"""Sums of what other routers gave to teams and refused them, as they reported.
 
-Service decays with the same half-life at all routers, so a reported amount can
-be converted to any later time. Amounts are kept as of one time, the epoch, in
+Both decay with the same half-life at all routers, so a reported amount can be
+converted to any later time. Amounts are kept as of one time, the epoch, in
 which form they don't change: a router that receives no report any more believes
 less and less, and never more than what was given.
 """
 
 __all__ = [
     "Amounts",
+    "Kind",
     "ReportedServices",
     "convert_report",
     "list_amounts",
     "move_epoch",
     "replace_amounts",
+    "sum_demands",
 ]
 
 import collections
 from collections.abc import Iterable
 import dataclasses
+import enum
 
 from sycamorefall import messages
 from sycamorefall.direct import fair_queue
 
-Amounts = dict[str, dict[str, int]]
-"""Service as of the epoch by service, then by team."""
+
+class Kind(enum.Enum):
+    """What an amount counts.
+
+    RECEIVED: Service that a team received.
+    UNMET: Cost of a team's requests that were refused for lack of capacity.
+    """
+
+    RECEIVED = "received"
+    UNMET = "unmet"
+
+
+Amounts = dict[tuple[str, Kind], dict[str, int]]
+"""Cost units as of the epoch by service and kind, then by team."""
 
 MAX_HALF_LIVES = 64
 """Half-lives from the epoch at which it is moved, so that amounts as of the
@@ -32,7 +47,7 @@
 
 @dataclasses.dataclass(slots=True)
 class ReportedServices:
-    """Service that all other routers gave to teams.
+    """Service and refusals of all other routers.
 
     Amounts are integers, so sums that are updated by differences have no
     rounding errors.
@@ -40,11 +55,11 @@
     Attributes:
         epoch: Time of this process's clock as of which amounts are kept; None
             before the first report.
-        sums: Service as of the epoch by service, then by team.
+        sums: Cost units as of the epoch by service and kind, then by team.
     """
 
     epoch: float | None = None
-    sums: dict[str, collections.Counter[str]] = dataclasses.field(
+    sums: dict[tuple[str, Kind], collections.Counter[str]] = dataclasses.field(
         default_factory=dict
     )
 
@@ -54,38 +69,43 @@
     services: Iterable[messages.ServiceDemand],
     measured_at: float,
 ) -> Amounts:
-    """Converts reported service to amounts as of the epoch.
+    """Converts a report to amounts as of the epoch.
 
     Args:
         reported: The sums; their epoch is set by the first report.
-        services: The reported service.
-        measured_at: Time of this process's clock as of which it was reported.
+        services: The report.
+        measured_at: Time of this process's clock as of which it was made.
     """
     if reported.epoch is None:
         reported.epoch = measured_at
     scale = 1 / fair_queue.decay(1.0, measured_at - reported.epoch)
-    return {
-        demand.service: {
-            entry.team: round(entry.amount * scale) for entry in demand.teams
-        }
-        for demand in services
-    }
+    amounts: Amounts = {}
+    for demand in services:
+        for entry in demand.teams:
+            for kind, amount in (
+                (Kind.RECEIVED, entry.amount),
+                (Kind.UNMET, entry.unmet),
+            ):
+                if amount:
+                    teams = amounts.setdefault((demand.service, kind), {})
+                    teams[entry.team] = round(amount * scale)
+    return amounts
 
 
 def replace_amounts(
     reported: ReportedServices, old: Amounts, new: Amounts
 ) -> None:
     """Replaces the amounts of one source in the sums."""
-    for service, teams in old.items():
-        received = reported.sums[service]
+    for key, teams in old.items():
+        known = reported.sums[key]
         for team, amount in teams.items():
-            received[team] -= amount
-            if not received[team]:
-                del received[team]
-    for service, teams in new.items():
-        received = reported.sums.setdefault(service, collections.Counter())
+            known[team] -= amount
+            if not known[team]:
+                del known[team]
+    for key, teams in new.items():
+        known = reported.sums.setdefault(key, collections.Counter())
         for team, amount in teams.items():
-            received[team] += amount
+            known[team] += amount
 
 
 def move_epoch(
@@ -109,11 +129,11 @@
     reported.epoch += steps * step
     moved = [
         {
-            service: {
+            key: {
                 team: amount >> steps * MAX_HALF_LIVES
                 for team, amount in teams.items()
             }
-            for service, teams in amounts.items()
+            for key, teams in amounts.items()
         }
         for amounts in known
     ]
@@ -125,18 +145,53 @@
 
 def list_amounts(
     reported: ReportedServices, amounts: Amounts, now: float
-) -> list[messages.ServiceDemand]:
-    """Lists the service of one source as of now."""
+) -> tuple[messages.ServiceDemand, ...]:
+    """Lists the amounts of one source as of now, to be passed on."""
     if reported.epoch is None:
-        return []
+        return ()
     scale = fair_queue.decay(1.0, now - reported.epoch)
-    return [
+    return sum_demands(
+        (
+            messages.ServiceDemand(
+                service,
+                tuple(
+                    messages.TeamService(team, int(amount * scale))
+                    if kind is Kind.RECEIVED
+                    else messages.TeamService(team, 0, int(amount * scale))
+                    for team, amount in teams.items()
+                ),
+            ),
+        )
+        for (service, kind), teams in amounts.items()
+    )
+
+
+def sum_demands(
+    parts: Iterable[Iterable[messages.ServiceDemand]],
+) -> tuple[messages.ServiceDemand, ...]:
+    """Sums up by service and team what several routers gave and refused.
+
+    Example:
+        >>> one = messages.ServiceDemand(
+        ...     "engine", (messages.TeamService("mill", 10, 5),)
+        ... )
+        >>> sum_demands([[one], [one]])[0].teams
+        (TeamService(team='mill', amount=20, unmet=10),)
+    """
+    sums: dict[str, dict[str, tuple[int, int]]] = {}
+    for demands in parts:
+        for demand in demands:
+            teams = sums.setdefault(demand.service, {})
+            for entry in demand.teams:
+                amount, unmet = teams.get(entry.team, (0, 0))
+                teams[entry.team] = amount + entry.amount, unmet + entry.unmet
+    return tuple(
         messages.ServiceDemand(
             service,
             tuple(
-                messages.TeamService(team, int(amount * scale))
-                for team, amount in teams.items()
+                messages.TeamService(team, *both)
+                for team, both in teams.items()
             ),
         )
-        for service, teams in amounts.items()
-    ]
+        for service, teams in sums.items()
+    )
--- a/sycamorefall/direct/totals.py
+++ b/sycamorefall/direct/totals.py
@@ -16,10 +16,8 @@
     "list_services",
     "list_source_keys",
     "sum_loads",
-    "sum_services",
 ]
 
-import collections
 from collections.abc import Callable, Collection, Iterable, Set
 import dataclasses
 import math
@@ -477,29 +475,10 @@
     return min((floor for floor in floors if floor >= 0), default=-1)
 
 
-def sum_services(
-    parts: Iterable[Iterable[messages.ServiceDemand]],
-) -> tuple[messages.ServiceDemand, ...]:
-    """Sums up by service what several routers gave to teams."""
-    sums: dict[str, collections.Counter[str]] = {}
-    for services in parts:
-        for service in services:
-            received = sums.setdefault(service.service, collections.Counter())
-            for entry in service.teams:
-                received[entry.team] += entry.amount
-    return tuple(
-        messages.ServiceDemand(
-            service,
-            tuple(messages.TeamService(*entry) for entry in received.items()),
-        )
-        for service, received in sums.items()
-    )
-
-
 def list_services(
     totals: Totals, source: LoadSource, now: float
-) -> list[messages.ServiceDemand]:
-    """Lists by service what a source gave to teams, as of now."""
+) -> tuple[messages.ServiceDemand, ...]:
+    """Lists by service what a source gave to teams and refused, as of now."""
     return reported_services.list_amounts(totals.services, source.services, now)
 
 
@@ -536,7 +515,11 @@
     """Copies the other routers' team usage to the state's accounts."""
     for accounts in state.accounts.values():
         accounts.peer_received = {}
-    for service, received in totals.services.sums.items():
+        accounts.peer_unmet = {}
+    for (service, kind), amounts in totals.services.sums.items():
         accounts = state_module.get_or_create_accounts(state, service)
-        accounts.peer_received = received
         accounts.peer_epoch = totals.services.epoch
+        if kind is reported_services.Kind.RECEIVED:
+            accounts.peer_received = amounts
+        else:
+            accounts.peer_unmet = amounts
--- a/sycamorefall/messages/loads.py
+++ b/sycamorefall/messages/loads.py
@@ -66,15 +66,18 @@
 
 
 class TeamService(msgspec.Struct, frozen=True, array_like=True):
-    """Service that a team recently received.
+    """Service that a team recently received, and what it was refused.
 
     Attributes:
         team: Name of the team.
         amount: The service in cost units.
+        unmet: Cost units of requests that were recently refused for lack of
+            capacity.
     """
 
     team: Name
     amount: int
+    unmet: int = 0
 
 
 class ServiceDemand(msgspec.Struct, frozen=True, array_like=True):
--- a/sycamorefall/names.py
+++ b/sycamorefall/names.py
@@ -367,7 +367,9 @@
         messages.ServiceDemand(
             map_name(demand.service),
             tuple(
-                messages.TeamService(map_name(entry.team), entry.amount)
+                messages.TeamService(
+                    map_name(entry.team), entry.amount, entry.unmet
+                )
                 for entry in demand.teams
             ),
         )
