--- a/benchmarks/crowds.py
+++ b/benchmarks/crowds.py
@@ -5,7 +5,11 @@
 of the routers, some of which lose power.
 """
 
-__all__ = ["create_crowded_site", "create_site_with_lost_updates"]
+__all__ = [
+    "create_crowded_site",
+    "create_site_that_loses_engines",
+    "create_site_with_lost_updates",
+]
 
 import dataclasses
 import random
@@ -25,6 +29,11 @@
 """Factors by which one of the smaller and one of the larger teams exceeds its
 usual rate."""
 
+LOST_ENGINES = 10
+"""Engines that are lost in both waves together."""
+
+SURGING_TEAMS, SURGE_FACTOR = 10, 12.0
+
 _KINDS = (
     site.RequestKind(
         "draft",
@@ -130,3 +139,32 @@
         entries=tuple(entries),
         lost_updates=(site.LostUpdates(router, 2.0, crowd.seconds),),
     )
+
+
+def create_site_that_loses_engines(seed: int) -> site.Site:
+    """Creates a site that loses engines in two waves while teams surge.
+
+    It is asked for less than its engines do before, and for several times as
+    much afterwards.
+
+    Args:
+        seed: Seed of the teams, their routers and their requests.
+    """
+    crowd = create_crowded_site(seed, stated_rate=0.6)
+    rng = random.Random(seed)
+    lost = rng.sample(range(ENGINES), LOST_ENGINES)
+    surging = rng.sample(range(TEAMS), SURGING_TEAMS)
+    return dataclasses.replace(
+        crowd,
+        kinds=tuple(
+            dataclasses.replace(kind, rate=0.3 * kind.rate)
+            for kind in crowd.kinds
+        ),
+        power_losses=(),
+        engine_losses=tuple(
+            site.EngineLoss(engine, at, at + 1.0)
+            for wave, at in ((lost[::2], 2.0), (lost[1::2], 4.3))
+            for engine in wave
+        ),
+        surges=tuple(site.Surge(team, 2.5, SURGE_FACTOR) for team in surging),
+    )
--- a/benchmarks/site.py
+++ b/benchmarks/site.py
@@ -9,16 +9,18 @@
 """
 
 __all__ = [
+    "EngineLoss",
     "Figures",
     "LostUpdates",
     "PowerLoss",
     "RequestKind",
     "Site",
+    "Surge",
     "run_site",
 ]
 
 import collections
-from collections.abc import Iterable
+from collections.abc import Iterable, Sequence
 import dataclasses
 import heapq
 import itertools
@@ -108,6 +110,36 @@
     until: float
 
 
+@dataclasses.dataclass(slots=True, frozen=True)
+class EngineLoss:
+    """Loss of an engine for good, with all that runs there.
+
+    Attributes:
+        engine: Number of the engine.
+        at: Time of the loss, in seconds.
+        listed_until: Time from which routers no longer list it, in seconds.
+    """
+
+    engine: int
+    at: float
+    listed_until: float
+
+
+@dataclasses.dataclass(slots=True, frozen=True)
+class Surge:
+    """A team that sends more from some time on.
+
+    Attributes:
+        team: Number of the team.
+        at: Start of the surge, in seconds.
+        factor: Its request rate from then on, relative to the one before.
+    """
+
+    team: int
+    at: float
+    factor: float
+
+
 @dataclasses.dataclass(slots=True, frozen=True)
 class LostUpdates:
     """An interval in which a router receives deltas but no full updates.
@@ -151,6 +183,8 @@
         weights: Request rate of each team relative to the others.
         separate_parts: Whether each team has its own shared parts.
         power_losses: Power losses of routers.
+        engine_losses: Losses of engines.
+        surges: Surges of teams' requests.
         lost_updates: Intervals in which routers receive no full updates.
         seconds: Duration in which callers send requests.
         seed: Seed of all random choices.
@@ -172,6 +206,8 @@
     weights: tuple[float, ...] = ()
     separate_parts: bool = False
     power_losses: tuple[PowerLoss, ...] = ()
+    engine_losses: tuple[EngineLoss, ...] = ()
+    surges: tuple[Surge, ...] = ()
     lost_updates: tuple[LostUpdates, ...] = ()
     seconds: float = 12.0
     seed: int = 1
@@ -224,6 +260,7 @@
         cache: Contents of its cache.
         free_at: Time at which it has computed all prompts in its queue.
         batch: Its batch, if the site has `batching`.
+        alive: Whether it answers.
     """
 
     name: str
@@ -232,6 +269,7 @@
     )
     free_at: float = 0.0
     batch: batches.Batch = dataclasses.field(default_factory=batches.Batch)
+    alive: bool = True
 
 
 @dataclasses.dataclass(slots=True)
@@ -322,6 +360,9 @@
             router = self.routers[loss.router]
             self.schedule(loss.at, _power_off, router)
             self.schedule(loss.until, _restart, self, router, loss.router)
+        for loss in self.site.engine_losses:
+            self.schedule(loss.at, _lose_engine, self, loss)
+            self.schedule(loss.listed_until, _update_listings, self)
         end = self.site.seconds + max(k.target for k in self.site.kinds) + 2.0
         while self.events and self.events[0][0] < end:
             self.now, _, action, arguments = heapq.heappop(self.events)
@@ -341,7 +382,26 @@
     return _Simulation(site).run()
 
 
-def _create_router(site: Site, number: int) -> _Router:
+def _list_engines(site: Site, now: float) -> list[upstreams.UpstreamEntry]:
+    gone = {
+        loss.engine for loss in site.engine_losses if loss.listed_until <= now
+    }
+    return [
+        upstreams.UpstreamEntry(
+            f"e{n}",
+            SERVICE,
+            settings.Address("127.0.0.1", n + 1),
+            f"domain-{n % site.domains}",
+            site.slots,
+            False,
+            software_version="v1",
+        )
+        for n in range(site.engines)
+        if n not in gone
+    ]
+
+
+def _create_router(site: Site, number: int, now: float = 0.0) -> _Router:
     name = f"front-{number}"
     domain = f"domain-{number % site.domains}"
     state = state_module.create_state(
@@ -370,19 +430,7 @@
         site.stated_rate * site.engines * site.prefill_rate,
     )
     core.apply_catalog(state, 0.0, fleet_catalog)
-    listing = [
-        upstreams.UpstreamEntry(
-            f"e{n}",
-            SERVICE,
-            settings.Address("127.0.0.1", n + 1),
-            f"domain-{n % site.domains}",
-            site.slots,
-            False,
-            software_version="v1",
-        )
-        for n in range(site.engines)
-    ]
-    core.apply_listing(state, 0.0, listing)
+    core.apply_listing(state, now, _list_engines(site, now))
     seeds = tuple(f"front-{n}" for n in range(site.routers))
     return _Router(name, state, exchange.Exchange(name, name, seeds))
 
@@ -393,7 +441,7 @@
 
 
 def _restart(simulation: _Simulation, router: _Router, number: int) -> None:
-    new = _create_router(simulation.site, number)
+    new = _create_router(simulation.site, number, simulation.now)
     new.load_exchange.started_at = simulation.now
     router.state, router.load_exchange = new.state, new.load_exchange
     router.incarnation += 1
@@ -403,6 +451,34 @@
     router.state.last_number = router.incarnation * NUMBERS_PER_PROCESS
 
 
+def _lose_engine(simulation: _Simulation, loss: EngineLoss) -> None:
+    """Ends all attempts at an engine as broken."""
+    engine = simulation.engines[f"e{loss.engine}"]
+    engine.alive = False
+    runs = [*engine.batch.running, *engine.batch.waiting]
+    engine.batch = batches.Batch()
+    for run in runs:
+        _break_attempt(simulation, run.router, run.number)
+
+
+def _break_attempt(
+    simulation: _Simulation, router: _Router, number: int
+) -> None:
+    if number in router.state.requests:
+        end = outcomes.AttemptEnd.BROKEN
+        _apply_effects(
+            simulation,
+            router,
+            outcomes.end_attempt(router.state, simulation.now, number, end),
+        )
+
+
+def _update_listings(simulation: _Simulation) -> None:
+    listing = _list_engines(simulation.site, simulation.now)
+    for router in simulation.routers:
+        core.apply_listing(router.state, simulation.now, listing)
+
+
 def _schedule_requests(simulation: _Simulation, kind: RequestKind) -> None:
     rng = simulation.random
     sizes = [
@@ -412,11 +488,39 @@
     weights = simulation.site.weights or [
         0.5**n for n in range(simulation.site.teams)
     ]
-    time = rng.expovariate(kind.rate)
+    teams = range(simulation.site.teams)
+    _schedule_stream(simulation, kind, sizes, (teams, weights), 0.0, kind.rate)
+    for surge in simulation.site.surges:
+        share = weights[surge.team] / sum(weights)
+        rate = kind.rate * share * (surge.factor - 1)
+        choice = (surge.team,), (1.0,)
+        _schedule_stream(simulation, kind, sizes, choice, surge.at, rate)
+
+
+def _schedule_stream(
+    simulation: _Simulation,
+    kind: RequestKind,
+    sizes: list[int],
+    choice: tuple[Sequence[int], Sequence[float]],
+    start: float,
+    rate: float,
+) -> None:
+    """Schedules requests of a kind at random times.
+
+    Args:
+        simulation: The simulation.
+        kind: Kind of the requests.
+        sizes: Tokens of each shared part.
+        choice: Numbers of the teams that send them, and their weights.
+        start: Time from which they are sent.
+        rate: Requests per second.
+    """
+    rng = simulation.random
+    time = start + rng.expovariate(rate)
     while time < simulation.site.seconds:
         part = rng.randrange(kind.parts)
         own = _draw_own_tokens(rng, kind)
-        team = rng.choices(range(simulation.site.teams), weights)[0]
+        team = rng.choices(*choice)[0]
         if simulation.site.separate_parts:
             part = _select_team_part(simulation.site, kind, part, team)
         parts = ((f"{kind.name}-{part}", sizes[part]), (f"{time}", own))
@@ -430,7 +534,7 @@
             simulation.figures.shares, time, caller.team, cost
         )
         simulation.schedule(time, _submit_request, simulation, router, caller)
-        time += rng.expovariate(kind.rate)
+        time += rng.expovariate(rate)
 
 
 def _draw_own_tokens(rng: random.Random, kind: RequestKind) -> int:
@@ -564,6 +668,12 @@
     """Queues a prompt at an engine and schedules its first and last token."""
     site, prompt = simulation.site, router.callers[send.request].prompt
     engine = simulation.engines[send.upstream]
+    if not engine.alive:
+        time = simulation.now + MESSAGE_DELAY
+        simulation.schedule(
+            time, _break_attempt, simulation, router, send.request
+        )
+        return
     cached = caches.count_cached_tokens(engine.cache, prompt)
     fetched = 0
     if send.source is not None:
@@ -609,6 +719,8 @@
     simulation: _Simulation, engine: _Engine, step: batches.Step
 ) -> None:
     """Delivers the tokens of a step, then starts the next one."""
+    if not engine.alive:
+        return
     result = batches.end_step(engine.batch, simulation.site.batching, step)
     for run in result.begun:
         _handle_first_token(simulation, run.router, run.number)
