The bound on leads: a module of its own; a made-up size doesn't lift it

A team counts as behind only if it lacks more than the largest request. The largest one was taken from what callers state: one request of 50 million tokens would have lifted the bound at its router for the life of the process. Requests that fit into no engine's memory don't count. test_made_up_size_of_a_request_does_not_lift_the_bound failed before. Amounts that decay are computed in one place (fair_queue).

--- a/sycamorefall/direct/dispatching.py
+++ b/sycamorefall/direct/dispatching.py
@@ -31,6 +31,7 @@
     fetching,
     freshness,
     known_parts,
+    leads,
     placement_constraints,
     prompts,
     speed,
@@ -315,6 +316,7 @@
         accounts = state_module.get_or_create_accounts(state, request.service)
         received = fair_queue.compute_received(accounts, now, request.team)
         fair_queue.charge_team(accounts, now, request.team, cost)
+        leads.record_cost(accounts, service.engine, prompt)
     return effects.SendRequest(
         request.number,
         attempt.number,
--- a/sycamorefall/direct/fair_queue.py
+++ b/sycamorefall/direct/fair_queue.py
@@ -12,12 +12,12 @@
     "collect_own_received",
     "collect_own_unmet",
     "compute_peer_received",
+    "compute_peer_unmet",
     "compute_received",
     "compute_relative_share",
     "count_waiting",
     "decay",
     "drop_expired_refusals",
-    "find_max_ahead",
     "find_max_received",
     "list_candidates",
     "order_teams",
@@ -73,7 +73,7 @@
             service.
         peer_unmet: The same of the other routers, by team, as of `peer_epoch`.
         largest_cost: Largest cost of a request that this router sent or
-            refused.
+            refused, of those that fit into an engine's memory.
         max_ahead: Most service with which a team may use engines that have
             less than most slots free, as last computed; infinity if no team is
             behind.
@@ -113,7 +113,6 @@
     accounts: TeamAccounts, now: float, team: str, cost: float
 ) -> None:
     """Adds the cost units of a request to a team's service."""
-    accounts.largest_cost = max(accounts.largest_cost, cost)
     accounts.own_received[team] = (
         _compute_own_received(accounts, now, team) + cost,
         now,
@@ -152,7 +151,14 @@
 def _compute_own_received(
     accounts: TeamAccounts, now: float, team: str
 ) -> float:
-    amount, updated_at = accounts.own_received.get(team, (0.0, now))
+    return _compute_amount(accounts.own_received, now, team)
+
+
+def _compute_amount(
+    amounts: dict[str, tuple[float, float]], now: float, team: str
+) -> float:
+    """Computes what is left of a team's amount since its last update."""
+    amount, updated_at = amounts.get(team, (0.0, now))
     return decay(amount, max(0.0, now - updated_at))
 
 
@@ -172,7 +178,13 @@
     accounts: TeamAccounts, now: float, team: str
 ) -> float:
     """Computes a team's recent service from the other routers."""
-    reported = accounts.peer_received.get(team)
+    return _compute_reported(accounts, accounts.peer_received, now, team)
+
+
+def _compute_reported(
+    accounts: TeamAccounts, amounts: dict[str, float], now: float, team: str
+) -> float:
+    reported = amounts.get(team)
     return decay(reported, now - accounts.peer_epoch) if reported else 0.0
 
 
@@ -184,13 +196,17 @@
     Teams with less than one cost unit are dropped from the accounts; the result
     still includes them.
     """
-    amounts = {
-        team: _compute_own_received(accounts, now, team)
-        for team in accounts.own_received
-    }
-    for team in [team for team, amount in amounts.items() if amount < 1.0]:
-        del accounts.own_received[team]
-    return amounts
+    return _collect_amounts(accounts.own_received, now)
+
+
+def _collect_amounts(
+    amounts: dict[str, tuple[float, float]], now: float
+) -> dict[str, float]:
+    """Computes what is left of all amounts; drops those below one."""
+    left = {team: _compute_amount(amounts, now, team) for team in amounts}
+    for team in [team for team, amount in left.items() if amount < 1.0]:
+        del amounts[team]
+    return left
 
 
 def find_max_received(
@@ -241,16 +257,8 @@
 ) -> None:
     """Records that a request of a team was refused for lack of capacity."""
     accounts.refused_at[team] = now
-    accounts.largest_cost = max(accounts.largest_cost, cost)
-    accounts.own_unmet[team] = (
-        _compute_own_unmet(accounts, now, team) + cost,
-        now,
-    )
-
-
-def _compute_own_unmet(accounts: TeamAccounts, now: float, team: str) -> float:
-    amount, updated_at = accounts.own_unmet.get(team, (0.0, now))
-    return decay(amount, max(0.0, now - updated_at))
+    unmet = _compute_amount(accounts.own_unmet, now, team)
+    accounts.own_unmet[team] = unmet + cost, now
 
 
 def collect_own_unmet(accounts: TeamAccounts, now: float) -> dict[str, float]:
@@ -259,67 +267,12 @@
     Teams with less than one cost unit are dropped from the accounts; the result
     still includes them.
     """
-    amounts = {
-        team: _compute_own_unmet(accounts, now, team)
-        for team in accounts.own_unmet
-    }
-    for team in [team for team, amount in amounts.items() if amount < 1.0]:
-        del accounts.own_unmet[team]
-    return amounts
-
-
-def find_max_ahead(
-    accounts: TeamAccounts, now: float, own_unmet: dict[str, float]
-) -> float:
-    """Finds how much service a team may have while another one is behind.
-
-    A team is behind if it received less than `IDLE_UNDERSERVED_SHARE` of what
-    it asked for, or of what the best served team received if that is less, by
-    more than the largest request. A team with a larger lead than that leaves
-    all room to others, so leads are bounded by what engines begin until all
-    routers know of them.
-
-    Args:
-        accounts: Service of the teams.
-        now: Current time of this process's clock.
-        own_unmet: What this router refused, from `collect_own_unmet`.
-
-    Returns:
-        Cost units; infinity if no team is behind.
-
-    Example:
-        >>> accounts = TeamAccounts(max_received=1000.0)
-        >>> charge_team(accounts, 0.0, "mill", 60.0)
-        >>> find_max_ahead(accounts, 0.0, {"mill": 40.0})
-        inf
-        >>> find_max_ahead(accounts, 0.0, {"mill": 400.0})
-        200.0
-    """
-    limits = (
-        (
-            compute_received(accounts, now, team) + accounts.largest_cost,
-            own_unmet.get(team, 0.0) + _compute_peer_unmet(accounts, now, team),
-        )
-        for team in own_unmet.keys() | accounts.peer_unmet.keys()
-    )
-    return min(
-        (
-            with_request / IDLE_UNDERSERVED_SHARE
-            for with_request, unmet in limits
-            if with_request
-            < IDLE_UNDERSERVED_SHARE
-            * min(
-                with_request - accounts.largest_cost + unmet,
-                accounts.max_received,
-            )
-        ),
-        default=math.inf,
-    )
+    return _collect_amounts(accounts.own_unmet, now)
 
 
-def _compute_peer_unmet(accounts: TeamAccounts, now: float, team: str) -> float:
-    reported = accounts.peer_unmet.get(team)
-    return decay(reported, now - accounts.peer_epoch) if reported else 0.0
+def compute_peer_unmet(accounts: TeamAccounts, now: float, team: str) -> float:
+    """Computes what the other routers recently refused of a team."""
+    return _compute_reported(accounts, accounts.peer_unmet, now, team)
 
 
 def drop_expired_refusals(accounts: TeamAccounts, now: float) -> None:
--- a/sycamorefall/direct/outcomes.py
+++ b/sycamorefall/direct/outcomes.py
@@ -33,6 +33,7 @@
     eligibility,
     fair_queue,
     fingerprints,
+    leads,
     overload,
     prompts,
     speed,
@@ -728,8 +729,12 @@
             accounts = state_module.get_or_create_accounts(
                 state, request.service
             )
-            cost = prompts.compute_cost(request.incoming.prompt)
+            prompt = request.incoming.prompt
+            cost = prompts.compute_cost(prompt)
             fair_queue.record_refusal(accounts, now, request.team, cost)
+            service = state.catalog.services.get(request.service)
+            if service is not None and service.engine is not None:
+                leads.record_cost(accounts, service.engine, prompt)
         refusal = dispatching.explain_refusal(state, now, request)
         return [effects.AnswerError(request.number, kind, retry_after, refusal)]
     if request.route.kind is catalog.RouteKind.IDEMPOTENT:
--- a/sycamorefall/direct/own_load.py
+++ b/sycamorefall/direct/own_load.py
@@ -3,7 +3,7 @@
 __all__ = ["build_load", "build_loads", "collect_own_services"]
 
 from sycamorefall import messages
-from sycamorefall.direct import fair_queue
+from sycamorefall.direct import fair_queue, leads
 from sycamorefall.direct import state as state_module
 
 MIN_REPORTED_AMOUNT = 50
@@ -81,6 +81,6 @@
         if max(received, refused) >= MIN_REPORTED_AMOUNT
     )
     accounts.max_received = fair_queue.find_max_received(accounts, now, amounts)
-    accounts.max_ahead = fair_queue.find_max_ahead(accounts, now, unmet)
+    accounts.max_ahead = leads.find_max_ahead(accounts, now, unmet)
     fair_queue.drop_expired_refusals(accounts, now)
     return messages.ServiceDemand(service, teams)
--- a/sycamorefall/direct/tests/test_leads.py
+++ b/sycamorefall/direct/tests/test_leads.py
@@ -155,3 +155,17 @@
         assert received <= limit + own_load.MIN_REPORTED_AMOUNT
     if sent is None:
         assert received >= limit - own_load.MIN_REPORTED_AMOUNT
+
+
+def test_made_up_size_of_a_request_does_not_lift_the_bound():
+    # Guards against a caller that states more tokens than any engine holds: a
+    # team counts as behind only if it lacks more than the largest request.
+    router = Router(running=0)
+    freshness.record_proof(router.state.freshness, 0.0)
+    fakes.submit_request(
+        router.state, 0.0, "draft", team="mill", tokens=50_000_000
+    )
+    for name in ("e1", "e2"):
+        router.state.table.by_name[name].own_load.running = 2
+    router.hear(0.0, trader=(BEHIND, LARGE), mill=(LARGE, 0))
+    assert router.state.accounts["engine"].max_ahead < LARGE
