Lateness of messages is compared with the last half minute only

A clock stands still while its VM is suspended. With the fastest message of all, each later one of that router would have counted as late by that time, its floors and accounts as old, for the life of the process. test_router_whose_clock_stood_still_is_not_late_for_ever failed before.

--- a/sycamorefall/direct/peers.py
+++ b/sycamorefall/direct/peers.py
@@ -30,6 +30,11 @@
 DELEGATES_PER_DOMAIN = 2
 """Delegates per failure domain, which report its load to other domains."""
 
+OFFSET_WINDOW = 15.0
+"""Seconds after which the fastest message of a window no longer counts. A clock
+stops while its VM is suspended; with the fastest message of all, each later one
+would count as late by that time."""
+
 HINT_LIFETIME = 1.5
 """Seconds for which a router counts as a delegate after another router named it
 as one."""
@@ -54,8 +59,11 @@
         delegate_hint_at: When another router last named it as a delegate.
         referred_at: When it was last sent a referral.
         incarnation: Incarnation of the process whose clock was compared.
-        min_offset: Least difference so far between this process's clock at the
-            receipt of a message and the sender's clock when it was sent.
+        min_offset: Least difference between this process's clock at the receipt
+            of a message and the sender's clock when it was sent, since one
+            `OFFSET_WINDOW` before `window_at`.
+        window_min_offset: The same since `window_at`.
+        window_at: Start of the current window.
         lateness: Seconds that its last message was longer on its way than its
             fastest one.
     """
@@ -71,6 +79,8 @@
     referred_at: float = _NEVER
     incarnation: int = 0
     min_offset: float = float("inf")
+    window_min_offset: float = float("inf")
+    window_at: float = _NEVER
     lateness: float = 0.0
 
 
@@ -95,8 +105,13 @@
     if not load.sent_ms:
         return 0.0
     if envelope.incarnation != peer.incarnation:
-        peer.incarnation, peer.min_offset = envelope.incarnation, float("inf")
+        peer.incarnation, peer.window_at = envelope.incarnation, _NEVER
+        peer.window_min_offset = float("inf")
+    if now - peer.window_at >= OFFSET_WINDOW:
+        peer.min_offset, peer.window_at = peer.window_min_offset, now
+        peer.window_min_offset = float("inf")
     offset = now - load.sent_ms / 1000
+    peer.window_min_offset = min(peer.window_min_offset, offset)
     peer.min_offset = min(peer.min_offset, offset)
     return offset - peer.min_offset
 
--- a/sycamorefall/direct/tests/test_account_ages.py
+++ b/sycamorefall/direct/tests/test_account_ages.py
@@ -231,3 +231,17 @@
                 load_exchange, state, turn + 1.0 + late, envelope
             )
     assert not exchange.is_behind(load_exchange, 2.5)
+
+
+def test_router_whose_clock_stood_still_is_not_late_for_ever():
+    # Guards against a router whose messages all count as late, and its floors
+    # and accounts as old, since its VM was suspended for some seconds.
+    state, load_exchange = fakes.create_state(), fakes.create_exchange()
+    for turn in range(400):
+        now = 0.1 * turn
+        suspended = 5.0 * (now > 3.0)
+        report = create_report(turn + 1, int(1000 * (now + 50 - suspended)))
+        exchange.handle_load(load_exchange, state, now, report)
+        if 3.1 < now < 4.0:
+            assert exchange.is_behind(load_exchange, now)
+    assert not exchange.is_behind(load_exchange, now)
