--- a/sycamorefall/direct/timers.py
+++ b/sycamorefall/direct/timers.py
@@ -194,7 +194,7 @@
     unread_demand.record_counts(
         daemon.state.unread_demand,
         now,
-        daemon.servers[0].shed,
+        sum(server.shed for server in daemon.servers),
         daemon.state.last_number,
     )
     was_overloaded = overload_module.is_overloaded(overload, now)
