--- a/benchmarks/crowds.py
+++ b/benchmarks/crowds.py
@@ -33,6 +33,7 @@
 """Engines that are lost in both waves together."""
 
 SURGING_TEAMS, SURGE_FACTOR = 10, 12.0
+"""Number of teams that surge, and their rate relative to the one before."""
 
 _KINDS = (
     site.RequestKind(
@@ -144,7 +145,7 @@
 def create_site_that_loses_engines(seed: int) -> site.Site:
     """Creates a site that loses engines in two waves while teams surge.
 
-    It is asked for less than its engines do before, and for several times as
+    It is asked for about what its engines do before, and for several times as
     much afterwards.
 
     Args:
