A stopping process logs within how many seconds its signal came

The line process.stopping stands at the time at which the loop handled the signal. A process that wasn't scheduled, or that stood still, handles it later than it came; the log couldn't tell a kill at the end of the grace time from any other sudden end.

The clock keeps its latest reading. A signal is handled between two steps of the program, so one that is handled now came after that reading. The root component passes it on with the signal; process.stopping has it as sent_within. No decision uses it yet.

--- a/benchmarks/connections.py
+++ b/benchmarks/connections.py
@@ -56,7 +56,7 @@
     def __init__(self):
         self.address = settings.Address("127.0.0.1", fleet.reserve_ports(1)[0])
         self.seconds = 0.0
-        self._loop = transport.create_loop(lambda: None)
+        self._loop = transport.create_loop(lambda _: None)
         self.server = transport.HttpServer(
             self.address,
             settings.LimitSettings(max_connections=10 * max(IDLE_CONNECTIONS)),
--- a/sycamorefall/direct/daemon.py
+++ b/sycamorefall/direct/daemon.py
@@ -240,7 +240,7 @@
 ) -> Daemon:
     log = observation.open_log(config.log)
     loop = transport.create_loop(
-        lambda: _begin_stop(daemon),
+        lambda sent_after: _begin_stop(daemon, sent_after),
         lambda trace: _record_fault(proxy, trace),
         on_reload=reload,
     )
@@ -451,19 +451,24 @@
             call.fail(errors.ErrorKind.UNKNOWN_SERVICE)
 
 
-def _begin_stop(daemon: Daemon) -> None:
+def _begin_stop(daemon: Daemon, sent_after: float) -> None:
     """Begins a graceful stop.
 
     Requests in progress are finished, and callers are sent to other routers.
+
+    Args:
+        daemon: The process.
+        sent_after: Time after which the signal came.
     """
     if daemon.state.stop.since is not None:
         return
+    now = transport.read_clock()
     observation.write_record(
         observation.Level.INFO,
         "process.stopping",
         in_progress=len(daemon.state.requests),
+        sent_within=round(now - sent_after, 3),
     )
-    now = transport.read_clock()
     core.begin_stop(daemon.state, now)
     daemon.servers[0].announce_stop()
     daemon.next_stop_check_at = now
--- a/sycamorefall/direct/tests/test_links.py
+++ b/sycamorefall/direct/tests/test_links.py
@@ -45,7 +45,7 @@
     # names, is lost. Guards against a receiver that can't decode the following
     # messages, doesn't know where to request the definitions, and believes from
     # then on that it is alone.
-    loop = transport.create_loop(lambda: None)
+    loop = transport.create_loop(lambda _: None)
     poller = next(
         part for part in loop.components if isinstance(part, pollers.BasePoller)
     )
--- a/sycamorefall/direct/tests/test_unsent_requests.py
+++ b/sycamorefall/direct/tests/test_unsent_requests.py
@@ -32,7 +32,7 @@
             sock.setblocking(False)
         now = transport.read_clock()
         self.state = fakes.create_state(now, self.list_entries())
-        self.loop = transport.create_loop(lambda: None)
+        self.loop = transport.create_loop(lambda _: None)
         poller = next(
             part
             for part in self.loop.components
--- a/sycamorefall/node.py
+++ b/sycamorefall/node.py
@@ -144,7 +144,7 @@
     )
     log = observation.open_log(config.log)
     loop = transport.create_loop(
-        lambda: begin_stop(node), _log_fault, on_reload=reload
+        lambda _: begin_stop(node), _log_fault, on_reload=reload
     )
     transport.install_signal_handlers(loop)
     poller = next(
--- a/sycamorefall/platform/tests/test_late_reads.py
+++ b/sycamorefall/platform/tests/test_late_reads.py
@@ -50,7 +50,7 @@
         self.listener.setblocking(False)
         self.connections = []
         self.loop = transport.create_loop(
-            lambda: None, read_clock=self.read_clock
+            lambda _: None, read_clock=self.read_clock
         )
         self.poller = next(
             part
--- a/sycamorefall/transport/loop.py
+++ b/sycamorefall/transport/loop.py
@@ -32,13 +32,36 @@
 before ends the wait at once."""
 
 
-def read_clock() -> float:
-    """Returns the time of the process's monotonic clock, in seconds.
+class _Clock:
+    """The monotonic clock of the process, with its latest reading.
 
-    The clock runs while the machine is suspended. With a clock that stops, a VM
-    that resumes late would treat its expired leases as valid.
+    Attributes:
+        latest: The latest reading. Signals are handled between two steps of
+            the program, so one that is handled now came after this time.
     """
-    return time.clock_gettime(time.CLOCK_BOOTTIME)
+
+    __slots__ = ("latest",)
+
+    def __init__(self):
+        self.latest = float("-inf")
+
+    def read(self) -> float:
+        """Reads the clock.
+
+        The clock runs while the machine is suspended. With a clock that stops,
+        a VM that resumes late would treat its expired leases as valid.
+        """
+        now = time.clock_gettime(time.CLOCK_BOOTTIME)
+        self.latest = now
+        return now
+
+
+_CLOCK = _Clock()
+
+
+def read_clock() -> float:
+    """Returns the time of the process's monotonic clock, in seconds."""
+    return _CLOCK.read()
 
 
 class _Poller(poller.ConnectionPoller):
@@ -161,18 +184,35 @@
     channel = "*"
 
     def __init__(
-        self, on_signal: Callable[[], None], on_reload: Callable[[], None]
+        self,
+        on_signal: Callable[[float], None],
+        on_reload: Callable[[], None],
     ):
         super().__init__()
         self._on_signal = on_signal
         self._on_reload = on_reload
 
     @circuits.handler("signal", channel="*")
-    def _on_signal_event(self, number: int, *_) -> None:
+    def _on_signal_event(self, number: int, sent_after: float) -> None:
         if number == signal.SIGHUP:
             self._on_reload()
         else:
-            self._on_signal()
+            self._on_signal(sent_after)
+
+
+class _Root(circuits.BaseComponent):
+    """Root component, whose signal handler tells when a signal may have come.
+
+    circuits installs the handler of SIGINT and SIGTERM when the loop starts.
+    """
+
+    def _signal_handler(self, signo: int, stack: object) -> None:
+        """Makes a signal an event of the loop.
+
+        A process that wasn't scheduled, or whose machine stood still, handles a
+        signal later than it came, but not later than its next step.
+        """
+        self.fire(events.signal(signo, _CLOCK.latest), "*")
 
 
 def install_signal_handlers(loop: Loop) -> None:
@@ -183,12 +223,8 @@
     Called before the process opens its sockets, since a signal without a
     handler ends the process.
     """
-
-    def handle_signal(number: int, frame: object) -> None:
-        loop.fire(events.signal(number, frame), "*")
-
     for number in (signal.SIGTERM, signal.SIGINT, signal.SIGHUP):
-        signal.signal(number, handle_signal)
+        signal.signal(number, loop._signal_handler)
 
 
 def print_traceback(text: str) -> None:
@@ -218,7 +254,7 @@
 
 
 def create_loop(
-    on_signal: Callable[[], None],
+    on_signal: Callable[[float], None],
     on_exception: Callable[[str], None] = print_traceback,
     read_clock: Callable[[], float] = read_clock,
     on_reload: Callable[[], None] = lambda: None,
@@ -226,7 +262,8 @@
     """Creates a process's event loop.
 
     Args:
-        on_signal: Called on SIGTERM and on SIGINT.
+        on_signal: Called on SIGTERM and on SIGINT, with the time after which
+            the signal came; it may have come any time from then on.
         on_exception: Called with the traceback of each uncaught exception.
         read_clock: Clock by which the loop records up to when it read input.
         on_reload: Called on SIGHUP.
@@ -234,7 +271,7 @@
     Returns:
         The root component; its `run` method runs the process.
     """
-    loop = circuits.BaseComponent()
+    loop = _Root()
     _Poller(read_clock).register(loop)
     _SignalHandler(on_signal, on_reload).register(loop)
     _ExceptionReporter(on_exception).register(loop)
--- a/sycamorefall/transport/tests/test_client.py
+++ b/sycamorefall/transport/tests/test_client.py
@@ -54,7 +54,7 @@
         self.now = 0.0
         self.response_count = 0
         self.upstream = Upstream()
-        self.loop = transport.create_loop(lambda: None)
+        self.loop = transport.create_loop(lambda _: None)
         poller = next(
             part
             for part in self.loop.components
--- a/sycamorefall/transport/tests/test_loop.py
+++ b/sycamorefall/transport/tests/test_loop.py
@@ -5,6 +5,7 @@
 import signal
 import socket
 import threading
+import time
 
 from circuits.core import events, pollers
 
@@ -29,7 +30,7 @@
         self.due = float("inf")
         self.ran = []
         self.events = []
-        self.loop = transport.create_loop(lambda: None, read_clock=self.read)
+        self.loop = transport.create_loop(lambda _: None, read_clock=self.read)
         self.poller = next(
             part
             for part in self.loop.components
@@ -241,7 +242,7 @@
         raise RuntimeError("odd settings")
 
     root = transport.create_loop(
-        lambda: None, reported.append, on_reload=reload
+        lambda _: None, reported.append, on_reload=reload
     )
     before = signal.getsignal(signal.SIGHUP)
     try:
@@ -256,3 +257,47 @@
         signal.signal(signal.SIGINT, signal.default_int_handler)
     assert called == [1]
     assert "odd settings" in "".join(reported)
+
+
+def test_signal_that_a_late_process_handles_may_have_come_before():
+    # A process that stood still handled a signal after it woke, and took that
+    # for the time of the signal.
+    told = []
+    root = transport.create_loop(told.append)
+    before = signal.getsignal(signal.SIGTERM)
+    try:
+        transport.install_signal_handlers(root)
+        ran_at = transport.read_clock()
+        time.sleep(0.05)
+        os.kill(os.getpid(), signal.SIGTERM)
+        for _ in range(4):
+            root.tick(0)
+    finally:
+        signal.signal(signal.SIGTERM, before)
+        signal.signal(signal.SIGHUP, signal.SIG_DFL)
+        signal.signal(signal.SIGINT, signal.default_int_handler)
+    assert told == [ran_at]
+
+
+def test_signal_that_ends_a_wait_may_have_come_during_it():
+    # The loop waits for input in the kernel, where a process also is while its
+    # machine stands still.
+    told = []
+    root = transport.create_loop(told.append)
+    before = signal.getsignal(signal.SIGTERM)
+    interrupt = threading.Timer(
+        0.1, lambda: os.kill(os.getpid(), signal.SIGTERM)
+    )
+    try:
+        transport.install_signal_handlers(root)
+        root._running = True
+        root._executing_thread = threading.current_thread()
+        waits_from = transport.read_clock()
+        interrupt.start()
+        while not told:
+            root.tick(0.5)
+    finally:
+        signal.signal(signal.SIGTERM, before)
+        signal.signal(signal.SIGHUP, signal.SIG_DFL)
+        signal.signal(signal.SIGINT, signal.default_int_handler)
+    assert waits_from <= told[0] <= transport.read_clock() - 0.05
--- a/sycamorefall/transport/tests/test_response_output.py
+++ b/sycamorefall/transport/tests/test_response_output.py
@@ -16,7 +16,7 @@
 def served():
     """A loop, its server, and the list of calls that the server received."""
     calls = []
-    loop = transport.create_loop(lambda: None)
+    loop = transport.create_loop(lambda _: None)
     address = settings.Address("127.0.0.1", 0)
     server = transport.HttpServer(address, LIMITS, calls.append).register(loop)
     loop.flush()
--- a/sycamorefall/transport/tests/test_server.py
+++ b/sycamorefall/transport/tests/test_server.py
@@ -29,7 +29,9 @@
         self.calls = []
         self.hung_up = []
         self.exceptions = []
-        self.loop = transport.create_loop(lambda: None, self.exceptions.append)
+        self.loop = transport.create_loop(
+            lambda _: None, self.exceptions.append
+        )
         self.server = transport.HttpServer(
             self.address,
             settings.LimitSettings(**limits),
