Soak: routers that stand still as their SIGTERM comes; a reproduction that fails

The fault 'late' stops a router's process for 0.3 to 1.5 s with its SIGTERM, without excuse. Transcripts are streams that can last to the kill.

--- a/soak/__main__.py
+++ b/soak/__main__.py
@@ -15,13 +15,14 @@
 KINDS = (
     callers.Kind("report", 0.25, 8.0, (4, 96), 16_000, repeatable=True),
     callers.Kind("draft", 0.15, 15.0, (8, 90), 12_000),
+    callers.Kind("transcript", 0.15, 9.0, (60, 150), 8_000, repeatable=True),
     callers.Kind("summary", 0.15, 5.0, (2, 40), 9_000),
     callers.Kind("question", 0.2, 10.0, (4, 80), 1_500, repeatable=True),
     callers.Kind("booking", 0.15, 3.0, None, 600),
     callers.Kind("status", 0.1, 3.0, None, 0, repeatable=True),
 )
 
-FAULTS = ("silence", "links", "entries", "freeze", "kill", "store")
+FAULTS = ("silence", "links", "entries", "freeze", "kill", "store", "late")
 
 
 class Run:
@@ -69,7 +70,8 @@
         ]
         tasks = [asyncio.create_task(one.run(ends_at)) for one in everyone]
         steps = [self._tend, self._plan]
-        steps += [getattr(self, f"_{name}") for name in self.faults]
+        beside = [name for name in self.faults if name != "late"]
+        steps += [getattr(self, f"_{name}") for name in beside]
         background = [asyncio.create_task(step(ends_at)) for step in steps]
         await asyncio.gather(*tasks)
         await asyncio.gather(*background)
@@ -117,7 +119,7 @@
                 router.running.process.send_signal(signal.SIGHUP)
                 await asyncio.sleep(self.random.random() * 0.01)
             if "stop" in what and router.misses == 0:
-                router.stop(time.monotonic())
+                await self._stop(router)
                 if what == "stop twice":
                     await asyncio.sleep(self.random.random() * 4)
                     if router.is_stopping():
@@ -126,6 +128,23 @@
                 self.fleet.put_configuration()
             await asyncio.sleep(self.random.expovariate(1 / 1.2))
 
+    async def _stop(self, router: fleet.Router) -> None:
+        """Sends SIGTERM; a late router stands still for a while from then on.
+
+        Its losses count like those of any other: a process that wasn't
+        scheduled as its signal came has no excuse.
+        """
+        process = router.running.process
+        if "late" not in self.faults or router.is_stopping():
+            router.stop(time.monotonic())
+            return
+        process.send_signal(signal.SIGSTOP)
+        router.stop(time.monotonic())
+        for_s = self.random.uniform(0.3, 1.5)
+        self._note(f"late {router.name} {for_s:.2f}")
+        await asyncio.sleep(for_s)
+        process.send_signal(signal.SIGCONT)
+
     async def _silence(self, ends_at: float) -> None:
         """Stops upstreams for a while, as a machine short of time does."""
         while time.monotonic() < ends_at - 5.0:
