A stop counts towards the kill from when its signal may have come

Callers of a stopping router lost streams. A router that noticed SIGTERM late counted all periods of its stop from its notice: it accepted everything for 2.6 s more, judged deadlines by a kill that comes earlier, and gave its last answers after it.

What must be over before the kill (accepting, the deadline rule, resets, last answers) counts from the last reading of the clock before the signal's handler ran; what waits for the balancer (listening) counts from the notice, as its checks fail from then on, but ends in time for the kill.

That reading was often too late: the signal of a process that had stood still went to a thread of the messaging library, and the loop took some steps before it knew. These threads block the loop's signals now. Input is read after the signal's event was handled, so that it is subject to the stop.

--- a/benchmarks/silent_engines.py
+++ b/benchmarks/silent_engines.py
@@ -83,7 +83,7 @@
 
     def stop_routers(self) -> None:
         for number in self.stopping:
-            core.begin_stop(self.routers[number].state, self.now)
+            core.begin_stop(self.routers[number].state, self.now, self.now)
 
     def begin_trouble(self) -> None:
         if self.trouble.spent:
--- a/sycamorefall/direct/core.py
+++ b/sycamorefall/direct/core.py
@@ -236,9 +236,17 @@
     upstreams.begin_grace(state.table, until)
 
 
-def begin_stop(state: state_module.DirectState, now: float) -> None:
-    """Begins a graceful stop: reports not ready, but keeps serving requests."""
-    state.stop.since = now
+def begin_stop(
+    state: state_module.DirectState, now: float, sent_after: float
+) -> None:
+    """Begins a graceful stop: reports not ready, but keeps serving requests.
+
+    Args:
+        state: The router's state; changed.
+        now: Current time of this process's clock.
+        sent_after: Time after which the signal came.
+    """
+    state.stop.since, state.stop.sent_after = now, sent_after
 
 
 def answer_all(
--- a/sycamorefall/direct/daemon.py
+++ b/sycamorefall/direct/daemon.py
@@ -469,7 +469,7 @@
         in_progress=len(daemon.state.requests),
         sent_within=round(now - sent_after, 3),
     )
-    core.begin_stop(daemon.state, now)
+    core.begin_stop(daemon.state, now, sent_after)
     daemon.servers[0].announce_stop()
     daemon.next_stop_check_at = now
 
--- a/sycamorefall/direct/stopping.py
+++ b/sycamorefall/direct/stopping.py
@@ -5,6 +5,11 @@
 responds late. The router listens until no more callers come, and answers each
 request: it serves those that can still complete and refuses the others as not
 run.
+
+A process that wasn't scheduled handles the signal later than it came. The kill
+counts from the signal, and the balancer's checks fail only from its handling
+on. So what must be over before the kill counts from the earliest time at which
+the signal may have come, and what waits for the balancer from its handling.
 """
 
 __all__ = [
@@ -17,11 +22,13 @@
 ]
 
 import dataclasses
+import math
 
 ACCEPT_ALL_PERIOD = 2.6
-"""Seconds after the signal during which every request is accepted: the time of
-the balancer's two readiness checks and their round trips. A long stream that is
-accepted 3.2 s after the signal doesn't end before the process is killed."""
+"""Seconds after the signal during which every request is accepted, and at least
+during which the router listens: the time of the balancer's two readiness checks
+and their round trips. A long stream that is accepted 3.2 s after the signal
+doesn't end before the process is killed."""
 
 KILL_MARGIN = 0.5
 """Minimum seconds between the deadline of a request that is accepted after
@@ -38,7 +45,7 @@
 request every few milliseconds."""
 
 MAX_LISTEN_PERIOD = 4.1
-"""Seconds after the signal at which listening ends even if callers still come.
+"""Seconds for which a stopping process listens at most if callers still come.
 By then the balancer has checked readiness three times. If it still sends
 callers, it uses all VMs of a failure domain in which few are ready, and staying
 up to refuse those callers would only delay this router's restart."""
@@ -50,15 +57,22 @@
 
     Attributes:
         grace: Seconds between the signal and the kill of the process.
-        since: Time of the signal; None before it.
+        since: Time at which the signal was handled; None before it.
+        sent_after: Time after which the signal came.
         quiet_since: Time since which no request or response is in progress,
             once listening has ended; None while one is.
     """
 
     grace: float
     since: float | None = None
+    sent_after: float = math.inf
     quiet_since: float | None = None
 
+    @property
+    def kill_at(self) -> float:
+        """Earliest time at which the process may be killed."""
+        return self.sent_after + self.grace
+
 
 def may_accept(stop: Stop, now: float, deadline: float) -> bool:
     """Returns whether a request may be accepted.
@@ -71,15 +85,15 @@
         deadline: Deadline of the request.
 
     Example:
-        >>> stop = Stop(8.0, since=0.0)
+        >>> stop = Stop(8.0, since=1.0, sent_after=0.0)
         >>> may_accept(stop, 2.0, 14.0), may_accept(stop, 3.0, 15.0)
         (True, False)
         >>> may_accept(stop, 3.0, 5.5)
         True
     """
-    if stop.since is None or now - stop.since < ACCEPT_ALL_PERIOD:
+    if stop.since is None or now - stop.sent_after < ACCEPT_ALL_PERIOD:
         return True
-    return deadline <= stop.since + stop.grace - KILL_MARGIN
+    return deadline <= stop.kill_at - KILL_MARGIN
 
 
 def may_end_listening(stop: Stop, now: float, last_request_at: float) -> bool:
@@ -91,6 +105,8 @@
         last_request_at: Time at which the last request arrived.
     """
     elapsed = now - stop.since
+    if may_reset_callers(stop, now):
+        return True
     if elapsed < ACCEPT_ALL_PERIOD:
         return False
     return now - last_request_at >= QUIET_PERIOD or elapsed >= MAX_LISTEN_PERIOD
@@ -106,11 +122,11 @@
         now: Current time of this process's clock.
 
     Example:
-        >>> stop = Stop(8.0, since=0.0)
+        >>> stop = Stop(8.0, since=1.0, sent_after=0.0)
         >>> may_reset_callers(stop, 7.0), may_reset_callers(stop, 7.3)
         (False, True)
     """
-    return now - stop.since >= stop.grace - KILL_MARGIN - QUIET_PERIOD
+    return now >= stop.kill_at - KILL_MARGIN - QUIET_PERIOD
 
 
 def must_answer(stop: Stop, now: float) -> bool:
@@ -124,15 +140,13 @@
         now: Current time of this process's clock.
 
     Example:
-        >>> stop = Stop(8.0, since=0.0)
+        >>> stop = Stop(8.0, since=1.0, sent_after=0.0)
         >>> must_answer(stop, 7.7), must_answer(stop, 7.75)
         (False, True)
         >>> must_answer(Stop(8.0), 9.0)
         False
     """
-    if stop.since is None:
-        return False
-    return now - stop.since >= stop.grace - LAST_ANSWER_MARGIN
+    return now >= stop.kill_at - LAST_ANSWER_MARGIN
 
 
 def may_exit(stop: Stop, now: float, quiet: bool) -> bool:
--- a/sycamorefall/direct/tests/closing_play.py
+++ b/sycamorefall/direct/tests/closing_play.py
@@ -141,7 +141,7 @@
     )
 
     def begin():
-        core.begin_stop(state, site.now)
+        core.begin_stop(state, site.now, site.now)
         site.server.announce_stop()
         router.next_stop_check_at = site.now
 
--- a/sycamorefall/direct/tests/silence_rules.py
+++ b/sycamorefall/direct/tests/silence_rules.py
@@ -142,4 +142,4 @@
         case "link":
             world.linked = not world.linked
         case "stop":
-            core.begin_stop(world.state, world.now)
+            core.begin_stop(world.state, world.now, world.now)
--- a/sycamorefall/direct/tests/test_stopping.py
+++ b/sycamorefall/direct/tests/test_stopping.py
@@ -12,7 +12,7 @@
 
 def create_stopping_router(grace):
     state = fakes.create_state(grace=grace)
-    core.begin_stop(state, 0.0)
+    core.begin_stop(state, 0.0, 0.0)
     return state
 
 
@@ -36,6 +36,31 @@
     assert fakes.list_sends([sent])
 
 
+def test_late_notice_of_a_stop_leaves_no_more_time_until_the_kill():
+    # A process that noticed its signal late counted its whole stop from then:
+    # it accepted streams that the kill cut, and gave its last answers after it.
+    state = fakes.create_state(grace=6.0)
+    core.begin_stop(state, 1.4, 0.0)
+    _, sent = fakes.submit_request(state, 2.5, "draft")
+    assert fakes.list_sends([sent])
+    _, refused = fakes.submit_request(state, 2.7, "draft")
+    assert refused.kind is errors.ErrorKind.STOPPING
+    _, sent = fakes.submit_request(state, 2.7, "draft", time_left=2.0)
+    assert fakes.list_sends([sent])
+    assert not stopping.must_answer(state.stop, 5.7)
+    assert stopping.must_answer(state.stop, 5.8)
+
+
+def test_late_notice_of_a_stop_leaves_the_balancer_its_time():
+    # The balancer's checks fail only once the process has noticed the signal.
+    stop = stopping.Stop(8.0, since=1.4, sent_after=0.0)
+    assert not stopping.may_end_listening(stop, 3.9, 3.0)
+    assert stopping.may_end_listening(stop, 4.1, 3.0)
+    very_late = stopping.Stop(8.0, since=6.5, sent_after=0.0)
+    assert not stopping.may_end_listening(very_late, 7.1, 7.0)
+    assert stopping.may_end_listening(very_late, 7.3, 7.2)
+
+
 def test_requests_are_answered_before_the_process_is_killed():
     # The platform killed a router whose upstream was silent, or that held a
     # request which waited: their connections ended without an answer.
@@ -70,12 +95,12 @@
 def test_listening_ends_once_callers_use_other_routers(
     now, last_request_at, ends
 ):
-    stop = stopping.Stop(8.0, since=0.0)
+    stop = stopping.Stop(8.0, since=0.0, sent_after=0.0)
     assert stopping.may_end_listening(stop, now, last_request_at) is ends
 
 
 def test_process_stays_while_a_response_is_in_progress():
-    stop = stopping.Stop(8.0, since=0.0)
+    stop = stopping.Stop(8.0, since=0.0, sent_after=0.0)
     checks = [(3.0, True), (3.2, False), (3.4, True), (3.6, True), (3.75, True)]
     exits = [stopping.may_exit(stop, now, quiet) for now, quiet in checks]
     assert exits == [False, False, False, False, True]
@@ -97,7 +122,7 @@
         )
 
     def stop(self):
-        core.begin_stop(self.state, 0.0)
+        core.begin_stop(self.state, 0.0, 0.0)
         self.site.server.announce_stop()
 
     def check_stop(self, now):
--- a/sycamorefall/platform/tests/test_stopping.py
+++ b/sycamorefall/platform/tests/test_stopping.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import concurrent.futures
+import pathlib
 import random
 import signal
 import time
@@ -223,6 +224,56 @@
     assert statuses == [502, 502]
 
 
+def test_router_that_stands_still_at_its_signal_accepts_by_the_kill(site):
+    # A router that stood still as its SIGTERM came accepted a stream that could
+    # not end before the kill, as it counted its stop from when it went on.
+    engine = site.add_upstream("e1", "engine")
+    routes = [
+        site_module.build_route(
+            "draft", "streaming", "engine", MaxAttempts=1, TimeoutMs=9000
+        )
+    ]
+    router_client.store_configuration(site, 4, routes=routes)
+    router = site.add_router()
+    for delay in (1.0, 1.9):
+        router.process.send_signal(signal.SIGSTOP)
+        router.process.send_signal(signal.SIGTERM)
+        stopped_at = time.monotonic()
+        time.sleep(delay)
+        router.process.send_signal(signal.SIGCONT)
+        time.sleep(stopped_at + 2.8 - time.monotonic())
+        status = router_client.send_request(
+            router, "/draft/x", prompt=True, time_left_ms=9000
+        )[1]
+        assert status == 503
+        router.process.wait(STOP_TIMEOUT)
+        site.routers.remove(router)
+        router = site.add_router(f"front-{delay}")
+    assert engine.runs == []
+
+
+def test_signals_come_to_the_thread_that_handles_them(site):
+    # A thread of a library took the signal of a router that had stood still;
+    # the loop ran some steps before it knew of it.
+    site.add_upstream("e1", "engine")
+    router = site.add_router()
+    threads = pathlib.Path(f"/proc/{router.process.pid}/task")
+    asked = 1 << (signal.SIGTERM - 1)
+    taking = [
+        int(thread.name)
+        for thread in threads.iterdir()
+        if not _read_blocked_signals(thread) & asked
+    ]
+    assert taking == [router.process.pid]
+
+
+def _read_blocked_signals(thread):
+    for line in (thread / "status").read_text().splitlines():
+        if line.startswith("SigBlk:"):
+            return int(line.split()[1], 16)
+    raise AssertionError("no blocked signals")
+
+
 @pytest.mark.parametrize(("seed", "freeze"), [(1, False), (2, True)])
 def test_callers_of_a_stopping_router_lose_no_request(site, seed, freeze):
     # A router is stopped while callers use idle connections and open new ones
--- a/sycamorefall/transport/control.py
+++ b/sycamorefall/transport/control.py
@@ -124,9 +124,11 @@
         self.unopened = 0
         self._names = names.NameTable()
         self._last_sent: messages.Envelope | None = None
-        self._inbox = pynng.Pull0(
-            recv_buffer_size=RECEIVE_BUFFER, recv_timeout=CATCH_UP_WAIT_MS
-        )
+        with loop.keep_signals_from_threads():
+            # The first socket starts the library's threads.
+            self._inbox = pynng.Pull0(
+                recv_buffer_size=RECEIVE_BUFFER, recv_timeout=CATCH_UP_WAIT_MS
+            )
         try:
             self._inbox.listen(f"tcp://{listen}")
         except pynng.NNGException as error:
--- a/sycamorefall/transport/loop.py
+++ b/sycamorefall/transport/loop.py
@@ -5,10 +5,12 @@
     "Ticker",
     "create_loop",
     "install_signal_handlers",
+    "keep_signals_from_threads",
     "read_clock",
 ]
 
-from collections.abc import Callable
+from collections.abc import Callable, Iterator
+import contextlib
 import signal
 import sys
 import time
@@ -27,6 +29,9 @@
 fifth of the shortest time after which an upstream is given up, and twice what a
 pass of the loop takes in a process that isn't overloaded."""
 
+_SIGNALS = (signal.SIGTERM, signal.SIGINT, signal.SIGHUP)
+"""Signals that are events of the loop."""
+
 MIN_WAIT = 0.0005
 """Seconds from which on the loop has waited for input. Input that had arrived
 before ends the wait at once."""
@@ -91,6 +96,9 @@
             if self._read_clock() - began_at >= MIN_WAIT:
                 # Input ended the wait, so it has just arrived.
                 self.unread_since = self._read_clock()
+        if self.root.has_unhandled_signal:
+            # What is read after a stop has begun is subject to its rules.
+            return
         self.input_read_until = self._read_clock()
         # The limit covers all sockets: by default epoll returns about a
         # thousand events at most.
@@ -194,6 +202,7 @@
 
     @circuits.handler("signal", channel="*")
     def _on_signal_event(self, number: int, sent_after: float) -> None:
+        self.root.has_unhandled_signal = False
         if number == signal.SIGHUP:
             self._on_reload()
         else:
@@ -204,14 +213,21 @@
     """Root component, whose signal handler tells when a signal may have come.
 
     circuits installs the handler of SIGINT and SIGTERM when the loop starts.
+
+    Attributes:
+        has_unhandled_signal: Whether a signal came whose event wasn't handled
+            yet.
     """
 
+    has_unhandled_signal = False
+
     def _signal_handler(self, signo: int, stack: object) -> None:
         """Makes a signal an event of the loop.
 
         A process that wasn't scheduled, or whose machine stood still, handles a
         signal later than it came, but not later than its next step.
         """
+        self.has_unhandled_signal = True
         self.fire(events.signal(signo, _CLOCK.latest), "*")
 
 
@@ -223,10 +239,25 @@
     Called before the process opens its sockets, since a signal without a
     handler ends the process.
     """
-    for number in (signal.SIGTERM, signal.SIGINT, signal.SIGHUP):
+    for number in _SIGNALS:
         signal.signal(number, loop._signal_handler)
 
 
+@contextlib.contextmanager
+def keep_signals_from_threads() -> Iterator[None]:
+    """Blocks the loop's signals in threads that are started meanwhile.
+
+    Guards against a signal that is delivered to a library's thread: the main
+    thread, which alone runs the handlers, isn't woken by it, and when a process
+    that stood still goes on, it may run some steps before the handler.
+    """
+    before = signal.pthread_sigmask(signal.SIG_BLOCK, _SIGNALS)
+    try:
+        yield
+    finally:
+        signal.pthread_sigmask(signal.SIG_SETMASK, before)
+
+
 def print_traceback(text: str) -> None:
     """Prints a traceback to stderr; a daemon logs it instead."""
     sys.stderr.write(text)
