A begun answer isn't cut for silence once its upstream's entry has gone

A caller's answer was broken off 0.7 s before its engine went on: the engine stood still, its lease lapsed, and a request without a retry left was ended after three heartbeats of silence (reason gone; restarted if the entry was another process's and bytes had come since).

Ending it buys a caller whose answer has begun nothing but an earlier end, and costs it the answer if the upstream goes on. Such answers now stay until they go on, move elsewhere or reach their deadline. Requests without any part of their answer still get an error then.

--- a/sycamorefall/direct/stalls.py
+++ b/sycamorefall/direct/stalls.py
@@ -180,7 +180,8 @@
     If a process restarts behind a network partition, its connections are never
     reset, and callers would wait for a response that never comes. Whether the
     old process ran the requests is unknown. Bytes that arrive after the entry
-    of the new process show that the old one goes on, whatever the entry says.
+    of the new process show that the old one goes on, whatever the entry says;
+    then its silence cuts no answer that has begun.
     """
     lapse = MISSED_HEARTBEATS * state.bounds.heartbeat
     ended: list[effects.Effect] = []
@@ -191,7 +192,9 @@
             continue
         heard_since = attempt.process.last_byte_at > known.listed_at
         silence = state_module.compute_silence(attempt, now)
-        if not heard_since or silence > lapse:
+        if not heard_since or (
+            silence > lapse and not request.forwarding_started
+        ):
             reason = effects.EndReason.RESTARTED
             ended += _end_attempt(state, now, request, reason)
     return ended
@@ -206,7 +209,8 @@
     entry may also be missing because the process is about to leave; then it
     goes on serving, and its bytes show that. Without this, callers would wait
     for a dead process until their deadlines whenever no other upstream has
-    room.
+    room. A caller whose answer has begun would gain nothing from its end, and
+    the process may only stand still: the answer goes on, or moves elsewhere.
     """
     lapse = MISSED_HEARTBEATS * state.bounds.heartbeat
     ended: list[effects.Effect] = []
@@ -217,6 +221,7 @@
         silence = state_module.compute_silence(attempt, now)
         if (
             silence > lapse
+            and not request.forwarding_started
             and request.route.kind.retryable
             and not upstreams.is_leaving(attempt.process)
         ):
