A request's time left counts from when it may have arrived

The server tells of each request after which time its first byte arrived: the end of the reading before, or of its own read if it was pipelined. Deadlines count from then on. A wait for input that lasts longer than it was asked to shows that the process stood still in it, so what ends it isn't new; the loop waits for 0.25 s at most, so that this is noticed, and so that a signal's time is known as well.

test_input_that_ends_a_wait_has_just_arrived let a wait of 0.5 s last for 1 s, which is a process that stood still; its wait lasts as long as asked for now. Requests on connections that wait in the kernel while no more are accepted count from their reading still.

--- a/sycamorefall/direct/core.py
+++ b/sycamorefall/direct/core.py
@@ -18,6 +18,7 @@
 
 from collections.abc import Collection
 import heapq
+import math
 
 from returns import result
 
@@ -322,13 +323,20 @@
     state: state_module.DirectState,
     now: float,
     incoming: state_module.IncomingRequest,
+    arrived_after: float = math.inf,
 ) -> tuple[int, list[effects.Effect]]:
     """Sends, enqueues or refuses a caller's request.
 
+    A late process reads a request after its caller has sent it. The caller's
+    time runs from then on, so it counts from the earliest time at which the
+    request may have arrived.
+
     Args:
         state: The router's state; changed.
         now: Current time of this process's clock.
         incoming: The request.
+        arrived_after: Time after which it arrived; a later one than the current
+            time is ignored.
 
     Returns:
         The request's number and the effects to perform.
@@ -366,6 +374,7 @@
     remaining = route.timeout
     if incoming.time_left is not None:
         remaining = min(remaining, incoming.time_left)
+    remaining -= max(0.0, now - arrived_after)
     if not stopping.may_accept(state.stop, now, now + remaining):
         kind = errors.ErrorKind.STOPPING
         return number, [
--- a/sycamorefall/direct/daemon.py
+++ b/sycamorefall/direct/daemon.py
@@ -330,6 +330,7 @@
         daemon.handle_proof,
         daemon.handle_settling,
     )
+    servers[0].get_unread_since = lambda: poller.unread_since
     servers[0].closings.read_request_id = dialect.read_request_id
     descriptors.apply_limits(daemon)
     servers[0].acceptor.on_exhausted = lambda: _free_descriptor(daemon)
--- a/sycamorefall/direct/relay.py
+++ b/sycamorefall/direct/relay.py
@@ -123,7 +123,9 @@
     incoming: state_module.IncomingRequest,
 ) -> None:
     now = transport.read_clock()
-    number, pending = core.handle_request(proxy.state, now, incoming)
+    number, pending = core.handle_request(
+        proxy.state, now, incoming, call.arrived_after
+    )
     try:
         _begin_request(proxy, call, incoming, number, now)
     except Exception:
--- a/sycamorefall/direct/tests/failing_router.py
+++ b/sycamorefall/direct/tests/failing_router.py
@@ -1,5 +1,6 @@
 """A router whose parts fail as a test says."""
 
+import math
 import types
 
 from returns import result
@@ -20,6 +21,7 @@
     def __init__(self, path):
         self.method, self.target, self.path = "POST", path, path
         self.headers, self.body = {}, b""
+        self.arrived_after = math.inf
         self.response_started = False
         self.ends = []
         self.raises = None
--- a/sycamorefall/direct/tests/test_overload.py
+++ b/sycamorefall/direct/tests/test_overload.py
@@ -111,3 +111,19 @@
     # Guards against a late router that never learns from slow responses.
     assert respond_late(arrived_after=0.4, handled_at=0.7) < 40_000.0
     assert respond_late(arrived_after=0.4, handled_at=0.4) < 40_000.0
+
+
+def test_time_left_of_a_request_counts_from_its_arrival():
+    # A router that was late gave a request its whole time again when it read
+    # it: its caller had left before it was answered, and its upstream was told
+    # of more time than was left.
+    state = fakes.create_state()
+    incoming = fakes.create_request("look", time_left=2.0)
+    number, (sent,) = core.handle_request(state, 5.0, incoming, 4.2)
+    assert state.requests[number].deadline == 6.2
+    assert outcomes.record_sent(state, 5.1, number) < 1.2
+    late, _ = core.handle_request(state, 5.0, incoming, 2.5)
+    answered = core.run_timers(state, 5.01)
+    assert late not in state.requests
+    assert fakes.list_error_kinds(answered)
+    assert state.requests[number].attempt is not None
--- a/sycamorefall/direct/tests/test_relay.py
+++ b/sycamorefall/direct/tests/test_relay.py
@@ -1,5 +1,6 @@
 """Tests of the time between a send decision and the actual send."""
 
+import math
 import types
 
 from returns import result
@@ -51,6 +52,7 @@
             target="/look/x",
             headers={},
             body=b"",
+            arrived_after=math.inf,
             response_started=False,
         )
         relay.handle_call(self.proxy, call)
--- a/sycamorefall/direct/tests/test_unsent_requests.py
+++ b/sycamorefall/direct/tests/test_unsent_requests.py
@@ -4,6 +4,7 @@
 """
 
 import contextlib
+import math
 import socket
 import threading
 import types
@@ -93,6 +94,7 @@
             target="/x",
             headers={},
             body=b"",
+            arrived_after=math.inf,
             response_started=False,
         )
         relay.handle_call(self.proxy, call)
--- a/sycamorefall/platform/tests/test_freezing.py
+++ b/sycamorefall/platform/tests/test_freezing.py
@@ -23,6 +23,9 @@
 """Seconds for which the VM is frozen during streams: longer than a router waits
 for the next event of an engine."""
 
+ANSWER_SLACK = 0.5
+"""Seconds after its caller's time within which a request is answered."""
+
 STREAM_CALLER_COUNT = 16
 STREAMS_BETWEEN_FREEZES = 60
 EVENTS_PER_STREAM = 20
@@ -147,3 +150,24 @@
         one for one in readers.responses if one[1:] != (200, EVENTS_PER_STREAM)
     ]
     assert incorrect == []
+
+
+def test_time_left_of_a_request_runs_while_its_router_stands_still(site):
+    # A request that came while its router's VM was frozen got its whole time
+    # again when it was read, and its answer when its caller had given up.
+    ledger = site.add_upstream("l1", "ledger")
+    ledger.hang = True
+    router = site.add_router()
+    router.process.send_signal(signal.SIGSTOP)
+    with concurrent.futures.ThreadPoolExecutor(1) as pool:
+        sent_at = time.monotonic()
+        answer = pool.submit(
+            router_client.send_request, router, "/look/x", time_left_ms=2000
+        )
+        time.sleep(STREAM_FREEZE_SECONDS)
+        router.process.send_signal(signal.SIGCONT)
+        _, status, _, _ = answer.result()
+    assert status >= 500
+    assert time.monotonic() - sent_at < 2.0 + ANSWER_SLACK
+    ((_, headers),) = ledger.runs
+    assert int(headers["request-deadline-ms"]) <= 500
--- a/sycamorefall/transport/incoming_call.py
+++ b/sycamorefall/transport/incoming_call.py
@@ -68,6 +68,8 @@
         headers: Headers; `get` ignores case.
         target: Path and query exactly as sent.
         body: The complete body.
+        arrived_after: Time after which its first byte arrived; infinity if that
+            isn't known.
         remote: IP address of the caller.
         sock: Socket of the caller's connection.
         status: Status of the response; 0 before the response starts.
@@ -83,6 +85,7 @@
         "_head_only",
         "_response",
         "_server",
+        "arrived_after",
         "response_started",
         "body",
         "ended",
@@ -112,6 +115,7 @@
         self.headers = request.headers
         self.target = request.target
         self.body = request.body
+        self.arrived_after = request.arrived_after
         self.remote: str = sock.getpeername()[0]
         self._head_only = request.method == "HEAD"
         self._response = wrappers.Response(
--- a/sycamorefall/transport/loop.py
+++ b/sycamorefall/transport/loop.py
@@ -37,6 +37,12 @@
 before ends the wait at once."""
 
 
+MAX_WAIT = 0.25
+"""Maximum seconds for which the loop waits for input at once. A process can't
+tell a wait from standing still, so it knows the time of what ends a wait only
+as well as this."""
+
+
 class _Clock:
     """The monotonic clock of the process, with its latest reading.
 
@@ -89,12 +95,17 @@
         self.unread_since = self.input_read_until
         if event.time_left:
             began_at = self._read_clock()
+            # A negative time left is no limit.
+            asked = event.time_left if event.time_left > 0 else MAX_WAIT
+            asked = min(asked, MAX_WAIT)
             # Only waits. The clock must be read after the wait and before the
             # input is read; otherwise a freeze between the two would make
             # `input_read_until` later than the input that was read.
-            self._poller.poll(event.time_left, 1)
-            if self._read_clock() - began_at >= MIN_WAIT:
-                # Input ended the wait, so it has just arrived.
+            self._poller.poll(asked, 1)
+            waited = self._read_clock() - began_at
+            if MIN_WAIT <= waited <= asked + MAX_UNHANDLED_TIME:
+                # Input ended the wait, so it has just arrived. A process that
+                # stood still has waited longer than it asked for.
                 self.unread_since = self._read_clock()
         if self.root.has_unhandled_signal:
             # What is read after a stop has begun is subject to its rules.
--- a/sycamorefall/transport/request_reader.py
+++ b/sycamorefall/transport/request_reader.py
@@ -8,7 +8,9 @@
 
 __all__ = ["InboundRequest", "RequestHeaders", "RequestReader"]
 
+import collections
 import dataclasses
+import math
 import urllib.parse
 
 import h11
@@ -53,6 +55,8 @@
         protocol: HTTP version, such as (1, 1).
         keep_alive: Whether the connection may carry another request.
         target: Path and query exactly as sent, for requests that are forwarded.
+        arrived_after: Time after which its first byte arrived; infinity if that
+            isn't known.
     """
 
     method: str
@@ -63,6 +67,7 @@
     protocol: tuple[int, int] = (1, 1)
     keep_alive: bool = True
     target: str = ""
+    arrived_after: float = math.inf
 
 
 class RequestReader:
@@ -79,6 +84,7 @@
     """
 
     __slots__ = (
+        "_arrivals",
         "_body",
         "_may_expect_continue",
         "_head",
@@ -93,6 +99,11 @@
     def __init__(self, limits: settings.LimitSettings):
         self._limits = limits
         self.unread = 0
+        # Size and time of each read that has bytes of this request or a later
+        # one.
+        self._arrivals: collections.deque[tuple[int, float]] = (
+            collections.deque()
+        )
         self._create_parser(b"")
 
     def _create_parser(self, data: bytes) -> None:
@@ -109,8 +120,15 @@
         if data:
             self._parser.receive_data(data)
 
-    def feed(self, data: bytes) -> None:
-        """Buffers bytes received from the connection."""
+    def feed(self, data: bytes, arrived_after: float = math.inf) -> None:
+        """Buffers bytes received from the connection.
+
+        Args:
+            data: The bytes.
+            arrived_after: Time after which they arrived; infinity if that
+                isn't known.
+        """
+        self._arrivals.append((len(data), arrived_after))
         self.unread += len(data)
         self._parser.receive_data(data)
 
@@ -119,6 +137,9 @@
         rest, _ = self._parser.trailing_data
         self._create_parser(rest)
         self.unread = len(rest)
+        read = sum(size for size, _ in self._arrivals)
+        while self._arrivals and read - self._arrivals[0][0] >= len(rest):
+            read -= self._arrivals.popleft()[0]
         return bool(rest)
 
     def consume_expect_continue(self) -> bool:
@@ -206,4 +227,5 @@
             protocol=(int(major), int(minor)),
             keep_alive=self._parser.their_state is not h11.MUST_CLOSE,
             target=head.target.decode("ascii"),
+            arrived_after=self._arrivals[0][1] if self._arrivals else math.inf,
         )
--- a/sycamorefall/transport/server.py
+++ b/sycamorefall/transport/server.py
@@ -8,6 +8,7 @@
 
 from collections.abc import Callable
 import contextlib
+import math
 import socket
 
 import circuits
@@ -60,6 +61,8 @@
     connection that is being closed.
 
     Attributes:
+        get_unread_since: Returns the time after which the input that is handled
+            now arrived; infinity if that isn't known.
         stopping: Whether connections close after their next response.
         last_request_at: Time at which the last request was read or refused
             unread.
@@ -112,6 +115,7 @@
         self._connections: dict[
             socket.socket, connections_module.Connection
         ] = {}
+        self.get_unread_since: Callable[[], float] = lambda: math.inf
         self.stopping = False
         self.listening_ends = False
         self._taken_last = 0
@@ -582,7 +586,7 @@
         ):
             self._shed_request(sock)
             return
-        connection.reader.feed(data)
+        connection.reader.feed(data, self.get_unread_since())
         max_bytes = self._limits.max_header_bytes + self._limits.max_body_bytes
         if connection.call is None:
             self._handle_request(sock, connection)
--- a/sycamorefall/transport/tests/test_loop.py
+++ b/sycamorefall/transport/tests/test_loop.py
@@ -221,7 +221,7 @@
     class Waiting:
         def poll(self, timeout, max_events):
             if timeout:
-                process.now += 1.0
+                process.now += timeout
                 waited.append(timeout)
             return []
 
@@ -232,6 +232,24 @@
     assert poller.unread_since == process.now
 
 
+def test_input_of_a_process_that_stood_still_may_have_come_before():
+    # A process that waits for input also does while its machine stands still.
+    # What had come meanwhile counted as new when it went on.
+    process = Process()
+    process.run_passes()
+    poller, began_at = process.poller, process.now
+
+    class StandingStill:
+        def poll(self, timeout, max_events):
+            process.now += FREEZE if timeout else 0.0
+            return []
+
+    poller._poller, kernel = StandingStill(), poller._poller
+    process.loop.tick(0.5)
+    poller._poller = kernel
+    assert poller.unread_since == began_at
+
+
 def test_reload_that_raises_is_reported_by_the_loop():
     # A function called from a signal handler raises inside the code that the
     # signal interrupted, which may be the loop itself: the process ended.
--- a/sycamorefall/transport/tests/test_request_reader.py
+++ b/sycamorefall/transport/tests/test_request_reader.py
@@ -73,6 +73,23 @@
     assert reader.parse_request().path == "/2"
 
 
+def test_pipelined_request_arrived_with_its_own_first_byte():
+    """Guards against a time left that counts from the previous answer.
+
+    A client sends several requests one after the other. Each waits for the
+    answers before it, and its client's time runs meanwhile.
+    """
+    second, third = HEAD + b"\r\n", b"GET /3 HTTP/1.1\r\nHost: a\r\n\r\n"
+    reader = request_reader.RequestReader(settings.LimitSettings())
+    reader.feed(HEAD + b"\r\n" + second[:4], 1.0)
+    reader.feed(second[4:], 2.0)
+    reader.feed(third, 3.0)
+    arrivals = [reader.parse_request().arrived_after]
+    while reader.start_next():
+        arrivals.append(reader.parse_request().arrived_after)
+    assert arrivals == [1.0, 1.0, 3.0]
+
+
 pieces = st.one_of(
     st.binary(max_size=12),
     st.sampled_from(
