Soak: upstreams change, routers are late without excuse, excuses have evidence

Upstreams join, leave, are replaced by another version, lapse, stand still until their entry has gone, crash and are restarted. Routers that stand still have no excuse.

Excuses are narrower. An unread request crossed the close only if the relay in front of the routers shows it: nobody listened, the connection had ended before the request arrived, or ended within 0.2 s of its arrival (until now: any end within 0.2 s of sending, whoever brought it about). A request without any answer at its deadline is lost; until now all that reached it were excused. An upstream that broke off excuses no request that began elsewhere after it. The test of each check has the cases that were excused before.

--- a/soak/__main__.py
+++ b/soak/__main__.py
@@ -10,7 +10,7 @@
 import tempfile
 import time
 
-from soak import callers, fleet, verdict
+from soak import callers, fleet, lifecycle, verdict
 
 KINDS = (
     callers.Kind("report", 0.25, 8.0, (4, 96), 16_000, repeatable=True),
@@ -22,7 +22,16 @@
     callers.Kind("status", 0.1, 3.0, None, 0, repeatable=True),
 )
 
-FAULTS = ("silence", "links", "entries", "freeze", "kill", "store", "late")
+FAULTS = (
+    "silence",
+    "links",
+    "entries",
+    "freeze",
+    "kill",
+    "store",
+    "late",
+    "upstreams",
+)
 
 
 class Run:
@@ -149,7 +158,7 @@
         """Stops upstreams for a while, as a machine short of time does."""
         while time.monotonic() < ends_at - 5.0:
             await asyncio.sleep(self.random.expovariate(1 / 3.0))
-            name = self.random.choice(list(self.fleet.upstreams))
+            name = self._choose_place().upstream
             process = self.fleet.upstreams[name]
             for_s = self.random.choice((0.6, 1.2, 1.8, 2.5, 4.5))
             self._note(f"silence {name} {for_s}")
@@ -162,7 +171,8 @@
         self.fleet.command_upstream_links("delay 0.002")
         while time.monotonic() < ends_at - 5.0:
             await asyncio.sleep(self.random.expovariate(1 / 3.0))
-            name, port = self.random.choice(list(self.fleet.links.items()))
+            place = self._choose_place()
+            name, port = place.upstream, place.link
             kind = self.random.choice(("silence", "back", "forth", "reset"))
             for_s = self.random.choice((0.6, 1.2, 2.5))
             now = time.monotonic()
@@ -175,25 +185,24 @@
             self._note(f"link {kind} {name} {for_s}")
 
     async def _entries(self, ends_at: float) -> None:
-        """Delays the links between callers and routers by some milliseconds."""
+        """Delays the links between callers and routers."""
         while time.monotonic() < ends_at - 5.0:
-            delay = self.random.choice((0.001, 0.003, 0.02))
+            delay = self.random.choice((0.001, 0.003, 0.02, 0.1))
             self.fleet.command_entries(f"delay {delay}")
             self._note(f"callers' links {delay}")
             await asyncio.sleep(self.random.expovariate(1 / 5.0))
 
     async def _freeze(self, ends_at: float) -> None:
-        """Stops a router's process for a moment; losses there are excused."""
+        """Stops a router's process for a moment, without excuse."""
         while time.monotonic() < ends_at - 5.0:
             await asyncio.sleep(self.random.expovariate(1 / 6.0))
             router = self.random.choice(self.fleet.routers)
-            process, begin = router.running.process, time.monotonic()
+            process = router.running.process
             for_s = self.random.uniform(0.1, 1.4)
             self._note(f"freeze {router.name} {for_s:.1f}")
             process.send_signal(signal.SIGSTOP)
             await asyncio.sleep(for_s)
             process.send_signal(signal.SIGCONT)
-            router.disturbed.append((begin, time.monotonic()))
 
     async def _kill(self, ends_at: float) -> None:
         """Kills routers without warning; losses there are excused."""
@@ -205,6 +214,28 @@
             router.disturbed.append((now, now + 1.0))
             router.running.process.kill()
 
+    def _choose_place(self) -> fleet.Place:
+        return self.random.choice(
+            [one for one in self.fleet.places if one.upstream]
+        )
+
+    async def _upstreams(self, ends_at: float) -> None:
+        """Changes upstreams, one VM's after the other or side by side."""
+        tasks = []
+        while time.monotonic() < ends_at - 8.0:
+            await asyncio.sleep(self.random.expovariate(1 / 2.0))
+            place = self.random.choice(self.fleet.places)
+            if place.changing:
+                continue
+            change = lifecycle.choose_change(self.fleet, place)
+            self._note(f"{change.__name__} {place.name} {place.upstream}")
+            tasks.append(
+                asyncio.create_task(
+                    lifecycle.perform(self.fleet, place, change, self.broken)
+                )
+            )
+        await asyncio.gather(*tasks)
+
     async def _store(self, ends_at: float) -> None:
         """Takes the store away for some seconds."""
         while time.monotonic() < ends_at - 8.0:
@@ -232,7 +263,7 @@
     parser.add_argument(
         "--faults",
         type=_parse_faults,
-        default="silence,links,entries,store",
+        default="silence,links,entries,store,late,freeze,upstreams",
         help=f"any of {', '.join(FAULTS)}, separated by commas",
     )
     parser.add_argument("--folder", type=pathlib.Path)
@@ -277,6 +308,7 @@
             running.routers,
             run.broken,
             run.silent,
+            running.read_ends(),
         )
     _print_verdict(seed, run, found, folder)
     odd_ends = [
--- a/soak/callers.py
+++ b/soak/callers.py
@@ -54,6 +54,7 @@
         status: Status of the response; 0 without a complete head.
         whole: Whether the response was complete and the request's own.
         error: What was wrong with it.
+        port: Local port of its connection.
     """
 
     request: str
@@ -65,6 +66,7 @@
     status: int = 0
     whole: bool = False
     error: str = ""
+    port: int = 0
 
 
 class Caller:
@@ -87,6 +89,7 @@
         self.router = ""
         self.reader = self.writer = None
         self.manner = "kept"
+        self.port = 0
 
     async def run(self, ends_at: float) -> None:
         """Sends requests until a time, then closes its connection."""
@@ -126,6 +129,7 @@
         except OSError:
             sock.close()
             return False
+        self.port = sock.getsockname()[1]
         return True
 
     def _format(self, kind: Kind) -> tuple[Outcome, bytes, bytes, int]:
@@ -149,7 +153,9 @@
             part = f"{self.random.randrange(40):08x}:800,{request[-8:]}:300"
             lines += [f"Token-Usage: 1100,{events}", f"Prompt-Prefix: {part}"]
         head = "\r\n".join(lines).encode() + b"\r\n\r\n"
-        outcome = Outcome(request, kind, self.router, self.manner, 0.0)
+        outcome = Outcome(
+            request, kind, self.router, self.manner, 0.0, port=self.port
+        )
         return outcome, head, body, events
 
     async def _send_request(self) -> None:
--- a/soak/fleet.py
+++ b/soak/fleet.py
@@ -19,6 +19,9 @@
 MAX_MEMORY_MB = 300
 """Resident size above which a router is killed, as their VM would do."""
 
+SPARE_PLACES = 2
+"""VMs on which upstreams are started in the course of a run."""
+
 MISSES_OUT = 2
 """Questions in a row without a 200 that take a router out."""
 
@@ -120,6 +123,20 @@
         )
 
 
+@dataclasses.dataclass(slots=True, frozen=True)
+class LinkEnd:
+    """How a router ended a caller's connection, as the relay saw it.
+
+    Attributes:
+        passed_on_at: Time at which bytes were last passed on to the router;
+            None if no router listened.
+        at: Time of the end.
+    """
+
+    passed_on_at: float | None
+    at: float
+
+
 def is_odd_end(ended: tuple[int, float, bool]) -> bool:
     """Returns whether a process ended by itself, or not as it was asked to.
 
@@ -138,13 +155,37 @@
     return int(text.split()[1]) * os.sysconf("SC_PAGE_SIZE") / 1e6
 
 
+@dataclasses.dataclass(slots=True)
+class Place:
+    """A VM for upstreams, on which one runs after the other.
+
+    Attributes:
+        name: Name of the VM.
+        service: Service of its upstreams.
+        target: Port on which they listen.
+        link: Port at which routers reach them, by way of a relay.
+        upstream: Name of the one that runs; empty if none does.
+        count: Number of upstreams that ran there.
+        changing: Whether a change of its upstream is in progress.
+    """
+
+    name: str
+    service: str
+    target: int
+    link: int
+    upstream: str = ""
+    count: int = 0
+    changing: bool = False
+
+
 class Fleet:
     """Routers, upstreams and relays of a run, as a context manager.
 
     Attributes:
         site: The fake store and the routers' settings.
         routers: The routers.
-        upstreams: Process of each upstream by name.
+        upstreams: Process of each upstream by name, also of those that ended.
+        places: The VMs of upstreams; those at the end are spare.
         links: Relayed port of each upstream by name.
     """
 
@@ -157,6 +198,7 @@
         self.routers: list[Router] = []
         self.upstreams: dict[str, subprocess.Popen] = {}
         self.links: dict[str, int] = {}
+        self.places: list[Place] = []
         self.version = 1
         self._relays: list[subprocess.Popen] = []
 
@@ -207,25 +249,58 @@
     def _start_upstreams(self) -> None:
         names = {f"e{n}": "engine" for n in range(self.size.engines)}
         names |= {f"l{n}": "ledger" for n in range(self.size.plain)}
+        names |= {f"s{n}": "engine" for n in range(SPARE_PLACES)}
         targets = fleet.reserve_ports(len(names))
         ports = fleet.reserve_ports(len(names))
-        for (name, service), target, port in zip(
-            names.items(), targets, ports, strict=True
-        ):
-            delay = "0.05" if service == "ledger" else "0.1"
-            with open(self.folder / f"{name}.runs", "w") as runs:
-                self.upstreams[name] = subprocess.Popen(
-                    [sys.executable, "-m", "soak.upstream", name, str(target)]
-                    + ["--begin-delay", delay],
-                    stdin=subprocess.PIPE,
-                    stdout=runs,
-                )
-            self.links[name] = port
-            self.site.upstreams[name] = wire_upstream.Upstream(name, port)
-            slots = self.size.slots if service == "engine" else 6
-            self.site.register_upstream(name, service, slots)
+        self.places = [
+            Place(name, service, target, port)
+            for (name, service), target, port in zip(
+                names.items(), targets, ports, strict=True
+            )
+        ]
+        for place in self.places[:-SPARE_PLACES]:
+            self.start_upstream(place)
+            self.list_upstream(place)
         self._start_relay(ports, targets)
 
+    def start_upstream(self, place: Place, version: str = "v1") -> None:
+        """Starts an upstream on a VM; it isn't listed yet."""
+        place.count += 1
+        name = f"{place.name}i{place.count}"
+        delay = "0.05" if place.service == "ledger" else "0.1"
+        with open(self.folder / f"{name}.runs", "w") as runs:
+            self.upstreams[name] = subprocess.Popen(
+                [sys.executable, "-m", "soak.upstream", name, str(place.target)]
+                + ["--begin-delay", delay, "--version", version],
+                stdin=subprocess.PIPE,
+                stdout=runs,
+            )
+        self.links[name] = place.link
+        self.site.upstreams[name] = wire_upstream.Upstream(
+            name, place.link, version
+        )
+        place.upstream = name
+
+    def list_upstream(self, place: Place, state: str = "ready") -> None:
+        """Writes the entry of a VM's upstream."""
+        slots = self.size.slots if place.service == "engine" else 6
+        self.site.register_upstream(
+            place.upstream, place.service, slots, state, born=place.count
+        )
+
+    def unlist_upstream(self, name: str) -> None:
+        """Removes the entry of an upstream."""
+        self.site.store.delete(f"servers/{name}")
+
+    def count_running(self, name: str) -> int:
+        """Counts the requests that an upstream works on."""
+        lines = (self.folder / f"{name}.runs").read_text().splitlines()
+        return sum(
+            1 if line.split()[1] == "begun" else -1
+            for line in lines
+            if len(line.split()) == 3
+        )
+
     def _start_routers(self) -> None:
         entries = fleet.reserve_ports(self.size.routers)
         for number, entry in enumerate(entries):
@@ -242,12 +317,15 @@
 
     def _start_relay(self, ports: list[int], targets: list[int]) -> None:
         pairs = [f"{a}:{b}" for a, b in zip(ports, targets, strict=True)]
-        self._relays.append(
-            subprocess.Popen(
-                [sys.executable, "-m", "soak.relay", *pairs],
-                stdin=subprocess.PIPE,
+        name = f"relay-{len(self._relays)}.ends"
+        with open(self.folder / name, "w") as ends:
+            self._relays.append(
+                subprocess.Popen(
+                    [sys.executable, "-m", "soak.relay", *pairs],
+                    stdin=subprocess.PIPE,
+                    stdout=ends,
+                )
             )
-        )
 
     def command_upstream_links(self, line: str) -> None:
         """Sends a command to the relay between routers and upstreams."""
@@ -278,6 +356,17 @@
         router = choice.choice(ready)
         return router.name, router.entry
 
+    def read_ends(self) -> dict[int, list[LinkEnd]]:
+        """Reads how routers ended callers' connections, by their port."""
+        ends: dict[int, list[LinkEnd]] = {}
+        lines = (self.folder / "relay-1.ends").read_text().splitlines()
+        for kind, port, *times in map(str.split, lines):
+            passed_on = float(times[0]) if kind == "closed" else None
+            ends.setdefault(int(port), []).append(
+                LinkEnd(passed_on, float(times[-1]))
+            )
+        return ends
+
     def read_runs(self) -> dict[str, list[tuple[str, str, float]]]:
         """Reads what upstreams ran: upstream, change and time, by request."""
         runs: dict[str, list[tuple[str, str, float]]] = {}
--- a/soak/relay.py
+++ b/soak/relay.py
@@ -4,6 +4,11 @@
 command: `delay SECONDS` for all links from now on, `silence PORT SECONDS`,
 `forth PORT SECONDS` and `back PORT SECONDS` for one direction, `reset PORT`.
 Bytes of a silent link are held, not lost.
+
+Standard output has a line for each connection that its target ended: `closed`,
+the port of the end that connected, and when bytes were last passed on to the
+target and when it ended, by the machine's monotonic clock; or `unreachable`,
+that port and the time, if nobody listened there.
 """
 
 import asyncio
@@ -13,6 +18,7 @@
 import socket
 import struct
 import sys
+import time
 
 READ_SIZE = 1 << 16
 
@@ -40,6 +46,26 @@
     writers: set[asyncio.StreamWriter] = dataclasses.field(default_factory=set)
 
 
+@dataclasses.dataclass(slots=True)
+class Link:
+    """A relayed connection.
+
+    Attributes:
+        route: Its route.
+        port: Port of the end that connected.
+        passed_on_at: Time at which bytes were last passed on to the target.
+    """
+
+    route: Route
+    port: int
+    passed_on_at: float = 0.0
+
+    def print_end(self) -> None:
+        """Prints that the target ended the connection."""
+        times = f"{self.passed_on_at:.6f} {time.monotonic():.6f}"
+        print("closed", self.port, times, flush=True)
+
+
 class Relay:
     """Forwards connections of several routes, and performs commands.
 
@@ -52,8 +78,9 @@
         self.routes = routes
         self.delay = 0.0
 
-    async def forward(self, route, direction, reader, writer) -> None:
+    async def forward(self, link, direction, reader, writer) -> None:
         """Forwards one direction of a connection, in order, until it ends."""
+        route = link.route
         held: collections.deque = collections.deque()
         added, taken = asyncio.Event(), asyncio.Event()
 
@@ -74,13 +101,19 @@
                 if not data:
                     return
                 writer.write(data)
+                if direction == 0:
+                    link.passed_on_at = time.monotonic()
                 await writer.drain()
 
         writing = asyncio.create_task(write_held())
         try:
             data = b"-"
             while data and not writing.done():
-                data = await reader.read(READ_SIZE)
+                data = await _read(reader)
+                if not data and direction == 1:
+                    link.print_end()
+                if data is None:
+                    raise ConnectionResetError
                 due = asyncio.get_running_loop().time() + self.delay
                 held.append((due, data))
                 added.set()
@@ -99,16 +132,18 @@
 
     async def handle_connection(self, route, reader, writer) -> None:
         """Connects to a route's target and forwards both directions."""
+        link = Link(route, writer.get_extra_info("peername")[1])
         try:
             target = await asyncio.open_connection("127.0.0.1", route.target)
         except OSError:
+            print("unreachable", link.port, time.monotonic(), flush=True)
             _reset(writer)
             return
         both = {writer, target[1]}
         route.writers |= both
         await asyncio.gather(
-            self.forward(route, 0, reader, target[1]),
-            self.forward(route, 1, target[0], writer),
+            self.forward(link, 0, reader, target[1]),
+            self.forward(link, 1, target[0], writer),
         )
         route.writers -= both
 
@@ -128,6 +163,14 @@
                     route.silent_until[direction] = now + float(seconds)
 
 
+async def _read(reader: asyncio.StreamReader) -> bytes | None:
+    """Reads what has arrived; None if the connection was reset."""
+    try:
+        return await reader.read(READ_SIZE)
+    except OSError:
+        return None
+
+
 def _reset(writer: asyncio.StreamWriter) -> None:
     with contextlib.suppress(OSError):
         writer.get_extra_info("socket").setsockopt(
--- a/soak/tests/test_verdict.py
+++ b/soak/tests/test_verdict.py
@@ -12,7 +12,9 @@
 STOPPED = 100.0
 
 
-def judge(runs=(), kind=ONCE, disturbed=(), broken=(), silent=(), **seen):
+def judge(
+    runs=(), kind=ONCE, disturbed=(), broken=(), silent=(), ends=(), **seen
+):
     """Judges one request; `runs` are upstream, change and time of each."""
     fields = {"sent_at": STOPPED, "ended_at": STOPPED + 2.0} | seen
     outcome = callers.Outcome("r", kind, "front", "kept", **fields)
@@ -20,7 +22,12 @@
         name="front", stopped_at=[STOPPED], disturbed=list(disturbed)
     )
     return verdict.judge(
-        [outcome], {"r": list(runs)}, [router], list(broken), list(silent)
+        [outcome],
+        {"r": list(runs)},
+        [router],
+        list(broken),
+        list(silent),
+        {0: [fleet.LinkEnd(*end) for end in ends]},
     )
 
 
@@ -39,10 +46,48 @@
     assert len(judge([BEGUN, BROKEN]).lost) == 1
 
 
-def test_unread_request_is_lost_unless_it_crossed_the_close():
-    assert len(judge().lost) == 1
-    assert not judge(ended_at=STOPPED + 0.1).lost
-    assert len(judge([BEGUN, BROKEN], ended_at=STOPPED + 0.15).lost) == 1
+@pytest.mark.parametrize(
+    ("excuse", "ends"),
+    [
+        ("no router listened", [(None, STOPPED + 0.1)]),
+        # The router had ended the connection before the request came.
+        (
+            "unread, closed before it arrived",
+            [(STOPPED - 2.0, STOPPED + 0.05)],
+        ),
+        (
+            "unread, crossed the close",
+            [(STOPPED - 2.0, STOPPED - 1.9), (STOPPED + 0.1, STOPPED + 0.29)],
+        ),
+    ],
+)
+def test_unread_request_that_crossed_the_close_is_excused(excuse, ends):
+    found = judge(ends=ends, ended_at=STOPPED + 0.3)
+    assert found.excused == {excuse: 1}
+
+
+@pytest.mark.parametrize(
+    "ends",
+    [
+        [],  # Nothing shows that a router ended the connection.
+        [(STOPPED + 0.01, STOPPED + 0.22)],  # It had time to read it.
+        [(None, STOPPED - 2.0)],  # An earlier connection of that port.
+        [(None, STOPPED + 9.0)],  # A later one.
+    ],
+)
+def test_unread_request_is_lost_unless_it_crossed_the_close(ends):
+    assert len(judge(ends=ends, ended_at=STOPPED + 0.1).lost) == 1
+
+
+def test_request_that_ran_is_lost_though_a_close_came():
+    ends = [(STOPPED + 0.1, STOPPED + 0.11)]
+    found = judge([BEGUN, BROKEN], ends=ends, ended_at=STOPPED + 0.15)
+    assert len(found.lost) == 1
+
+
+def test_request_without_any_answer_at_its_deadline_is_lost():
+    assert len(judge([BEGUN], ended_at=STOPPED + 12.0).lost) == 1
+    assert len(judge(ended_at=STOPPED + 12.0).lost) == 1
 
 
 @pytest.mark.parametrize(
@@ -67,7 +112,10 @@
 @pytest.mark.parametrize(
     ("excuse", "case"),
     [
-        ("deadline", {"ended_at": STOPPED + 12.0}),
+        (
+            "deadline of an answer that has begun",
+            {"ended_at": STOPPED + 12.0, "status": 200},
+        ),
         ("router disturbed", {"disturbed": [(STOPPED - 2, STOPPED - 1)]}),
         (
             "upstream broke off",
@@ -117,6 +165,11 @@
     [
         {"disturbed": [(STOPPED - 9, STOPPED - 8)]},
         {"broken": [("e2", STOPPED + 1.9, STOPPED + 2.1)]},
+        # It went on elsewhere after its upstream had broken off.
+        {
+            "broken": [("e1", STOPPED + 0.9, STOPPED + 1.1)],
+            "runs": [BEGUN, ("e2", "begun", STOPPED + 1.2)],
+        },
         {"runs": [BEGUN], "ended_at": STOPPED + 6.0},
         {
             "runs": [BEGUN, ("e1", "whole", STOPPED + 6.0)],
--- a/soak/upstream.py
+++ b/soak/upstream.py
@@ -37,6 +37,7 @@
     upstream = RecordedUpstream(options.name)
     upstream.begin_delay = options.begin_delay
     upstream.event_interval = options.event_interval
+    upstream.version = options.version
     await asyncio.start_server(upstream.serve, "127.0.0.1", options.port)
     ended = asyncio.StreamReader()
     await asyncio.get_running_loop().connect_read_pipe(
@@ -50,5 +51,6 @@
     parser.add_argument("name")
     parser.add_argument("port", type=int)
     parser.add_argument("--begin-delay", type=float, default=0.0)
+    parser.add_argument("--version", default="v1")
     parser.add_argument("--event-interval", type=float, default=0.05)
     asyncio.run(_run(parser.parse_args()))
--- a/soak/verdict.py
+++ b/soak/verdict.py
@@ -11,6 +11,9 @@
 LOSS_SLACK = 0.2
 """Seconds within which an unread request may cross a close."""
 
+MAX_LINK_DELAY = 0.25
+"""Seconds that an end takes at most from a router to its caller."""
+
 NOT_RUN_STATUSES = (408, 421, 429, 503)
 """Statuses that promise that a request has not run and never will."""
 
@@ -42,6 +45,7 @@
     routers: list[fleet.Router],
     broken_upstreams: list[tuple[str, float, float]],
     silent_links: list[tuple[str, float, float]],
+    link_ends: dict[int, list[fleet.LinkEnd]],
 ) -> Verdict:
     """Judges all requests.
 
@@ -53,6 +57,8 @@
             breaks answers off.
         silent_links: Upstream, begin and end of each time in which its link
             held bytes.
+        link_ends: How routers ended callers' connections, by the port of the
+            caller.
     """
     verdict = Verdict({}, [], {}, [])
     by_name = {router.name: router for router in routers}
@@ -78,6 +84,7 @@
             by_name[outcome.router],
             broken_upstreams,
             silent_links,
+            link_ends.get(outcome.port, []),
         )
         if excuse:
             verdict.excused[excuse] = verdict.excused.get(excuse, 0) + 1
@@ -86,29 +93,50 @@
     return verdict
 
 
-def _find_excuse(outcome, run, router, broken_upstreams, silent_links) -> str:
+def _find_crossing(outcome, link_ends) -> str:
+    """Returns how an unread request crossed the close of its connection.
+
+    The relay in front of the router tells whether the router ended the
+    connection before the request reached it, or shortly after.
+    """
+    known = [
+        end
+        for end in link_ends
+        if outcome.sent_at - MAX_LINK_DELAY <= end.at
+        and end.at <= outcome.ended_at + LOSS_SLACK
+    ]
+    if not known:
+        return ""
+    end = known[-1]
+    if end.passed_on_at is None:
+        return "no router listened"
+    if end.passed_on_at < outcome.sent_at:
+        return "unread, closed before it arrived"
+    if end.at - end.passed_on_at <= LOSS_SLACK:
+        return "unread, crossed the close"
+    return ""
+
+
+def _find_excuse(
+    outcome, run, router, broken_upstreams, silent_links, link_ends
+) -> str:
     """Returns why a request without an answer is not lost; empty if it is."""
     sent, ended = outcome.sent_at, outcome.ended_at
-    if ended - sent >= outcome.kind.time_left - 0.1:
-        return "deadline"
+    if outcome.status and ended - sent >= outcome.kind.time_left - 0.1:
+        return "deadline of an answer that has begun"
     if any(
         begin < ended + 0.1 and sent - CONTACT_TIME < end
         for begin, end in router.disturbed
     ):
         return "router disturbed"
+    begun = [one for one in run if one[1] == "begun"]
     for name, begin, end in broken_upstreams:
-        if (
-            any(
-                one == name and change == "begun" and at < end
-                for one, change, at in run
-            )
-            and begin < ended + 0.1
-            and end > sent
-        ):
+        was_there = any(one == name and at < end for one, _, at in begun)
+        went_on = any(at > end for _, _, at in begun)
+        if was_there and not went_on and begin < ended + 0.1 and end > sent:
             return "upstream broke off"
-    if not run and ended - sent <= LOSS_SLACK:
-        return "unread, crossed the close"
-    begun = [at for _, change, at in run if change == "begun"]
+    if not run and (crossing := _find_crossing(outcome, link_ends)):
+        return crossing
     ends = [at for _, change, at in run if change != "begun"]
     worked_until = (
         math.inf if len(ends) < len(begun) else max(ends, default=0.0)
