A begun answer isn't cut before the latest deadline of its caller

What must be over before a caller's time ends counts from the earliest arrival: errors, and what upstreams are told. An answer that has begun isn't cut before the latest one, the reading of the request. The new test fails without the change.

--- a/sycamorefall/direct/core.py
+++ b/sycamorefall/direct/core.py
@@ -328,8 +328,9 @@
     """Sends, enqueues or refuses a caller's request.
 
     A late process reads a request after its caller has sent it. The caller's
-    time runs from then on, so it counts from the earliest time at which the
-    request may have arrived.
+    time runs from then on, so what must be over before its end counts from the
+    earliest time at which the request may have arrived. An answer that has
+    begun isn't cut before the latest one.
 
     Args:
         state: The router's state; changed.
@@ -374,7 +375,8 @@
     remaining = route.timeout
     if incoming.time_left is not None:
         remaining = min(remaining, incoming.time_left)
-    remaining -= max(0.0, now - arrived_after)
+    unread_for = max(0.0, now - arrived_after)
+    remaining -= unread_for
     if not stopping.may_accept(state.stop, now, now + remaining):
         kind = errors.ErrorKind.STOPPING
         return number, [
@@ -400,6 +402,7 @@
         + route.target_latency
         - _estimate_elapsed(state, route, incoming),
         give_up_at=now + wait,
+        unread_for=unread_for,
         stream_key=_compute_stream_key(team, stream or incoming.attempt_id),
         resumes=bool(stream),
         tried_parts=tried_parts,
@@ -632,7 +635,12 @@
         request = state.requests.get(number)
         if request is None:
             continue
-        if now >= request.deadline:
+        deadline = request.deadline
+        if request.forwarding_started:
+            deadline += request.unread_for
+        if request.deadline <= now < deadline:
+            heapq.heappush(state.deadlines, (deadline, number))
+        elif now >= deadline:
             pending += outcomes.expire_request(state, request, now)
         elif now >= request.give_up_at and request.attempt is None:
             pending += outcomes.fail_request(state, request, now)
--- a/sycamorefall/direct/state.py
+++ b/sycamorefall/direct/state.py
@@ -138,7 +138,10 @@
         team: Name of the caller's team; empty on public routes.
         arrived_at: Time at which the whole request had been received.
         deadline: The earlier of the caller's deadline and the end of
-            the route's timeout.
+            the route's timeout, counted from the earliest time at which the
+            request may have arrived.
+        unread_for: Seconds for which the request may have lain unread. The
+            caller's deadline may be that much later.
         target_at: Time at which the first part of the response is due.
         give_up_at: Time at which the request is refused if it still waits.
         sends: Number of attempts so far.
@@ -178,6 +181,7 @@
     deadline: float
     target_at: float
     give_up_at: float
+    unread_for: float = 0.0
     sends: int = 0
     arrivals: int = 0
     possible_runs: int = 0
--- a/sycamorefall/direct/tests/test_overload.py
+++ b/sycamorefall/direct/tests/test_overload.py
@@ -127,3 +127,19 @@
     assert late not in state.requests
     assert fakes.list_error_kinds(answered)
     assert state.requests[number].attempt is not None
+
+
+def test_begun_answer_is_not_cut_before_its_caller_gives_up():
+    # A request that had lain unread for an unknown time was taken for an old
+    # one, and its answer cut though its caller still waited.
+    state = fakes.create_state(5.0)
+    incoming = fakes.create_request("answer", time_left=2.0)
+    number, (sent,) = core.handle_request(state, 5.0, incoming, 4.2)
+    assert fakes.list_sends([sent])
+    for step in range(1, 40):
+        now = 5.0 + step / 20
+        outcomes.record_response(state, now, number, first=True)
+        assert not core.run_timers(state, now)
+    outcomes.record_response(state, 6.99, number, first=True)
+    assert core.run_timers(state, 7.01)
+    assert number not in state.requests
