A kept connection is idle from when its last response may have been complete

A request was sent on a kept connection that its upstream was about to close: a client that read a response late counted the idle time from its reading, and the upstream from its sending.

Idle connections count from the time after which the input that is handled arrived. The new test fails without the change (same socket used again).

--- a/sycamorefall/transport/client.py
+++ b/sycamorefall/transport/client.py
@@ -525,7 +525,10 @@
             min(limit, 1) if exchange.request.requires_new_connection else limit
         )
         if reusable and len(kept) < limit and not self._is_full():
-            exchange.idle_since = self._read_clock()
+            # The server counts from when it sent the response.
+            exchange.idle_since = min(
+                self._read_clock(), self._poller.unread_since
+            )
             kept.append(exchange)
         else:
             self._discard(exchange)
--- a/sycamorefall/transport/exchanges.py
+++ b/sycamorefall/transport/exchanges.py
@@ -113,7 +113,8 @@
         connected: Whether the connection is established.
         ended_at_close: Whether the last response had neither a length nor
             chunks and ended with the connection.
-        idle_since: Time at which the last response was complete.
+        idle_since: Earliest time at which the last response may have been
+            complete.
         max_idle_time: Seconds that the connection may be idle.
         listener: Callbacks of the request in progress; None without one.
         connect_started_at: Time at which the attempt to connect started.
--- a/sycamorefall/transport/tests/test_loop.py
+++ b/sycamorefall/transport/tests/test_loop.py
@@ -14,6 +14,9 @@
 FREEZE = 5.0
 LIMIT = 0.5
 RESPONSE = b"HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok"
+KEPT_FOR_A_WHILE = b"\r\nKeep-Alive: timeout=8\r\n\r\n"
+"""End of a head whose connection is kept for less than `FREEZE`."""
+
 MAX_DEFERRED_PASSES = 2
 """Maximum passes of the loop by which input may defer timers that are due."""
 
@@ -135,6 +138,21 @@
     assert process.events == [200, b"ok", "end", "limit"]
 
 
+def test_connection_that_was_idle_during_a_freeze_is_not_used_again():
+    # The upstream closes a connection that is idle for a time. A client that
+    # was late counted that time from when it read the response, and sent a
+    # request that crossed the close.
+    process = Process()
+    exchange, upstream = send_request(process)
+    process.run_passes()
+    upstream.sendall(RESPONSE.replace(b"\r\n\r\n", KEPT_FOR_A_WHILE, 1))
+    assert select.select([exchange.socket], [], [], 5)[0]
+    process.now += FREEZE
+    process.run_until(lambda: "end" in process.events)
+    again = process.send(exchange.address)
+    assert again.socket is not exchange.socket
+
+
 def test_connection_established_during_a_freeze_is_not_given_up():
     # Guards against giving up a connection established during a freeze. The
     # client gave the connection up on resuming, and the upstream was suspended
