Tests: the fake caller of test_stream_ends tells when its request arrived

The decisions on time left ask each call for it; the fakes of the other tests have had it since then. Without it, 28 cases of this file failed with an AttributeError.

--- a/sycamorefall/direct/tests/test_stream_ends.py
+++ b/sycamorefall/direct/tests/test_stream_ends.py
@@ -1,6 +1,7 @@
 """Ends of streams: every cut, every way of ending and of reading in pieces."""
 
 import itertools
+import math
 import types
 
 from hypothesis import HealthCheck, given, settings, strategies
@@ -80,6 +81,7 @@
         self.received = b""
         self.error = None
         self.unsent_bytes = 0
+        self.arrived_after = math.inf
 
     def begin(self, status, headers):
         self.response_started = True
