First bytes of a new connection may have come before it was accepted

The poller sees the bytes of a new connection one pass after it was accepted, so they counted as read at once.

Bytes that are there when a connection is first watched count from when the connection may have been made.

--- a/sycamorefall/transport/connections.py
+++ b/sycamorefall/transport/connections.py
@@ -5,6 +5,7 @@
 from collections.abc import Callable, Iterable, Mapping
 import contextlib
 import itertools
+import math
 import socket
 import struct
 
@@ -186,6 +187,7 @@
 
     Attributes:
         accepted_at: Time at which it was accepted.
+        arrived_after: Time after which it was made.
         reader: Parser of its requests.
         call: The request in progress, if there is one.
         refused: Whether no further request is accepted, as after a refusal;
@@ -205,6 +207,7 @@
 
     __slots__ = (
         "accepted_at",
+        "arrived_after",
         "call",
         "close_after_send",
         "close_reason",
@@ -218,8 +221,14 @@
         "shutdown_after_send",
     )
 
-    def __init__(self, limits: settings.LimitSettings, now: float):
+    def __init__(
+        self,
+        limits: settings.LimitSettings,
+        now: float,
+        arrived_after: float = math.inf,
+    ):
         self.accepted_at = now
+        self.arrived_after = arrived_after
         self.reader = request_reader.RequestReader(limits)
         self.call: incoming_call_module.IncomingCall | None = None
         self.refused = False
--- a/sycamorefall/transport/server.py
+++ b/sycamorefall/transport/server.py
@@ -327,7 +327,9 @@
 
     def _add_connection(self, sock: socket.socket) -> None:
         now = self._read_clock()
-        connection = connections_module.Connection(self._limits, now)
+        connection = connections_module.Connection(
+            self._limits, now, self.get_unread_since()
+        )
         connection.excess = not self._ensure_capacity()
         timeouts = self._idle_timeouts
         if connection.excess:
@@ -586,7 +588,11 @@
         ):
             self._shed_request(sock)
             return
-        connection.reader.feed(data, self.get_unread_since())
+        arrived_after = self.get_unread_since()
+        if arrived_after <= connection.accepted_at:
+            # The poller has not watched the connection before.
+            arrived_after = connection.arrived_after
+        connection.reader.feed(data, arrived_after)
         max_bytes = self._limits.max_header_bytes + self._limits.max_body_bytes
         if connection.call is None:
             self._handle_request(sock, connection)
