--- a/soak/lifecycle.py
+++ b/soak/lifecycle.py
@@ -22,9 +22,7 @@
 async def join(running: fleet.Fleet, place: fleet.Place, broken: list) -> None:
     """Starts an upstream on a VM without one, of either version."""
     version = running.random.choice(("v1", "v2"))
-    running.start_upstream(place, version)
-    await asyncio.sleep(0.5)
-    running.list_upstream(place)
+    await _start(running, place, version)
 
 
 async def leave(running: fleet.Fleet, place: fleet.Place, broken: list) -> None:
@@ -46,9 +44,7 @@
     """Drains an upstream; one of another version comes in its place."""
     version = running.site.upstreams[place.upstream].version
     await leave(running, place, broken)
-    running.start_upstream(place, "v2" if version == "v1" else "v1")
-    await asyncio.sleep(0.5)
-    running.list_upstream(place)
+    await _start(running, place, "v2" if version == "v1" else "v1")
 
 
 async def lapse(running: fleet.Fleet, place: fleet.Place, broken: list) -> None:
@@ -81,9 +77,7 @@
         await asyncio.sleep(LEASE)
         running.unlist_upstream(name)
     await asyncio.sleep(running.random.uniform(0.5, 2.0))
-    running.start_upstream(place)
-    await asyncio.sleep(0.5)
-    running.list_upstream(place)
+    await _start(running, place, "v1")
     if restart_first:
         await asyncio.sleep(running.random.uniform(0.0, LEASE))
         running.unlist_upstream(name)
@@ -118,10 +112,21 @@
         place.changing = False
 
 
+async def _start(
+    running: fleet.Fleet, place: fleet.Place, version: str
+) -> None:
+    running.start_upstream(place, version)
+    await asyncio.sleep(0.5)
+    if place.count > 1:
+        running.command_upstream_links(f"up {place.link}")
+    running.list_upstream(place)
+
+
 def _kill(running: fleet.Fleet, place: fleet.Place, broken: list) -> None:
     process, now = running.upstreams[place.upstream], time.monotonic()
     if running.count_running(place.upstream):
         broken.append((place.upstream, now - 0.1, now + 0.3))
     process.kill()
+    running.command_upstream_links(f"down {place.link}")
     process.wait()
     place.upstream = ""
--- a/soak/relay.py
+++ b/soak/relay.py
@@ -2,7 +2,8 @@
 
 Routes are given as `PORT:TARGET_PORT`. Each line of standard input is a
 command: `delay SECONDS` for all links from now on, `silence PORT SECONDS`,
-`forth PORT SECONDS` and `back PORT SECONDS` for one direction, `reset PORT`.
+`forth PORT SECONDS` and `back PORT SECONDS` for one direction, `reset PORT`,
+`down PORT` and `up PORT` for a target that doesn't listen and listens again.
 Bytes of a silent link are held, not lost.
 
 Standard output has a line for each connection that its target ended: `closed`,
@@ -71,11 +72,13 @@
 
     Attributes:
         routes: Routes by listening port.
+        servers: Listening sockets by port.
         delay: Seconds for which each piece of data is held.
     """
 
     def __init__(self, routes: dict[int, Route]):
         self.routes = routes
+        self.servers: dict[int, asyncio.Server] = {}
         self.delay = 0.0
 
     async def forward(self, link, direction, reader, writer) -> None:
@@ -147,12 +150,27 @@
         )
         route.writers -= both
 
-    def perform(self, line: str) -> None:
+    async def listen(self, port: int) -> None:
+        """Listens at the port of a route."""
+        self.servers[port] = await asyncio.start_server(
+            lambda reader, writer: self.handle_connection(
+                self.routes[port], reader, writer
+            ),
+            "127.0.0.1",
+            port,
+            backlog=1024,
+        )
+
+    async def perform(self, line: str) -> None:
         """Performs a command."""
         now = asyncio.get_running_loop().time()
         match line.split():
             case ["delay", seconds]:
                 self.delay = float(seconds)
+            case ["down", port]:
+                self.servers[int(port)].close()
+            case ["up", port]:
+                await self.listen(int(port))
             case ["reset", port]:
                 for writer in list(self.routes[int(port)].writers):
                     _reset(writer)
@@ -182,21 +200,14 @@
 async def run(routes: dict[int, Route]) -> None:
     """Serves until standard input ends."""
     relay = Relay(routes)
-    for port, route in routes.items():
-        await asyncio.start_server(
-            lambda reader, writer, route=route: relay.handle_connection(
-                route, reader, writer
-            ),
-            "127.0.0.1",
-            port,
-            backlog=1024,
-        )
+    for port in routes:
+        await relay.listen(port)
     commands = asyncio.StreamReader()
     await asyncio.get_running_loop().connect_read_pipe(
         lambda: asyncio.StreamReaderProtocol(commands), sys.stdin
     )
     while line := await commands.readline():
-        relay.perform(line.decode())
+        await relay.perform(line.decode())
 
 
 if __name__ == "__main__":
