Tests: input is read after a signal that came before it

The clock is read before handlers are installed, so that the time of a signal that comes at once is bounded too.

--- a/sycamorefall/transport/loop.py
+++ b/sycamorefall/transport/loop.py
@@ -250,6 +250,8 @@
     Called before the process opens its sockets, since a signal without a
     handler ends the process.
     """
+    # No signal that is handled came before.
+    read_clock()
     for number in _SIGNALS:
         signal.signal(number, loop._signal_handler)
 
--- a/sycamorefall/transport/tests/test_loop.py
+++ b/sycamorefall/transport/tests/test_loop.py
@@ -28,12 +28,12 @@
     between two passes simulates a freeze of the process.
     """
 
-    def __init__(self):
+    def __init__(self, on_signal=lambda _: None):
         self.now = 0.0
         self.due = float("inf")
         self.ran = []
         self.events = []
-        self.loop = transport.create_loop(lambda _: None, read_clock=self.read)
+        self.loop = transport.create_loop(on_signal, read_clock=self.read)
         self.poller = next(
             part
             for part in self.loop.components
@@ -337,3 +337,29 @@
         signal.signal(signal.SIGHUP, signal.SIG_DFL)
         signal.signal(signal.SIGINT, signal.default_int_handler)
     assert waits_from <= told[0] <= transport.read_clock() - 0.05
+
+
+def test_input_is_read_after_a_signal_that_came_before_it():
+    # A process that stood still read the requests that had come meanwhile, and
+    # accepted them, before it handled the signal that had come as well.
+    order = []
+    process = Process(lambda _: order.append("signal"))
+    here, there = socket.socketpair()
+    process.poller.addReader(process.client, here)
+    process.poller.set_read_callback(
+        here, lambda sock: order.append(sock.recv(1))
+    )
+    poller, kernel = process.poller, process.poller._poller
+
+    class Interrupted:
+        def poll(self, timeout, max_events):
+            if timeout:
+                there.sendall(b"x")
+                process.loop._signal_handler(signal.SIGTERM, None)
+            return kernel.poll(0, max_events)
+
+    poller._poller = Interrupted()
+    process.loop.tick(0.5)
+    poller._poller = kernel
+    process.run_passes(3)
+    assert order == ["signal", b"x"]
