--- a/sycamorefall/direct/tests/test_stopping.py
+++ b/sycamorefall/direct/tests/test_stopping.py
@@ -74,12 +74,15 @@
         if not pending:
             break
     answered = {
-        one.request: one.kind
+        one.request: (one.kind, one.retry_after)
         for one in core.answer_all(state, 1.75)
         if isinstance(one, effects.AnswerError)
     }
-    assert answered[number] is errors.ErrorKind.OUTCOME_UNKNOWN
-    assert answered[waiting] is errors.ErrorKind.STOPPING
+    # Only what certainly didn't run is to come back, and at another router.
+    unknown = errors.ErrorKind.OUTCOME_UNKNOWN, None
+    assert answered[number] == unknown
+    stopping_now = errors.ErrorKind.STOPPING, core.OTHER_ROUTER_RETRY_AFTER
+    assert answered[waiting] == stopping_now
     assert list(state.requests) == [begun]
 
 
--- a/tests/test_stopping.py
+++ b/tests/test_stopping.py
@@ -32,14 +32,14 @@
     ]
 
 
-def stop_after(fleet, name, count):
-    """Creates a callback that sends SIGTERM to a node after `count` results."""
+def signal_after(fleet, name, count, number=signal.SIGTERM):
+    """Creates a callback that signals a node after `count` results."""
     results = []
 
     def record_result(result):
         results.append(result)
         if len(results) == count:
-            fleet.nodes[name].process.send_signal(signal.SIGTERM)
+            fleet.nodes[name].process.send_signal(number)
 
     return record_result
 
@@ -60,7 +60,7 @@
     # Requests that wait or run there get their complete responses. Later ones
     # get "stopping", which says that they did not run, and a Retry-After.
     plans = plan_burst(whole_path.list_router_ports(isolated_fleet), 120)
-    callback = stop_after(isolated_fleet, name, 5)
+    callback = signal_after(isolated_fleet, name, 5)
     results = asyncio.run(load.send_all(plans, on_result=callback))
     rejected = [result for result in results if not result.correct]
     assert {result.kind for result in rejected} <= {"stopping"}
@@ -75,6 +75,24 @@
     assert "Traceback" not in log
 
 
+@pytest.mark.parametrize("name", ["router-0", "ledger-1"])
+def test_check_of_settings_under_load_interrupts_no_request(
+    isolated_fleet, name
+):
+    # A process without a handler for SIGHUP ended, and with it all requests
+    # that it held.
+    plans = whole_path.plan_mixed_load(
+        whole_path.list_router_ports(isolated_fleet), 60
+    )
+    callback = signal_after(isolated_fleet, name, 5, signal.SIGHUP)
+    results = asyncio.run(load.send_all(plans, on_result=callback))
+    assert all(result.correct for result in results)
+    assert isolated_fleet.nodes[name].process.poll() is None
+    log = (isolated_fleet.folder / f"{name}.log").read_text()
+    assert "settings.checked" in log
+    assert "Traceback" not in log
+
+
 def send_order(connection, request_id, work_ms):
     body = {"id": request_id, "team": "mill-a", "work_ms": work_ms}
     headers = {
