--- a/soak/tests/test_verdict.py
+++ b/soak/tests/test_verdict.py
@@ -160,6 +160,12 @@
     assert judge(**case).excused == {excuse: 1}
 
 
+def test_send_that_was_given_up_is_no_sign_that_a_request_went_on():
+    broken = [("e1", STOPPED + 1.9, STOPPED + 2.1)]
+    late = ("e2", "begun", STOPPED + 3.5)
+    assert not judge([BEGUN, BROKEN, late], broken=broken).lost
+
+
 @pytest.mark.parametrize(
     "case",
     [
--- a/soak/verdict.py
+++ b/soak/verdict.py
@@ -132,7 +132,9 @@
     begun = [one for one in run if one[1] == "begun"]
     for name, begin, end in broken_upstreams:
         was_there = any(one == name and at < end for one, _, at in begun)
-        went_on = any(at > end for _, _, at in begun)
+        # A send that was given up before may be read later by an upstream that
+        # stands still.
+        went_on = any(end < at < ended for _, _, at in begun)
         if was_there and not went_on and begin < ended + 0.1 and end > sent:
             return "upstream broke off"
     if not run and (crossing := _find_crossing(outcome, link_ends)):
