--- a/soak/tests/test_soak.py
+++ b/soak/tests/test_soak.py
@@ -8,12 +8,14 @@
 
 def test_short_soak_keeps_all_promises(tmp_path):
     # Guards against requests that real routers lose around planned work while
-    # upstreams stand still and links are silent.
+    # upstreams change or stand still, links are silent and stops are noticed
+    # late.
     finished = subprocess.run(
         [
             *(sys.executable, "-m", "soak", "--first", "7"),
             *("--seconds", "30", "--routers", "3", "--engines", "4"),
-            *("--callers", "40", "--faults", "silence,links,store"),
+            *("--callers", "40"),
+            *("--faults", "silence,links,store,late,upstreams"),
             *("--folder", str(tmp_path)),
         ],
         capture_output=True,
