Soak: a close inside the sending of a request is looked for since its connection

The verdict looked for the relay's record only from 0.25 s before the sending; it looks from when the connection was made now.

--- a/soak/callers.py
+++ b/soak/callers.py
@@ -55,6 +55,7 @@
         whole: Whether the response was complete and the request's own.
         error: What was wrong with it.
         port: Local port of its connection.
+        connected_at: When that was made.
     """
 
     request: str
@@ -67,6 +68,7 @@
     whole: bool = False
     error: str = ""
     port: int = 0
+    connected_at: float = 0.0
 
 
 class Caller:
@@ -90,6 +92,7 @@
         self.reader = self.writer = None
         self.manner = "kept"
         self.port = 0
+        self.connected_at = 0.0
 
     async def run(self, ends_at: float) -> None:
         """Sends requests until a time, then closes its connection."""
@@ -113,6 +116,7 @@
             ("kept", "slow", "two parts", "continue", "pipelined", "old"),
             (10, 2, 2, 1, 2, 1),
         )[0]
+        self.connected_at = time.monotonic()
         sock = socket.socket()
         if self.manner == "slow":
             sock.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, SLOW_WINDOW)
@@ -154,7 +158,13 @@
             lines += [f"Token-Usage: 1100,{events}", f"Prompt-Prefix: {part}"]
         head = "\r\n".join(lines).encode() + b"\r\n\r\n"
         outcome = Outcome(
-            request, kind, self.router, self.manner, 0.0, port=self.port
+            request,
+            kind,
+            self.router,
+            self.manner,
+            0.0,
+            port=self.port,
+            connected_at=self.connected_at,
         )
         return outcome, head, body, events
 
--- a/soak/verdict.py
+++ b/soak/verdict.py
@@ -11,9 +11,6 @@
 LOSS_SLACK = 0.2
 """Seconds within which an unread request may cross a close."""
 
-MAX_LINK_DELAY = 0.25
-"""Seconds that an end takes at most from a router to its caller."""
-
 NOT_RUN_STATUSES = (408, 421, 429, 503)
 """Statuses that promise that a request has not run and never will."""
 
@@ -102,8 +99,7 @@
     known = [
         end
         for end in link_ends
-        if outcome.sent_at - MAX_LINK_DELAY <= end.at
-        and end.at <= outcome.ended_at + LOSS_SLACK
+        if outcome.connected_at <= end.at <= outcome.ended_at + LOSS_SLACK
     ]
     if not known:
         return ""
