Soak: a slow caller sees the end of its answer late

An engine that stood still began the send that the request had left before after the break. One caller read slowly, so the end that it saw came later still; the end at the router, which the relay records, counts now.

--- a/soak/tests/test_verdict.py
+++ b/soak/tests/test_verdict.py
@@ -173,6 +173,11 @@
     broken = [("e1", STOPPED + 1.9, STOPPED + 2.1)]
     late = ("e2", "begun", STOPPED + 3.5)
     assert not judge([BEGUN, BROKEN, late], broken=broken).lost
+    # A slow caller reads what was sent before the end until later.
+    ends = [(STOPPED, STOPPED + 2.2)]
+    slow = {"broken": broken, "ends": ends, "ended_at": STOPPED + 4.0}
+    assert not judge([BEGUN, BROKEN, late], **slow).lost
+    assert len(judge([BEGUN, BROKEN, late], **slow | {"ends": []}).lost) == 1
 
 
 @pytest.mark.parametrize(
--- a/soak/verdict.py
+++ b/soak/verdict.py
@@ -90,20 +90,24 @@
     return verdict
 
 
-def _find_crossing(outcome, link_ends) -> str:
-    """Returns how an unread request crossed the close of its connection.
-
-    The relay in front of the router tells whether the router ended the
-    connection before the request reached it, or shortly after.
-    """
+def _find_end(outcome, link_ends) -> fleet.LinkEnd | None:
+    """Returns how the router ended a request's connection, if it did."""
     known = [
         end
         for end in link_ends
         if outcome.connected_at <= end.at <= outcome.ended_at + LOSS_SLACK
     ]
-    if not known:
+    return known[-1] if known else None
+
+
+def _find_crossing(outcome, end) -> str:
+    """Returns how an unread request crossed the close of its connection.
+
+    The relay in front of the router tells whether the router ended the
+    connection before the request reached it, or shortly after.
+    """
+    if end is None:
         return ""
-    end = known[-1]
     if end.passed_on_at is None:
         return "no router listened"
     if end.passed_on_at < outcome.sent_at:
@@ -126,14 +130,16 @@
     ):
         return "router disturbed"
     begun = [one for one in run if one[1] == "begun"]
+    link_end = _find_end(outcome, link_ends)
+    answered = link_end.at if link_end else ended
     for name, begin, end in broken_upstreams:
         was_there = any(one == name and at < end for one, _, at in begun)
         # A send that was given up before may be read later by an upstream that
-        # stands still.
-        went_on = any(end < at < ended for _, _, at in begun)
+        # stands still, and a slow caller sees the end later.
+        went_on = any(end < at < answered for _, _, at in begun)
         if was_there and not went_on and begin < ended + 0.1 and end > sent:
             return "upstream broke off"
-    if not run and (crossing := _find_crossing(outcome, link_ends)):
+    if not run and (crossing := _find_crossing(outcome, link_end)):
         return crossing
     ends = [at for _, change, at in run if change != "begun"]
     worked_until = (
