--- a/soak/tests/test_verdict.py
+++ b/soak/tests/test_verdict.py
@@ -66,12 +66,12 @@
         ),
         (
             "unread, crossed the close",
-            [(STOPPED - 2.0, STOPPED - 1.9), (STOPPED + 0.1, STOPPED + 0.29)],
+            [(STOPPED - 2.0, STOPPED - 1.9), (STOPPED + 0.1, STOPPED + 0.18)],
         ),
     ],
 )
 def test_unread_request_that_crossed_the_close_is_excused(excuse, ends):
-    found = judge(ends=ends, ended_at=STOPPED + 0.3)
+    found = judge(ends=ends, ended_at=STOPPED + 0.19)
     assert found.excused == {excuse: 1}
 
 
@@ -88,6 +88,11 @@
     assert len(judge(ends=ends, ended_at=STOPPED + 0.1).lost) == 1
 
 
+def test_unread_request_that_ends_late_is_lost_though_a_close_came():
+    ends = [(STOPPED - 2.0, STOPPED + 0.05)]
+    assert len(judge(ends=ends, ended_at=STOPPED + 0.205).lost) == 1
+
+
 def test_request_that_ran_is_lost_though_a_close_came():
     ends = [(STOPPED + 0.1, STOPPED + 0.11)]
     found = judge([BEGUN, BROKEN], ends=ends, ended_at=STOPPED + 0.15)
--- a/soak/verdict.py
+++ b/soak/verdict.py
@@ -103,10 +103,11 @@
 def _find_crossing(outcome, end) -> str:
     """Returns how an unread request crossed the close of its connection.
 
-    The relay in front of the router tells whether the router ended the
-    connection before the request reached it, or shortly after.
+    It ends soon after it was sent, and the relay in front of the router tells
+    whether the router ended the connection before the request reached it, or
+    shortly after.
     """
-    if end is None:
+    if end is None or outcome.ended_at - outcome.sent_at > LOSS_SLACK:
         return ""
     if end.passed_on_at is None:
         return "no router listened"
