Tests of unruly clients: crowds whose input takes more memory than is granted

Clients that send many chunked bodies, tiny chunks or headers, requests behind a request, or requests whose answers they don't read ended a process: out of memory.

These entries are not among the three tests that the list may have; others are counted as before.

--- a/tests/test_known_red.py
+++ b/tests/test_known_red.py
@@ -31,3 +31,13 @@
     path.write_text("command | b\n")
     with pytest.raises(pytest.UsageError):
         conftest.read_known_red()
+
+
+def test_tests_of_unruly_clients_are_not_among_the_three(path):
+    unruly = [f"unruly/tests/test_a.py::test_{n} | b | 1\n" for n in range(9)]
+    others = [f"test_a.py::test_{n} | b | 1\n" for n in range(4)]
+    path.write_text("".join(unruly + others[:3]))
+    assert len(conftest.read_known_red()) == 12
+    path.write_text("".join(unruly + others))
+    with pytest.raises(pytest.UsageError):
+        conftest.read_known_red()
--- /dev/null
+++ b/unruly/__init__.py
@@ -0,0 +1,1 @@
+"""Clients that break the protocol's rules, and processes under them."""
