Parsing keeps no object for each chunk and each read of a request

A body of two-byte chunks took 28 times its size and more: the reader kept a bytes object a chunk, and a tuple for each read until the request's end. Now chunks are copied into one buffer as they come, and the reads before the latest are one entry, as they belong to the request that isn't complete; behind a complete one the times of 16 reads are kept apart, later ones count as the last of them. The reader tells what it holds: unparsed bytes, body, headers.

--- a/sycamorefall/transport/request_reader.py
+++ b/sycamorefall/transport/request_reader.py
@@ -6,10 +6,11 @@
 another caller's response.
 """
 
-__all__ = ["InboundRequest", "RequestHeaders", "RequestReader"]
+__all__ = ["BODY_COPIES", "InboundRequest", "RequestHeaders", "RequestReader"]
 
 import collections
 import dataclasses
+import itertools
 import math
 import urllib.parse
 
@@ -17,6 +18,17 @@
 
 from sycamorefall import errors, settings
 
+HEADER_MEMORY = 640
+"""Bytes of memory for a header besides its text: the parser's and the request's
+objects for name and value, measured with `tracemalloc`."""
+
+BODY_COPIES = 2
+"""Bytes of memory for each byte of a body: the request keeps it for another
+attempt, and a copy with the head is being sent."""
+
+MAX_ARRIVALS = 16
+"""Maximum number of reads behind a request whose times are kept apart."""
+
 
 class RequestHeaders:
     """Headers by name; the case of names is ignored.
@@ -76,31 +88,39 @@
     Bytes that follow a request in the same read (pipelining) are not parsed
     until `start_next` is called.
 
+    Guards against requests that take many times their size in memory: nothing
+    is kept for a chunk of a body or for a read.
+
     Attributes:
         unread: Number of bytes received after the end of the current request;
             only meaningful once that request is complete.
         body_size: Bytes of the current request's body: as its head states, or
             as received.
+        received: Bytes of the current request's body that were received.
+        has_unparsed: Whether `parse_request` ended because of its limit, so
+            that it is to be called again.
     """
 
     __slots__ = (
         "_arrivals",
         "_body",
-        "_may_expect_continue",
+        "_buffered",
         "_head",
         "_headers",
+        "_is_complete",
         "_limits",
+        "_may_expect_continue",
         "_parser",
         "body_size",
-        "_received",
+        "has_unparsed",
+        "received",
         "unread",
     )
 
     def __init__(self, limits: settings.LimitSettings):
         self._limits = limits
         self.unread = 0
-        # Size and time of each read that has bytes of this request or a later
-        # one.
+        # Size and time of reads with bytes of this request or a later one.
         self._arrivals: collections.deque[tuple[int, float]] = (
             collections.deque()
         )
@@ -113,9 +133,12 @@
         )
         self._head: h11.Request | None = None
         self._headers: list[tuple[bytes, bytes]] = []
-        self._body: list[bytes] = []
+        self._body = bytearray()
+        self._buffered = len(data)
+        self._is_complete = False
         self.body_size = 0
-        self._received = 0
+        self.received = 0
+        self.has_unparsed = False
         self._may_expect_continue = False
         if data:
             self._parser.receive_data(data)
@@ -128,10 +151,38 @@
             arrived_after: Time after which they arrived; infinity if that
                 isn't known.
         """
-        self._arrivals.append((len(data), arrived_after))
+        self._record_arrival(len(data), arrived_after)
         self.unread += len(data)
+        self._buffered += len(data)
         self._parser.receive_data(data)
 
+    def _record_arrival(self, size: int, arrived_after: float) -> None:
+        arrivals = self._arrivals
+        if not self._is_complete and len(arrivals) > 1:
+            # What was read before belongs to the current request.
+            read = sum(known for known, _ in arrivals)
+            arrived_first = arrivals[0][1]
+            arrivals.clear()
+            arrivals.append((read, arrived_first))
+        elif len(arrivals) >= MAX_ARRIVALS:
+            known, before = arrivals.pop()
+            size, arrived_after = known + size, min(before, arrived_after)
+        arrivals.append((size, arrived_after))
+
+    @property
+    def held_memory(self) -> int:
+        """Bytes of memory that the current request and what follows it take."""
+        return (
+            self._buffered
+            + BODY_COPIES * self.body_size
+            + HEADER_MEMORY * len(self._headers)
+        )
+
+    def discard(self) -> None:
+        """Releases what was received; the connection isn't read further."""
+        self._arrivals.clear()
+        self._create_parser(b"")
+
     def start_next(self) -> bool:
         """Starts the next request; returns whether bytes of it arrived."""
         rest, _ = self._parser.trailing_data
@@ -154,23 +205,33 @@
         )
         return expected
 
-    def parse_request(self) -> InboundRequest | errors.ErrorKind | None:
+    def parse_request(
+        self, max_events: int | None = None
+    ) -> InboundRequest | errors.ErrorKind | None:
         """Parses the current request from the bytes that were fed.
 
+        Args:
+            max_events: Maximum number of parts, such as chunks of a body, that
+                are parsed now; None for no limit.
+
         Returns:
             The request, or the kind of error if the request is refused, or None
             if it is not yet complete. After a refusal the connection can't be
             read further.
         """
         try:
-            return self._read_events()
+            return self._read_events(max_events)
         except h11.RemoteProtocolError as error:
             if error.error_status_hint == 431:
                 return errors.ErrorKind.HEADERS_TOO_LARGE
             return errors.ErrorKind.MALFORMED_REQUEST
 
-    def _read_events(self) -> InboundRequest | errors.ErrorKind | None:
-        while True:
+    def _read_events(
+        self, max_events: int | None
+    ) -> InboundRequest | errors.ErrorKind | None:
+        self.has_unparsed = False
+        parts = itertools.count() if max_events is None else range(max_events)
+        for _ in parts:
             event = self._parser.next_event()
             match event:
                 case h11.Request():
@@ -182,17 +243,19 @@
                     if refusal := self._check_headers():
                         return refusal
                 case h11.Data():
-                    self._received += len(event.data)
-                    self.body_size = max(self.body_size, self._received)
-                    self._body.append(bytes(event.data))
-                    if self._received > self._limits.max_body_bytes:
+                    self.received += len(event.data)
+                    self.body_size = max(self.body_size, self.received)
+                    if self.received > self._limits.max_body_bytes:
                         return errors.ErrorKind.BODY_TOO_LARGE
+                    self._body += event.data
                 case h11.EndOfMessage():
                     return self._create_request()
-                case h11.ConnectionClosed():
-                    return None
                 case _:
+                    self._buffered = len(self._parser.trailing_data[0])
                     return None
+        self.has_unparsed = True
+        self._buffered = len(self._parser.trailing_data[0])
+        return None
 
     def _check_headers(self) -> errors.ErrorKind | None:
         names = [name for name, _ in self._headers]
@@ -216,8 +279,9 @@
             return errors.ErrorKind.MALFORMED_REQUEST
         major, _, minor = head.http_version.decode("ascii").partition(".")
         rest, _ = self._parser.trailing_data
-        self.unread = len(rest)
-        body, self._body = b"".join(self._body), []
+        self.unread = self._buffered = len(rest)
+        self._is_complete = True
+        body, self._body = bytes(self._body), bytearray()
         return InboundRequest(
             method=head.method.decode("ascii"),
             path=target.path,
