One account of memory for all that a process holds for its callers

Callers of a router whose memory ran out lost their requests: it was killed. Cause: the bound counted bytes of bodies beyond 20,000 at the data port. What a process holds is more: parsed headers, parts of bodies at the operators' port, bytes behind a request in progress (a head and a body a connection), answers that aren't sent, and what the kernel keeps for a connection that isn't read.

Change: each connection has one figure in bytes of memory, the servers of a process share one sum. A caller's usual head and small body are covered by what the division reserves for each caller, so it is not refused for what others hold. If there is no room for more, the connection that makes least progress (bytes a second, after its first second) is ended first: an incomplete request is refused as not run, with a time to come back; an answer that nobody takes is cut. If none is older than a second, the request that needs room is refused, as before. Behind a request in progress no more than 64 KB are read; the kernel's window, 64 KB a connection now, stops the caller, which is closed no longer. Input of refused requests is released at once. The division is used by both fleets next, so it moves to transport.

Tests changed: the two that called the account use its new names with the same figures; one patched function takes any further arguments.

--- a/sycamorefall/direct/daemon.py
+++ b/sycamorefall/direct/daemon.py
@@ -283,6 +283,7 @@
     control.attach(poller)
     proxy = relay.Proxy(state, client, dialect)
     proxy.get_unread_since = lambda: poller.unread_since
+    memory = transport.HeldMemory()
     servers = [
         transport.HttpServer(
             config.listen.data,
@@ -292,6 +293,7 @@
             shedding=transport.Shedding(
                 overload_module.MAX_PASS_TIME, core.OTHER_ROUTER_RETRY_AFTER
             ),
+            memory=memory,
         ).register(loop)
     ]
     if config.listen.operators is not None:
@@ -301,6 +303,7 @@
                 config.limits,
                 lambda call: _handle_operator_call(daemon, call),
                 channel="operators",
+                memory=memory,
             ).register(loop)
         )
     daemon = Daemon(
--- a/sycamorefall/direct/descriptors/__init__.py
+++ b/sycamorefall/direct/descriptors/__init__.py
@@ -7,5 +7,5 @@
 __all__ = ["Division", "Vm", "apply_limits", "divide", "list_metrics"]
 
 from sycamorefall.direct.descriptors.applying import apply_limits
-from sycamorefall.direct.descriptors.division import Division, Vm, divide
 from sycamorefall.direct.descriptors.figures import list_metrics
+from sycamorefall.transport.division import Division, Vm, divide
--- a/sycamorefall/direct/descriptors/tests/test_crowd_at_small_vm.py
+++ b/sycamorefall/direct/descriptors/tests/test_crowd_at_small_vm.py
@@ -6,8 +6,7 @@
 from hypothesis import strategies as st
 
 from sycamorefall.direct import descriptors
-from sycamorefall.direct.descriptors import division
-from sycamorefall.transport import held_bodies
+from sycamorefall.transport import division, held_memory, request_reader
 
 vms = st.builds(
     descriptors.Vm,
@@ -29,11 +28,13 @@
     memory = 160e6
     vm = descriptors.Vm(0, 0, None, memory, 5000)
     callers = descriptors.divide(vm, 5).callers
-    bodies = held_bodies.HeldBodies(
+    held = held_memory.HeldMemory(
         memory - division.BASE_MEMORY, division.SMALL_REQUEST_MEMORY
     )
-    accepted = [bodies.reserve(n, 100_000, callers) for n in range(callers)]
-    assert sum(accepted) * 100_000 * held_bodies.BODY_COPIES > 20e6
+    held.callers = callers
+    body = 100_000 * request_reader.BODY_COPIES
+    accepted = [held.reserve(n, body) for n in range(callers)]
+    assert sum(accepted) * body > 20e6
     assert not all(accepted)
 
 
--- a/sycamorefall/transport/__init__.py
+++ b/sycamorefall/transport/__init__.py
@@ -4,6 +4,7 @@
     "EVENT_STREAM",
     "ControlLinks",
     "Exchange",
+    "HeldMemory",
     "HttpClient",
     "HttpServer",
     "IncomingCall",
@@ -31,6 +32,7 @@
     Reachability,
     SendStage,
 )
+from sycamorefall.transport.held_memory import HeldMemory
 from sycamorefall.transport.incoming_call import EVENT_STREAM, IncomingCall
 from sycamorefall.transport.loop import (
     Loop,
--- a/sycamorefall/transport/connections.py
+++ b/sycamorefall/transport/connections.py
@@ -201,6 +201,10 @@
             bytes were sent.
         resets_on_close: Whether closing the connection resets it.
         request_at: Time at which the first bytes of its request were read.
+        reads_input: Whether input is read as it arrives.
+        unsent_since: Time from which on bytes have been unsent; None if none
+            are.
+        pushed: Bytes that were written since then.
         close_reason: Why no further request is accepted; None while one is.
         close_recorded: Whether it was recorded why the connection is closed.
     """
@@ -214,11 +218,14 @@
         "close_recorded",
         "drained_bytes",
         "excess",
+        "pushed",
         "reader",
+        "reads_input",
         "refused",
         "request_at",
         "resets_on_close",
         "shutdown_after_send",
+        "unsent_since",
     )
 
     def __init__(
@@ -238,6 +245,9 @@
         self.close_after_send = False
         self.resets_on_close = False
         self.request_at = now
+        self.reads_input = True
+        self.unsent_since: float | None = None
+        self.pushed = 0
         self.close_reason: closing.CloseReason | None = None
         self.close_recorded = False
 
--- a/sycamorefall/transport/server.py
+++ b/sycamorefall/transport/server.py
@@ -18,7 +18,7 @@
 from sycamorefall.transport import connections as connections_module
 from sycamorefall.transport import (
     deadlines,
-    held_bodies,
+    held_memory,
     loop,
     poller,
     request_reader,
@@ -34,6 +34,13 @@
 READ_SIZE = 1 << 16
 """Maximum number of bytes read from a connection at once."""
 
+RECEIVE_BUFFER = 1 << 16
+"""Bytes that the kernel holds for a connection that isn't read. By itself it
+holds megabytes for a caller that sends fast."""
+
+MAX_UNREAD = READ_SIZE
+"""Bytes behind a request in progress from which on no more are read."""
+
 MAX_ACCEPT_TIME = 0.05
 """Seconds for which connections are accepted before the loop handles other
 events: half of the time of a pass in which requests are served, see
@@ -46,6 +53,10 @@
     """Starts the next request of a connection."""
 
 
+class _relieve(circuits.Event):  # noqa: N801
+    """Ends connections until what is held fits into the memory."""
+
+
 class HttpServer(circuits.BaseComponent):
     """Listens for HTTP requests and passes each to a function.
 
@@ -71,7 +82,7 @@
         listening_ends: Whether listening ends as soon as no connection waits
             in the kernel.
         closings: Counts and logs why connections are closed.
-        bodies: Bytes of bodies that requests in progress hold.
+        memory: Memory that the connections of the process hold.
     """
 
     channel = "web"
@@ -88,6 +99,7 @@
         on_dropped: Callable[[incoming_call_module.IncomingCall], None]
         | None = None,
         shedding: shedding_module.Shedding | None = None,
+        memory: held_memory.HeldMemory | None = None,
     ):
         """Opens the listening socket.
 
@@ -100,6 +112,8 @@
             on_dropped: Called with each request that is not started because its
                 caller has left.
             shedding: When requests are refused unread; None for never.
+            memory: Memory that the servers of the process share; None if this
+                is the only one.
 
         Raises:
             errors.AddressInUse: The address can't be bound.
@@ -128,12 +142,16 @@
             self.server = poller.create_server(listen, channel)
         except OSError as error:
             raise errors.AddressInUse(f"{listen}: {error}") from error
+        self.server._sock.setsockopt(
+            socket.SOL_SOCKET, socket.SO_RCVBUF, RECEIVE_BUFFER
+        )
         self.server.register(self)
         self.acceptor = connections_module.Acceptor(
             self.server, limits.max_connections, read_clock
         )
         self.closings = closing_module.Closings(channel)
-        self.bodies = held_bodies.HeldBodies()
+        self.memory = memory or held_memory.HeldMemory()
+        self.memory.add_holder(self._list_progress, self._end_slow)
 
     @property
     def host(self) -> str | None:
@@ -197,6 +215,18 @@
     def push(self, sock: socket.socket, data: bytes) -> None:
         """Sends bytes on a connection."""
         response_output.push_bytes(self.server, sock, data)
+        connection = self._connections.get(sock)
+        if connection is None or not self.count_unsent(sock):
+            return
+        if connection.unsent_since is None:
+            connection.unsent_since = self._read_clock()
+            connection.pushed = 0
+        connection.pushed += len(data)
+        self.memory.record(sock, self._count_memory(sock, connection))
+        if self.memory.is_exceeded():
+            # Not at once: the caller of this method may be about to write to
+            # the connection that is ended.
+            self.fire(_relieve(), self.channel)
 
     def announce_stop(self) -> None:
         """Makes each connection close after its next response.
@@ -336,6 +366,7 @@
             timeouts = self.acceptor.excess_timeouts
         self.server._on_accept_done(sock, fire_connect_event=False)
         self._connections[sock] = connection
+        self.memory.callers += 1
         timeouts.start(sock, now)
 
     def _ensure_capacity(self) -> bool:
@@ -428,6 +459,8 @@
         Returns:
             Whether bytes were read, so that more may follow.
         """
+        if not self._connections[sock].reads_input:
+            return False
         try:
             data = sock.recv(READ_SIZE)
         except BlockingIOError:
@@ -593,12 +626,50 @@
             # The poller has not watched the connection before.
             arrived_after = connection.arrived_after
         connection.reader.feed(data, arrived_after)
-        max_bytes = self._limits.max_header_bytes + self._limits.max_body_bytes
-        if connection.call is None:
+        if connection.call is not None:
+            self._hold_unread(sock, connection)
+        else:
             self._handle_request(sock, connection)
-        elif connection.reader.unread > max_bytes:
+
+    def _hold_unread(
+        self, sock: socket.socket, connection: connections_module.Connection
+    ) -> None:
+        """Holds bytes behind a request in progress, and stops at too many.
+
+        What is not read stays in the kernel, whose window then stops the
+        caller.
+        """
+        max_bytes = self._limits.max_header_bytes + self._limits.max_body_bytes
+        if connection.reader.unread >= MAX_UNREAD:
+            self._set_reading(sock, connection, False)
+        if connection.reader.unread > max_bytes or not self._reserve_memory(
+            sock, connection
+        ):
             self._close(sock, closing_module.CloseReason.TOO_MANY_BYTES)
 
+    def _set_reading(
+        self,
+        sock: socket.socket,
+        connection: connections_module.Connection,
+        reads_input: bool,
+    ) -> None:
+        """Begins or ends reading the input of a connection."""
+        if connection.reads_input == reads_input:
+            return
+        connection.reads_input = reads_input
+        if reads_input:
+            self.server._poller.addReader(self.server, sock)
+        else:
+            self.server._poller.removeReader(sock)
+
+    def _start_request_timeout(
+        self, sock: socket.socket, connection: connections_module.Connection
+    ) -> None:
+        self._idle_timeouts.stop(sock)
+        if not self._request_timeouts.is_running(sock):
+            connection.request_at = self._read_clock()
+        self._request_timeouts.start(sock, self._read_clock())
+
     @circuits.handler("generate_events", channel="*", priority=2)
     def _on_generate_events(self, event) -> None:
         if self._loop_pass.hung_up_count > 1:
@@ -646,41 +717,86 @@
         self._refuse(sock, kind, self._shedding.retry_after)
 
     def _handle_request(
-        self, sock: socket.socket, connection: connections_module.Connection
+        self,
+        sock: socket.socket,
+        connection: connections_module.Connection,
     ) -> None:
-        self._idle_timeouts.stop(sock)
-        if not self._request_timeouts.is_running(sock):
-            connection.request_at = self._read_clock()
+        """Parses a connection's input, and starts its request if complete."""
+        self._start_request_timeout(sock, connection)
         parsed = connection.reader.parse_request()
         if isinstance(parsed, errors.ErrorKind):
             self._refuse(sock, parsed)
-        elif not self._reserve_body(sock, connection):
-            self._refuse_body(sock)
-        elif parsed is None:
-            self._request_timeouts.start(sock, self._read_clock())
-            if connection.reader.consume_expect_continue():
-                self.push(sock, _CONTINUE)
-        else:
+        elif not self._reserve_memory(sock, connection):
+            self._refuse_for_memory(sock)
+        elif parsed is not None:
             self._request_timeouts.stop(sock)
+            self._set_reading(
+                sock, connection, connection.reader.unread < MAX_UNREAD
+            )
             self._start_call(sock, connection, parsed)
+        else:
+            self._set_reading(sock, connection, True)
+            if connection.reader.consume_expect_continue():
+                self.push(sock, _CONTINUE)
+
+    def _count_memory(
+        self, sock: socket.socket, connection: connections_module.Connection
+    ) -> int:
+        """Counts the bytes of memory that a connection holds."""
+        in_kernel = 0 if connection.reads_input else RECEIVE_BUFFER
+        unsent = self.count_unsent(sock)
+        return connection.reader.held_memory + unsent + in_kernel
 
-    def _reserve_body(
+    def _reserve_memory(
         self, sock: socket.socket, connection: connections_module.Connection
     ) -> bool:
-        """Reserves memory for a request's body; returns whether there is."""
-        return self.bodies.reserve(
-            sock,
-            connection.reader.body_size,
-            len(self._connections),
-        )
+        """Reserves memory for a connection's input; returns whether there is.
 
-    def _refuse_body(self, sock: socket.socket) -> None:
-        """Refuses a request for whose body there is no memory."""
+        Connections that make less progress are ended for it.
+        """
+        size = self._count_memory(sock, connection)
+        while not self.memory.reserve(sock, size):
+            if not self.memory.make_room(sock):
+                return False
+        return True
+
+    def _list_progress(self) -> list[held_memory.Progress]:
+        """Lists connections that hold memory for what their callers owe."""
+        now = self._read_clock()
+        listed = []
+        for sock, connection in self._connections.items():
+            if not self.memory.get_held(sock):
+                continue
+            if self._request_timeouts.is_running(sock):
+                moved = connection.reader.received
+                since = connection.request_at
+            elif connection.unsent_since is not None:
+                moved = connection.pushed - self.count_unsent(sock)
+                since = connection.unsent_since
+            else:
+                continue
+            listed.append(held_memory.Progress(sock, moved, now - since))
+        return listed
+
+    def _end_slow(self, sock: socket.socket) -> None:
+        """Ends a connection whose caller sends or takes too slowly."""
+        if self._request_timeouts.is_running(sock):
+            self._refuse_for_memory(sock)
+        else:
+            self._close(sock, closing_module.CloseReason.SEND_LIMIT)
+
+    @circuits.handler("_relieve")
+    def _on_relieve(self) -> None:
+        while self.memory.is_exceeded() and self.memory.make_room():
+            pass
+
+    def _refuse_for_memory(self, sock: socket.socket) -> None:
+        """Refuses a request for which there is no memory."""
         observation.write_rate_limited(
             observation.Level.WARNING,
             "bodies.refused",
-            refused=self.bodies.refused,
-            held=self.bodies.held,
+            refused=self.memory.refused,
+            held=self.memory.held,
             open=len(self._connections),
         )
         self.last_request_at = self._read_clock()
@@ -724,9 +840,15 @@
         connection = self._connections.get(call.sock)
         if connection is None or connection.call is not call:
             return
+        self._end_call(call, connection)
+
+    def _end_call(
+        self,
+        call: incoming_call_module.IncomingCall,
+        connection: connections_module.Connection,
+    ) -> None:
+        """Frees a connection for its next request, or closes it."""
         connection.call = None
-        self.bodies.release(call.sock)
-        now = self._read_clock()
         # A caller whose response began before the stop wasn't told that its
         # connection closes, and may be sending its next request. A connection
         # that may be kept alive therefore stays open here.
@@ -734,14 +856,30 @@
             connection.refused = True
             connection.close_reason = closing_module.CloseReason.ANSWERED
             self._close_after_sending(call.sock)
-        elif connection.reader.start_next():
-            self._handle_request(call.sock, connection)
         else:
-            self._idle_timeouts.start(call.sock, now)
+            self._start_next(call.sock, connection)
+
+    def _start_next(
+        self, sock: socket.socket, connection: connections_module.Connection
+    ) -> None:
+        """Starts the next request of a connection, or waits for one."""
+        if connection.reader.start_next():
+            self._handle_request(sock, connection)
+            return
+        self._set_reading(sock, connection, True)
+        self._record_memory(sock, connection)
+        self._idle_timeouts.start(sock, self._read_clock())
+
+    def _record_memory(
+        self, sock: socket.socket, connection: connections_module.Connection
+    ) -> None:
+        """Records what a connection holds after it released some of it."""
+        self.memory.record(sock, self._count_memory(sock, connection))
 
     def _close_after_sending(self, sock: socket.socket) -> None:
         """Closes a connection after all bytes written to it are sent."""
         self._closing_timeouts.start(sock, self._read_clock())
+        self._discard_input(sock)
         # Closing with unread input would reset the connection, and response
         # bytes in transit would be lost.
         while sock in self._connections and self._read_once(sock):
@@ -760,6 +898,16 @@
             connections_module.set_close(sock, resets=False)
         self.server.close(sock)
 
+    def _discard_input(self, sock: socket.socket) -> None:
+        """Releases the input of a connection that accepts no further request.
+
+        What still arrives is read and discarded.
+        """
+        connection = self._connections[sock]
+        connection.reader.discard()
+        self._set_reading(sock, connection, True)
+        self._record_memory(sock, connection)
+
     def _refuse(
         self,
         sock: socket.socket,
@@ -773,7 +921,7 @@
         """
         self._request_timeouts.stop(sock)
         self._closing_timeouts.start(sock, self._read_clock())
-        self.bodies.release(sock)
+        self._discard_input(sock)
         connection = self._connections[sock]
         connection.refused = True
         connection.close_reason = closing_module.CloseReason.REFUSED
@@ -802,7 +950,8 @@
 
     def _forget(self, sock: socket.socket) -> None:
         connection = self._connections.pop(sock, None)
-        self.bodies.release(sock)
+        self.memory.callers -= connection is not None
+        self.memory.release(sock)
         self.acceptor.hurry()
         for limit in (
             self._request_timeouts,
@@ -826,6 +975,9 @@
         connection = self._connections.get(sock)
         if connection is None or self.count_unsent(sock):
             return
+        if connection.unsent_since is not None:
+            connection.unsent_since = None
+            self._record_memory(sock, connection)
         if connection.shutdown_after_send:
             # The caller sees the end of the response, and may still be sending.
             with contextlib.suppress(OSError):
--- a/sycamorefall/transport/tests/test_server.py
+++ b/sycamorefall/transport/tests/test_server.py
@@ -336,7 +336,9 @@
     monkeypatch.setattr(
         request_reader.RequestReader,
         "parse_request",
-        lambda reader: readers.append(reader) or parse_request(reader),
+        lambda reader, *limits: (
+            readers.append(reader) or parse_request(reader, *limits)
+        ),
     )
     assert b"now" in site.read(waits, b"now")
     assert len(readers) <= 2, (
@@ -365,7 +367,7 @@
     # The bodies of a crowd took a router over its memory, and it was killed
     # with all requests that it held.
     site = Site(max_body_bytes=1 << 20)
-    site.server.bodies.max_memory = 900_000
+    site.server.memory.max_memory = 900_000
     head = b"POST /%b HTTP/1.1\r\nHost: a\r\nContent-Length: 300000\r\n\r\n"
     first, second, third = (site.connect() for _ in range(3))
     first.sendall(head % b"first" + 300_000 * b"x")
@@ -380,10 +382,10 @@
     site.run_until(lambda: len(site.calls) == 2)
     call.respond(200, b"done")
     site.read(first, b"done")
-    assert site.server.bodies.held == 0
+    assert site.server.memory.held == 0
     first.sendall(head % b"again" + 300_000 * b"x")
     site.run_until(lambda: len(site.calls) == 3)
     for caller in (first, second, third):
         caller.close()
     site.run_until(lambda: not site.server.open_count)
-    assert site.server.bodies.held == 0
+    assert site.server.memory.held == 0
