Input that takes long to parse waits for turns

Ordinary callers got no answer for seconds while others sent bodies in tiny chunks: a chunk takes 11 us, so one read of 64 KB took 0.1 s, nothing ended between two chunks, and each connection that was readable had its whole read parsed in the pass. The time counted as overload too, so ordinary requests were refused unread.

Change: 64 parts of a request are parsed at once, 16 when it begins. What continues a request or begins with more than 8 KB has 10 ms a pass in all, and connections with more take turns, first come first served; they aren't read meanwhile, so the kernel's window stops their callers. A usual first read is parsed at once, as before.

test_unruly_input: before, all 80,000 chunks of ten callers are parsed before an ordinary request is answered (bound: fewer than one read's 8,000), now it is answered first. Bodies in small chunks, extensions, trailers and small segments stay unchanged (passed before too).

--- a/sycamorefall/transport/server.py
+++ b/sycamorefall/transport/server.py
@@ -19,6 +19,7 @@
 from sycamorefall.transport import (
     deadlines,
     held_memory,
+    input_turns,
     loop,
     poller,
     request_reader,
@@ -152,6 +153,7 @@
         self.closings = closing_module.Closings(channel)
         self.memory = memory or held_memory.HeldMemory()
         self.memory.add_holder(self._list_progress, self._end_slow)
+        self._turns = input_turns.InputTurns(read_clock)
 
     @property
     def host(self) -> str | None:
@@ -628,8 +630,12 @@
         connection.reader.feed(data, arrived_after)
         if connection.call is not None:
             self._hold_unread(sock, connection)
+        elif is_new and len(data) <= input_turns.MAX_SHORT_INPUT:
+            self._handle_request(sock, connection, input_turns.MAX_FIRST_PARTS)
+        elif self._turns.may_parse():
+            self._turns.measure(lambda: self._handle_request(sock, connection))
         else:
-            self._handle_request(sock, connection)
+            self._wait_for_turn(sock, connection)
 
     def _hold_unread(
         self, sock: socket.socket, connection: connections_module.Connection
@@ -647,6 +653,19 @@
         ):
             self._close(sock, closing_module.CloseReason.TOO_MANY_BYTES)
 
+    def _wait_for_turn(
+        self, sock: socket.socket, connection: connections_module.Connection
+    ) -> None:
+        """Leaves the rest of a connection's input to its next turn."""
+        self._start_request_timeout(sock, connection)
+        self._set_reading(sock, connection, False)
+        self._turns.add(sock)
+
+    def _take_turn(self, sock: socket.socket) -> None:
+        connection = self._connections.get(sock)
+        if connection is not None and self._awaits_request(sock):
+            self._handle_request(sock, connection)
+
     def _set_reading(
         self,
         sock: socket.socket,
@@ -679,6 +698,11 @@
                 left=self._loop_pass.hung_up_count,
             )
         self._loop_pass = shedding_module.LoopPass()
+        if not self.root.has_unhandled_signal:
+            # What is handled after a stop has begun is subject to its rules.
+            self._turns.run(self._take_turn)
+        if self._turns:
+            event.reduce_time_left(0)
 
     def _drop_if_hung_up(self, sock: socket.socket) -> bool:
         """Closes a connection without parsing if its caller has left.
@@ -720,10 +744,17 @@
         self,
         sock: socket.socket,
         connection: connections_module.Connection,
+        max_parts: int = input_turns.MAX_TURN_PARTS,
     ) -> None:
-        """Parses a connection's input, and starts its request if complete."""
+        """Parses the input of a connection, and starts its request if complete.
+
+        Args:
+            sock: The connection's socket.
+            connection: The connection.
+            max_parts: Maximum number of parts of the request to parse now.
+        """
         self._start_request_timeout(sock, connection)
-        parsed = connection.reader.parse_request()
+        parsed = connection.reader.parse_request(max_parts)
         if isinstance(parsed, errors.ErrorKind):
             self._refuse(sock, parsed)
         elif not self._reserve_memory(sock, connection):
@@ -734,6 +765,8 @@
                 sock, connection, connection.reader.unread < MAX_UNREAD
             )
             self._start_call(sock, connection, parsed)
+        elif connection.reader.has_unparsed:
+            self._wait_for_turn(sock, connection)
         else:
             self._set_reading(sock, connection, True)
             if connection.reader.consume_expect_continue():
@@ -904,6 +937,7 @@
         What still arrives is read and discarded.
         """
         connection = self._connections[sock]
+        self._turns.remove(sock)
         connection.reader.discard()
         self._set_reading(sock, connection, True)
         self._record_memory(sock, connection)
@@ -952,6 +986,7 @@
         connection = self._connections.pop(sock, None)
         self.memory.callers -= connection is not None
         self.memory.release(sock)
+        self._turns.remove(sock)
         self.acceptor.hurry()
         for limit in (
             self._request_timeouts,
--- /dev/null
+++ b/sycamorefall/transport/tests/test_unruly_input.py
@@ -0,0 +1,91 @@
+"""The HTTP server with input that takes long to parse."""
+
+from sycamorefall.transport import request_reader
+from sycamorefall.transport.tests import test_server
+
+CHUNKED = b"POST /%s HTTP/1.1\r\nHost: a\r\nTransfer-Encoding: chunked\r\n\r\n"
+TINY_CHUNK = b"1\r\nx\r\n"
+READ_CHUNKS = 8000
+"""Tiny chunks that fit into one read."""
+
+
+def test_request_between_tiny_chunks_is_served_before_they_are_parsed(
+    monkeypatch,
+):
+    # Guards against callers that wait while the bodies of others are parsed:
+    # one read of such a body took a tenth of a second.
+    site = test_server.Site()
+    parsed = []
+    parse_request = request_reader.RequestReader.parse_request
+
+    def parse(reader, *limits):
+        before = reader.received
+        result = parse_request(reader, *limits)
+        parsed.append(reader.received - before)
+        # As many microseconds as a part takes.
+        site.now += 1e-5 * parsed[-1]
+        return result
+
+    monkeypatch.setattr(request_reader.RequestReader, "parse_request", parse)
+    slow = [site.connect() for _ in range(10)]
+    ordinary = site.connect()
+    site.run_until(lambda: len(site.server._connections) == 11)
+    for caller in slow:
+        caller.sendall(CHUNKED % b"slow" + TINY_CHUNK * READ_CHUNKS)
+    ordinary.sendall(test_server.GET % b"now")
+    assert b"now" in site.read(ordinary, b"now")
+    assert sum(parsed) < READ_CHUNKS, "fewer than one read of ten holds"
+    assert max(parsed) < 100
+    for caller in slow:
+        caller.sendall(b"0\r\n\r\n")
+    site.run_until(lambda: len(site.calls) == 11)
+    bodies = {call.body for call in site.calls if call.path == "/slow"}
+    assert bodies == {b"x" * READ_CHUNKS}
+    for caller in (*slow, ordinary):
+        caller.close()
+
+
+def test_largest_body_in_small_chunks_with_trailers_is_unchanged():
+    # Guards against a bound that a sound request meets: the largest allowed
+    # body, in small chunks with extensions, with trailers, in small segments.
+    size = 30_000
+    site = test_server.Site(max_body_bytes=size, max_header_bytes=4096)
+    site.server.memory.max_memory = 1.0
+    site.server.memory.caller_memory = 1.0
+    body = bytes(number % 251 for number in range(size))
+    chunks = b"".join(
+        b"3;note=a\r\n%b\r\n" % body[start : start + 3]
+        for start in range(0, size, 3)
+    )
+    caller = site.connect()
+    sent = CHUNKED % b"sound" + chunks + b"0\r\nTrailer: t\r\n\r\n"
+    for start in range(0, len(sent), 977):
+        caller.sendall(sent[start : start + 977])
+        site.loop.tick(0.0)
+    (call,) = site.run_until(lambda: site.calls)
+    assert call.body == body
+    caller.close()
+
+
+def test_ordinary_request_finds_room_when_others_hold_all_memory():
+    # Guards against an ordinary caller that is refused for what others hold,
+    # and against stalled bodies that keep all room until their time limit.
+    site = test_server.Site(max_body_bytes=1 << 20)
+    site.server.memory.max_memory = 900_000
+    head = b"POST /%b HTTP/1.1\r\nHost: a\r\nContent-Length: %d\r\n\r\n"
+    stalled = site.connect()
+    stalled.sendall(head % (b"stalled", 400_000) + b"x" * 100)
+    site.run_until(lambda: site.server.memory.held)
+    ordinary = site.connect()
+    ordinary.sendall(head % (b"now", 600) + b"y" * 600)
+    assert b" 200 " in site.read(ordinary, b"now")
+    early = site.connect()
+    early.sendall(head % (b"early", 300_000) + b"x")
+    assert b" 503 " in site.read(early, b"}}")
+    site.now += 1.5
+    late = site.connect()
+    late.sendall(head % (b"late", 300_000) + b"y" * 300_000)
+    site.run_until(lambda: len(site.calls) == 2)
+    assert b" 503 " in site.read(stalled, b"}}")
+    for caller in (stalled, ordinary, early, late):
+        caller.close()
