A connection's next request waits until its answers are sent

A caller that sends many short requests at once and reads no answer made the server hold all of them: 40 bytes of a request for a page bring many KB. The account of memory cuts such a caller only once others need the room.

Change: from 64 KB unsent on, the next request of a connection starts only when all of it is sent. Meanwhile its idle time runs, as it did, and its end is still noticed.

--- a/sycamorefall/transport/connections.py
+++ b/sycamorefall/transport/connections.py
@@ -202,6 +202,8 @@
         resets_on_close: Whether closing the connection resets it.
         request_at: Time at which the first bytes of its request were read.
         reads_input: Whether input is read as it arrives.
+        awaits_drain: Whether its next request waits until the answers before
+            it are sent.
         unsent_since: Time from which on bytes have been unsent; None if none
             are.
         pushed: Bytes that were written since then.
@@ -212,6 +214,7 @@
     __slots__ = (
         "accepted_at",
         "arrived_after",
+        "awaits_drain",
         "call",
         "close_after_send",
         "close_reason",
@@ -246,6 +249,7 @@
         self.resets_on_close = False
         self.request_at = now
         self.reads_input = True
+        self.awaits_drain = False
         self.unsent_since: float | None = None
         self.pushed = 0
         self.close_reason: closing.CloseReason | None = None
--- a/sycamorefall/transport/server.py
+++ b/sycamorefall/transport/server.py
@@ -42,6 +42,9 @@
 MAX_UNREAD = READ_SIZE
 """Bytes behind a request in progress from which on no more are read."""
 
+MAX_UNSENT = 1 << 16
+"""Unsent bytes from which on the next request of a connection waits."""
+
 MAX_ACCEPT_TIME = 0.05
 """Seconds for which connections are accepted before the loop handles other
 events: half of the time of a pass in which requests are served, see
@@ -490,6 +493,7 @@
             self._close(sock, reason or closing_module.CloseReason.CALLER_LEFT)
             return
         connection.call = None
+        connection.awaits_drain = False
         connection.refused = True
         connection.close_reason = closing_module.CloseReason.ANSWERED
         self._idle_timeouts.stop(sock)
@@ -550,6 +554,9 @@
     ) -> None:
         """Closes an idle connection, unless bytes of a request have arrived."""
         self._idle_timeouts.stop(sock)
+        if self._connections[sock].awaits_drain:
+            self._close(sock, reason)
+            return
         self._read_available(sock)
         if self._awaits_request(sock) and not self._request_timeouts.is_running(
             sock
@@ -873,6 +880,11 @@
         connection = self._connections.get(call.sock)
         if connection is None or connection.call is not call:
             return
+        if self.count_unsent(call.sock) > MAX_UNSENT and call.keep_alive:
+            connection.awaits_drain = True
+            self._record_memory(call.sock, connection)
+            self._idle_timeouts.start(call.sock, self._read_clock())
+            return
         self._end_call(call, connection)
 
     def _end_call(
@@ -1013,7 +1025,11 @@
         if connection.unsent_since is not None:
             connection.unsent_since = None
             self._record_memory(sock, connection)
-        if connection.shutdown_after_send:
+        if connection.awaits_drain:
+            connection.awaits_drain = False
+            self._idle_timeouts.stop(sock)
+            self._end_call(connection.call, connection)
+        elif connection.shutdown_after_send:
             # The caller sees the end of the response, and may still be sending.
             with contextlib.suppress(OSError):
                 sock.shutdown(socket.SHUT_WR)
--- a/sycamorefall/transport/tests/test_unruly_input.py
+++ b/sycamorefall/transport/tests/test_unruly_input.py
@@ -1,6 +1,7 @@
-"""The HTTP server with input that takes long to parse."""
+"""The HTTP server with input that takes long to parse, or answers unread."""
 
 from sycamorefall.transport import request_reader
+from sycamorefall.transport import server as server_module
 from sycamorefall.transport.tests import test_server
 
 CHUNKED = b"POST /%s HTTP/1.1\r\nHost: a\r\nTransfer-Encoding: chunked\r\n\r\n"
@@ -67,6 +68,47 @@
     caller.close()
 
 
+def test_next_request_waits_until_the_answers_before_it_are_sent():
+    # Guards against a caller that sends many short requests and reads nothing:
+    # the answers to all of them were held.
+    site = test_server.Site()
+    page = b"p" * 100_000
+    caller = site.connect()
+    caller.sendall((test_server.GET % b"page") * 900)
+    answered = 0
+
+    def answer():
+        nonlocal answered
+        for call in site.calls[answered:]:
+            call.respond(200, page)
+            answered += 1
+
+    for _ in range(test_server.MAX_PASSES):
+        site.loop.tick(0.0)
+        answer()
+    (sock,) = site.server._connections
+    held = site.server.count_unsent(sock)
+    assert held <= len(page) + 1000 + server_module.MAX_UNSENT
+    received = 0
+
+    def read():
+        nonlocal received
+        answer()
+        try:
+            received += len(caller.recv(1 << 20))
+        except BlockingIOError:
+            return False
+        return received >= 900 * len(page)
+
+    for _ in range(100):
+        for _ in range(test_server.MAX_PASSES):
+            site.loop.tick(0.0)
+            if read():
+                break
+    assert answered == 900
+    caller.close()
+
+
 def test_ordinary_request_finds_room_when_others_hold_all_memory():
     # Guards against an ordinary caller that is refused for what others hold,
     # and against stalled bodies that keep all room until their time limit.
