Routers and sidecars of the other fleet keep to what the VM grants

Their servers had no bound at all: 4,096 connections, each with a head, a body, bytes behind them and answers, whatever max_memory_mb and max_descriptors said; both were read by routers that send directly only. Now both fleets share the account of memory, which operators' ports count in too, and divide what the settings grant between callers, refusals, upstreams and control links. Without either setting, connections are left to max_connections as before, and the memory is bounded by half of the machine's.

--- a/sycamorefall/node.py
+++ b/sycamorefall/node.py
@@ -158,10 +158,12 @@
     ).register(loop)
     control.attach(poller)
     client = transport.HttpClient(poller, transport.read_clock).register(loop)
+    memory = transport.HeldMemory()
     server = transport.HttpServer(
         config.listen.data,
         config.limits,
         lambda call: node.exchanger.handle_call(call) or on_call(call),
+        memory=memory,
     ).register(loop)
     replica = replication.create_state(
         core.vm,
@@ -204,13 +206,30 @@
             config.limits,
             on_operator_call,
             channel="operators",
+            memory=memory,
         ).register(loop)
+    _apply_limits(node)
     transport.Ticker(
         lambda: _compute_next_due(node), lambda now: _run_timers(node, now)
     ).register(loop)
     return node
 
 
+def _apply_limits(node: Node) -> None:
+    """Divides what the settings grant, and sets the limits of the servers.
+
+    Each VM of the list may have links to this process. Settings that grant
+    neither descriptors nor memory leave connections to `max_connections`.
+    """
+    limits = node.settings.limits
+    vm = transport.read_vm(limits)
+    transport.bound_memory(node.server.memory, vm)
+    if limits.max_descriptors or limits.max_memory_mb:
+        peers = max(len(node.core.directory.vms), node.control.link_count)
+        divided = transport.divide(vm, peers)
+        transport.limit_servers(list_servers(node), divided)
+
+
 def _log_fault(trace: str) -> None:
     observation.write_record(
         observation.Level.ERROR, "process.fault", traceback=trace
@@ -430,6 +449,7 @@
         node.control.update_digests(in_force.teams)
     if listed:
         node.control.retain_peers(set(node.core.directory.vms))
+        _apply_limits(node)
     if replication.EventKind.PLATFORM_OLDER in kinds:
         # Either the platform is stale, which the status has to show, or its
         # value changed between this process's read and the peer's response.
--- a/sycamorefall/settings.py
+++ b/sycamorefall/settings.py
@@ -145,14 +145,14 @@
         max_header_bytes: Maximum size of a request head in bytes.
         max_connections: Maximum number of open connections of callers.
         max_descriptors: Number of descriptors that the VM grants the process; 0
-            if only the kernel's limit counts. A router that sends directly
-            divides the lower one of both between callers, upstreams and other
-            routers.
+            if only the kernel's limit counts. The lower one of both is divided
+            between callers, upstreams and other processes.
         reserved_descriptors: How many of `max_descriptors` connections can't
             use.
         max_memory_mb: Memory in MB that the VM grants the process; 0 if
-            unknown. A router that sends directly takes fewer callers at a VM
-            with little memory.
+            unknown. A process takes fewer callers at a VM with little memory,
+            and what these send may take what is left; if unknown, up to half
+            of the machine's memory.
         header_timeout: Seconds within which a caller must send a complete
             request, and receive the rest of a response on a connection that is
             being closed.
--- a/sycamorefall/transport/__init__.py
+++ b/sycamorefall/transport/__init__.py
@@ -16,15 +16,20 @@
     "SendStage",
     "Shedding",
     "Ticker",
+    "bound_memory",
     "count_closings",
     "create_loop",
+    "divide",
     "install_signal_handlers",
+    "limit_servers",
     "read_clock",
+    "read_vm",
 ]
 
 from sycamorefall.transport.client import HttpClient
 from sycamorefall.transport.closing import count_closings
 from sycamorefall.transport.control import ControlLinks
+from sycamorefall.transport.division import divide
 from sycamorefall.transport.exchanges import (
     Exchange,
     Listener,
@@ -44,3 +49,8 @@
 from sycamorefall.transport.request_reader import RequestHeaders
 from sycamorefall.transport.server import HttpServer
 from sycamorefall.transport.shedding import Shedding
+from sycamorefall.transport.vm_limits import (
+    bound_memory,
+    limit_servers,
+    read_vm,
+)
--- a/sycamorefall/transport/input_turns.py
+++ b/sycamorefall/transport/input_turns.py
@@ -10,12 +10,12 @@
 from collections.abc import Callable, Hashable
 
 MAX_PARSE_TIME = 0.01
-"""Seconds of a pass of the loop for parsing input that continues a request or
-is long; a tenth of the time after which a pass counts as overloaded."""
+"""Seconds of a pass of the loop for parsing input that continues a request
+or is long; a tenth of the time after which a pass counts as overloaded."""
 
 MAX_TURN_PARTS = 64
-"""Number of parts of a request, such as chunks, that are parsed at once: under a
-millisecond."""
+"""Number of parts of a request, such as chunks, that are parsed at once: under
+a millisecond."""
 
 MAX_FIRST_PARTS = 16
 """Number of parts that are parsed as soon as a request begins to arrive; most
