--- a/sycamorefall/transport/server.py
+++ b/sycamorefall/transport/server.py
@@ -57,7 +57,7 @@
     """Starts the next request of a connection."""
 
 
-class _relieve(circuits.Event):  # noqa: N801
+class _relieve(circuits.Event):  # noqa: N801 (circuits' own convention)
     """Ends connections until what is held fits into the memory."""
 
 
@@ -554,7 +554,8 @@
     ) -> None:
         """Closes an idle connection, unless bytes of a request have arrived."""
         self._idle_timeouts.stop(sock)
-        if self._connections[sock].awaits_drain:
+        connection = self._connections.get(sock)
+        if connection is not None and connection.awaits_drain:
             self._close(sock, reason)
             return
         self._read_available(sock)
