Answers that nobody takes are cut also if nothing else happens

As memory ran short, answers that were too new to be cut (a second) were looked at again only when something else was written. If all callers stopped at once, what they held stayed over the memory until their idle time, 120 s by default.

Change: while too much is held, the connections are looked at again a second later, by the server's timers.

--- a/sycamorefall/transport/held_memory.py
+++ b/sycamorefall/transport/held_memory.py
@@ -7,7 +7,7 @@
 connection that isn't read.
 """
 
-__all__ = ["HeldMemory", "Progress", "choose_victim"]
+__all__ = ["MIN_AGE", "HeldMemory", "Progress", "choose_victim"]
 
 from collections.abc import Callable, Hashable, Iterable
 import dataclasses
--- a/sycamorefall/transport/server.py
+++ b/sycamorefall/transport/server.py
@@ -142,6 +142,7 @@
         self._request_timeouts = deadlines.Deadlines(limits.header_timeout)
         self._idle_timeouts = deadlines.Deadlines(limits.idle_timeout)
         self._closing_timeouts = deadlines.Deadlines(limits.header_timeout)
+        self._relief_due = math.inf
         try:
             self.server = poller.create_server(listen, channel)
         except OSError as error:
@@ -194,12 +195,15 @@
             self._closing_timeouts,
         )
         return min(
+            self._relief_due,
             self.acceptor.find_next_due(),
             *(limit.get_next_expiry() for limit in limits),
         )
 
     def expire(self, now: float) -> None:
         """Refuses or closes the connections whose time limit has expired."""
+        if now >= self._relief_due:
+            self._on_relieve()
         for sock in self._request_timeouts.pop_expired(now):
             self._read_available(sock)
             if self._awaits_request(sock):
@@ -828,8 +832,15 @@
 
     @circuits.handler("_relieve")
     def _on_relieve(self) -> None:
+        """Ends the slowest connections while too much is held.
+
+        Those that are too new to be ended are looked at again later.
+        """
         while self.memory.is_exceeded() and self.memory.make_room():
             pass
+        self._relief_due = math.inf
+        if self.memory.is_exceeded():
+            self._relief_due = self._read_clock() + held_memory.MIN_AGE
 
     def _refuse_for_memory(self, sock: socket.socket) -> None:
         """Refuses a request for which there is no memory."""
--- a/sycamorefall/transport/tests/test_unruly_input.py
+++ b/sycamorefall/transport/tests/test_unruly_input.py
@@ -131,3 +131,32 @@
     assert b" 503 " in site.read(stalled, b"}}")
     for caller in (stalled, ordinary, early, late):
         caller.close()
+
+
+def test_answers_that_nobody_takes_are_cut_though_nothing_else_happens():
+    # Guards against answers that were too new to be cut as memory ran short,
+    # and that were held until their idle time as no one wrote any more.
+    site = test_server.Site()
+    site.server.memory.max_memory = 9_000_000
+    callers = [site.connect() for _ in range(4)]
+    for caller in callers:
+        caller.sendall(test_server.GET % b"page")
+    site.run_until(lambda: len(site.calls) == 4)
+    for call in site.calls:
+        call.respond(200, b"p" * 10_000_000)
+    for _ in range(20):
+        site.loop.tick(0.0)
+    assert len(site.server._connections) == 4
+    assert site.server.memory.is_exceeded()
+    due = site.server.find_next_due()
+    assert due <= 1.0
+    site.now = due
+    site.server.expire(site.now)
+    for _ in range(20):
+        site.loop.tick(0.0)
+    assert not site.server.memory.is_exceeded()
+    for caller in callers:
+        caller.close()
+    site.run_until(lambda: not site.server._connections)
+    assert site.server.memory.held == 0
+    assert site.server.memory.callers == 0
