What the kernel holds for a connection that isn't read counts twice

The kernel doubles the size that is set: a connection that isn't read held 109 KB where the account counted 64 KB (a trial, 3,000 clients). It counts 128 KB now.

The same trial shows what is still not bounded, written down as open: connections that the kernel has made and a full process has not accepted, 326 MB at a router of 160 MB.

--- a/sycamorefall/transport/server.py
+++ b/sycamorefall/transport/server.py
@@ -36,8 +36,11 @@
 """Maximum number of bytes read from a connection at once."""
 
 RECEIVE_BUFFER = 1 << 16
-"""Bytes that the kernel holds for a connection that isn't read. By itself it
-holds megabytes for a caller that sends fast."""
+"""Size that is set for the kernel's buffer of a connection that isn't read. By
+itself the kernel holds megabytes for a caller that sends fast."""
+
+MAX_KERNEL_BYTES = 2 * RECEIVE_BUFFER
+"""Bytes that it holds at most: it doubles the size that is set."""
 
 MAX_UNREAD = READ_SIZE
 """Bytes behind a request in progress from which on no more are read."""
@@ -788,7 +791,7 @@
         self, sock: socket.socket, connection: connections_module.Connection
     ) -> int:
         """Counts the bytes of memory that a connection holds."""
-        in_kernel = 0 if connection.reads_input else RECEIVE_BUFFER
+        in_kernel = 0 if connection.reads_input else MAX_KERNEL_BYTES
         unsent = self.count_unsent(sock)
         return connection.reader.held_memory + unsent + in_kernel
 
