--- a/unruly/crowds.py
+++ b/unruly/crowds.py
@@ -42,12 +42,14 @@
         count: Number of clients.
         data: What each client sends.
         format_start: Formats what the client with a number sends before that.
+        start_pause: Seconds between the starts of two clients.
     """
 
     port: int
     count: int
     data: bytes
     format_start: Callable[[int], bytes] = lambda number: b""
+    start_pause: float = START_PAUSE
 
 
 def format_head(path: str, *headers: str, method: str = "POST") -> bytes:
@@ -90,7 +92,7 @@
     for crowd in crowds:
         for number in range(crowd.count):
             clients.append((crowd, await _start(crowd, number)))
-            await asyncio.sleep(START_PAUSE)
+            await asyncio.sleep(crowd.start_pause)
     sockets += (sock for _, sock in clients)
     with contextlib.suppress(TimeoutError):
         async with asyncio.timeout(MAX_SENDING_TIME):
--- a/unruly/tests/test_routers.py
+++ b/unruly/tests/test_routers.py
@@ -1,7 +1,9 @@
 """Unruly clients at a router that sends directly to upstreams."""
 
 import contextlib
+import dataclasses
 import http.client
+import resource
 import time
 
 import pytest
@@ -49,6 +51,15 @@
         yield made
 
 
+@pytest.fixture
+def many_descriptors():
+    """Lets this process open as many connections as a crowd needs."""
+    soft, hard = resource.getrlimit(resource.RLIMIT_NOFILE)
+    resource.setrlimit(resource.RLIMIT_NOFILE, (hard, hard))
+    yield
+    resource.setrlimit(resource.RLIMIT_NOFILE, (soft, hard))
+
+
 @pytest.fixture
 def router(site):
     return site.add_router(extra_settings=LIMITS)
@@ -185,3 +196,14 @@
         make_orders(router, 20, b"x" * 7_900_000, length),
         crowds.Crowd(router.operators, 6, pages),
     )
+
+
+def test_connections_that_are_not_accepted_are_bounded(
+    many_descriptors, router
+):
+    # Guards against a full process for which the kernel holds what clients
+    # send on connections that wait to be accepted.
+    length = "Content-Length: 1000000"
+    crowd = make_orders(router, 1500, b"x" * 900_000, length)
+    at_once = dataclasses.replace(crowd, start_pause=0.0)
+    check_crowds(router, at_once)
