--- a/review/lib2/site.py
+++ b/review/lib2/site.py
@@ -12,6 +12,7 @@
     "Worker",
     "build_entry",
     "build_route",
+    "create_attempt_id",
     "exit_with_verdict",
     "is_troubled",
     "send_request",
@@ -354,7 +355,8 @@
             "Content-Type: text/event-stream\r\n"
             "Transfer-Encoding: chunked\r\n\r\n".encode()
         )
-        for number in range(1, self.events + 1):
+        first = int(headers.get("last-event-id", "0")) + 1
+        for number in range(first, self.events + 1):
             await asyncio.sleep(0.02)
             event = f"id: {number}\ndata: {attempt}/{number}\n\n".encode()
             writer.write(b"%x\r\n%b\r\n" % (len(event), event))
@@ -451,6 +453,11 @@
     body: bytes
 
 
+def create_attempt_id() -> str:
+    """Creates the id of a client attempt."""
+    return f"{next(_request_ids):016x}"
+
+
 def send_request(
     router: Router,
     target: str,
@@ -462,7 +469,7 @@
     body: bytes = b"",
 ) -> Answer:
     """Sends a request on a new connection and reads its answer."""
-    attempt = f"{next(_request_ids):016x}"
+    attempt = create_attempt_id()
     headers = {
         "Host": HOST,
         "Attempt-Id": attempt,
